--- /dev/null
+++ b/Makefile
@@ -0,0 +1,78 @@
+CC = gcc
+PKGS = libwebsockets libzmq msgpack jansson popt libxxhash
+CSTD = -std=c11 -D_POSIX_C_SOURCE=200809L -D_DEFAULT_SOURCE
+WARN = -Wall -Wextra -Werror
+OPT = -O2 -g
+CFLAGS = $(CSTD) $(WARN) $(OPT) $(SANITIZE) -pthread -I. -Iinclude
+LIBS = -lwebsockets -lzmq -lmsgpackc -ljansson -lxxhash -lpopt -lm
+BUILD = build
+
+LIB_SRC = $(wildcard core/*.c filters/*.c controllers/*.c log/*.c wire/*.c \
+	tasks/*.c)
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libsycamorerudder.a
+PROGRAMS = sycamorerudder-node rudderctl rudder-load rudder-fake
+PROGRAM_BIN = $(patsubst %,$(BUILD)/%,$(filter \
+	$(basename $(notdir $(wildcard programs/*.c))),$(PROGRAMS)))
+TEST_SRC = $(wildcard tests/test_*.c)
+TEST_BIN = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
+SOURCES = $(wildcard include/*.h core/*.[ch] filters/*.[ch] \
+	controllers/*.[ch] log/*.[ch] wire/*.[ch] tasks/*.[ch] \
+	programs/*.[ch] tests/*.[ch] fuzz/*.[ch])
+
+all: $(LIB) $(PROGRAM_BIN)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_OBJ)
+	@mkdir -p $(@D)
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
+	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lgsl -lgslcblas -lm -o $@
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(LIB)
+	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lcunit -o $@
+
+tests: $(TEST_BIN)
+
+setup:
+	@scripts/setup
+
+demo: setup
+	@$(MAKE) --no-print-directory all
+	@scripts/demo
+
+check: setup
+	@scripts/check
+
+bench: setup
+	@scripts/bench
+
+soak: setup
+	@$(MAKE) --no-print-directory all
+	@scripts/soak "$(or $(SEED),1)" "$(or $(SECONDS),60)"
+
+fuzz: setup
+	@scripts/fuzz "$(or $(SECONDS),60)"
+
+lint:
+	@scripts/lint
+
+format:
+	clang-format -i $(SOURCES)
+
+print-sources:
+	@echo $(SOURCES)
+
+clean:
+	rm -rf build build-sanitize
+
+.PHONY: all tests setup demo check bench soak fuzz lint format clean \
+	print-sources
+.SECONDARY:
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/controllers/chs.h
@@ -0,0 +1,128 @@
+#ifndef CONTROLLERS_CHS_H
+#define CONTROLLERS_CHS_H
+
+/**
+ * DOC: chs - choice of a backend server of one service
+ *
+ * Power of two random choices on what this node sees itself: requests in
+ * flight, latency, admission level.  Stragglers are ejected after a few
+ * answers, probed at a low rate and reinstated gradually; cold starts ramp.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "controllers/adm.h"
+#include "core/clk.h"
+#include "core/list.h"
+#include "core/model.h"
+#include "core/rng.h"
+
+#define CHS_INSTANCE_BYTES 64
+#define CHS_ADDRESS_BYTES 64
+/* Servers that one call may exclude: those that it tried.  */
+#define CHS_TRIED_MAX 8
+
+struct chs; /* the servers of one service, as this node sees them */
+
+struct chs_opts
+{
+  uint32_t max_ejected_percent;
+  char failure_domain[MDL_NAME_BYTES]; /* own; used for equal choices */
+};
+
+struct chs_server
+{
+  struct lst_node node;
+  char instance[CHS_INSTANCE_BYTES];
+  char address[CHS_ADDRESS_BYTES]; /* peer address of its node */
+  char failure_domain[MDL_NAME_BYTES];
+  uint64_t incarnation;
+  bool local;    /* beside this node */
+  bool draining; /* receives no new work */
+  bool present;  /* listed by membership */
+  uint32_t slots;
+  uint32_t in_flight;
+  uint32_t users; /* attempts that refer to it */
+  struct adm_level level;
+  clk_us level_at;
+  clk_us joined;
+  double latency_us; /* moving average; 0 before the first answer */
+  uint32_t answers;
+  bool ejected;
+  clk_us ejected_at;
+  clk_us probe_at;
+  double weight; /* 0 … 1 while ramping */
+};
+
+/* How an attempt ended, as far as the choice of server is concerned.  */
+enum chs_result
+{
+  CHS_ANSWERED, /* whole answer */
+  CHS_REFUSED,  /* refused before dispatch */
+  CHS_FAILED,   /* the server failed the request on a fresh connection */
+  CHS_NO_BLAME, /* silent connection, cancelled, lost peer connection */
+};
+
+struct chs *chs_new (const struct chs_opts *opts);
+void chs_free (struct chs *chs);
+void chs_configure (struct chs *chs, const struct chs_opts *opts);
+
+/* Adds or updates a server; a new incarnation is a cold start.  */
+int chs_update (struct chs *chs, const struct chs_server *seen, clk_us now);
+
+/* Marks all servers absent; those not updated again before chs_sweep() are
+   dropped once no attempt refers to them.  */
+void chs_mark (struct chs *chs);
+void chs_sweep (struct chs *chs);
+
+enum chs_choice_kind
+{
+  CHS_SERVER, /* use the server */
+  CHS_SHED,   /* every usable server would refuse this importance */
+  CHS_NONE,   /* no usable server */
+};
+
+struct chs_choice
+{
+  enum chs_choice_kind kind;
+  struct chs_server *server;
+};
+
+/* What the choice depends on besides the servers.  */
+struct chs_query
+{
+  uint8_t importance;
+  enum mdl_cost cost;
+  uint32_t tried_count;
+  const struct chs_server *tried[CHS_TRIED_MAX];
+};
+
+struct chs_choice chs_pick (struct chs *chs, const struct chs_query *query,
+                            struct rng *rng, clk_us now);
+
+/* An attempt at SERVER begins; pairs with one chs_done().  */
+void chs_start (struct chs *chs, struct chs_server *server, clk_us now);
+
+/**
+ * chs_done() - an attempt ended
+ * @chs: servers
+ * @server: the attempt's server
+ * @result: how it ended
+ * @cost: short and long work are compared apart
+ * @latency: from start to the first byte of the answer
+ * @level: admission level on the answer, or NULL when there was none
+ * @now: time
+ */
+void chs_done (struct chs *chs, struct chs_server *server,
+               enum chs_result result, enum mdl_cost cost, clk_us latency,
+               const struct adm_level *level, clk_us now);
+
+/* Delay after which an unanswered idempotent attempt may be hedged: the p95
+   of recent answers of this cost; 0 while it is not known.  */
+clk_us chs_hedge_delay (const struct chs *chs, enum mdl_cost cost);
+
+/* Servers that are listed, for status pages.  */
+const struct lst *chs_servers (const struct chs *chs);
+
+#endif
--- /dev/null
+++ b/controllers/mbr.h
@@ -0,0 +1,55 @@
+#ifndef CONTROLLERS_MBR_H
+#define CONTROLLERS_MBR_H
+
+/**
+ * DOC: mbr - member table of a control replica
+ *
+ * Leases are renewed by the nodes; every change gets the next number, so that
+ * a node receives only what changed since its last renewal.
+ */
+
+#include "core/clk.h"
+#include "core/member.h"
+
+struct mbr;
+
+struct mbr_opts
+{
+  clk_us lease;     /* silence after which a member is gone */
+  clk_us keep_gone; /* time that tombstones are kept */
+  uint64_t epoch;   /* random for each start */
+  uint32_t most;    /* members */
+};
+
+struct mbr *mbr_new (const struct mbr_opts *opts);
+void mbr_free (struct mbr *mbr);
+
+/**
+ * mbr_renew() - take a renewal and fill in the reply's membership part
+ * @mbr: table
+ * @renew: renewal
+ * @reply: status, position, whole and items are set; items are malloc()ed
+ * @now: time
+ *
+ * Return: SR_OK, SR_EEXIST with MEM_NAME_TAKEN in @reply, SR_EFULL, SR_ENOMEM.
+ */
+int mbr_renew (struct mbr *mbr, const struct mem_renew *renew,
+               struct mem_members *reply, clk_us now);
+
+/* Ends leases; returns how many ended.  */
+uint32_t mbr_expire (struct mbr *mbr, clk_us now);
+
+/* A node says that it leaves: gone at once.  */
+int mbr_leave (struct mbr *mbr, const struct mem_record *record, clk_us now);
+
+/* Appends copies of all live records to OUT (struct mem_item, malloc()ed) and
+   returns their number.  */
+uint32_t mbr_list (const struct mbr *mbr, struct lst *out);
+
+/* Configuration version that each member reported, lowest first found; used
+   by "apply --wait".  Returns how many live members are below NUMBER.  */
+uint32_t mbr_behind (const struct mbr *mbr, uint64_t number);
+
+void mem_free_items (struct lst *items);
+
+#endif
--- /dev/null
+++ b/controllers/rty.h
@@ -0,0 +1,93 @@
+#ifndef CONTROLLERS_RTY_H
+#define CONTROLLERS_RTY_H
+
+/**
+ * DOC: rty - retry allowance of a chain, retry budget of a service, resends
+ *
+ * An allowance is issued once at the entry of a chain.  It is split among
+ * child calls and returned unused, never copied, so that the attempts of one
+ * chain exceed its calls by at most the allowance.  The budget is a token
+ * bucket that bounds retries and hedges to a share of first attempts.  The
+ * resend table lets resends of one caller's request share one allowance.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "core/clk.h"
+#include "core/list.h"
+
+struct rty_allowance
+{
+  uint32_t remaining; /* retries that may still be spent or granted */
+  uint32_t granted;   /* retries out with child attempts */
+};
+
+/* Takes one retry; false when none is left.  */
+bool rty_take (struct rty_allowance *allowance);
+
+/* Share for a child attempt: half of what remains, rounded up.  */
+uint32_t rty_grant (struct rty_allowance *allowance);
+
+/* Ends a child attempt that was granted GRANT and brings back UNUSED, which
+   is capped at GRANT; what is missing is lost.  */
+void rty_return (struct rty_allowance *allowance, uint32_t grant,
+                 uint32_t unused);
+
+struct rty_budget
+{
+  uint32_t percent; /* of first attempts */
+  double tokens;
+  double capacity;
+  clk_us refilled;
+};
+
+void rty_budget_init (struct rty_budget *budget, uint32_t percent, clk_us now);
+void rty_budget_first (struct rty_budget *budget, clk_us now);
+
+/* Takes one token for a retry or a hedge; false when the budget is spent. */
+bool rty_budget_take (struct rty_budget *budget, clk_us now);
+
+/* Puts the token of a retry back that was not started.  */
+void rty_budget_put (struct rty_budget *budget);
+
+struct rty_table;
+
+struct rty_table_opts
+{
+  uint32_t most; /* entries kept */
+  clk_us keep;   /* after the last use */
+};
+
+/* One chain at its entry node; shared by the caller's resends.  */
+struct rty_chain
+{
+  struct lst_node node; /* by age */
+  struct lst_node hash_node;
+  uint64_t key;
+  uint32_t users; /* calls that hold it now */
+  clk_us used;
+  struct rty_allowance allowance;
+};
+
+struct rty_table *rty_table_new (const struct rty_table_opts *opts);
+void rty_table_free (struct rty_table *table);
+
+/**
+ * rty_chain_get() - the chain record of a caller's request
+ * @table: table
+ * @key: hash of caller and idempotency key or trace id
+ * @allowance: issued when the key is new
+ * @now: time
+ *
+ * A full table never forgets a chain that is younger than the keep time; it
+ * then gives a record without allowance instead.
+ *
+ * Return: a record, released with rty_chain_put(), or NULL without memory.
+ */
+struct rty_chain *rty_chain_get (struct rty_table *table, uint64_t key,
+                                 uint32_t allowance, clk_us now);
+void rty_chain_put (struct rty_table *table, struct rty_chain *chain,
+                    clk_us now);
+
+#endif
--- /dev/null
+++ b/core/ctr.h
@@ -0,0 +1,60 @@
+#ifndef CORE_CTR_H
+#define CORE_CTR_H
+
+/**
+ * DOC: ctr - counters
+ *
+ * One set for the process; any task may add.  Refusals and retries have one
+ * counter for each reason of core/reason.h.
+ */
+
+#include <stdint.h>
+
+#include "core/reason.h"
+
+/* X (symbol, metric name, help text) */
+#define CTR_TABLE(X)                                                          \
+  X (CALLS, "rudder_calls_total", "Requests received from callers")           \
+  X (ANSWERS, "rudder_answers_total", "Whole answers given to callers")       \
+  X (ATTEMPTS, "rudder_attempts_total", "Attempts started")                   \
+  X (SERVES, "rudder_serves_total", "Requests received for the own server")   \
+  X (DISPATCHED, "rudder_dispatched_total",                                   \
+     "Requests sent to the own server")                                       \
+  X (CONNECTIONS, "rudder_backend_connections_total",                         \
+     "Connections opened to the own server")                                  \
+  X (CLAIMS_GRANTED, "rudder_claims_granted_total", "Claims granted")         \
+  X (CLAIMS_REPLAYED, "rudder_claims_replayed_total",                         \
+     "Recorded answers given to a resend")                                    \
+  X (PEER_MALFORMED, "rudder_peer_malformed_total",                           \
+     "Peer messages dropped because they could not be decoded")               \
+  X (PEER_SILENT, "rudder_peer_silent_total",                                 \
+     "Peer connections replaced after silence")                               \
+  X (ALLOWANCE_LOST, "rudder_allowance_lost_total",                           \
+     "Retry allowance that did not come back with an answer")                 \
+  X (CONFIG_CHANGES, "rudder_config_changes_total",                           \
+     "Configuration versions put in force")
+
+enum ctr_id
+{
+#define CTR_X(symbol, name, help) CTR_##symbol,
+  CTR_TABLE (CTR_X)
+#undef CTR_X
+      CTR_COUNT
+};
+
+void ctr_add (enum ctr_id id, uint64_t amount);
+void ctr_refused (enum rsn_refusal reason);
+void ctr_retried (enum rsn_retry reason);
+uint64_t ctr_value (enum ctr_id id);
+
+/**
+ * ctr_each() - visit all counters
+ * @visit: called with the metric name, help text, label value (NULL when the
+ *	metric has no label) and value
+ * @arg: passed to @visit
+ */
+void ctr_each (void (*visit) (void *arg, const char *name, const char *help,
+                              const char *label, uint64_t value),
+               void *arg);
+
+#endif
--- /dev/null
+++ b/core/reason.h
@@ -0,0 +1,90 @@
+#ifndef CORE_REASON_H
+#define CORE_REASON_H
+
+/**
+ * DOC: rsn - reasons for refusals and retries
+ *
+ * Each table has one row for each reason; names, HTTP statuses, error types
+ * of RFC 9209 and counters all come from it.
+ */
+
+/* X (symbol, name, HTTP status, RFC 9209 error type, may a resend help) */
+#define RSN_REFUSAL_TABLE(X)                                                  \
+  X (MALFORMED, "malformed", 400, "http_request_error", 0)                    \
+  X (HEADERS_TOO_LARGE, "headers-too-large", 431, "http_request_error", 0)    \
+  X (BODY_TOO_LARGE, "body-too-large", 413, "http_request_error", 0)          \
+  X (BODY_INCOMPLETE, "body-incomplete", 400, "http_request_error", 0)        \
+  X (UNKNOWN_SERVICE, "unknown-service", 404, "destination_not_found", 0)     \
+  X (UNKNOWN_KIND, "unknown-kind", 404, "destination_not_found", 0)           \
+  X (KEY_REQUIRED, "idempotency-key-required", 400, "http_request_error", 0)  \
+  X (KEY_REUSED, "key-reused", 422, "http_request_error", 0)                  \
+  X (PARENT_ENDED, "parent-ended", 504, "http_response_timeout", 0)           \
+  X (CHAIN_TOO_DEEP, "chain-too-deep", 508, "proxy_loop_detected", 0)         \
+  X (NOT_READY, "not-ready", 503, "proxy_configuration_error", 1)             \
+  X (NO_SERVER, "no-server", 503, "destination_unavailable", 1)               \
+  X (NO_BACKEND, "no-backend", 503, "destination_unavailable", 1)             \
+  X (DRAINING, "draining", 503, "destination_unavailable", 1)                 \
+  X (UPSTREAM_SHED, "upstream-shed", 503, "connection_limit_reached", 1)      \
+  X (QUEUE_FULL, "queue-full", 503, "connection_limit_reached", 1)            \
+  X (EVICTED, "evicted", 503, "connection_limit_reached", 1)                  \
+  X (CALLER_SHARE, "caller-share", 429, "connection_limit_reached", 1)        \
+  X (DEADLINE_QUEUED, "deadline-queued", 504, "http_response_timeout", 1)     \
+  X (DEADLINE_RUNNING, "deadline-running", 504, "http_response_timeout", 1)   \
+  X (QUARANTINED, "quarantined", 503, "http_request_denied", 0)               \
+  X (CLAIM_UNAVAILABLE, "claim-unavailable", 503, "proxy_internal_error", 1)  \
+  X (CLAIM_STORE_FULL, "claim-store-full", 503, "proxy_internal_error", 1)    \
+  X (CLAIM_UNKNOWN, "claim-unknown", 502, "proxy_internal_error", 0)          \
+  X (CONNECT_FAILED, "connect-failed", 502, "connection_refused", 1)          \
+  X (BACKEND_CLOSED, "backend-closed", 502, "connection_terminated", 1)       \
+  X (ANSWER_INCOMPLETE, "answer-incomplete", 502, "http_response_incomplete", \
+     1)                                                                       \
+  X (CONNECTION_SILENT, "connection-silent", 504, "connection_read_timeout",  \
+     1)                                                                       \
+  X (PEER_LOST, "peer-lost", 502, "connection_terminated", 1)                 \
+  X (PEER_CONGESTED, "peer-congested", 503, "connection_limit_reached", 1)    \
+  X (CANCELLED, "cancelled", 499, "http_request_error", 0)                    \
+  X (INTERNAL, "internal", 500, "proxy_internal_error", 0)
+
+/* X (symbol, name) */
+#define RSN_RETRY_TABLE(X)                                                    \
+  X (REFUSED_BELOW, "refused-below")                                          \
+  X (CONNECT_FAILED, "connect-failed")                                        \
+  X (BACKEND_CLOSED, "backend-closed")                                        \
+  X (CONNECTION_SILENT, "connection-silent")                                  \
+  X (PEER_LOST, "peer-lost")                                                  \
+  X (ANSWER_INCOMPLETE, "answer-incomplete")                                  \
+  X (HEDGE, "hedge")
+
+enum rsn_refusal
+{
+  RSN_NONE,
+#define RSN_X(symbol, name, status, type, resend) RSN_##symbol,
+  RSN_REFUSAL_TABLE (RSN_X)
+#undef RSN_X
+      RSN_COUNT
+};
+
+enum rsn_retry
+{
+  RSN_RETRY_NONE,
+#define RSN_X(symbol, name) RSN_RETRY_##symbol,
+  RSN_RETRY_TABLE (RSN_X)
+#undef RSN_X
+      RSN_RETRY_COUNT
+};
+
+/* Whether the backend server may have run a request that was refused.  */
+enum rsn_run
+{
+  RSN_NOT_RUN,
+  RSN_UNKNOWN,
+};
+
+const char *rsn_name (enum rsn_refusal reason);
+int rsn_http_status (enum rsn_refusal reason);
+const char *rsn_proxy_error (enum rsn_refusal reason);
+int rsn_resend_helps (enum rsn_refusal reason);
+const char *rsn_retry_name (enum rsn_retry reason);
+const char *rsn_run_name (enum rsn_run run);
+
+#endif
--- /dev/null
+++ b/tests/suite.h
@@ -0,0 +1,38 @@
+#ifndef TESTS_SUITE_H
+#define TESTS_SUITE_H
+
+/**
+ * DOC: suite - runs one CUnit suite as a program
+ */
+
+#include <CUnit/Basic.h>
+
+struct suite_test
+{
+  const char *name;
+  CU_TestFunc run;
+};
+
+/* Runs TESTS, which end with a NULL name; returns the exit status.  */
+static inline int
+suite_run (const char *name, const struct suite_test *tests)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  if (CU_initialize_registry () != CUE_SUCCESS)
+    return 1;
+  suite = CU_add_suite (name, NULL, NULL);
+  if (suite == NULL)
+    return 1;
+  for (; tests->name != NULL; tests++)
+    if (CU_add_test (suite, tests->name, tests->run) == NULL)
+      return 1;
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
+
+#endif
