--- /dev/null
+++ b/core/msg.c
@@ -0,0 +1,157 @@
+#include "core/msg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/repmsg.h"
+
+/* Frees the items of a list whose link is their first member.  */
+static void
+msg_free_list (struct lst *list)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (list)) != NULL)
+    free (node);
+}
+
+struct msg *
+msg_new (enum msg_kind kind)
+{
+  struct msg *msg = calloc (1, sizeof *msg);
+
+  INVARIANT (msg != NULL);
+  msg->kind = kind;
+  switch (kind)
+    {
+    case MSG_OPEN:
+      lst_init (&msg->u.open.fields);
+      break;
+    case MSG_HEAD:
+      lst_init (&msg->u.head.fields);
+      break;
+    case MSG_RENEW:
+      lst_init (&msg->u.renew.marks);
+      break;
+    case MSG_MEMBERS:
+      lst_init (&msg->u.members.items);
+      lst_init (&msg->u.members.marks);
+      break;
+    case MSG_VIEW:
+    case MSG_MARKS:
+      lst_init (&msg->u.items);
+      break;
+    default:
+      break;
+    }
+  return msg;
+}
+
+void
+msg_free (struct msg *msg)
+{
+  if (msg == NULL)
+    return;
+  switch (msg->kind)
+    {
+    case MSG_OPEN:
+      free (msg->u.open.path);
+      msg_fields_free (&msg->u.open.fields);
+      break;
+    case MSG_BODY:
+      free (msg->u.body.data);
+      break;
+    case MSG_HEAD:
+      msg_fields_free (&msg->u.head.fields);
+      break;
+    case MSG_RENEW:
+      free (msg->u.renew.services);
+      msg_free_list (&msg->u.renew.marks);
+      break;
+    case MSG_MEMBERS:
+      msg_free_list (&msg->u.members.items);
+      msg_free_list (&msg->u.members.marks);
+      break;
+    case MSG_PROPOSE:
+    case MSG_CLAIM:
+      free (msg->u.propose.data);
+      break;
+    case MSG_RESULT:
+      free (msg->u.result.data);
+      break;
+    case MSG_REP:
+      rep_msg_free (msg->u.rep.msg);
+      break;
+    case MSG_MODEL:
+      mdl_unref (msg->u.model.model);
+      break;
+    case MSG_VIEW:
+    case MSG_MARKS:
+      msg_free_list (&msg->u.items);
+      break;
+    case MSG_ADMIN:
+      free (msg->u.admin.text);
+      break;
+    case MSG_ADMIN_REPLY:
+      free (msg->u.admin_reply.text);
+      break;
+    case MSG_STORE_WRITE:
+      sto_write_free (msg->u.store_write);
+      break;
+    case MSG_STORE_DONE:
+      sto_done_free (msg->u.store_done);
+      break;
+    default:
+      break;
+    }
+  free (msg);
+}
+
+int
+msg_field_add (struct lst *fields, const char *name, const char *value)
+{
+  struct msg_field *field = calloc (1, sizeof *field);
+
+  if (field == NULL)
+    return SR_ENOMEM;
+  field->name = strdup (name);
+  field->value = strdup (value);
+  if (field->name == NULL || field->value == NULL)
+    {
+      free (field->name);
+      free (field->value);
+      free (field);
+      return SR_ENOMEM;
+    }
+  lst_push_tail (fields, &field->node);
+  return SR_OK;
+}
+
+const char *
+msg_field_get (const struct lst *fields, const char *name)
+{
+  lst_each (node, fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      if (strcmp (field->name, name) == 0)
+        return field->value;
+    }
+  return NULL;
+}
+
+void
+msg_fields_free (struct lst *fields)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (fields)) != NULL)
+    {
+      struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      free (field->name);
+      free (field->value);
+      free (field);
+    }
+}
--- /dev/null
+++ b/core/msg.h
@@ -0,0 +1,272 @@
+#ifndef CORE_MSG_H
+#define CORE_MSG_H
+
+/**
+ * DOC: msg - messages between tasks and between nodes
+ *
+ * One tagged union.  Whoever takes a message from an inbox owns it and its
+ * parts, and frees it with msg_free().
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/list.h"
+#include "core/member.h"
+#include "core/model.h"
+#include "core/reason.h"
+#include "core/rng.h"
+
+#define MSG_ADDRESS_BYTES 64
+#define MSG_IDENTITY_BYTES 64
+#define MSG_CALLER_BYTES 64
+#define MSG_KEY_BYTES 128
+/* Most body bytes in one message; small enough that a short answer does not
+   wait for a long one on the same connection.  */
+#define MSG_BODY_BYTES_MAX (16 * 1024)
+/* Body bytes that one side of a stream may send ahead of credits.  */
+#define MSG_WINDOW_BYTES (64 * 1024)
+#define MSG_LENGTH_UNKNOWN (-1)
+
+struct rep_msg;   /* core/repmsg.h */
+struct sto_write; /* core/repmsg.h */
+struct sto_done;  /* core/repmsg.h */
+
+enum msg_kind
+{
+  /* streams: front <-> peer task <-> peer task <-> front */
+  MSG_OPEN,
+  MSG_BODY,
+  MSG_CREDIT,
+  MSG_CANCEL,
+  MSG_HEAD,
+  MSG_REFUSE,
+  /* between peer tasks only */
+  MSG_PING,
+  MSG_PONG,
+  /* control <-> peer task <-> peer task <-> control */
+  MSG_RENEW,
+  MSG_MEMBERS,
+  MSG_PROPOSE,
+  MSG_RESULT,
+  MSG_REP,
+  MSG_WIRE_COUNT, /* kinds above are encoded between nodes */
+  /* inside one process */
+  MSG_PEER_LOST, /* peer -> front, control */
+  MSG_BACKEND,   /* front -> control: announced, leaving, lost */
+  MSG_MODEL,     /* control -> front: configuration in force */
+  MSG_VIEW,      /* control -> front: members */
+  MSG_MARKS,     /* front <-> control: crash marks */
+  MSG_CLAIM,     /* front -> control; answered by MSG_RESULT */
+  MSG_ADMIN,     /* front -> control: an operator's request */
+  MSG_ADMIN_REPLY,
+  MSG_STORE_WRITE, /* control -> store */
+  MSG_STORE_DONE,  /* store -> control */
+  MSG_STOP,        /* to each task */
+};
+
+/* Where a message goes to or came from.  */
+enum msg_route_kind
+{
+  MSG_ROUTE_DIAL,  /* a node by its peer address */
+  MSG_ROUTE_REPLY, /* back to where a message came from */
+};
+
+struct msg_route
+{
+  enum msg_route_kind kind;
+  union
+  {
+    char address[MSG_ADDRESS_BYTES];
+    struct
+    {
+      uint8_t bytes[MSG_IDENTITY_BYTES];
+      uint8_t len;
+    } identity;
+  } u;
+};
+
+/* An HTTP field; name in lower case, both malloc()ed.  */
+struct msg_field
+{
+  struct lst_node node;
+  char *name;
+  char *value;
+};
+
+/* What a node tells with each answer: its admission level and the part of the
+   retry allowance that was not used.  */
+struct msg_trailer
+{
+  uint8_t level_importance;
+  uint32_t level_wait_us;
+  uint32_t unused_allowance;
+};
+
+struct msg_open
+{
+  char service[MDL_NAME_BYTES];
+  char method[16];
+  char *path; /* with the query, malloc()ed */
+  struct lst fields;
+  char caller[MSG_CALLER_BYTES];
+  char key[MSG_KEY_BYTES];       /* idempotency key, empty when none */
+  char chain_key[MSG_KEY_BYTES]; /* idempotency key of the entry, or empty */
+  uint8_t attempt[RNG_ID_BYTES];
+  uint8_t importance;
+  uint32_t depth;
+  uint32_t allowance;
+  uint64_t remaining_us; /* to the deadline */
+  int64_t body_len;      /* or MSG_LENGTH_UNKNOWN */
+};
+
+struct msg_body
+{
+  uint32_t sequence;
+  bool end;
+  uint64_t total;             /* with end: body bytes of the stream */
+  struct msg_trailer trailer; /* with end, from the serve side */
+  uint8_t *data;
+  size_t len;
+};
+
+struct msg_head
+{
+  int status;
+  struct lst fields;
+  int64_t body_len;
+};
+
+struct msg_refuse
+{
+  enum rsn_refusal reason;
+  enum rsn_run run;
+  uint32_t retry_after_ms; /* 0: none */
+  struct msg_trailer trailer;
+};
+
+enum msg_group
+{
+  MSG_GROUP_CONFIG,
+  MSG_GROUP_CLAIMS,
+  MSG_GROUP_COUNT,
+};
+
+enum msg_propose_kind
+{
+  MSG_PROPOSE_COMMAND, /* append to the log of the group */
+  MSG_PROPOSE_READ,    /* version and document, confirmed by a quorum */
+};
+
+struct msg_propose
+{
+  enum msg_propose_kind kind;
+  enum msg_group group;
+  uint64_t request;
+  uint8_t *data;
+  size_t len;
+};
+
+struct msg_result
+{
+  uint64_t request;
+  int status; /* SR_OK, SR_ENOTLEADER, SR_EAGAIN … */
+  char leader[MSG_ADDRESS_BYTES];
+  struct mem_version version; /* for reads */
+  uint8_t *data;
+  size_t len;
+};
+
+struct msg_rep
+{
+  enum msg_group group;
+  struct rep_msg *msg;
+};
+
+enum msg_backend_state
+{
+  MSG_BACKEND_UP,
+  MSG_BACKEND_DRAINING,
+  MSG_BACKEND_DOWN,
+};
+
+struct msg_backend
+{
+  enum msg_backend_state state;
+  char service[MDL_NAME_BYTES];
+  uint32_t slots;
+};
+
+struct msg_model
+{
+  struct mdl *model; /* NULL while none is known */
+  struct mem_version version;
+  bool confirmed; /* by a quorum */
+};
+
+/* Part of status that the control task knows; strings are static names.  */
+enum msg_admin_op
+{
+  MSG_ADMIN_STATUS,
+  MSG_ADMIN_GET,
+  MSG_ADMIN_APPLY,
+  MSG_ADMIN_MEMBERS,
+  MSG_ADMIN_BEHIND, /* members that have not the version in force */
+};
+
+struct msg_admin
+{
+  enum msg_admin_op op;
+  uint64_t request;
+  uint64_t base;
+  char change_id[64];
+  char *text; /* document, malloc()ed */
+  size_t len;
+};
+
+struct msg_admin_reply
+{
+  uint64_t request;
+  int http_status;
+  char *text; /* JSON, malloc()ed */
+  size_t len;
+};
+
+struct msg
+{
+  struct lst_node node;
+  enum msg_kind kind;
+  struct msg_route route;
+  uint64_t stream; /* for stream messages */
+  union
+  {
+    struct msg_open open;
+    struct msg_body body;
+    uint32_t credit;
+    struct msg_head head;
+    struct msg_refuse refuse;
+    struct mem_renew renew;
+    struct mem_members members;
+    struct msg_propose propose; /* also MSG_CLAIM */
+    struct msg_result result;
+    struct msg_rep rep;
+    struct msg_backend backend;
+    struct msg_model model;
+    struct lst items; /* MSG_VIEW: struct mem_item, MSG_MARKS: qrt_mark */
+    struct msg_admin admin;
+    struct msg_admin_reply admin_reply;
+    struct sto_write *store_write;
+    struct sto_done *store_done;
+  } u;
+};
+
+struct msg *msg_new (enum msg_kind kind);
+void msg_free (struct msg *msg);
+
+/* Appends a copy of a field; SR_ENOMEM.  */
+int msg_field_add (struct lst *fields, const char *name, const char *value);
+const char *msg_field_get (const struct lst *fields, const char *name);
+void msg_fields_free (struct lst *fields);
+
+#endif
