rudder-fake: fake backend server

Cause: the node needs a backend server whose behaviour can be set.

Result: curl against it on loopback gets whole, chunked-body, truncated and silent answers; SIGTERM ends it with status 0. libwebsockets 4.1 with IPv6 enabled bound 127.0.0.1 as "::", so IPv6 is off in its vhosts.

--- a/Makefile
+++ b/Makefile
@@ -31,8 +31,21 @@
 	rm -f $@
 	ar rcs $@ $^
 
-$(BUILD)/%: $(BUILD)/programs/%.o $(LIB)
-	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lgsl -lgslcblas -lm -o $@
+# A program links the objects of its own prefix (programs/load_*.c for
+# rudder-load) and what it uses of programs/tool_*.c.
+TOOL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/tool_*.c))
+TOOLS = $(BUILD)/libtools.a
+prefix = $(patsubst rudder-%,%,$(patsubst sycamorerudder-%,%,$(1)))
+parts = $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/$(call prefix,$(1))_*.c))
+
+$(TOOLS): $(TOOL_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+.SECONDEXPANSION:
+$(BUILD)/%: $(BUILD)/programs/%.o $$(call parts,$$*) $(TOOLS) $(LIB)
+	$(CC) $(CFLAGS) $(filter %.o,$^) $(TOOLS) $(LIB) $(LIBS) \
+		-lgsl -lgslcblas -lm -o $@
 
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(LIB)
 	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lcunit -o $@
--- /dev/null
+++ b/programs/fake_announce.h
@@ -0,0 +1,20 @@
+#ifndef PROGRAMS_FAKE_ANNOUNCE_H
+#define PROGRAMS_FAKE_ANNOUNCE_H
+
+/**
+ * DOC: fan - announcements of the fake backend server at its node
+ */
+
+#include "programs/fake_state.h"
+
+/* Announces the server now and then once a second.  */
+void fan_start (struct fake *fake);
+
+/* Stops the announcements and tells the node that the server leaves.  */
+void fan_leave (struct fake *fake);
+
+/* Whether requests that were on their way to a leaving server have had time
+   to arrive.  */
+bool fan_gone (const struct fake *fake);
+
+#endif
--- /dev/null
+++ b/programs/fake_chunk.c
@@ -0,0 +1,85 @@
+#include "programs/fake_chunk.h"
+
+#include <stdlib.h>
+
+#include "core/err.h"
+
+/* Collects a line.  Returns true at its end, with the text terminated.  */
+static bool
+fch_line_ended (struct fake_request *request, char byte)
+{
+  if (byte == '\n')
+    {
+      request->chunk_line[request->chunk_line_len] = '\0';
+      return true;
+    }
+  if (byte != '\r' && request->chunk_line_len + 1 < sizeof request->chunk_line)
+    request->chunk_line[request->chunk_line_len++] = byte;
+  return false;
+}
+
+/* Takes the size line of a chunk.  */
+static int
+fch_take_size (struct fake_request *request)
+{
+  char *end;
+
+  request->chunk_left = strtoul (request->chunk_line, &end, 16);
+  if (end == request->chunk_line)
+    return SR_EMALFORMED;
+  request->chunk_line_len = 0;
+  request->chunk
+      = request->chunk_left > 0 ? FAKE_CHUNK_DATA : FAKE_CHUNK_TRAILER;
+  return SR_OK;
+}
+
+/* Takes an end of line after the data or a line of the trailer.  */
+static void
+fch_take_line (struct fake_request *request)
+{
+  if (request->chunk == FAKE_CHUNK_DATA_END)
+    request->chunk = FAKE_CHUNK_SIZE;
+  else if (request->chunk_line_len == 0)
+    request->chunk = FAKE_CHUNK_DONE;
+  request->chunk_line_len = 0;
+}
+
+/* Takes chunk data; returns the number of bytes used.  */
+static size_t
+fch_take_data (struct fake_request *request, const char *bytes, size_t len)
+{
+  size_t used = len < request->chunk_left ? len : request->chunk_left;
+
+  tbf_add (&request->body, bytes, used);
+  request->chunk_left -= used;
+  if (request->chunk_left == 0)
+    request->chunk = FAKE_CHUNK_DATA_END;
+  return used;
+}
+
+int
+fch_feed (struct fake_request *request, const char *bytes, size_t len)
+{
+  size_t at = 0;
+  int rc = SR_OK;
+
+  while (at < len && rc == SR_OK)
+    switch (request->chunk)
+      {
+      case FAKE_CHUNK_DATA:
+        at += fch_take_data (request, bytes + at, len - at);
+        break;
+      case FAKE_CHUNK_SIZE:
+        if (fch_line_ended (request, bytes[at++]))
+          rc = fch_take_size (request);
+        break;
+      case FAKE_CHUNK_DATA_END:
+      case FAKE_CHUNK_TRAILER:
+        if (fch_line_ended (request, bytes[at++]))
+          fch_take_line (request);
+        break;
+      case FAKE_CHUNK_DONE:
+        return SR_OK;
+      }
+  return rc;
+}
--- /dev/null
+++ b/programs/fake_journal.h
@@ -0,0 +1,24 @@
+#ifndef PROGRAMS_FAKE_JOURNAL_H
+#define PROGRAMS_FAKE_JOURNAL_H
+
+/**
+ * DOC: fjn - journal of requests
+ *
+ * A line is "<wall ms> <event> <method> <path> key=K trace=T caller=C
+ * body=H"; absent values are "-".  Each line is written by one write(2), so a
+ * crash loses no line.
+ */
+
+#include "programs/fake_state.h"
+
+/* Opens the file of the settings, if one is named.  Returns an error number.
+ */
+int fjn_open (struct fake *fake);
+
+/* EVENT is "start", "end" or "cancelled".  */
+void fjn_write (const struct fake_request *request, const char *event);
+
+/* Notes that the node was told that this server leaves.  */
+void fjn_write_left (const struct fake *fake);
+
+#endif
--- /dev/null
+++ b/programs/fake_options.c
@@ -0,0 +1,99 @@
+#include "programs/fake_options.h"
+
+#include <string.h>
+
+#define FOP_CALL_ALLOWED "HOST=IP:PORT, the service to call and the own node"
+
+/* Splits HOST=IP:PORT.  */
+static void
+fop_split_call (struct fake_options *options)
+{
+  const char *equals = strchr (options->call, '=');
+  size_t len = equals != NULL ? (size_t)(equals - options->call) : 0;
+
+  if (len == 0 || len >= sizeof options->call_host
+      || !top_read_address (equals + 1, &options->call_to))
+    top_fail (FOP_PROGRAM, "call", options->call, FOP_CALL_ALLOWED);
+  memcpy (options->call_host, options->call, len);
+  options->call_host[len] = '\0';
+}
+
+static void
+fop_check (struct fake_options *options)
+{
+  if (options->listen.port == 0)
+    top_fail (FOP_PROGRAM, "listen", "", "IP:PORT, required");
+  if (options->admin.port != 0 && options->service == NULL)
+    top_fail (FOP_PROGRAM, "service", "", "a name, required with --admin");
+  if (options->call != NULL)
+    fop_split_call (options);
+}
+
+static void
+fop_defaults (struct fake_options *options)
+{
+  memset (options, 0, sizeof *options);
+  options->slots = 8;
+  options->connections = 64;
+  options->service_us = 1000;
+  options->seed = 1;
+  options->answer_bytes = 200;
+  options->long_factor = 30;
+  options->late_ms = 1000;
+  options->slow_factor = 5;
+}
+
+void
+fop_parse (struct fake_options *options, int argc, const char **argv)
+{
+  const struct top_spec specs[] = {
+#define NUMBER(name, field, min, max, arg, help)                              \
+  { name, TOP_NUMBER, { .number = &options->field }, min, max, arg, help }
+#define TEXT(name, field, arg, help)                                          \
+  {                                                                           \
+    name, TOP_TEXT, { .text = &options->field }, 0, 0, arg, help              \
+  }
+#define ADDRESS(name, field, help)                                            \
+  {                                                                           \
+    name, TOP_ADDRESS, { .address = &options->field }, 0, 0, "IP:PORT", help  \
+  }
+    ADDRESS ("listen", listen, "address to serve on"),
+    ADDRESS ("admin", admin, "admin address of the node to announce to"),
+    TEXT ("service", service, "NAME", "service to announce"),
+    NUMBER ("slots", slots, 1, 100000, "N", "requests run at the same time"),
+    NUMBER ("connections", connections, 1, 100000, "N",
+            "connections to announce"),
+    NUMBER ("service-us", service_us, 0, 600000000, "N", "service time"),
+    NUMBER ("jitter-percent", jitter_percent, 0, 100, "N",
+            "service times differ by up to this much"),
+    NUMBER ("seed", seed, 0, UINT64_MAX, "N", "seed of the service times"),
+    NUMBER ("answer-bytes", answer_bytes, 0, 67108864, "N",
+            "fill of an answer whose path does not name /bytes/N"),
+    TEXT ("long-path", long_path, "PREFIX", "paths of long work"),
+    NUMBER ("long-factor", long_factor, 1, 10000, "N",
+            "long work takes this many times longer"),
+    TEXT ("call", call, "HOST=IP:PORT",
+          "make a child call to HOST through the node at IP:PORT"),
+    NUMBER ("stall-from-ms", stall_from_ms, 0, 86400000, "N",
+            "start of a stall after the start of the process"),
+    NUMBER ("stall-for-ms", stall_for_ms, 0, 86400000, "N", "its length"),
+    TEXT ("crash-path", crash_path, "PREFIX", "exit on such a request"),
+    TEXT ("truncate-path", truncate_path, "PREFIX", "close half-way"),
+    TEXT ("late-path", late_path, "PREFIX", "answer late"),
+    NUMBER ("late-ms", late_ms, 0, 600000, "N", "how late"),
+    TEXT ("silent-path", silent_path, "PREFIX", "never answer"),
+    NUMBER ("slow-factor", slow_factor, 1, 1000, "N",
+            "service time factor between SIGUSR1 and SIGUSR2"),
+    NUMBER ("report-lag-ms", report_lag_ms, 0, 600000, "N",
+            "age up to which the load report stays as it was"),
+    TEXT ("journal", journal, "FILE", "append a line per request and end"),
+    { .kind = TOP_END },
+#undef NUMBER
+#undef TEXT
+#undef ADDRESS
+  };
+
+  fop_defaults (options);
+  top_parse (FOP_PROGRAM, specs, argc, argv);
+  fop_check (options);
+}
--- /dev/null
+++ b/programs/fake_options.h
@@ -0,0 +1,43 @@
+#ifndef PROGRAMS_FAKE_OPTIONS_H
+#define PROGRAMS_FAKE_OPTIONS_H
+
+/**
+ * DOC: fop - settings of the fake backend server
+ */
+
+#include "programs/tool_opt.h"
+
+#define FOP_PROGRAM "rudder-fake"
+
+struct fake_options
+{
+  struct top_address listen;
+  struct top_address admin; /* port 0: announces itself nowhere */
+  char *service;
+  uint64_t slots;
+  uint64_t connections;
+  uint64_t service_us;
+  uint64_t jitter_percent;
+  uint64_t seed;
+  uint64_t answer_bytes;
+  char *long_path;
+  uint64_t long_factor;
+  char *call;                 /* HOST=IP:PORT as given, or NULL */
+  char call_host[64];         /* part before "=" */
+  struct top_address call_to; /* the own node */
+  uint64_t stall_from_ms;
+  uint64_t stall_for_ms;
+  char *crash_path;
+  char *truncate_path;
+  char *late_path;
+  uint64_t late_ms;
+  char *silent_path;
+  uint64_t slow_factor;
+  uint64_t report_lag_ms;
+  char *journal;
+};
+
+/* Reads the settings; a wrong one ends the process with status 2.  */
+void fop_parse (struct fake_options *options, int argc, const char **argv);
+
+#endif
--- /dev/null
+++ b/programs/fake_report.h
@@ -0,0 +1,16 @@
+#ifndef PROGRAMS_FAKE_REPORT_H
+#define PROGRAMS_FAKE_REPORT_H
+
+/**
+ * DOC: frp - load report that lags behind the load
+ */
+
+#include "programs/fake_state.h"
+
+/* Value of the endpoint-load-metrics header, ORCA in JSON form.  */
+void frp_format (struct fake *fake, char *out, size_t size);
+
+/* Keeps the present value for another lag after a change of speed.  */
+void frp_hold (struct fake *fake);
+
+#endif
--- /dev/null
+++ b/programs/fake_server.c
@@ -0,0 +1,286 @@
+#include "programs/fake_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "programs/fake_chunk.h"
+#include "programs/fake_report.h"
+#include "programs/fake_work.h"
+
+#define FSV_PART_BYTES 16384
+#define FSV_HEAD_BYTES 1024
+#define FSV_REPORT_BYTES 128
+
+/* Per connection: the request that it carries now.  */
+struct fsv_connection
+{
+  struct fake_request *request;
+};
+
+struct fsv_method
+{
+  enum lws_token_indexes token;
+  const char *name;
+};
+
+static const struct fsv_method fsv_methods[] = {
+  { WSI_TOKEN_GET_URI, "GET" },         { WSI_TOKEN_POST_URI, "POST" },
+  { WSI_TOKEN_PUT_URI, "PUT" },         { WSI_TOKEN_DELETE_URI, "DELETE" },
+  { WSI_TOKEN_PATCH_URI, "PATCH" },     { WSI_TOKEN_HEAD_URI, "HEAD" },
+  { WSI_TOKEN_OPTIONS_URI, "OPTIONS" },
+};
+
+/* Copies a header that libwebsockets has no token for; NAME ends with a
+   colon.  */
+static void
+fsv_copy_custom (struct lws *wsi, char *out, int size, const char *name)
+{
+  if (lws_hdr_custom_copy (wsi, out, size, name, (int)strlen (name)) < 0)
+    out[0] = '\0';
+}
+
+/* Copies method, path and query.  */
+static void
+fsv_copy_target (struct fake_request *request, struct lws *wsi)
+{
+  char *path = request->facts.path;
+  size_t len;
+
+  for (size_t i = 0; i < LWS_ARRAY_SIZE (fsv_methods); i++)
+    if (lws_hdr_total_length (wsi, fsv_methods[i].token) > 0)
+      {
+        strcpy (request->method, fsv_methods[i].name);
+        if (lws_hdr_copy (wsi, path, TAN_PATH_BYTES, fsv_methods[i].token) < 0)
+          strcpy (path, "/path-too-long");
+      }
+  len = strlen (path);
+  if (lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_URI_ARGS) > 0
+      && len + 2 < TAN_PATH_BYTES
+      && lws_hdr_copy (wsi, path + len + 1, (int)(TAN_PATH_BYTES - len - 1),
+                       WSI_TOKEN_HTTP_URI_ARGS)
+             > 0)
+    path[len] = '?';
+}
+
+static void
+fsv_copy_headers (struct fake_request *request, struct lws *wsi)
+{
+  char text[32];
+
+  fsv_copy_custom (wsi, request->facts.caller, TAN_FIELD_BYTES,
+                   "x-caller-id:");
+  fsv_copy_custom (wsi, request->facts.key, TAN_FIELD_BYTES,
+                   "idempotency-key:");
+  fsv_copy_custom (wsi, request->trace, FAKE_TRACE_BYTES, "traceparent:");
+  fsv_copy_custom (wsi, request->state, FAKE_STATE_BYTES, "tracestate:");
+  fsv_copy_custom (wsi, text, sizeof text, "x-request-timeout-ms:");
+  request->timeout_ms = strtoull (text, NULL, 10);
+  if (lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_HTTP_TRANSFER_ENCODING)
+      > 0)
+    request->chunked = strstr (text, "chunked") != NULL;
+}
+
+static struct fake_request *
+fsv_new_request (struct lws *wsi)
+{
+  struct fake_request *request = calloc (1, sizeof *request);
+
+  INVARIANT (request != NULL);
+  request->fake = lws_context_user (lws_get_context (wsi));
+  request->wsi = wsi;
+  request->phase = FAKE_READING;
+  fsv_copy_target (request, wsi);
+  fsv_copy_headers (request, wsi);
+  return request;
+}
+
+/* Whether the head announces a body, so that the request is not complete. */
+static bool
+fsv_has_body (const struct fake_request *request, struct lws *wsi)
+{
+  char text[24];
+
+  if (request->chunked)
+    return true;
+  return lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_HTTP_CONTENT_LENGTH)
+             > 0
+         && strtoull (text, NULL, 10) > 0;
+}
+
+static void
+fsv_free_request (struct fsv_connection *connection)
+{
+  struct fake_request *request = connection->request;
+
+  if (request == NULL)
+    return;
+  connection->request = NULL;
+  fwk_ended (request);
+  tbf_free (&request->body);
+  tbf_free (&request->answer);
+  free (request);
+}
+
+static int
+fsv_on_request (struct fsv_connection *connection, struct lws *wsi)
+{
+  connection->request = fsv_new_request (wsi);
+  if (!fsv_has_body (connection->request, wsi))
+    fwk_arrived (connection->request);
+  return 0;
+}
+
+static int
+fsv_on_body (struct fake_request *request, const char *bytes, size_t len)
+{
+  if (request == NULL || request->phase != FAKE_READING)
+    return 0;
+  if (!request->chunked)
+    {
+      tbf_add (&request->body, bytes, len);
+      return 0;
+    }
+  if (fch_feed (request, bytes, len) != SR_OK)
+    return -1;
+  if (request->chunk == FAKE_CHUNK_DONE)
+    fwk_arrived (request);
+  return 0;
+}
+
+static int
+fsv_on_body_end (struct fake_request *request)
+{
+  if (request != NULL && request->phase == FAKE_READING && !request->chunked)
+    fwk_arrived (request);
+  return 0;
+}
+
+void
+fsv_answer (struct fake_request *request)
+{
+  lws_callback_on_writable (request->wsi);
+}
+
+static int
+fsv_add_header (struct lws *wsi, const char *name, const char *value,
+                unsigned char **at, unsigned char *end)
+{
+  return lws_add_http_header_by_name (wsi, (const unsigned char *)name,
+                                      (const unsigned char *)value,
+                                      (int)strlen (value), at, end);
+}
+
+static int
+fsv_send_head (struct fake_request *request)
+{
+  unsigned char head[LWS_PRE + FSV_HEAD_BYTES];
+  unsigned char *start = head + LWS_PRE;
+  unsigned char *at = start;
+  unsigned char *end = head + sizeof head - 1;
+  struct lws *wsi = request->wsi;
+  char report[FSV_REPORT_BYTES];
+
+  frp_format (request->fake, report, sizeof report);
+  if (lws_add_http_header_status (wsi, (unsigned)request->status, &at, end)
+      || lws_add_http_header_content_length (wsi, request->answer.len, &at,
+                                             end)
+      || fsv_add_header (wsi, "content-type:", "text/plain", &at, end)
+      || fsv_add_header (wsi, "endpoint-load-metrics:", report, &at, end)
+      || (request->chunked
+          && fsv_add_header (wsi, "connection:", "close", &at, end))
+      || lws_finalize_write_http_header (wsi, start, &at, end))
+    return -1;
+  request->head_sent = true;
+  lws_callback_on_writable (wsi);
+  return 0;
+}
+
+/* Ends the exchange; the connection is kept unless the body was chunked,
+   whose end libwebsockets 4.1 does not see.  */
+static int
+fsv_finish (struct fsv_connection *connection, struct lws *wsi)
+{
+  bool chunked = connection->request->chunked;
+
+  fsv_free_request (connection);
+  if (chunked)
+    return -1;
+  return lws_http_transaction_completed (wsi) ? -1 : 0;
+}
+
+static int
+fsv_on_writeable (struct fsv_connection *connection, struct lws *wsi)
+{
+  struct fake_request *request = connection->request;
+  unsigned char part[LWS_PRE + FSV_PART_BYTES];
+  size_t left;
+  size_t len;
+
+  if (request == NULL || request->phase != FAKE_ANSWERING)
+    return 0;
+  if (!request->head_sent)
+    return fsv_send_head (request);
+  left = request->answer.len - request->sent;
+  if (request->act.kind == FAKE_ACT_TRUNCATE
+      && request->sent >= request->act.u.cut_at)
+    return -1;
+  if (request->act.kind == FAKE_ACT_TRUNCATE)
+    left = request->act.u.cut_at - request->sent;
+  len = left < FSV_PART_BYTES ? left : FSV_PART_BYTES;
+  memcpy (part + LWS_PRE, request->answer.data + request->sent, len);
+  if (lws_write (wsi, part + LWS_PRE, len,
+                 request->sent + len == request->answer.len
+                     ? LWS_WRITE_HTTP_FINAL
+                     : LWS_WRITE_HTTP)
+      < 0)
+    return -1;
+  request->sent += len;
+  if (request->sent == request->answer.len)
+    return fsv_finish (connection, wsi);
+  lws_callback_on_writable (wsi);
+  return 0;
+}
+
+static int
+fsv_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+              void *in, size_t len)
+{
+  struct fsv_connection *connection = user;
+
+  switch (reason)
+    {
+    case LWS_CALLBACK_HTTP:
+      return fsv_on_request (connection, wsi);
+    case LWS_CALLBACK_HTTP_BODY:
+      return fsv_on_body (connection->request, in, len);
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      return fsv_on_body_end (connection->request);
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return fsv_on_writeable (connection, wsi);
+    case LWS_CALLBACK_CLOSED_HTTP:
+      if (connection != NULL)
+        fsv_free_request (connection);
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+static const struct lws_protocols fsv_protocols[]
+    = { { "http", fsv_callback, sizeof (struct fsv_connection), 0, 0, NULL,
+          0 },
+        { NULL, NULL, 0, 0, 0, NULL, 0 } };
+
+int
+fsv_open (struct fake *fake)
+{
+  struct lws_context_creation_info info = { 0 };
+
+  tcl_context_info (&info);
+  info.port = fake->options.listen.port;
+  info.iface = fake->options.listen.ip;
+  info.vhost_name = "server";
+  info.protocols = fsv_protocols;
+  return lws_create_vhost (fake->context, &info) != NULL ? SR_OK : SR_EIO;
+}
--- /dev/null
+++ b/programs/fake_server.h
@@ -0,0 +1,16 @@
+#ifndef PROGRAMS_FAKE_SERVER_H
+#define PROGRAMS_FAKE_SERVER_H
+
+/**
+ * DOC: fsv - HTTP server of the fake backend server
+ */
+
+#include "programs/fake_state.h"
+
+/* Listens on the address of the settings; returns an error number.  */
+int fsv_open (struct fake *fake);
+
+/* Starts to send the answer of a request.  */
+void fsv_answer (struct fake_request *request);
+
+#endif
--- /dev/null
+++ b/programs/fake_work.h
@@ -0,0 +1,16 @@
+#ifndef PROGRAMS_FAKE_WORK_H
+#define PROGRAMS_FAKE_WORK_H
+
+/**
+ * DOC: fwk - what the fake backend server does with a request
+ */
+
+#include "programs/fake_state.h"
+
+/* Takes a request whose body is complete.  */
+void fwk_arrived (struct fake_request *request);
+
+/* The connection of a request was closed, or its answer has been sent.  */
+void fwk_ended (struct fake_request *request);
+
+#endif
--- /dev/null
+++ b/programs/rudder-fake.c
@@ -0,0 +1,104 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/slog.h"
+#include "programs/fake_announce.h"
+#include "programs/fake_journal.h"
+#include "programs/fake_options.h"
+#include "programs/fake_report.h"
+#include "programs/fake_server.h"
+
+static struct lws_context *main_context;
+static volatile sig_atomic_t main_stops;
+static volatile sig_atomic_t main_slow;
+
+/* Notes the signal and wakes the service loop.  */
+static void
+main_on_signal (int number)
+{
+  if (number == SIGUSR1)
+    main_slow = 1;
+  else if (number == SIGUSR2)
+    main_slow = 0;
+  else
+    main_stops++;
+  lws_cancel_service (main_context);
+}
+
+static void
+main_catch_signals (void)
+{
+  struct sigaction action = { .sa_handler = main_on_signal };
+
+  sigaction (SIGTERM, &action, NULL);
+  sigaction (SIGINT, &action, NULL);
+  sigaction (SIGUSR1, &action, NULL);
+  sigaction (SIGUSR2, &action, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+static int
+main_open (struct fake *fake)
+{
+  struct lws_context_creation_info info = { 0 };
+
+  lws_set_log_level (LLL_ERR, NULL);
+  tcl_context_info (&info);
+  info.options |= LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+  info.user = fake;
+  fake->context = lws_create_context (&info);
+  if (fake->context == NULL)
+    return SR_ENOMEM;
+  main_context = fake->context;
+  tcl_init (&fake->client, fake->context);
+  lst_init (&fake->queue);
+  rng_seed (&fake->rng, fake->options.seed);
+  fake->started = clk_now ();
+  return fjn_open (fake);
+}
+
+/* Acts on signals; returns false when the process may end.  */
+static bool
+main_goes_on (struct fake *fake)
+{
+  bool slow = main_slow != 0;
+
+  if (slow != fake->slow)
+    frp_hold (fake);
+  fake->slow = slow;
+  if (main_stops > 0)
+    fan_leave (fake);
+  return main_stops < 2
+         && !(fake->leaving && fan_gone (fake) && fake->open == 0);
+}
+
+int
+main (int argc, const char **argv)
+{
+  static struct fake fake;
+
+  slog_open (FOP_PROGRAM, SLOG_INFO);
+  fop_parse (&fake.options, argc, argv);
+  if (main_open (&fake) != SR_OK)
+    {
+      slog (SLOG_ERR, "journal cannot be opened file=%s",
+            fake.options.journal);
+      return 1;
+    }
+  main_catch_signals ();
+  if (fsv_open (&fake) != SR_OK)
+    {
+      slog (SLOG_ERR, "cannot listen address=%s:%u", fake.options.listen.ip,
+            fake.options.listen.port);
+      return 1;
+    }
+  fan_start (&fake);
+  while (main_goes_on (&fake))
+    if (lws_service (fake.context, 0) < 0)
+      break;
+  lws_context_destroy (fake.context);
+  tcl_free (&fake.client);
+  return 0;
+}
--- /dev/null
+++ b/programs/tool_client.c
@@ -0,0 +1,382 @@
+#include "programs/tool_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+#define TCL_NAME_BYTES 32
+#define TCL_PART_BYTES 8192
+#define TCL_HEADER_DATA_BYTES 8192
+#define TCL_IDLE_S 300
+
+struct tcl_slot
+{
+  struct lst_node node;      /* in idle */
+  struct lst_node slot_node; /* in slots */
+  struct tcl *pool;
+  struct lws_vhost *vhost;
+  struct lws *wsi;   /* running request */
+  struct lws *dying; /* cancelled, not yet closed */
+  lws_sorted_usec_list_t timer;
+  lws_sorted_usec_list_t finish;
+  struct tbf head; /* header lines */
+  struct tbf out;  /* body as it is sent */
+  size_t sent;
+  struct tbf body;
+  bool handshake; /* the request's head was built, so a connection exists */
+  bool answered;
+  bool over;
+  long long declared; /* content length, or -1 */
+  struct tcl_result result;
+  tcl_done_fn done;
+  void *arg;
+};
+
+/* Gives the slot back, then reports, so that the receiver may reuse it.  */
+static void
+tcl_report (lws_sorted_usec_list_t *sul)
+{
+  struct tcl_slot *slot = lws_container_of (sul, struct tcl_slot, finish);
+  struct tbf body = slot->body;
+  struct tcl_result result = slot->result;
+
+  memset (&slot->body, 0, sizeof slot->body);
+  result.answer.body = &body;
+  if (slot->dying == NULL)
+    lst_push_head (&slot->pool->idle, &slot->node);
+  slot->done (slot->arg, &result);
+  tbf_free (&body);
+}
+
+/* Ends the request.  The report waits for the next turn of the loop, because
+   libwebsockets still uses the connection when it calls back.  */
+static void
+tcl_end (struct tcl_slot *slot, enum tcl_outcome outcome)
+{
+  if (slot->over)
+    return;
+  slot->over = true;
+  slot->wsi = NULL;
+  slot->result.outcome = outcome;
+  slot->result.ended = clk_now ();
+  lws_sul_cancel (&slot->timer);
+  lws_sul_schedule (slot->pool->context, 0, &slot->finish, tcl_report, 1);
+}
+
+/* Closes the connection at the next turn of the loop.  */
+static void
+tcl_kill (struct tcl_slot *slot)
+{
+  if (slot->wsi == NULL)
+    return;
+  slot->dying = slot->wsi;
+  slot->wsi = NULL;
+  lws_set_timeout (slot->dying, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+}
+
+static void
+tcl_on_timer (lws_sorted_usec_list_t *sul)
+{
+  struct tcl_slot *slot = lws_container_of (sul, struct tcl_slot, timer);
+
+  tcl_kill (slot);
+  tcl_end (slot, TCL_TIMED_OUT);
+}
+
+void
+tcl_cancel (struct tcl_slot *slot)
+{
+  slot->over = true;
+  lws_sul_cancel (&slot->timer);
+  lws_sul_cancel (&slot->finish);
+  tcl_kill (slot);
+  if (slot->dying == NULL)
+    lst_push_head (&slot->pool->idle, &slot->node);
+}
+
+/* Appends the header lines of the request.  */
+static int
+tcl_append_head (struct tcl_slot *slot, struct lws *wsi, unsigned char **at,
+                 size_t room)
+{
+  slot->handshake = true;
+  if (slot->head.len >= room)
+    return -1;
+  memcpy (*at, slot->head.data, slot->head.len);
+  *at += slot->head.len;
+  if (slot->out.len > 0)
+    {
+      lws_client_http_body_pending (wsi, 1);
+      lws_callback_on_writable (wsi);
+    }
+  return 0;
+}
+
+/* Sends the next part of the body.  */
+static int
+tcl_send_part (struct tcl_slot *slot, struct lws *wsi)
+{
+  unsigned char part[LWS_PRE + TCL_PART_BYTES];
+  size_t left = slot->out.len - slot->sent;
+  size_t len = left < TCL_PART_BYTES ? left : TCL_PART_BYTES;
+  bool last = len == left;
+
+  if (left == 0)
+    return 0;
+  memcpy (part + LWS_PRE, slot->out.data + slot->sent, len);
+  if (lws_write (wsi, part + LWS_PRE, len,
+                 last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+      < 0)
+    return -1;
+  slot->sent += len;
+  if (last)
+    lws_client_http_body_pending (wsi, 0);
+  else
+    lws_callback_on_writable (wsi);
+  return 0;
+}
+
+/* Takes status and headers of the answer.  */
+static void
+tcl_on_head (struct tcl_slot *slot, struct lws *wsi)
+{
+  static const char name[] = "proxy-status:";
+  char text[24];
+
+  slot->answered = true;
+  slot->result.answer.status = (int)lws_http_client_http_response (wsi);
+  if (lws_hdr_custom_copy (wsi, slot->result.answer.proxy_status,
+                           TCL_VALUE_BYTES, name, (int)strlen (name))
+      < 0)
+    slot->result.answer.proxy_status[0] = '\0';
+  if (lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0)
+    slot->declared = strtoll (text, NULL, 10);
+}
+
+static int
+tcl_on_readable (struct lws *wsi)
+{
+  char part[LWS_PRE + TCL_PART_BYTES];
+  char *at = part + LWS_PRE;
+  int len = TCL_PART_BYTES;
+
+  return lws_http_client_read (wsi, &at, &len) < 0 ? -1 : 0;
+}
+
+/* The answer has ended; a declared length must have been reached.  */
+static void
+tcl_on_whole (struct tcl_slot *slot)
+{
+  bool whole = slot->declared < 0 || slot->body.len == (size_t)slot->declared;
+
+  tcl_end (slot, whole ? TCL_WHOLE : TCL_TRUNCATED);
+}
+
+static void
+tcl_on_closed (struct tcl_slot *slot)
+{
+  if (slot->answered)
+    tcl_end (slot, TCL_TRUNCATED);
+  else
+    tcl_end (slot, slot->handshake ? TCL_CLOSED : TCL_UNREACHABLE);
+}
+
+static void
+tcl_on_destroy (struct tcl_slot *slot, struct lws *wsi)
+{
+  if (slot->dying != wsi)
+    return;
+  slot->dying = NULL;
+  if (slot->over && !lst_linked (&slot->node))
+    lst_push_head (&slot->pool->idle, &slot->node);
+}
+
+static int
+tcl_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+              void *in, size_t len)
+{
+  struct tcl_slot *slot = wsi != NULL ? lws_get_opaque_user_data (wsi) : NULL;
+
+  (void)user;
+  if (slot == NULL)
+    return 0;
+  if (reason == LWS_CALLBACK_WSI_DESTROY)
+    tcl_on_destroy (slot, wsi);
+  if (slot->over || (slot->wsi != NULL && slot->wsi != wsi))
+    return 0;
+  switch (reason)
+    {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+      return tcl_append_head (slot, wsi, in, len);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+      return tcl_send_part (slot, wsi);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+      tcl_on_head (slot, wsi);
+      return 0;
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+      return tcl_on_readable (wsi);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+      tbf_add (&slot->body, in, len);
+      return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+      tcl_on_whole (slot);
+      return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+      tcl_on_closed (slot);
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+static const struct lws_protocols tcl_protocols[]
+    = { { "http", tcl_callback, 0, 0, 0, NULL, 0 },
+        { NULL, NULL, 0, 0, 0, NULL, 0 } };
+
+void
+tcl_context_info (struct lws_context_creation_info *info)
+{
+  /* With IPv6, libwebsockets 4.1 binds an IPv4 interface address to "::".  */
+  info->options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+  info->max_http_header_data = TCL_HEADER_DATA_BYTES;
+  info->pt_serv_buf_size = 2 * TCL_HEADER_DATA_BYTES;
+  info->timeout_secs = TCL_IDLE_S;
+  info->connect_timeout_secs = TCL_IDLE_S;
+  info->keepalive_timeout = TCL_IDLE_S;
+}
+
+void
+tcl_init (struct tcl *pool, struct lws_context *context)
+{
+  pool->context = context;
+  lst_init (&pool->idle);
+  lst_init (&pool->slots);
+}
+
+static struct tcl_slot *
+tcl_new_slot (struct tcl *pool)
+{
+  struct lws_context_creation_info info = { 0 };
+  struct tcl_slot *slot = calloc (1, sizeof *slot);
+  static unsigned serial;
+  char name[TCL_NAME_BYTES];
+
+  INVARIANT (slot != NULL);
+  snprintf (name, sizeof name, "client-%u", serial++);
+  tcl_context_info (&info);
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.vhost_name = name;
+  info.protocols = tcl_protocols;
+  slot->vhost = lws_create_vhost (pool->context, &info);
+  INVARIANT (slot->vhost != NULL);
+  slot->pool = pool;
+  lst_push_tail (&pool->slots, &slot->slot_node);
+  return slot;
+}
+
+/* Body as it goes on the wire, as one or two chunks when it is chunked.  */
+static void
+tcl_build_body (struct tcl_slot *slot, const struct tcl_request *request)
+{
+  size_t half = request->body_len / 2;
+
+  tbf_clear (&slot->out);
+  if (!request->chunked)
+    {
+      tbf_add (&slot->out, request->body, request->body_len);
+      return;
+    }
+  if (half > 0)
+    {
+      tbf_addf (&slot->out, "%zx\r\n", half);
+      tbf_add (&slot->out, request->body, half);
+      tbf_addf (&slot->out, "\r\n");
+    }
+  if (request->body_len > half)
+    {
+      tbf_addf (&slot->out, "%zx\r\n", request->body_len - half);
+      tbf_add (&slot->out, request->body + half, request->body_len - half);
+      tbf_addf (&slot->out, "\r\n");
+    }
+  tbf_addf (&slot->out, "0\r\n\r\n");
+}
+
+static void
+tcl_build_head (struct tcl_slot *slot, const struct tcl_request *request)
+{
+  tbf_clear (&slot->head);
+  for (size_t i = 0; i < request->header_count; i++)
+    tbf_addf (&slot->head, "%s %s\r\n", request->headers[i].name,
+              request->headers[i].value);
+  if (request->chunked)
+    tbf_addf (&slot->head, "transfer-encoding: chunked\r\n");
+  else if (request->body_len > 0 || strcmp (request->method, "GET") != 0)
+    tbf_addf (&slot->head, "content-length: %zu\r\n", request->body_len);
+}
+
+/* Prepares SLOT for REQUEST.  */
+static void
+tcl_reset (struct tcl_slot *slot, const struct tcl_request *request,
+           tcl_done_fn done, void *arg)
+{
+  slot->handshake = false;
+  slot->answered = false;
+  slot->over = false;
+  slot->sent = 0;
+  slot->declared = -1;
+  slot->done = done;
+  slot->arg = arg;
+  memset (&slot->result, 0, sizeof slot->result);
+  tbf_clear (&slot->body);
+  tcl_build_head (slot, request);
+  tcl_build_body (slot, request);
+}
+
+struct tcl_slot *
+tcl_send (struct tcl *pool, const struct tcl_request *request,
+          tcl_done_fn done, void *arg)
+{
+  struct lst_node *node = lst_pop_head (&pool->idle);
+  struct tcl_slot *slot = node != NULL
+                              ? lst_entry (node, struct tcl_slot, node)
+                              : tcl_new_slot (pool);
+  struct lws_client_connect_info info = { 0 };
+
+  tcl_reset (slot, request, done, arg);
+  info.context = pool->context;
+  info.vhost = slot->vhost;
+  info.address = request->to.ip;
+  info.port = request->to.port;
+  info.path = request->path;
+  info.host = request->host;
+  info.origin = NULL;
+  info.method = request->method;
+  info.protocol = "http";
+  info.local_protocol_name = "http";
+  info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+  info.opaque_user_data = slot;
+  info.pwsi = &slot->wsi;
+  if (request->timeout_ms > 0)
+    lws_sul_schedule (pool->context, 0, &slot->timer, tcl_on_timer,
+                      (lws_usec_t)clk_ms (request->timeout_ms));
+  if (lws_client_connect_via_info (&info) == NULL)
+    tcl_on_closed (slot);
+  return slot;
+}
+
+void
+tcl_free (struct tcl *pool)
+{
+  lst_each (node, &pool->slots)
+    {
+      struct tcl_slot *slot = lst_entry (node, struct tcl_slot, slot_node);
+
+      tbf_free (&slot->head);
+      tbf_free (&slot->out);
+      tbf_free (&slot->body);
+      free (slot);
+    }
+}
--- /dev/null
+++ b/programs/tool_opt.c
@@ -0,0 +1,159 @@
+#include "programs/tool_opt.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+#define TOP_SPECS_MAX 48
+#define TOP_VERSION (TOP_SPECS_MAX + 1)
+
+_Noreturn void
+top_fail (const char *program, const char *name, const char *value,
+          const char *allowed)
+{
+  fprintf (stderr, "%s: --%s \"%s\" is not allowed; allowed: %s\n", program,
+           name, value, allowed);
+  exit (2);
+}
+
+bool
+top_read_address (const char *text, struct top_address *address)
+{
+  const char *colon = strrchr (text, ':');
+  unsigned char ignored[16];
+  unsigned long port;
+  char *end;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof address->ip)
+    return false;
+  memcpy (address->ip, text, (size_t)(colon - text));
+  address->ip[colon - text] = '\0';
+  if (inet_pton (AF_INET, address->ip, ignored) != 1)
+    return false;
+  port = strtoul (colon + 1, &end, 10);
+  if (colon[1] < '0' || colon[1] > '9' || *end != '\0' || port == 0
+      || port > 65535)
+    return false;
+  address->port = (uint16_t)port;
+  return true;
+}
+
+/* Reads a whole number in the range of SPEC.  */
+static bool
+top_read_number (const struct top_spec *spec, const char *text)
+{
+  char *end;
+  uint64_t number;
+
+  errno = 0;
+  number = strtoull (text, &end, 10);
+  if (errno != 0 || text[0] < '0' || text[0] > '9' || *end != '\0'
+      || number < spec->min || number > spec->max)
+    return false;
+  *spec->to.number = number;
+  return true;
+}
+
+/* Stores VALUE, which may be NULL for a flag, where SPEC says.  */
+static void
+top_store (const char *program, const struct top_spec *spec, char *value)
+{
+  char allowed[96];
+
+  switch (spec->kind)
+    {
+    case TOP_TEXT:
+      *spec->to.text = value;
+      break;
+    case TOP_NUMBER:
+      snprintf (allowed, sizeof allowed, "%" PRIu64 " to %" PRIu64, spec->min,
+                spec->max);
+      if (!top_read_number (spec, value))
+        top_fail (program, spec->name, value, allowed);
+      break;
+    case TOP_FLAG:
+      *spec->to.flag = true;
+      break;
+    case TOP_ADDRESS:
+      if (!top_read_address (value, spec->to.address))
+        top_fail (program, spec->name, value, "IP:PORT, port 1 to 65535");
+      break;
+    case TOP_LIST:
+      snprintf (allowed, sizeof allowed, "at most %d of them", TOP_LIST_MAX);
+      if (spec->to.list->count == TOP_LIST_MAX)
+        top_fail (program, spec->name, value, allowed);
+      spec->to.list->items[spec->to.list->count++] = value;
+      break;
+    case TOP_END:
+      break;
+    }
+}
+
+/* Fills TABLE with the popt form of SPECS.  */
+static void
+top_build (const struct top_spec *specs, struct poptOption *table)
+{
+  size_t count = 0;
+
+  for (; specs[count].kind != TOP_END; count++)
+    {
+      INVARIANT (count < TOP_SPECS_MAX);
+      table[count].longName = specs[count].name;
+      table[count].argInfo
+          = specs[count].kind == TOP_FLAG ? POPT_ARG_NONE : POPT_ARG_STRING;
+      table[count].val = (int)count + 1;
+      table[count].descrip = specs[count].help;
+      table[count].argDescrip = specs[count].arg;
+    }
+  table[count].longName = "version";
+  table[count].argInfo = POPT_ARG_NONE;
+  table[count].val = TOP_VERSION;
+  table[count].descrip = "print the version and exit";
+  table[count + 1].argInfo = POPT_ARG_INCLUDE_TABLE;
+  table[count + 1].arg = poptHelpOptions;
+  table[count + 1].descrip = "Help:";
+}
+
+void
+top_parse (const char *program, const struct top_spec *specs, int argc,
+           const char **argv)
+{
+  struct poptOption table[TOP_SPECS_MAX + 3] = { 0 };
+  poptContext context;
+  const char *extra;
+  int rc;
+
+  top_build (specs, table);
+  context = poptGetContext (program, argc, argv, table, 0);
+  while ((rc = poptGetNextOpt (context)) > 0)
+    {
+      if (rc == TOP_VERSION)
+        {
+          printf ("%s %s\n", program, SR_VERSION);
+          exit (0);
+        }
+      top_store (program, &specs[rc - 1], poptGetOptArg (context));
+    }
+  if (rc < -1)
+    {
+      fprintf (stderr, "%s: %s: %s; allowed: see --help\n", program,
+               poptBadOption (context, 0), poptStrerror (rc));
+      exit (2);
+    }
+  extra = poptGetArg (context);
+  if (extra != NULL)
+    {
+      fprintf (stderr,
+               "%s: argument \"%s\" is not allowed; allowed: settings "
+               "listed by --help\n",
+               program, extra);
+      exit (2);
+    }
+  poptFreeContext (context);
+}
