rudder-load: load tool

Cause: whole, wrong, truncated and refused answers must be counted from the caller's side. Change: programs/rudder-load with open and closed loop, resends, byte check of every answer, run state by reason, GSL histograms, paired direct calls and a record file.

--- a/programs/fake_announce.c
+++ b/programs/fake_announce.c
@@ -36,10 +36,13 @@
   tcl_send (&fake->client, &request, done, fake);
 }
 
+/* Makes lws_service return, which it does not after a timer alone.  */
 static void
 fan_on_grace (lws_sorted_usec_list_t *sul)
 {
-  (void)sul;
+  struct fake *fake = lws_container_of (sul, struct fake, announce.timer);
+
+  lws_cancel_service (fake->context);
 }
 
 static void
--- a/programs/fake_work.c
+++ b/programs/fake_work.c
@@ -271,6 +271,8 @@
   if (request->phase == FAKE_SILENT)
     return;
   request->fake->open--;
+  if (request->fake->open == 0 && request->fake->leaving)
+    lws_cancel_service (request->fake->context);
   if (request->phase != FAKE_ANSWERING)
     fwk_stop (request);
 }
--- /dev/null
+++ b/programs/load_mix.c
@@ -0,0 +1,146 @@
+#include "programs/load_mix.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "programs/load_options.h"
+
+#define LMX_ALLOWED                                                           \
+  "METHOD PATH WEIGHT [bytes=N] [key] [label=NAME], weight 1 to 1000000"
+#define LMX_WEIGHT_MAX 1000000
+#define LMX_BYTES_MAX (64ul * 1024 * 1024)
+#define LMX_LINE_BYTES 512
+
+/* Takes an optional word of a kind; returns false when it is not known.  */
+static bool
+lmx_take_word (struct load_kind *kind, const char *word)
+{
+  char *end;
+
+  if (strcmp (word, "key") == 0)
+    {
+      kind->key = true;
+      return true;
+    }
+  if (strncmp (word, "label=", 6) == 0 && strlen (word) < 6 + 64)
+    {
+      strcpy (kind->label, word + 6);
+      return true;
+    }
+  if (strncmp (word, "bytes=", 6) != 0)
+    return false;
+  kind->bytes = strtoul (word + 6, &end, 10);
+  return *end == '\0' && kind->bytes <= LMX_BYTES_MAX;
+}
+
+static bool
+lmx_parse (struct load_kind *kind, const char *text)
+{
+  char line[LMX_LINE_BYTES];
+  char *save = NULL;
+  char *word;
+  int used = 0;
+
+  if (sscanf (text, "%15s %199s %" SCNu32 " %n", kind->method, kind->path,
+              &kind->weight, &used)
+          < 3
+      || kind->path[0] != '/' || kind->weight == 0
+      || kind->weight > LMX_WEIGHT_MAX)
+    return false;
+  snprintf (kind->label, sizeof kind->label, "%.15s %.40s", kind->method,
+            kind->path);
+  snprintf (line, sizeof line, "%s", text + used);
+  for (word = strtok_r (line, " \t\n", &save); word != NULL;
+       word = strtok_r (NULL, " \t\n", &save))
+    if (!lmx_take_word (kind, word))
+      return false;
+  return true;
+}
+
+static void
+lmx_add (struct load_mix *mix, const char *setting, const char *text)
+{
+  struct load_kind *kind = calloc (1, sizeof *kind);
+
+  INVARIANT (kind != NULL);
+  if (!lmx_parse (kind, text))
+    top_fail (LOP_PROGRAM, setting, text, LMX_ALLOWED);
+  lsm_init (&kind->stat);
+  mix->weight += kind->weight;
+  lst_push_tail (&mix->kinds, &kind->node);
+}
+
+static void
+lmx_read_file (struct load_mix *mix, const char *file)
+{
+  char line[LMX_LINE_BYTES];
+  FILE *in = fopen (file, "r");
+
+  if (in == NULL)
+    top_fail (LOP_PROGRAM, "mix", file, "a file that can be read");
+  while (fgets (line, sizeof line, in) != NULL)
+    {
+      line[strcspn (line, "\n")] = '\0';
+      if (line[0] != '\0' && line[0] != '#')
+        lmx_add (mix, "mix", line);
+    }
+  fclose (in);
+}
+
+void
+lmx_read (struct load_mix *mix, const struct top_list *texts, const char *file)
+{
+  lst_init (&mix->kinds);
+  mix->weight = 0;
+  for (size_t i = 0; i < texts->count; i++)
+    lmx_add (mix, "request", texts->items[i]);
+  if (file != NULL)
+    lmx_read_file (mix, file);
+  if (mix->weight == 0)
+    top_fail (LOP_PROGRAM, "request", "", "at least one, or --mix FILE");
+}
+
+struct load_kind *
+lmx_draw (const struct load_mix *mix, struct rng *rng)
+{
+  uint32_t at = rng_below (rng, mix->weight);
+
+  lst_each (node, &mix->kinds)
+    {
+      struct load_kind *kind = lst_entry (node, struct load_kind, node);
+
+      if (at < kind->weight)
+        return kind;
+      at -= kind->weight;
+    }
+  INVARIANT (!"weights do not add up");
+  return NULL;
+}
+
+void
+lmx_path (const struct load_kind *kind, uint64_t serial, char *out)
+{
+  const char *mark = strstr (kind->path, "{n}");
+
+  if (mark == NULL)
+    snprintf (out, TAN_PATH_BYTES, "%s", kind->path);
+  else
+    snprintf (out, TAN_PATH_BYTES, "%.*s%" PRIu64 "%s",
+              (int)(mark - kind->path), kind->path, serial, mark + 3);
+}
+
+void
+lmx_free (struct load_mix *mix)
+{
+  lst_each (node, &mix->kinds)
+    {
+      struct load_kind *kind = lst_entry (node, struct load_kind, node);
+
+      lst_remove (node);
+      lsm_free (&kind->stat);
+      free (kind);
+    }
+}
--- /dev/null
+++ b/programs/load_options.c
@@ -0,0 +1,114 @@
+#include "programs/load_options.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define LOP_TARGET_ALLOWED "IP:PORT[,IP:PORT...], at most 16"
+
+/* Splits the comma-separated targets.  */
+static void
+lop_split_targets (struct load_options *options)
+{
+  const char *at = options->target;
+  char part[64];
+
+  while (*at != '\0')
+    {
+      size_t len = strcspn (at, ",");
+
+      if (len >= sizeof part || options->target_count == LOP_TARGETS_MAX)
+        top_fail (LOP_PROGRAM, "target", options->target, LOP_TARGET_ALLOWED);
+      memcpy (part, at, len);
+      part[len] = '\0';
+      if (!top_read_address (part, &options->targets[options->target_count]))
+        top_fail (LOP_PROGRAM, "target", options->target, LOP_TARGET_ALLOWED);
+      options->target_count++;
+      at += len + (at[len] == ',');
+    }
+}
+
+static void
+lop_check (struct load_options *options)
+{
+  if (options->target == NULL)
+    top_fail (LOP_PROGRAM, "target", "", LOP_TARGET_ALLOWED);
+  lop_split_targets (options);
+  if (options->host == NULL)
+    top_fail (LOP_PROGRAM, "host", "", "a service name, required");
+  if (options->direct && options->direct_target.port == 0)
+    top_fail (LOP_PROGRAM, "direct-target", "",
+              "IP:PORT, required with --direct");
+  if (options->direct && options->rate > 0)
+    top_fail (LOP_PROGRAM, "rate", "",
+              "--concurrency; pairs of --direct run in a closed loop");
+  if (options->rate > 0 && options->concurrency > 0)
+    top_fail (LOP_PROGRAM, "rate", "", "either --rate or --concurrency");
+  if (options->rate == 0 && options->concurrency == 0)
+    options->concurrency = 1;
+}
+
+static void
+lop_defaults (struct load_options *options)
+{
+  memset (options, 0, sizeof *options);
+  options->seconds = 5;
+  options->max_open = 2000;
+  options->seed = 1;
+  options->timeout_ms = 10000;
+  options->callers = 1;
+}
+
+void
+lop_parse (struct load_options *options, int argc, const char **argv)
+{
+  const struct top_spec specs[] = {
+#define NUMBER(name, field, min, max, help)                                   \
+  { name, TOP_NUMBER, { .number = &options->field }, min, max, "N", help }
+#define TEXT(name, field, arg, help)                                          \
+  {                                                                           \
+    name, TOP_TEXT, { .text = &options->field }, 0, 0, arg, help              \
+  }
+#define FLAG(name, field, help)                                               \
+  {                                                                           \
+    name, TOP_FLAG, { .flag = &options->field }, 0, 0, NULL, help             \
+  }
+    TEXT ("target", target, "IP:PORT,...", "addresses, used in turn"),
+    TEXT ("host", host, "SERVICE", "service that is called"),
+    TEXT ("mix", mix, "FILE", "a request per line, as for --request"),
+    { "request",
+      TOP_LIST,
+      { .list = &options->requests },
+      0,
+      0,
+      "TEXT",
+      "METHOD PATH WEIGHT [bytes=N] [key] [label=NAME]; repeatable" },
+    NUMBER ("rate", rate, 1, 100000, "calls per second, open loop"),
+    NUMBER ("concurrency", concurrency, 1, 10000, "calls open, closed loop"),
+    NUMBER ("seconds", seconds, 1, 86400, "time in which calls start"),
+    NUMBER ("max-open", max_open, 1, 10000, "most open calls, open loop"),
+    NUMBER ("seed", seed, 0, UINT64_MAX, "seed of the run"),
+    NUMBER ("retries", retries, 0, 31, "resends of one call"),
+    FLAG ("retry-at-once", retry_at_once, "resend without waiting"),
+    NUMBER ("timeout-ms", timeout_ms, 1, 600000, "time for one attempt"),
+    NUMBER ("callers", callers, 1, 100000, "different x-caller-id values"),
+    FLAG ("chunked", chunked, "send bodies chunked"),
+    FLAG ("direct", direct, "send each request to --direct-target as well"),
+    { "direct-target",
+      TOP_ADDRESS,
+      { .address = &options->direct_target },
+      0,
+      0,
+      "IP:PORT",
+      "backend server that is called without a node" },
+    FLAG ("json", json, "print the result as JSON"),
+    TEXT ("record", record, "FILE", "write a line for each call"),
+    { .kind = TOP_END },
+#undef NUMBER
+#undef TEXT
+#undef FLAG
+  };
+
+  lop_defaults (options);
+  top_parse (LOP_PROGRAM, specs, argc, argv);
+  lop_check (options);
+}
--- /dev/null
+++ b/programs/load_pair.h
@@ -0,0 +1,27 @@
+#ifndef PROGRAMS_LOAD_PAIR_H
+#define PROGRAMS_LOAD_PAIR_H
+
+/**
+ * DOC: lpr - pairs of a direct request and the same one through the nodes
+ */
+
+#include "programs/load_state.h"
+
+void lpr_init (struct load_pairs *pairs);
+void lpr_free (struct load_pairs *pairs);
+
+/* Draws which request of the pair goes first.  */
+void lpr_first_leg (struct load_call *call);
+
+/**
+ * lpr_next_leg() - take the end of one request of a pair
+ * @call: the pair
+ * @verdict: what the request came to
+ *
+ * Counts the pair when both requests were answered in full.
+ *
+ * Return: whether the other request is to be sent.
+ */
+bool lpr_next_leg (struct load_call *call, const struct load_verdict *verdict);
+
+#endif
--- /dev/null
+++ b/programs/load_run.h
@@ -0,0 +1,16 @@
+#ifndef PROGRAMS_LOAD_RUN_H
+#define PROGRAMS_LOAD_RUN_H
+
+/**
+ * DOC: lrn - starts calls in an open or closed loop and follows them
+ */
+
+#include "programs/load_state.h"
+
+/* Starts the run.  */
+void lrn_start (struct load *load);
+
+/* Whether all calls have ended and no more will start.  */
+bool lrn_done (const struct load *load);
+
+#endif
--- /dev/null
+++ b/programs/load_stat.c
@@ -0,0 +1,134 @@
+#include "programs/load_stat.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+/* 10 us to 100 s in steps of 1 %.  */
+#define LSM_FIRST_US 10.0
+#define LSM_STEP 1.01
+#define LSM_BINS 1620
+
+static const char *const lsm_outcome_names[LOAD_OUTCOME_COUNT] = {
+#define LOAD_X(symbol, name) [LOAD_##symbol] = name,
+  LOAD_OUTCOME_TABLE (LOAD_X)
+#undef LOAD_X
+};
+
+const char *
+lsm_outcome_name (enum load_outcome outcome)
+{
+  INVARIANT (outcome < LOAD_OUTCOME_COUNT);
+  return lsm_outcome_names[outcome];
+}
+
+const char *
+lsm_run_name (enum load_run run)
+{
+  switch (run)
+    {
+    case LOAD_RAN:
+      return "ran";
+    case LOAD_NOT_RUN:
+      return "not-run";
+    case LOAD_RUN_UNKNOWN:
+      break;
+    }
+  return "unknown";
+}
+
+void
+lsm_init (struct load_stat *stat)
+{
+  double ranges[LSM_BINS + 1];
+
+  memset (stat, 0, sizeof *stat);
+  ranges[0] = 0;
+  for (int i = 1; i <= LSM_BINS; i++)
+    ranges[i] = LSM_FIRST_US * pow (LSM_STEP, i - 1);
+  stat->latency = gsl_histogram_alloc (LSM_BINS);
+  INVARIANT (stat->latency != NULL);
+  gsl_histogram_set_ranges (stat->latency, ranges, LSM_BINS + 1);
+}
+
+void
+lsm_free (struct load_stat *stat)
+{
+  gsl_histogram_free (stat->latency);
+}
+
+void
+lsm_count (struct load_stat *stat, enum load_outcome outcome, clk_us latency)
+{
+  stat->calls++;
+  stat->counts[outcome]++;
+  if (outcome != LOAD_WHOLE)
+    return;
+  gsl_histogram_increment (stat->latency, (double)latency);
+  if (latency > stat->latency_max)
+    stat->latency_max = latency;
+}
+
+void
+lsm_add (struct load_stat *to, const struct load_stat *from)
+{
+  to->calls += from->calls;
+  for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
+    to->counts[i] += from->counts[i];
+  gsl_histogram_add (to->latency, from->latency);
+  if (from->latency_max > to->latency_max)
+    to->latency_max = from->latency_max;
+}
+
+void
+lsm_count_reason (struct lst *reasons, const char *name, enum load_run run)
+{
+  struct load_reason *reason;
+
+  lst_each (node, reasons)
+    {
+      reason = lst_entry (node, struct load_reason, node);
+      if (strcmp (reason->name, name) == 0 && reason->run == run)
+        {
+          reason->count++;
+          return;
+        }
+    }
+  reason = calloc (1, sizeof *reason);
+  INVARIANT (reason != NULL);
+  snprintf (reason->name, sizeof reason->name, "%s", name);
+  reason->run = run;
+  reason->count = 1;
+  lst_push_tail (reasons, &reason->node);
+}
+
+void
+lsm_free_reasons (struct lst *reasons)
+{
+  lst_each (node, reasons)
+    {
+      lst_remove (node);
+      free (lst_entry (node, struct load_reason, node));
+    }
+}
+
+double
+lsm_quantile (const gsl_histogram *histogram, double share)
+{
+  double want = gsl_histogram_sum (histogram) * share;
+  double seen = 0;
+  double lower;
+  double upper = 0;
+
+  for (size_t i = 0; i < gsl_histogram_bins (histogram); i++)
+    {
+      seen += gsl_histogram_get (histogram, i);
+      gsl_histogram_get_range (histogram, i, &lower, &upper);
+      if (seen > 0 && seen >= want)
+        return upper;
+    }
+  return 0;
+}
--- /dev/null
+++ b/programs/load_verdict.h
@@ -0,0 +1,17 @@
+#ifndef PROGRAMS_LOAD_VERDICT_H
+#define PROGRAMS_LOAD_VERDICT_H
+
+/**
+ * DOC: lvd - judges what an attempt came to
+ */
+
+#include "programs/load_state.h"
+
+struct load_verdict lvd_judge (const struct load_call *call,
+                               const struct tcl_result *result);
+
+/* Whether a caller may resend the request after this verdict.  */
+bool lvd_may_resend (const struct load_call *call,
+                     const struct load_verdict *verdict);
+
+#endif
--- a/programs/tool_client.c
+++ b/programs/tool_client.c
@@ -28,12 +28,23 @@
   bool handshake; /* the request's head was built, so a connection exists */
   bool answered;
   bool over;
+  bool reported;
   long long declared; /* content length, or -1 */
   struct tcl_result result;
   tcl_done_fn done;
   void *arg;
 };
 
+/* Gives the slot back, once its cancelled connection has been closed: a new
+   request would wait behind it.  */
+static void
+tcl_set_idle (struct tcl_slot *slot)
+{
+  slot->reported = true;
+  if (slot->dying == NULL)
+    lst_push_head (&slot->pool->idle, &slot->node);
+}
+
 /* Gives the slot back, then reports, so that the receiver may reuse it.  */
 static void
 tcl_report (lws_sorted_usec_list_t *sul)
@@ -44,8 +55,7 @@
 
   memset (&slot->body, 0, sizeof slot->body);
   result.answer.body = &body;
-  if (slot->dying == NULL)
-    lst_push_head (&slot->pool->idle, &slot->node);
+  tcl_set_idle (slot);
   slot->done (slot->arg, &result);
   tbf_free (&body);
 }
@@ -92,8 +102,7 @@
   lws_sul_cancel (&slot->timer);
   lws_sul_cancel (&slot->finish);
   tcl_kill (slot);
-  if (slot->dying == NULL)
-    lst_push_head (&slot->pool->idle, &slot->node);
+  tcl_set_idle (slot);
 }
 
 /* Appends the header lines of the request.  */
@@ -189,8 +198,8 @@
   if (slot->dying != wsi)
     return;
   slot->dying = NULL;
-  if (slot->over && !lst_linked (&slot->node))
-    lst_push_head (&slot->pool->idle, &slot->node);
+  if (slot->reported)
+    tcl_set_idle (slot);
 }
 
 static int
@@ -325,6 +334,7 @@
   slot->handshake = false;
   slot->answered = false;
   slot->over = false;
+  slot->reported = false;
   slot->sent = 0;
   slot->declared = -1;
   slot->done = done;
--- a/programs/tool_opt.c
+++ b/programs/tool_opt.c
@@ -76,6 +76,7 @@
                 spec->max);
       if (!top_read_number (spec, value))
         top_fail (program, spec->name, value, allowed);
+      free (value);
       break;
     case TOP_FLAG:
       *spec->to.flag = true;
@@ -83,6 +84,7 @@
     case TOP_ADDRESS:
       if (!top_read_address (value, spec->to.address))
         top_fail (program, spec->name, value, "IP:PORT, port 1 to 65535");
+      free (value);
       break;
     case TOP_LIST:
       snprintf (allowed, sizeof allowed, "at most %d of them", TOP_LIST_MAX);
