tool client: reuse idle connections

Cause: strace showed one connect(2) for each request (561 of 561). libwebsockets 4.1.6 compares the address of a new request with the host of the idle connection (debug log: lws_vhost_active_conns: check ... 127.0.0.1 stock), so a connection whose Host differs from its address is never reused. Change: the address is given as the host and the Host line is replaced in LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER.

--- a/programs/tool_client.c
+++ b/programs/tool_client.c
@@ -7,6 +7,7 @@
 #include "core/err.h"
 
 #define TCL_NAME_BYTES 32
+#define TCL_HOST_BYTES 64
 #define TCL_PART_BYTES 8192
 #define TCL_HEADER_DATA_BYTES 8192
 #define TCL_IDLE_S 300
@@ -17,6 +18,9 @@
   struct lst_node slot_node; /* in slots */
   struct tcl *pool;
   struct lws_vhost *vhost;
+  char name[TCL_NAME_BYTES]; /* of the vhost, which keeps the pointer */
+  char host[TCL_HOST_BYTES];
+  char ip[TCL_HOST_BYTES];
   struct lws *wsi;   /* running request */
   struct lws *dying; /* cancelled, not yet closed */
   lws_sorted_usec_list_t timer;
@@ -105,13 +109,33 @@
   tcl_set_idle (slot);
 }
 
+/* Replaces the Host line, which is the last one before AT.  libwebsockets 4.1
+   finds an idle connection only when host and address are equal, so tcl_send
+   gives the address as the host.  */
+static int
+tcl_set_host (const struct tcl_slot *slot, unsigned char **at)
+{
+  char line[TCL_HOST_BYTES + 16];
+  size_t len
+      = (size_t)snprintf (line, sizeof line, "\r\nHost: %s\r\n", slot->ip);
+
+  if (memcmp (*at - len, line, len) != 0)
+    return -1;
+  *at -= len;
+  len = (size_t)snprintf (line, sizeof line, "\r\nHost: %s\r\n", slot->host);
+  memcpy (*at, line, len);
+  *at += len;
+  return 0;
+}
+
 /* Appends the header lines of the request.  */
 static int
 tcl_append_head (struct tcl_slot *slot, struct lws *wsi, unsigned char **at,
                  size_t room)
 {
   slot->handshake = true;
-  if (slot->head.len >= room)
+  if (slot->head.len + sizeof slot->host >= room
+      || tcl_set_host (slot, at) != 0)
     return -1;
   memcpy (*at, slot->head.data, slot->head.len);
   *at += slot->head.len;
@@ -271,13 +295,12 @@
   struct lws_context_creation_info info = { 0 };
   struct tcl_slot *slot = calloc (1, sizeof *slot);
   static unsigned serial;
-  char name[TCL_NAME_BYTES];
 
   INVARIANT (slot != NULL);
-  snprintf (name, sizeof name, "client-%u", serial++);
+  snprintf (slot->name, sizeof slot->name, "client-%u", serial++);
   tcl_context_info (&info);
   info.port = CONTEXT_PORT_NO_LISTEN;
-  info.vhost_name = name;
+  info.vhost_name = slot->name;
   info.protocols = tcl_protocols;
   slot->vhost = lws_create_vhost (pool->context, &info);
   INVARIANT (slot->vhost != NULL);
@@ -341,6 +364,8 @@
   slot->arg = arg;
   memset (&slot->result, 0, sizeof slot->result);
   tbf_clear (&slot->body);
+  snprintf (slot->host, sizeof slot->host, "%s", request->host);
+  snprintf (slot->ip, sizeof slot->ip, "%s", request->to.ip);
   tcl_build_head (slot, request);
   tcl_build_body (slot, request);
 }
@@ -361,14 +386,13 @@
   info.address = request->to.ip;
   info.port = request->to.port;
   info.path = request->path;
-  info.host = request->host;
-  info.origin = NULL;
+  info.host = request->to.ip;
   info.method = request->method;
-  info.protocol = "http";
   info.local_protocol_name = "http";
   info.ssl_connection = LCCSCF_PIPELINE | LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
   info.opaque_user_data = slot;
   info.pwsi = &slot->wsi;
+  info.keep_warm_secs = TCL_IDLE_S;
   if (request->timeout_ms > 0)
     lws_sul_schedule (pool->context, 0, &slot->timer, tcl_on_timer,
                       (lws_usec_t)clk_ms (request->timeout_ms));
