filters, hop table, peer messages and peer task

Cause: the request path needs its filter chain and the link between nodes. Change: filters/ (call, attempt and serve chains), controllers/hop, core/hash, wire/pack on msgpack, tasks/peer on ZeroMQ with liveness in tasks/peer_link.

--- /dev/null
+++ b/controllers/hop.c
@@ -0,0 +1,125 @@
+#include "controllers/hop.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/hash.h"
+
+#define HOP_BUCKETS 4096
+
+struct hop_table
+{
+  struct lst buckets[HOP_BUCKETS];
+  struct lst ended; /* oldest first */
+};
+
+struct hop_table *
+hop_table_new (void)
+{
+  struct hop_table *table = calloc (1, sizeof *table);
+
+  if (table == NULL)
+    return NULL;
+  for (int i = 0; i < HOP_BUCKETS; i++)
+    lst_init (&table->buckets[i]);
+  lst_init (&table->ended);
+  return table;
+}
+
+void
+hop_table_free (struct hop_table *table)
+{
+  struct lst_node *node;
+
+  if (table == NULL)
+    return;
+  for (int i = 0; i < HOP_BUCKETS; i++)
+    while ((node = lst_pop_head (&table->buckets[i])) != NULL)
+      free (lst_entry (node, struct hop, hash_node));
+  free (table);
+}
+
+/* Bucket of an id.  */
+static struct lst *
+hop_bucket (struct hop_table *table, const uint8_t id[RNG_ID_BYTES])
+{
+  return &table->buckets[hsh_bytes (id, RNG_ID_BYTES) % HOP_BUCKETS];
+}
+
+struct hop *
+hop_open (struct hop_table *table)
+{
+  struct hop *hop = calloc (1, sizeof *hop);
+
+  INVARIANT (hop != NULL);
+  rng_id (hop->id, sizeof hop->id);
+  hop->users = 1;
+  lst_push_tail (hop_bucket (table, hop->id), &hop->hash_node);
+  return hop;
+}
+
+/* Frees a hop that nobody refers to.  */
+static void
+hop_drop (struct hop *hop)
+{
+  lst_remove (&hop->hash_node);
+  lst_remove (&hop->age_node);
+  free (hop);
+}
+
+void
+hop_end (struct hop_table *table, struct hop *hop, clk_us now)
+{
+  INVARIANT (!hop->ended && hop->users > 0);
+  hop->ended = true;
+  hop->ended_at = now;
+  hop->users--;
+  /* The unused part goes back with the answer; a child call that is still
+     running must not spend it a second time.  */
+  hop->allowance.remaining = 0;
+  lst_push_tail (&table->ended, &hop->age_node);
+}
+
+struct hop *
+hop_find (struct hop_table *table, const uint8_t id[RNG_ID_BYTES])
+{
+  lst_each (node, hop_bucket (table, id))
+    {
+      struct hop *hop = lst_entry (node, struct hop, hash_node);
+
+      if (memcmp (hop->id, id, RNG_ID_BYTES) == 0)
+        return hop;
+    }
+  return NULL;
+}
+
+void
+hop_hold (struct hop *hop)
+{
+  hop->users++;
+}
+
+void
+hop_release (struct hop_table *table, struct hop *hop)
+{
+  (void)table;
+  INVARIANT (hop->users > 0);
+  hop->users--;
+  if (hop->ended)
+    hop->allowance.remaining = 0;
+}
+
+void
+hop_expire (struct hop_table *table, clk_us now)
+{
+  lst_each (node, &table->ended)
+    {
+      struct hop *hop = lst_entry (node, struct hop, age_node);
+
+      if (now - hop->ended_at < HOP_KEEP_US)
+        break;
+      if (hop->users == 0)
+        hop_drop (hop);
+    }
+}
--- /dev/null
+++ b/core/hash.c
@@ -0,0 +1,52 @@
+#include "core/hash.h"
+
+#include <xxhash.h>
+
+#include "core/err.h"
+
+/* Feeds all parts with their lengths.  */
+static void
+hsh_feed (XXH3_state_t *state, const struct hsh_part *parts, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t len = parts[i].len;
+
+      XXH3_128bits_update (state, &len, sizeof len);
+      if (len > 0)
+        XXH3_128bits_update (state, parts[i].data, parts[i].len);
+    }
+}
+
+void
+hsh_128 (const struct hsh_part *parts, size_t count, uint8_t out[HSH_BYTES])
+{
+  XXH3_state_t *state = XXH3_createState ();
+  XXH128_canonical_t canonical;
+
+  INVARIANT (state != NULL);
+  XXH3_128bits_reset (state);
+  hsh_feed (state, parts, count);
+  XXH128_canonicalFromHash (&canonical, XXH3_128bits_digest (state));
+  XXH3_freeState (state);
+  for (size_t i = 0; i < HSH_BYTES; i++)
+    out[i] = canonical.digest[i];
+}
+
+uint64_t
+hsh_64 (const struct hsh_part *parts, size_t count)
+{
+  uint8_t digest[HSH_BYTES];
+  uint64_t value = 0;
+
+  hsh_128 (parts, count, digest);
+  for (int i = 0; i < 8; i++)
+    value = value << 8 | digest[i];
+  return value;
+}
+
+uint64_t
+hsh_bytes (const void *data, size_t len)
+{
+  return len > 0 ? XXH3_64bits (data, len) : 0;
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -71,6 +71,7 @@
 {
   MSG_ROUTE_DIAL,  /* a node by its peer address */
   MSG_ROUTE_REPLY, /* back to where a message came from */
+  MSG_ROUTE_LOCAL, /* within the front task of this node */
 };
 
 struct msg_route
--- /dev/null
+++ b/filters/key.c
@@ -0,0 +1,41 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "core/hash.h"
+#include "filters/chain.h"
+
+/* Key of a child call without one, from the key of the chain's entry.  */
+static void
+flt_derive_key (struct flt_request *request)
+{
+  struct hsh_part parts[] = {
+    { request->chain_key, strlen (request->chain_key) },
+    { request->service_name, strlen (request->service_name) },
+    { request->kind->name, strlen (request->kind->name) },
+    { request->path, strlen (request->path) },
+    { &request->body_hash, sizeof request->body_hash },
+  };
+  uint8_t digest[HSH_BYTES];
+
+  hsh_128 (parts, sizeof parts / sizeof parts[0], digest);
+  for (size_t i = 0; i < HSH_BYTES; i++)
+    snprintf (request->claim_key + 2 * i, 3, "%02x", digest[i]);
+}
+
+struct flt_result
+flt_key (struct flt_request *request)
+{
+  if (request->chain_key[0] == '\0')
+    snprintf (request->chain_key, sizeof request->chain_key, "%s",
+              request->key);
+  if (request->kind->idempotent)
+    return flt_continue ();
+  if (request->key[0] != '\0')
+    snprintf (request->claim_key, sizeof request->claim_key, "%s",
+              request->key);
+  else if (request->chain_key[0] != '\0')
+    flt_derive_key (request);
+  else
+    return flt_refuse (RSN_KEY_REQUIRED, RSN_NOT_RUN);
+  return flt_continue ();
+}
--- /dev/null
+++ b/filters/quarantine.c
@@ -0,0 +1,29 @@
+#include <string.h>
+
+#include "core/hash.h"
+#include "filters/chain.h"
+
+uint64_t
+flt_fingerprint (const struct flt_request *request)
+{
+  struct hsh_part parts[] = {
+    { request->caller, strlen (request->caller) },
+    { request->service_name, strlen (request->service_name) },
+    { request->method, strlen (request->method) },
+    { request->path, strlen (request->path) },
+    { &request->body_hash, sizeof request->body_hash },
+  };
+
+  return hsh_64 (parts, sizeof parts / sizeof parts[0]);
+}
+
+struct flt_result
+flt_quarantine (struct flt_state *state, struct flt_request *request,
+                clk_us now)
+{
+  if (request->fingerprint == 0)
+    request->fingerprint = flt_fingerprint (request);
+  if (qrt_blocked (state->marks, request->fingerprint, now))
+    return flt_refuse (RSN_QUARANTINED, RSN_NOT_RUN);
+  return flt_continue ();
+}
--- /dev/null
+++ b/tasks/peer.c
@@ -0,0 +1,686 @@
+#include "tasks/peer.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "core/rng.h"
+#include "core/slog.h"
+#include "tasks/peer_link.h"
+#include "wire/pack.h"
+
+#define PEER_DIALS_MAX 128
+#define PEER_CALLERS_MAX 2048
+/* Messages read from one socket before the others have their turn.  */
+#define PEER_BURST 256
+#define PEER_POLL_MS 250
+#define PEER_HWM 8192
+#define PEER_HEARTBEAT_MS 2000
+#define PEER_HEARTBEAT_TIMEOUT_MS 6000
+
+/* A node that this one connects to.  */
+struct peer_dial
+{
+  struct lst_node node; /* least recently used first */
+  char address[MSG_ADDRESS_BYTES];
+  void *socket;
+  struct plk link;
+};
+
+/* A node that connected to this one and has streams open.  */
+struct peer_caller
+{
+  struct lst_node node;
+  struct msg_route route;
+  struct plk link;
+};
+
+struct peer
+{
+  struct peer_opts opts;
+  char address[MSG_ADDRESS_BYTES];
+  struct inb *inbox;
+  void *context;
+  void *router;
+  struct lst dials;
+  struct lst callers;
+  uint32_t dial_count;
+  uint32_t caller_count;
+  bool stopping;
+  pthread_t thread;
+};
+
+static void
+peer_set_int (void *socket, int option, int value)
+{
+  INVARIANT (zmq_setsockopt (socket, option, &value, sizeof value) == 0);
+}
+
+/* Options that both kinds of socket share.  */
+static void
+peer_configure (const struct peer *peer, void *socket)
+{
+  int64_t frame_max = PCK_FRAME_BYTES_MAX;
+
+  peer_set_int (socket, ZMQ_LINGER, 0);
+  peer_set_int (socket, ZMQ_SNDHWM, PEER_HWM);
+  peer_set_int (socket, ZMQ_RCVHWM, PEER_HWM);
+  peer_set_int (socket, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
+  peer_set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, PEER_HEARTBEAT_TIMEOUT_MS);
+  peer_set_int (socket, ZMQ_HEARTBEAT_TTL, PEER_HEARTBEAT_TIMEOUT_MS);
+  peer_set_int (socket, ZMQ_TCP_MAXRT, PEER_HEARTBEAT_TIMEOUT_MS);
+  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &frame_max, sizeof frame_max);
+  if (peer->opts.curve_secret == NULL)
+    return;
+  zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, peer->opts.curve_secret,
+                  strlen (peer->opts.curve_secret) + 1);
+  zmq_setsockopt (socket, ZMQ_CURVE_PUBLICKEY, peer->opts.curve_public,
+                  strlen (peer->opts.curve_public) + 1);
+}
+
+/* Opens and binds the ROUTER socket.  */
+static int
+peer_bind (struct peer *peer)
+{
+  char endpoint[MSG_ADDRESS_BYTES + 8];
+
+  peer->router = zmq_socket (peer->context, ZMQ_ROUTER);
+  if (peer->router == NULL)
+    return SR_EIO;
+  peer_configure (peer, peer->router);
+  peer_set_int (peer->router, ZMQ_ROUTER_MANDATORY, 1);
+  peer_set_int (peer->router, ZMQ_ROUTER_HANDOVER, 1);
+  if (peer->opts.curve_secret != NULL)
+    peer_set_int (peer->router, ZMQ_CURVE_SERVER, 1);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", peer->address);
+  if (zmq_bind (peer->router, endpoint) != 0)
+    {
+      slog (SLOG_ERR, "cannot bind setting=--peer value=%s error=\"%s\"",
+            peer->address, zmq_strerror (errno));
+      return SR_EIO;
+    }
+  return SR_OK;
+}
+
+struct peer *
+peer_new (const struct peer_opts *opts)
+{
+  struct inb_opts inbox = { .wake = INB_WAKE_FD };
+  struct peer *peer = calloc (1, sizeof *peer);
+
+  INVARIANT (peer != NULL);
+  peer->opts = *opts;
+  snprintf (peer->address, sizeof peer->address, "%s", opts->address);
+  lst_init (&peer->dials);
+  lst_init (&peer->callers);
+  peer->inbox = inb_new (&inbox);
+  peer->context = zmq_ctx_new ();
+  INVARIANT (peer->inbox != NULL && peer->context != NULL);
+  if (peer_bind (peer) == SR_OK)
+    return peer;
+  if (peer->router != NULL)
+    zmq_close (peer->router);
+  zmq_ctx_term (peer->context);
+  inb_free (peer->inbox);
+  free (peer);
+  return NULL;
+}
+
+struct inb *
+peer_inbox (struct peer *peer)
+{
+  return peer->inbox;
+}
+
+/* Tells front and control that a route is gone.  */
+static void
+peer_report_lost (struct peer *peer, const struct msg_route *route)
+{
+  struct inb *to[] = { peer->opts.front, peer->opts.control };
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct msg *msg = msg_new (MSG_PEER_LOST);
+
+      msg->route = *route;
+      inb_put (to[i], msg);
+    }
+}
+
+static void
+peer_close_dial (struct peer *peer, struct peer_dial *dial)
+{
+  lst_remove (&dial->node);
+  peer->dial_count--;
+  plk_clear (&dial->link);
+  zmq_close (dial->socket);
+  free (dial);
+}
+
+/* Closes the connection unused for longest that has no open stream.  */
+static void
+peer_evict_dial (struct peer *peer)
+{
+  lst_each (node, &peer->dials)
+    {
+      struct peer_dial *dial = lst_entry (node, struct peer_dial, node);
+
+      if (!lst_empty (&dial->link.streams))
+        continue;
+      peer_close_dial (peer, dial);
+      return;
+    }
+}
+
+static struct peer_dial *
+peer_open_dial (struct peer *peer, const char *address, clk_us now)
+{
+  struct peer_dial *dial = calloc (1, sizeof *dial);
+  char endpoint[MSG_ADDRESS_BYTES + 8];
+  uint8_t identity[RNG_ID_BYTES + 1] = { 'n' };
+
+  INVARIANT (dial != NULL);
+  if (peer->dial_count >= PEER_DIALS_MAX)
+    peer_evict_dial (peer);
+  snprintf (dial->address, sizeof dial->address, "%s", address);
+  plk_init (&dial->link, PLK_LOST_US, now);
+  dial->socket = zmq_socket (peer->context, ZMQ_DEALER);
+  INVARIANT (dial->socket != NULL);
+  peer_configure (peer, dial->socket);
+  rng_id (identity + 1, RNG_ID_BYTES);
+  zmq_setsockopt (dial->socket, ZMQ_ROUTING_ID, identity, sizeof identity);
+  if (peer->opts.curve_public != NULL)
+    zmq_setsockopt (dial->socket, ZMQ_CURVE_SERVERKEY, peer->opts.curve_public,
+                    strlen (peer->opts.curve_public) + 1);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
+  if (zmq_connect (dial->socket, endpoint) != 0)
+    {
+      zmq_close (dial->socket);
+      free (dial);
+      return NULL;
+    }
+  lst_push_tail (&peer->dials, &dial->node);
+  peer->dial_count++;
+  return dial;
+}
+
+static struct peer_dial *
+peer_find_dial (struct peer *peer, const char *address)
+{
+  lst_each (node, &peer->dials)
+    {
+      struct peer_dial *dial = lst_entry (node, struct peer_dial, node);
+
+      if (strcmp (dial->address, address) == 0)
+        return dial;
+    }
+  return NULL;
+}
+
+static struct peer_caller *
+peer_find_caller (struct peer *peer, const struct msg_route *route)
+{
+  lst_each (node, &peer->callers)
+    {
+      struct peer_caller *caller = lst_entry (node, struct peer_caller, node);
+
+      if (caller->route.u.identity.len == route->u.identity.len
+          && memcmp (caller->route.u.identity.bytes, route->u.identity.bytes,
+                     route->u.identity.len)
+                 == 0)
+        return caller;
+    }
+  return NULL;
+}
+
+/* Sends all frames without waiting.  */
+static int
+peer_send_frames (void *socket, const struct msg_route *route,
+                  const struct pck_frames *frames)
+{
+  int flags = ZMQ_DONTWAIT | ZMQ_SNDMORE;
+
+  if (route->kind == MSG_ROUTE_REPLY
+      && zmq_send (socket, route->u.identity.bytes, route->u.identity.len,
+                   flags)
+             < 0)
+    return SR_EAGAIN;
+  if (zmq_send (socket, frames->head, frames->head_len, flags) < 0)
+    return SR_EAGAIN;
+  if (zmq_send (socket, frames->raw, frames->raw_len, ZMQ_DONTWAIT) < 0)
+    return SR_EAGAIN;
+  return SR_OK;
+}
+
+static int
+peer_send_on (void *socket, const struct msg *msg)
+{
+  struct pck_frames frames;
+  int error = pck_encode (msg, &frames);
+
+  if (error != SR_OK)
+    return error;
+  error = peer_send_frames (socket, &msg->route, &frames);
+  pck_frames_free (&frames);
+  return error;
+}
+
+/* A request that could not be handed to ZeroMQ was certainly not run.  */
+static void
+peer_refuse_open (struct peer *peer, const struct msg *open)
+{
+  struct msg *msg = msg_new (MSG_REFUSE);
+
+  msg->route = open->route;
+  msg->stream = open->stream;
+  msg->u.refuse.reason = RSN_PEER_CONGESTED;
+  msg->u.refuse.run = RSN_NOT_RUN;
+  msg->u.refuse.trailer.unused_allowance = open->u.open.allowance;
+  inb_put (peer->opts.front, msg);
+}
+
+static void
+peer_send_dial (struct peer *peer, const struct msg *msg, clk_us now)
+{
+  struct peer_dial *dial = peer_find_dial (peer, msg->route.u.address);
+
+  if (dial == NULL)
+    dial = peer_open_dial (peer, msg->route.u.address, now);
+  if (dial == NULL || peer_send_on (dial->socket, msg) != SR_OK)
+    {
+      if (msg->kind == MSG_OPEN)
+        peer_refuse_open (peer, msg);
+      return;
+    }
+  lst_remove (&dial->node);
+  lst_push_tail (&peer->dials, &dial->node);
+  dial->link.sent = now;
+  if (msg->kind == MSG_OPEN)
+    plk_open (&dial->link, msg->stream, now);
+  if (msg->kind == MSG_CANCEL)
+    plk_close (&dial->link, msg->stream);
+}
+
+/* Whether MSG is the last one of its stream from the serve side.  */
+static bool
+peer_ends_stream (const struct msg *msg)
+{
+  return msg->kind == MSG_REFUSE || (msg->kind == MSG_BODY && msg->u.body.end);
+}
+
+static void
+peer_drop_caller (struct peer *peer, struct peer_caller *caller)
+{
+  lst_remove (&caller->node);
+  peer->caller_count--;
+  plk_clear (&caller->link);
+  free (caller);
+}
+
+static void
+peer_send_reply (struct peer *peer, const struct msg *msg, clk_us now)
+{
+  struct peer_caller *caller = peer_find_caller (peer, &msg->route);
+
+  if (peer_send_on (peer->router, msg) != SR_OK)
+    {
+      /* The caller's node is gone: nobody waits for its streams.  */
+      if (caller == NULL)
+        return;
+      peer_report_lost (peer, &caller->route);
+      peer_drop_caller (peer, caller);
+      return;
+    }
+  if (caller == NULL)
+    return;
+  caller->link.sent = now;
+  if (!peer_ends_stream (msg))
+    return;
+  plk_close (&caller->link, msg->stream);
+  if (lst_empty (&caller->link.streams))
+    peer_drop_caller (peer, caller);
+}
+
+static void
+peer_send (struct peer *peer, const struct msg *msg, clk_us now)
+{
+  switch (msg->route.kind)
+    {
+    case MSG_ROUTE_DIAL:
+      peer_send_dial (peer, msg, now);
+      break;
+    case MSG_ROUTE_REPLY:
+      peer_send_reply (peer, msg, now);
+      break;
+    case MSG_ROUTE_LOCAL:
+      INVARIANT (!"local messages do not reach the peer task");
+    }
+}
+
+/* Takes what other tasks want to be sent.  */
+static void
+peer_take_inbox (struct peer *peer)
+{
+  struct lst messages;
+  struct lst_node *node;
+  clk_us now = clk_now ();
+
+  lst_init (&messages);
+  inb_take (peer->inbox, &messages);
+  while ((node = lst_pop_head (&messages)) != NULL)
+    {
+      struct msg *msg = lst_entry (node, struct msg, node);
+
+      if (msg->kind == MSG_STOP)
+        peer->stopping = true;
+      else
+        peer_send (peer, msg, now);
+      msg_free (msg);
+    }
+}
+
+static void
+peer_pong (struct peer *peer, const struct msg_route *route, clk_us now)
+{
+  struct msg *msg = msg_new (MSG_PONG);
+
+  msg->route = *route;
+  peer_send (peer, msg, now);
+  msg_free (msg);
+}
+
+/* Hands a received message to the task that it is for.  */
+static void
+peer_deliver (struct peer *peer, struct msg *msg, clk_us now)
+{
+  switch (msg->kind)
+    {
+    case MSG_OPEN:
+    case MSG_BODY:
+    case MSG_CREDIT:
+    case MSG_CANCEL:
+    case MSG_HEAD:
+    case MSG_REFUSE:
+      inb_put (peer->opts.front, msg);
+      return;
+    case MSG_RENEW:
+    case MSG_MEMBERS:
+    case MSG_PROPOSE:
+    case MSG_RESULT:
+    case MSG_REP:
+      inb_put (peer->opts.control, msg);
+      return;
+    case MSG_PING:
+      peer_pong (peer, &msg->route, now);
+      break;
+    default:
+      break;
+    }
+  msg_free (msg);
+}
+
+/* Notes streams that a node opened here.  */
+static void
+peer_note_caller (struct peer *peer, const struct msg *msg, clk_us now)
+{
+  struct peer_caller *caller = peer_find_caller (peer, &msg->route);
+
+  if (caller == NULL)
+    {
+      if (msg->kind != MSG_OPEN || peer->caller_count >= PEER_CALLERS_MAX)
+        return;
+      caller = calloc (1, sizeof *caller);
+      INVARIANT (caller != NULL);
+      caller->route = msg->route;
+      plk_init (&caller->link, PLK_CALLER_LOST_US, now);
+      lst_push_tail (&peer->callers, &caller->node);
+      peer->caller_count++;
+    }
+  if (msg->kind == MSG_OPEN)
+    plk_open (&caller->link, msg->stream, now);
+  caller->link.heard = now;
+  if (msg->kind != MSG_CANCEL)
+    return;
+  plk_close (&caller->link, msg->stream);
+  if (lst_empty (&caller->link.streams))
+    peer_drop_caller (peer, caller);
+}
+
+/* Frames of one received message; [0] is the identity on the ROUTER.  */
+#define PEER_FRAMES 3
+
+/* Reads one message into FRAMES; returns their number, 0 when there is none
+   and -1 when it has too many.  */
+static int
+peer_receive (void *socket, zmq_msg_t frames[PEER_FRAMES])
+{
+  int count = 0;
+  int more = 1;
+
+  while (more)
+    {
+      zmq_msg_t extra;
+      zmq_msg_t *frame = count < PEER_FRAMES ? &frames[count] : &extra;
+
+      zmq_msg_init (frame);
+      if (zmq_msg_recv (frame, socket, ZMQ_DONTWAIT) < 0)
+        {
+          zmq_msg_close (frame);
+          break;
+        }
+      more = zmq_msg_more (frame);
+      if (frame == &extra)
+        zmq_msg_close (frame);
+      count++;
+    }
+  return count;
+}
+
+/* Decodes the last two frames; counts what is malformed.  */
+static struct msg *
+peer_decode (zmq_msg_t frames[PEER_FRAMES], int count, int expected)
+{
+  struct msg *msg = NULL;
+  int error = SR_EMALFORMED;
+
+  if (count == expected)
+    error = pck_decode (zmq_msg_data (&frames[count - 2]),
+                        zmq_msg_size (&frames[count - 2]),
+                        zmq_msg_data (&frames[count - 1]),
+                        zmq_msg_size (&frames[count - 1]), &msg);
+  if (error == SR_OK)
+    return msg;
+  ctr_add (CTR_PEER_MALFORMED, 1);
+  slog (SLOG_WARNING, "dropped a peer message frames=%d error=\"%s\"", count,
+        sr_strerror (error));
+  return NULL;
+}
+
+/* Reads one message from the ROUTER; returns whether there was one.  */
+static bool
+peer_read_router (struct peer *peer, clk_us now)
+{
+  zmq_msg_t frames[PEER_FRAMES];
+  int count = peer_receive (peer->router, frames);
+  struct msg *msg;
+
+  if (count == 0)
+    return false;
+  msg = peer_decode (frames, count, PEER_FRAMES);
+  if (msg != NULL && zmq_msg_size (&frames[0]) <= MSG_IDENTITY_BYTES)
+    {
+      msg->route.kind = MSG_ROUTE_REPLY;
+      msg->route.u.identity.len = (uint8_t)zmq_msg_size (&frames[0]);
+      memcpy (msg->route.u.identity.bytes, zmq_msg_data (&frames[0]),
+              msg->route.u.identity.len);
+      peer_note_caller (peer, msg, now);
+      peer_deliver (peer, msg, now);
+    }
+  else
+    msg_free (msg);
+  for (int i = 0; i < count && i < PEER_FRAMES; i++)
+    zmq_msg_close (&frames[i]);
+  return true;
+}
+
+/* Reads one message from a DEALER; returns whether there was one.  */
+static bool
+peer_read_dial (struct peer *peer, struct peer_dial *dial, clk_us now)
+{
+  zmq_msg_t frames[PEER_FRAMES];
+  int count = peer_receive (dial->socket, frames);
+  struct msg *msg;
+
+  if (count == 0)
+    return false;
+  msg = peer_decode (frames, count, PEER_FRAMES - 1);
+  if (msg != NULL)
+    {
+      dial->link.heard = now;
+      if (peer_ends_stream (msg))
+        plk_close (&dial->link, msg->stream);
+      msg->route.kind = MSG_ROUTE_DIAL;
+      snprintf (msg->route.u.address, sizeof msg->route.u.address, "%s",
+                dial->address);
+      peer_deliver (peer, msg, now);
+    }
+  for (int i = 0; i < count && i < PEER_FRAMES; i++)
+    zmq_msg_close (&frames[i]);
+  return true;
+}
+
+static void
+peer_ping (struct peer *peer, const struct msg_route *route, struct plk *link,
+           clk_us now)
+{
+  struct msg *msg = msg_new (MSG_PING);
+
+  link->pinged = now;
+  msg->route = *route;
+  peer_send (peer, msg, now);
+  msg_free (msg);
+}
+
+/* Replaces connections that went silent while requests were open on them. */
+static void
+peer_check_dials (struct peer *peer, clk_us now)
+{
+  lst_each (node, &peer->dials)
+    {
+      struct peer_dial *dial = lst_entry (node, struct peer_dial, node);
+      struct msg_route route = { .kind = MSG_ROUTE_DIAL };
+
+      snprintf (route.u.address, sizeof route.u.address, "%s", dial->address);
+      switch (plk_check (&dial->link, now))
+        {
+        case PLK_IDLE:
+          break;
+        case PLK_PING:
+          peer_ping (peer, &route, &dial->link, now);
+          break;
+        case PLK_LOST:
+          ctr_add (CTR_PEER_SILENT, 1);
+          slog (SLOG_WARNING, "peer is silent, connection replaced peer=%s",
+                dial->address);
+          peer_close_dial (peer, dial);
+          peer_report_lost (peer, &route);
+          break;
+        }
+    }
+}
+
+static void
+peer_check_callers (struct peer *peer, clk_us now)
+{
+  lst_each (node, &peer->callers)
+    {
+      struct peer_caller *caller = lst_entry (node, struct peer_caller, node);
+
+      if (plk_check (&caller->link, now) != PLK_LOST)
+        continue;
+      peer_report_lost (peer, &caller->route);
+      peer_drop_caller (peer, caller);
+    }
+}
+
+/* Waits for sockets or the inbox.  */
+static void
+peer_wait (struct peer *peer)
+{
+  zmq_pollitem_t items[2 + PEER_DIALS_MAX + 1];
+  int count = 0;
+
+  items[count++]
+      = (zmq_pollitem_t){ .fd = inb_fd (peer->inbox), .events = ZMQ_POLLIN };
+  items[count++]
+      = (zmq_pollitem_t){ .socket = peer->router, .events = ZMQ_POLLIN };
+  lst_each (node, &peer->dials)
+    {
+      if (count == 2 + PEER_DIALS_MAX + 1)
+        break;
+      items[count++] = (zmq_pollitem_t){
+        .socket = lst_entry (node, struct peer_dial, node)->socket,
+        .events = ZMQ_POLLIN,
+      };
+    }
+  zmq_poll (items, count, PEER_POLL_MS);
+}
+
+static void
+peer_turn (struct peer *peer)
+{
+  clk_us now;
+
+  peer_wait (peer);
+  peer_take_inbox (peer);
+  now = clk_now ();
+  for (int i = 0; i < PEER_BURST && peer_read_router (peer, now); i++)
+    continue;
+  lst_each (node, &peer->dials)
+    {
+      struct peer_dial *dial = lst_entry (node, struct peer_dial, node);
+
+      for (int i = 0; i < PEER_BURST && peer_read_dial (peer, dial, now); i++)
+        continue;
+    }
+  peer_check_dials (peer, now);
+  peer_check_callers (peer, now);
+}
+
+static void *
+peer_run (void *arg)
+{
+  struct peer *peer = arg;
+
+  while (!peer->stopping)
+    peer_turn (peer);
+  return NULL;
+}
+
+int
+peer_start (struct peer *peer)
+{
+  return pthread_create (&peer->thread, NULL, peer_run, peer) == 0 ? SR_OK
+                                                                   : SR_EIO;
+}
+
+void
+peer_join (struct peer *peer)
+{
+  struct lst_node *node;
+
+  pthread_join (peer->thread, NULL);
+  while ((node = lst_first (&peer->dials)) != NULL)
+    peer_close_dial (peer, lst_entry (node, struct peer_dial, node));
+  while ((node = lst_first (&peer->callers)) != NULL)
+    peer_drop_caller (peer, lst_entry (node, struct peer_caller, node));
+  zmq_close (peer->router);
+  zmq_ctx_term (peer->context);
+  inb_free (peer->inbox);
+  free (peer);
+}
--- /dev/null
+++ b/wire/packio.c
@@ -0,0 +1,222 @@
+#include "wire/packio.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/msg.h"
+
+#define PIO_FIELDS_MAX 64
+#define PIO_FIELD_BYTES_MAX (16 * 1024)
+
+void
+pio_open (struct pio_reader *reader, const msgpack_object *object)
+{
+  *reader = (struct pio_reader){ 0 };
+  if (object == NULL || object->type != MSGPACK_OBJECT_ARRAY)
+    {
+      reader->fault = true;
+      return;
+    }
+  reader->fields = object->via.array.ptr;
+  reader->count = object->via.array.size;
+}
+
+bool
+pio_ok (const struct pio_reader *reader)
+{
+  return !reader->fault;
+}
+
+/* Next field when it has TYPE, else NULL and a fault.  */
+static const msgpack_object *
+pio_next (struct pio_reader *reader, msgpack_object_type type)
+{
+  const msgpack_object *field;
+
+  if (reader->fault || reader->next >= reader->count)
+    {
+      reader->fault = true;
+      return NULL;
+    }
+  field = &reader->fields[reader->next++];
+  if (field->type != type)
+    {
+      reader->fault = true;
+      return NULL;
+    }
+  return field;
+}
+
+uint64_t
+pio_u64 (struct pio_reader *reader)
+{
+  const msgpack_object *field
+      = pio_next (reader, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+  return field == NULL ? 0 : field->via.u64;
+}
+
+uint32_t
+pio_u32 (struct pio_reader *reader, uint32_t most)
+{
+  uint64_t value = pio_u64 (reader);
+
+  if (value > most)
+    {
+      reader->fault = true;
+      return 0;
+    }
+  return (uint32_t)value;
+}
+
+int64_t
+pio_i64 (struct pio_reader *reader)
+{
+  if (!reader->fault && reader->next < reader->count
+      && reader->fields[reader->next].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+    return reader->fields[reader->next++].via.i64;
+  return (int64_t)pio_u64 (reader);
+}
+
+bool
+pio_bool (struct pio_reader *reader)
+{
+  const msgpack_object *field = pio_next (reader, MSGPACK_OBJECT_BOOLEAN);
+
+  return field != NULL && field->via.boolean;
+}
+
+/* Next text field without NUL of at most MOST bytes, else NULL.  */
+static const msgpack_object *
+pio_next_text (struct pio_reader *reader, size_t most)
+{
+  const msgpack_object *field = pio_next (reader, MSGPACK_OBJECT_STR);
+
+  if (field == NULL)
+    return NULL;
+  if (field->via.str.size > most
+      || memchr (field->via.str.ptr, '\0', field->via.str.size) != NULL)
+    {
+      reader->fault = true;
+      return NULL;
+    }
+  return field;
+}
+
+void
+pio_text (struct pio_reader *reader, char *out, size_t size)
+{
+  const msgpack_object *field = pio_next_text (reader, size - 1);
+
+  out[0] = '\0';
+  if (field == NULL)
+    return;
+  memcpy (out, field->via.str.ptr, field->via.str.size);
+  out[field->via.str.size] = '\0';
+}
+
+char *
+pio_text_new (struct pio_reader *reader, size_t most)
+{
+  const msgpack_object *field = pio_next_text (reader, most);
+  char *text;
+
+  if (field == NULL)
+    return NULL;
+  text = strndup (field->via.str.ptr, field->via.str.size);
+  if (text == NULL)
+    reader->fault = true;
+  return text;
+}
+
+void
+pio_bytes (struct pio_reader *reader, uint8_t *out, size_t len)
+{
+  const msgpack_object *field = pio_next (reader, MSGPACK_OBJECT_BIN);
+
+  memset (out, 0, len);
+  if (field == NULL)
+    return;
+  if (field->via.bin.size != len)
+    {
+      reader->fault = true;
+      return;
+    }
+  memcpy (out, field->via.bin.ptr, len);
+}
+
+struct pio_reader
+pio_array (struct pio_reader *reader)
+{
+  const msgpack_object *field = pio_next (reader, MSGPACK_OBJECT_ARRAY);
+  struct pio_reader nested;
+
+  pio_open (&nested, field);
+  return nested;
+}
+
+void
+pio_put_text (msgpack_packer *packer, const char *text)
+{
+  size_t len = strlen (text);
+
+  msgpack_pack_str (packer, len);
+  msgpack_pack_str_body (packer, text, len);
+}
+
+void
+pio_put_bytes (msgpack_packer *packer, const void *data, size_t len)
+{
+  msgpack_pack_bin (packer, len);
+  msgpack_pack_bin_body (packer, data, len);
+}
+
+void
+pio_put_bool (msgpack_packer *packer, bool value)
+{
+  if (value)
+    msgpack_pack_true (packer);
+  else
+    msgpack_pack_false (packer);
+}
+
+void
+pio_put_fields (msgpack_packer *packer, const struct lst *fields)
+{
+  size_t count = 0;
+
+  lst_each (node, fields)
+    count++;
+  msgpack_pack_array (packer, 2 * count);
+  lst_each (node, fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      pio_put_text (packer, field->name);
+      pio_put_text (packer, field->value);
+    }
+}
+
+void
+pio_fields (struct pio_reader *reader, struct lst *out)
+{
+  struct pio_reader nested = pio_array (reader);
+
+  if (!pio_ok (&nested) || nested.count % 2 != 0
+      || nested.count > 2 * PIO_FIELDS_MAX)
+    {
+      reader->fault = true;
+      return;
+    }
+  while (nested.next < nested.count && pio_ok (reader))
+    {
+      char *name = pio_text_new (&nested, PIO_FIELD_BYTES_MAX);
+      char *value = pio_text_new (&nested, PIO_FIELD_BYTES_MAX);
+
+      if (name == NULL || value == NULL
+          || msg_field_add (out, name, value) != SR_OK)
+        reader->fault = true;
+      free (name);
+      free (value);
+    }
+}
