--- /dev/null
+++ b/core/buf.c
@@ -0,0 +1,62 @@
+#include "core/buf.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+#define BUF_FIRST_BYTES 512
+
+void
+buf_append (struct buf *buf, const void *data, size_t len)
+{
+  size_t capacity = buf->capacity > 0 ? buf->capacity : BUF_FIRST_BYTES;
+
+  if (len == 0)
+    return;
+  while (capacity < buf->len + len)
+    capacity *= 2;
+  if (capacity != buf->capacity)
+    {
+      buf->data = realloc (buf->data, capacity);
+      INVARIANT (buf->data != NULL);
+      buf->capacity = capacity;
+    }
+  memcpy (buf->data + buf->len, data, len);
+  buf->len += len;
+}
+
+void
+buf_drop (struct buf *buf, uint64_t offset)
+{
+  size_t count;
+
+  if (offset <= buf->base)
+    return;
+  INVARIANT (offset <= buf_end (buf));
+  count = (size_t)(offset - buf->base);
+  memmove (buf->data, buf->data + count, buf->len - count);
+  buf->len -= count;
+  buf->base = offset;
+}
+
+uint64_t
+buf_end (const struct buf *buf)
+{
+  return buf->base + buf->len;
+}
+
+const uint8_t *
+buf_from (const struct buf *buf, uint64_t offset, size_t *len)
+{
+  INVARIANT (offset >= buf->base && offset <= buf_end (buf));
+  *len = (size_t)(buf_end (buf) - offset);
+  return *len > 0 ? buf->data + (offset - buf->base) : NULL;
+}
+
+void
+buf_free (struct buf *buf)
+{
+  free (buf->data);
+  *buf = (struct buf){ 0 };
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -85,6 +85,7 @@
       uint8_t bytes[MSG_IDENTITY_BYTES];
       uint8_t len;
     } identity;
+    bool to_serve; /* local: from the call side to the serve side */
   } u;
 };
 
@@ -165,6 +166,7 @@
   enum msg_propose_kind kind;
   enum msg_group group;
   uint64_t request;
+  uint32_t timeout_ms; /* in process: time to keep trying */
   uint8_t *data;
   size_t len;
 };
@@ -182,6 +184,7 @@
 struct msg_rep
 {
   enum msg_group group;
+  char from[MSG_ADDRESS_BYTES]; /* peer address of the sender */
   struct rep_msg *msg;
 };
 
@@ -230,8 +233,8 @@
 {
   uint64_t request;
   int http_status;
-  char *text; /* JSON, malloc()ed */
-  size_t len;
+  uint64_t version; /* of the document in @text, 0 otherwise */
+  char *text;       /* JSON, malloc()ed, ends with NUL */
 };
 
 struct msg
--- a/filters/chain.c
+++ b/filters/chain.c
@@ -35,6 +35,15 @@
   return ok ? flt_continue () : flt_refuse (reason, RSN_NOT_RUN);
 }
 
+/* Whether the own server is up and of the request's service.  */
+static bool
+flt_backend_serves (const struct flt_state *state,
+                    const struct flt_request *request)
+{
+  return state->backend_up
+         && strcmp (state->backend_service, request->service_name) == 0;
+}
+
 /* Runs one filter.  */
 static struct flt_result
 flt_step (enum flt_id id, struct flt_state *state, struct flt_request *request,
@@ -61,7 +70,7 @@
     case FLT_DRAINING:
       return flt_require (!state->draining, RSN_DRAINING);
     case FLT_BACKEND:
-      return flt_require (state->backend_up, RSN_NO_BACKEND);
+      return flt_require (flt_backend_serves (state, request), RSN_NO_BACKEND);
     case FLT_ADMISSION:
       return flt_admission (state, request, now);
     case FLT_CLAIM:
@@ -107,6 +116,8 @@
   request->allowance = NULL;
   if (request->ticket.state != ADM_IDLE)
     adm_withdraw (state->admission, &request->ticket, now);
+  mdl_unref (request->model);
+  request->model = NULL;
 }
 
 struct flt_service *
--- a/filters/chain.h
+++ b/filters/chain.h
@@ -80,6 +80,7 @@
   FLT_CLAIM_GRANTED,
   FLT_CLAIM_DONE, /* an answer is recorded */
   FLT_CLAIM_UNKNOWN,
+  FLT_CLAIM_NOT_KEPT, /* it ran, and its answer was too large to record */
   FLT_CLAIM_MISMATCH,
   FLT_CLAIM_FULL,
   FLT_CLAIM_UNAVAILABLE,
@@ -100,9 +101,11 @@
   const char *trace; /* trace id or empty */
   bool has_hop;
   uint8_t hop_id[RNG_ID_BYTES];
-  uint64_t body_hash;
+  uint64_t body_hash; /* of what is kept */
+  bool body_whole;    /* the whole body is kept */
 
   /* set by filters, or by the receiver of MSG_OPEN */
+  struct mdl *model; /* held while set: service and kind are part of it */
   const struct mdl_service *service;
   const struct mdl_kind *kind;
   uint8_t importance;
@@ -116,6 +119,7 @@
   struct rty_chain *chain_record; /* held while set */
   struct rty_allowance *allowance;
   struct rty_allowance no_allowance;
+  uint32_t retries; /* spent on this call, hedges included */
   struct chs_query query;
   struct chs_server *server; /* chosen */
   struct adm_ticket ticket;
@@ -143,6 +147,7 @@
   struct rng rng;
   bool draining;
   bool backend_up;
+  char backend_service[MDL_NAME_BYTES]; /* of the own server */
 };
 
 extern const enum flt_id flt_call_chain[];
--- a/filters/claim.c
+++ b/filters/claim.c
@@ -19,6 +19,8 @@
       return (struct flt_result){ .kind = FLT_ANSWER };
     case FLT_CLAIM_UNKNOWN:
       return flt_refuse (RSN_CLAIM_UNKNOWN, RSN_UNKNOWN);
+    case FLT_CLAIM_NOT_KEPT:
+      return flt_refuse (RSN_ANSWER_NOT_KEPT, RSN_UNKNOWN);
     case FLT_CLAIM_MISMATCH:
       return flt_refuse (RSN_KEY_REUSED, RSN_NOT_RUN);
     case FLT_CLAIM_FULL:
--- a/filters/identify.c
+++ b/filters/identify.c
@@ -7,7 +7,9 @@
 struct flt_result
 flt_identify (struct flt_state *state, struct flt_request *request)
 {
-  request->service = mdl_find_service (state->model, request->service_name);
+  if (request->model == NULL)
+    request->model = mdl_ref (state->model);
+  request->service = mdl_find_service (request->model, request->service_name);
   if (request->service == NULL)
     return flt_refuse (RSN_UNKNOWN_SERVICE, RSN_NOT_RUN);
   request->kind
--- a/filters/key.c
+++ b/filters/key.c
@@ -30,6 +30,8 @@
               request->key);
   if (request->kind->idempotent)
     return flt_continue ();
+  if (!request->body_whole)
+    return flt_refuse (RSN_BODY_TOO_LARGE, RSN_NOT_RUN);
   if (request->key[0] != '\0')
     snprintf (request->claim_key, sizeof request->claim_key, "%s",
               request->key);
--- /dev/null
+++ b/tasks/front.c
@@ -0,0 +1,575 @@
+#include "tasks/front.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "core/slog.h"
+#include "tasks/front_state.h"
+
+#define FRONT_TICK_US clk_ms (250)
+/* A caller or operator that sends nothing for this long is disconnected.  */
+#define FRONT_KEEPALIVE_S 60
+/* Time that other nodes take at most to learn that this one leaves.  */
+#define FRONT_LEAVE_US clk_ms (1500)
+#define FRONT_DRAIN_LIMIT_MS 30000
+#define FRONT_HEADER_POOL 4096
+#define FRONT_SERVICE_BUFFER_BYTES (64 * 1024)
+/* libwebsockets' own time-outs must not end a request before its deadline. */
+#define FRONT_LWS_TIMEOUT_S 3600
+#define FRONT_CHAINS_MAX 65536
+#define FRONT_CHAIN_KEEP_US clk_s (60)
+#define FRONT_MARKS_MAX 4096
+#define FRONT_QUARANTINE_S 300
+
+static const struct lws_protocols front_call_protocols[]
+    = { { "http", call_callback, sizeof (struct call *), 0, 0, NULL, 0 },
+        { NULL, NULL, 0, 0, 0, NULL, 0 } };
+
+static const struct lws_protocols front_admin_protocols[]
+    = { { "admin", adn_callback, sizeof (struct admin_request *), 0, 0, NULL,
+          0 },
+        { NULL, NULL, 0, 0, 0, NULL, 0 } };
+
+static void front_tick (lws_sorted_usec_list_t *timer);
+
+/* Wakes the libwebsockets loop from another task.  */
+static void
+front_wake (void *arg)
+{
+  struct front *front = arg;
+
+  lws_cancel_service (front->context);
+}
+
+/* Messages of libwebsockets, without their line end.  */
+static void
+front_lws_log (int level, const char *line)
+{
+  enum slog_severity severity = level & LLL_ERR ? SLOG_ERR : SLOG_WARNING;
+
+  slog (severity, "libwebsockets: %.*s", (int)strcspn (line, "\n"), line);
+}
+
+/* Creates a vhost that listens on ADDRESS, "IP:PORT".  */
+static struct lws_vhost *
+front_listen (struct front *front, const char *setting, const char *address,
+              const struct lws_protocols *protocols)
+{
+  struct lws_context_creation_info info = { 0 };
+  char host[MSG_ADDRESS_BYTES];
+  const char *colon = strrchr (address, ':');
+  struct lws_vhost *vhost;
+
+  INVARIANT (colon != NULL);
+  snprintf (host, sizeof host, "%.*s", (int)(colon - address), address);
+  info.port = atoi (colon + 1);
+  info.iface = host;
+  info.protocols = protocols;
+  info.vhost_name = setting;
+  info.keepalive_timeout = FRONT_KEEPALIVE_S;
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  vhost = lws_create_vhost (front->context, &info);
+  if (vhost == NULL)
+    slog (SLOG_ERR, "cannot listen setting=%s value=%s", setting, address);
+  return vhost;
+}
+
+static struct lws_context *
+front_new_context (struct front *front)
+{
+  struct lws_context_creation_info info = { 0 };
+
+  lws_set_log_level (LLL_ERR, front_lws_log);
+  info.options
+      = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
+  info.user = front;
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.timeout_secs = FRONT_LWS_TIMEOUT_S;
+  info.max_http_header_data2 = FRONT_HEADER_BYTES;
+  info.max_http_header_pool2 = FRONT_HEADER_POOL;
+  info.pt_serv_buf_size = FRONT_SERVICE_BUFFER_BYTES;
+  return lws_create_context (&info);
+}
+
+/* Controllers with their limits before the first configuration.  */
+static void
+front_new_state (struct front *front)
+{
+  struct adm_opts admission = { .slots = 1, .queue = 1 };
+  struct qrt_opts marks
+      = { .keep = clk_s (FRONT_QUARANTINE_S), .most = FRONT_MARKS_MAX };
+  struct rty_table_opts chains
+      = { .most = FRONT_CHAINS_MAX, .keep = FRONT_CHAIN_KEEP_US };
+  uint64_t seed;
+
+  rng_id ((uint8_t *)&seed, sizeof seed);
+  rng_seed (&front->state.rng, seed);
+  lst_init (&front->state.services);
+  front->state.admission = adm_new (&admission);
+  front->state.marks = qrt_new (&marks);
+  front->state.chains = rty_table_new (&chains);
+  front->state.hops = hop_table_new ();
+  INVARIANT (front->state.admission != NULL && front->state.marks != NULL
+             && front->state.chains != NULL && front->state.hops != NULL);
+}
+
+static void
+front_new_lists (struct front *front)
+{
+  lst_init (&front->calls);
+  lst_init (&front->serves);
+  lst_init (&front->admins);
+  lst_init (&front->local);
+  lst_init (&front->view);
+  lst_init (&front->backend.idle);
+  lst_init (&front->backend.busy);
+  lst_init (&front->backend.probed);
+  for (int i = 0; i < FRONT_BUCKETS; i++)
+    {
+      lst_init (&front->attempt_buckets[i]);
+      lst_init (&front->serve_buckets[i]);
+    }
+}
+
+struct front *
+front_new (const struct front_opts *opts)
+{
+  struct front *front = calloc (1, sizeof *front);
+  struct inb_opts inbox
+      = { .wake = INB_WAKE_CALL, .call = front_wake, .arg = front };
+
+  INVARIANT (front != NULL);
+  front->opts = *opts;
+  front_new_lists (front);
+  front_new_state (front);
+  front->next_stream = 1;
+  front->next_request = 1;
+  front->inbox = inb_new (&inbox);
+  front->context = front_new_context (front);
+  INVARIANT (front->inbox != NULL && front->context != NULL);
+  front->listen_vhost
+      = front_listen (front, "--listen", opts->listen, front_call_protocols);
+  front->admin_vhost
+      = front_listen (front, "--admin", opts->admin, front_admin_protocols);
+  if (front->listen_vhost != NULL && front->admin_vhost != NULL)
+    return front;
+  front_free (front);
+  return NULL;
+}
+
+struct inb *
+front_inbox (struct front *front)
+{
+  return front->inbox;
+}
+
+void
+front_connect (struct front *front, struct inb *peer, struct inb *control)
+{
+  front->peer = peer;
+  front->control = control;
+}
+
+void
+front_send (struct front *front, struct msg *msg)
+{
+  if (msg->route.kind != MSG_ROUTE_LOCAL)
+    {
+      inb_put (front->peer, msg);
+      return;
+    }
+  /* A timer may run inside lws_service() just before it waits.  */
+  if (lst_empty (&front->local))
+    lws_cancel_service (front->context);
+  lst_push_tail (&front->local, &msg->node);
+}
+
+/* Tells the control task what the own backend server does.  */
+void
+front_report_backend (struct front *front)
+{
+  struct msg *msg = msg_new (MSG_BACKEND);
+  struct msg_backend *backend = &msg->u.backend;
+
+  if (front->state.draining || front->backend.leaving)
+    backend->state = MSG_BACKEND_DRAINING;
+  else
+    backend->state
+        = front->state.backend_up ? MSG_BACKEND_UP : MSG_BACKEND_DOWN;
+  snprintf (backend->service, sizeof backend->service, "%s",
+            front->backend.service);
+  backend->slots = front->backend.slots;
+  inb_put (front->control, msg);
+  front_apply_members (front);
+}
+
+void
+front_drain (struct front *front)
+{
+  if (front->state.draining)
+    return;
+  slog (SLOG_NOTICE, "draining: no new work for the own backend server");
+  front->state.draining = true;
+  front_report_backend (front);
+  srv_refuse_waiting (front, RSN_DRAINING);
+}
+
+/* Sends marks of crashed servers to the control task.  */
+void
+front_send_marks (struct front *front)
+{
+  struct msg *msg = msg_new (MSG_MARKS);
+
+  qrt_export (front->state.marks, &msg->u.items, MEM_MARKS_MAX, clk_now ());
+  inb_put (front->control, msg);
+}
+
+void
+front_configure_admission (struct front *front)
+{
+  const struct mdl_service *service = NULL;
+  struct adm_opts opts = { .slots = front->backend.slots };
+
+  if (front->state.model != NULL)
+    service = mdl_find_service (front->state.model, front->backend.service);
+  if (service != NULL)
+    {
+      if (service->slots < opts.slots)
+        opts.slots = service->slots;
+      opts.queue = service->queue;
+      opts.long_slots_percent = service->long_slots_percent;
+    }
+  if (opts.slots == 0)
+    opts.slots = 1;
+  adm_configure (front->state.admission, &opts);
+}
+
+/* Creates or updates the record of one service that may be called.  */
+static void
+front_configure_service (struct front *front,
+                         const struct mdl_service *declared, clk_us now)
+{
+  struct flt_service *service
+      = flt_find_service (&front->state, declared->name);
+  struct chs_opts opts
+      = { .max_ejected_percent = declared->max_ejected_percent };
+
+  snprintf (opts.failure_domain, sizeof opts.failure_domain, "%s",
+            front->opts.failure_domain);
+  if (service == NULL)
+    {
+      service = calloc (1, sizeof *service);
+      INVARIANT (service != NULL);
+      snprintf (service->name, sizeof service->name, "%s", declared->name);
+      service->servers = chs_new (&opts);
+      INVARIANT (service->servers != NULL);
+      lst_push_tail (&front->state.services, &service->node);
+      rty_budget_init (&service->budget,
+                       front->state.model->retry_budget_percent, now);
+      return;
+    }
+  chs_configure (service->servers, &opts);
+  service->budget.percent = front->state.model->retry_budget_percent;
+}
+
+static void
+front_take_model (struct front *front, struct msg_model *taken)
+{
+  struct qrt_opts marks = { .most = FRONT_MARKS_MAX };
+  clk_us now = clk_now ();
+
+  front->version = taken->version;
+  front->confirmed = taken->confirmed;
+  if (taken->model == NULL || taken->model == front->state.model)
+    return;
+  mdl_unref (front->state.model);
+  front->state.model = mdl_ref (taken->model);
+  ctr_add (CTR_CONFIG_CHANGES, 1);
+  marks.keep = clk_s (taken->model->quarantine_s);
+  qrt_configure (front->state.marks, &marks);
+  lst_each (node, &taken->model->services)
+    front_configure_service (front, lst_entry (node, struct mdl_service, node),
+                             now);
+  front_configure_admission (front);
+  front_apply_members (front);
+}
+
+/* The own server as the choice of server sees it.  */
+static void
+front_apply_local (struct front *front, clk_us now)
+{
+  struct flt_service *service
+      = flt_find_service (&front->state, front->backend.service);
+  struct chs_server seen = { .local = true, .present = true };
+
+  if (service == NULL || !front->state.backend_up)
+    return;
+  snprintf (seen.instance, sizeof seen.instance, "%s", front->opts.instance);
+  snprintf (seen.address, sizeof seen.address, "%s", front->opts.peer_address);
+  snprintf (seen.failure_domain, sizeof seen.failure_domain, "%s",
+            front->opts.failure_domain);
+  seen.draining = front->state.draining;
+  seen.slots = front->backend.slots;
+  chs_update (service->servers, &seen, now);
+}
+
+static void
+front_apply_member (struct front *front, const struct mem_record *record,
+                    clk_us now)
+{
+  struct flt_service *service
+      = flt_find_service (&front->state, record->service);
+  struct chs_server seen = { .present = true };
+
+  if (service == NULL || strcmp (record->instance, front->opts.instance) == 0)
+    return;
+  if (record->state != MEM_SERVING && record->state != MEM_DRAINING)
+    return;
+  snprintf (seen.instance, sizeof seen.instance, "%s", record->instance);
+  snprintf (seen.address, sizeof seen.address, "%s", record->address);
+  snprintf (seen.failure_domain, sizeof seen.failure_domain, "%s",
+            record->failure_domain);
+  seen.incarnation = record->incarnation;
+  seen.draining = record->state == MEM_DRAINING;
+  seen.slots = record->slots;
+  chs_update (service->servers, &seen, now);
+}
+
+/* Brings the servers of all services in line with the members.  */
+void
+front_apply_members (struct front *front)
+{
+  clk_us now = clk_now ();
+
+  lst_each (node, &front->state.services)
+    chs_mark (lst_entry (node, struct flt_service, node)->servers);
+  front_apply_local (front, now);
+  lst_each (node, &front->view)
+    front_apply_member (front,
+                        &lst_entry (node, struct mem_item, node)->record, now);
+  lst_each (node, &front->state.services)
+    chs_sweep (lst_entry (node, struct flt_service, node)->servers);
+}
+
+static void
+front_take_view (struct front *front, struct lst *items)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&front->view)) != NULL)
+    free (lst_entry (node, struct mem_item, node));
+  lst_splice_tail (&front->view, items);
+  front_apply_members (front);
+}
+
+static void
+front_take_marks (struct front *front, const struct lst *marks)
+{
+  clk_us now = clk_now ();
+
+  lst_each (node, marks)
+    qrt_import (front->state.marks, lst_entry (node, struct qrt_mark, node),
+                now);
+}
+
+/* A stream message from another node, or from this one.  */
+static void
+front_take_stream (struct front *front, struct msg *msg)
+{
+  switch (msg->route.kind)
+    {
+    case MSG_ROUTE_DIAL:
+      att_message (front, msg);
+      break;
+    case MSG_ROUTE_REPLY:
+      srv_message (front, msg);
+      break;
+    case MSG_ROUTE_LOCAL:
+      if (msg->route.u.to_serve)
+        srv_message (front, msg);
+      else
+        att_message (front, msg);
+      break;
+    }
+}
+
+static void
+front_take (struct front *front, struct msg *msg)
+{
+  switch (msg->kind)
+    {
+    case MSG_OPEN:
+    case MSG_BODY:
+    case MSG_CREDIT:
+    case MSG_CANCEL:
+    case MSG_HEAD:
+    case MSG_REFUSE:
+      front_take_stream (front, msg);
+      break;
+    case MSG_PEER_LOST:
+      if (msg->route.kind == MSG_ROUTE_DIAL)
+        att_peer_lost (front, &msg->route);
+      else
+        srv_peer_lost (front, &msg->route);
+      break;
+    case MSG_RESULT:
+      srv_claim_result (front, msg);
+      break;
+    case MSG_MODEL:
+      front_take_model (front, &msg->u.model);
+      break;
+    case MSG_VIEW:
+      front_take_view (front, &msg->u.items);
+      break;
+    case MSG_MARKS:
+      front_take_marks (front, &msg->u.items);
+      break;
+    case MSG_ADMIN_REPLY:
+      adn_reply (front, msg);
+      break;
+    default:
+      break;
+    }
+  msg_free (msg);
+}
+
+/* Handles everything that is waiting, also what this leads to.  */
+static void
+front_take_all (struct front *front)
+{
+  struct lst messages;
+  struct lst_node *node;
+
+  lst_init (&messages);
+  inb_take (front->inbox, &messages);
+  while ((node = lst_pop_head (&messages)) != NULL
+         || (node = lst_pop_head (&front->local)) != NULL)
+    front_take (front, lst_entry (node, struct msg, node));
+}
+
+/* First request to stop: drain.  */
+static void
+front_begin_stop (struct front *front)
+{
+  uint32_t limit_ms = front->opts.drain_limit_ms;
+  clk_us now = clk_now ();
+
+  if (limit_ms == 0 && front->state.model != NULL)
+    limit_ms = front->state.model->drain_limit_ms;
+  if (limit_ms == 0)
+    limit_ms = FRONT_DRAIN_LIMIT_MS;
+  front->stopping = true;
+  front->stop_at = now + clk_ms (limit_ms);
+  front->stop_not_before = now + FRONT_LEAVE_US;
+  slog (SLOG_NOTICE, "graceful shutdown limit_ms=%u", limit_ms);
+  front_drain (front);
+}
+
+/* Ends the loop when nothing is in flight any more, or at the limit.  */
+static void
+front_check_stop (struct front *front, clk_us now)
+{
+  bool idle = lst_empty (&front->calls) && lst_empty (&front->serves);
+
+  if (front->stop_requests > 0 && !front->stopping)
+    front_begin_stop (front);
+  if (front->stop_requests > 1)
+    {
+      slog (SLOG_WARNING, "stopped at once by a second signal");
+      front->exit_status = 1;
+      front->stopped = true;
+    }
+  if (!front->stopping)
+    return;
+  if (now >= front->stop_not_before && idle)
+    front->stopped = true;
+  if (now < front->stop_at || front->stopped)
+    return;
+  slog (SLOG_WARNING, "graceful shutdown reached its limit");
+  front->exit_status = 1;
+  front->stopped = true;
+}
+
+static void
+front_tick (lws_sorted_usec_list_t *timer)
+{
+  struct front *front = lws_container_of (timer, struct front, tick_timer);
+  clk_us now = clk_now ();
+
+  bck_check (front, now);
+  hop_expire (front->state.hops, now);
+  qrt_expire (front->state.marks, now);
+  srv_run_admission (front);
+  front_check_stop (front, now);
+  lws_sul_schedule (front->context, 0, &front->tick_timer, front_tick,
+                    (lws_usec_t)FRONT_TICK_US);
+}
+
+int
+front_run (struct front *front)
+{
+  front_tick (&front->tick_timer);
+  while (!front->stopped)
+    {
+      front_take_all (front);
+      front_check_stop (front, clk_now ());
+      if (front->stopped)
+        break;
+      if (lws_service (front->context, 0) < 0)
+        {
+          slog (SLOG_ERR, "the HTTP loop failed");
+          front->exit_status = 1;
+          break;
+        }
+    }
+  return front->exit_status;
+}
+
+void
+front_shut_down (struct front *front)
+{
+  front->stop_requests++;
+  lws_cancel_service (front->context);
+}
+
+static void
+front_free_state (struct front *front)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&front->state.services)) != NULL)
+    {
+      struct flt_service *service = lst_entry (node, struct flt_service, node);
+
+      chs_free (service->servers);
+      free (service);
+    }
+  while ((node = lst_pop_head (&front->view)) != NULL)
+    free (lst_entry (node, struct mem_item, node));
+  while ((node = lst_pop_head (&front->local)) != NULL)
+    msg_free (lst_entry (node, struct msg, node));
+  adm_free (front->state.admission);
+  qrt_free (front->state.marks);
+  rty_table_free (front->state.chains);
+  hop_table_free (front->state.hops);
+  mdl_unref (front->state.model);
+}
+
+void
+front_free (struct front *front)
+{
+  struct lst_node *node;
+
+  /* Requests that are still in flight end with their connections.  */
+  while ((node = lst_first (&front->serves)) != NULL)
+    srv_free (lst_entry (node, struct serve, node));
+  lws_context_destroy (front->context);
+  bck_free (front);
+  front_free_state (front);
+  inb_free (front->inbox);
+  free (front->document);
+  free (front);
+}
--- /dev/null
+++ b/tasks/front_answer.c
@@ -0,0 +1,172 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "tasks/front_state.h"
+
+/* Time that a whole answer waits until it is recorded.  */
+#define SRV_RECORD_WAIT_US clk_ms (500)
+
+struct msg *
+srv_msg (const struct serve *serve, enum msg_kind kind)
+{
+  struct msg *msg = msg_new (kind);
+
+  msg->route = serve->route;
+  msg->stream = serve->stream;
+  return msg;
+}
+
+void
+srv_trailer (struct serve *serve, struct msg_trailer *trailer)
+{
+  struct adm_level level
+      = adm_level (serve->front->state.admission, clk_now ());
+
+  trailer->level_importance = level.importance;
+  trailer->level_wait_us = level.wait_us;
+  trailer->unused_allowance = serve->hop != NULL
+                                  ? serve->hop->allowance.remaining
+                                  : serve->allowance;
+}
+
+/* Whether the answer has to be recorded for resends.  */
+static bool
+srv_is_recorded (const struct serve *serve)
+{
+  return serve->req.claim == FLT_CLAIM_GRANTED;
+}
+
+void
+srv_head (struct serve *serve, int status, struct lst *fields,
+          int64_t body_len)
+{
+  struct msg *msg = srv_msg (serve, MSG_HEAD);
+
+  serve->head_sent = true;
+  msg->u.head.status = status;
+  msg->u.head.body_len = body_len;
+  lst_each (node, fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      msg_field_add (&msg->u.head.fields, field->name, field->value);
+    }
+  if (srv_is_recorded (serve))
+    {
+      serve->record_status = status;
+      lst_splice_tail (&serve->record_fields, fields);
+    }
+  if (serve->detached)
+    msg_free (msg);
+  else
+    front_send (serve->front, msg);
+}
+
+void
+srv_data (struct serve *serve, const void *data, size_t len)
+{
+  uint32_t most = serve->front->state.model->claim_answer_bytes_max;
+
+  if (srv_is_recorded (serve) && serve->record.len <= most)
+    buf_append (&serve->record, data, len);
+  if (serve->detached)
+    return;
+  buf_append (&serve->answer, data, len);
+  srv_send_answer (serve);
+}
+
+bool
+srv_wants_data (const struct serve *serve)
+{
+  return serve->answer.len < MSG_WINDOW_BYTES;
+}
+
+/* The whole answer has come from the backend server, or from the record.  */
+void
+srv_whole (struct serve *serve)
+{
+  struct front *front = serve->front;
+
+  serve->answer_whole = true;
+  if (serve->req.ticket.state == ADM_RUNNING)
+    adm_finish (front->state.admission, &serve->req.ticket, true, clk_now ());
+  if (serve->req.fingerprint != 0)
+    qrt_clear (front->state.marks, serve->req.fingerprint);
+  if (srv_is_recorded (serve))
+    {
+      serve->holding = true;
+      lws_sul_schedule (front->context, 0, &serve->timer, srv_timer,
+                        (lws_usec_t)SRV_RECORD_WAIT_US);
+      srv_record (serve);
+    }
+  srv_send_answer (serve);
+  srv_run_admission (front);
+}
+
+/* Sends the next LEN bytes.  What is left of the allowance goes back with the
+   end, so it must not be spent here any more.  */
+static void
+srv_send_part (struct serve *serve, size_t len, bool end)
+{
+  struct msg *msg = srv_msg (serve, MSG_BODY);
+  struct msg_body *body = &msg->u.body;
+  size_t held;
+  const uint8_t *data = buf_from (&serve->answer, serve->answer.base, &held);
+
+  if (len > 0)
+    {
+      body->data = malloc (len);
+      INVARIANT (body->data != NULL);
+      memcpy (body->data, data, len);
+      body->len = len;
+      buf_drop (&serve->answer, serve->answer.base + len);
+    }
+  body->sequence = serve->answer_sequence++;
+  body->end = end;
+  body->total = serve->answer.base;
+  if (end)
+    srv_trailer (serve, &body->trailer);
+  front_send (serve->front, msg);
+}
+
+/* Length of the next part that may be sent; false when none may.  */
+static bool
+srv_next_part (const struct serve *serve, size_t *len, bool *end)
+{
+  uint64_t credit = serve->answer_credit - serve->answer.base;
+
+  *len = serve->answer.len;
+  if (*len > MSG_BODY_BYTES_MAX)
+    *len = MSG_BODY_BYTES_MAX;
+  if (*len > credit)
+    *len = (size_t)credit;
+  *end = serve->answer_whole && *len == serve->answer.len;
+  if (*end)
+    return !serve->holding;
+  return *len > 0;
+}
+
+void
+srv_send_answer (struct serve *serve)
+{
+  size_t len;
+  bool end;
+
+  if (serve->detached)
+    {
+      if (serve->answer_whole && !serve->holding)
+        srv_free (serve);
+      return;
+    }
+  while (serve->head_sent && srv_next_part (serve, &len, &end))
+    {
+      srv_send_part (serve, len, end);
+      if (!end)
+        continue;
+      srv_free (serve);
+      return;
+    }
+  bck_resume (serve);
+}
--- /dev/null
+++ b/tasks/front_attempt.c
@@ -0,0 +1,311 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "tasks/front_state.h"
+
+/* Bucket of a stream.  */
+static struct lst *
+att_bucket (struct front *front, uint64_t stream)
+{
+  return &front->attempt_buckets[stream % FRONT_BUCKETS];
+}
+
+struct attempt *
+att_find (struct front *front, uint64_t stream)
+{
+  lst_each (node, att_bucket (front, stream))
+    {
+      struct attempt *attempt = lst_entry (node, struct attempt, hash_node);
+
+      if (attempt->stream == stream)
+        return attempt;
+    }
+  return NULL;
+}
+
+/* A message of the attempt's stream.  */
+static struct msg *
+att_msg (const struct attempt *attempt, enum msg_kind kind)
+{
+  struct msg *msg = msg_new (kind);
+
+  msg->route = attempt->route;
+  msg->stream = attempt->stream;
+  return msg;
+}
+
+static void
+att_send_open (struct attempt *attempt, clk_us now)
+{
+  struct call *call = attempt->call;
+  struct msg *msg = att_msg (attempt, MSG_OPEN);
+  struct msg_open *open = &msg->u.open;
+
+  snprintf (open->service, sizeof open->service, "%s", call->req.service_name);
+  snprintf (open->method, sizeof open->method, "%s", call->method);
+  open->path = strdup (call->path);
+  INVARIANT (open->path != NULL);
+  lst_each (node, &call->fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      msg_field_add (&open->fields, field->name, field->value);
+    }
+  snprintf (open->caller, sizeof open->caller, "%s", call->caller);
+  snprintf (open->key, sizeof open->key, "%s", call->req.claim_key);
+  snprintf (open->chain_key, sizeof open->chain_key, "%s",
+            call->req.chain_key);
+  rng_id (open->attempt, sizeof open->attempt);
+  open->importance = call->req.importance;
+  open->depth = call->req.depth;
+  open->allowance = attempt->granted;
+  open->remaining_us = call->req.deadline > now ? call->req.deadline - now : 0;
+  open->body_len = call->body_len;
+  front_send (call->front, msg);
+}
+
+void
+att_start (struct call *call, struct chs_server *server,
+           struct flt_service *service)
+{
+  struct front *front = call->front;
+  struct attempt *attempt = calloc (1, sizeof *attempt);
+  clk_us now = clk_now ();
+
+  INVARIANT (attempt != NULL);
+  attempt->call = call;
+  attempt->service = service;
+  attempt->server = server;
+  attempt->stream = front->next_stream++;
+  attempt->started = now;
+  attempt->granted = rty_grant (call->req.allowance);
+  attempt->body_credit = MSG_WINDOW_BYTES;
+  attempt->route.kind = server->local ? MSG_ROUTE_LOCAL : MSG_ROUTE_DIAL;
+  if (server->local)
+    attempt->route.u.to_serve = true;
+  else
+    snprintf (attempt->route.u.address, sizeof attempt->route.u.address, "%s",
+              server->address);
+  lst_push_tail (&call->attempts, &attempt->node);
+  lst_push_tail (att_bucket (front, attempt->stream), &attempt->hash_node);
+  chs_start (service->servers, server, now);
+  ctr_add (CTR_ATTEMPTS, 1);
+  att_send_open (attempt, now);
+  att_send_body (attempt);
+}
+
+void
+att_send_body (struct attempt *attempt)
+{
+  struct call *call = attempt->call;
+
+  while (!attempt->body_done)
+    {
+      size_t len;
+      const uint8_t *data;
+      struct msg *msg;
+
+      if (attempt->body_sent < call->body.base)
+        return;
+      data = buf_from (&call->body, attempt->body_sent, &len);
+      if (len > MSG_BODY_BYTES_MAX)
+        len = MSG_BODY_BYTES_MAX;
+      if (len > attempt->body_credit - attempt->body_sent)
+        len = (size_t)(attempt->body_credit - attempt->body_sent);
+      attempt->body_done
+          = attempt->body_sent + len == (uint64_t)call->body_len;
+      if (len == 0 && !attempt->body_done)
+        return;
+      msg = att_msg (attempt, MSG_BODY);
+      msg->u.body.sequence = attempt->body_sequence++;
+      msg->u.body.end = attempt->body_done;
+      msg->u.body.total = (uint64_t)call->body_len;
+      if (len > 0)
+        {
+          msg->u.body.data = malloc (len);
+          INVARIANT (msg->u.body.data != NULL);
+          memcpy (msg->u.body.data, data, len);
+          msg->u.body.len = len;
+        }
+      attempt->body_sent += len;
+      front_send (call->front, msg);
+    }
+}
+
+void
+att_credit (struct attempt *attempt, uint64_t written)
+{
+  uint64_t due = written - attempt->answer_credited;
+  struct msg *msg;
+
+  if (due < MSG_WINDOW_BYTES / 4)
+    return;
+  attempt->answer_credited = written;
+  msg = att_msg (attempt, MSG_CREDIT);
+  msg->u.credit = (uint32_t)due;
+  front_send (attempt->call->front, msg);
+}
+
+/* Removes the attempt and tells choice and allowance how it ended.  */
+void
+att_end (struct attempt *attempt, enum chs_result result,
+         const struct msg_trailer *trailer)
+{
+  struct call *call = attempt->call;
+  struct adm_level level = { 0 };
+  clk_us now = clk_now ();
+  clk_us head_at = attempt->head_seen ? attempt->head_at : now;
+  uint32_t unused = trailer != NULL ? trailer->unused_allowance : 0;
+
+  if (trailer != NULL)
+    level = (struct adm_level){ .importance = trailer->level_importance,
+                                .wait_us = trailer->level_wait_us };
+  if (unused < attempt->granted)
+    ctr_add (CTR_ALLOWANCE_LOST, attempt->granted - unused);
+  rty_return (call->req.allowance, attempt->granted, unused);
+  chs_done (attempt->service->servers, attempt->server, result,
+            call->req.kind->cost, head_at - attempt->started,
+            trailer != NULL ? &level : NULL, now);
+  if (call->winner == attempt)
+    call->winner = NULL;
+  lst_remove (&attempt->node);
+  lst_remove (&attempt->hash_node);
+  free (attempt);
+}
+
+void
+att_cancel (struct attempt *attempt)
+{
+  front_send (attempt->call->front, att_msg (attempt, MSG_CANCEL));
+  att_end (attempt, CHS_NO_BLAME, NULL);
+}
+
+/* How a refusal counts for the choice of server.  */
+static enum chs_result
+att_result (const struct msg_refuse *refuse)
+{
+  switch (refuse->reason)
+    {
+    case RSN_PEER_LOST:
+    case RSN_CONNECTION_SILENT:
+    case RSN_CANCELLED:
+      return CHS_NO_BLAME;
+    default:
+      return refuse->run == RSN_NOT_RUN ? CHS_REFUSED : CHS_FAILED;
+    }
+}
+
+/* Ends the attempt and lets the call decide what follows.  */
+static void
+att_failed (struct attempt *attempt, const struct msg_refuse *refuse)
+{
+  struct call *call = attempt->call;
+  struct msg_refuse copy = *refuse;
+  bool was_winner = call->winner == attempt;
+
+  /* A node that serves a request whose server crashed counts the mark itself;
+     this node must know it at once, before it sends a retry elsewhere.  */
+  if (refuse->reason == RSN_BACKEND_CRASHED)
+    qrt_add (call->front->state.marks, call->req.fingerprint,
+             attempt->server->instance, clk_now ());
+  att_end (attempt, att_result (&copy), &copy.trailer);
+  call_attempt_failed (call, was_winner ? attempt : NULL, &copy);
+}
+
+/* Fails an attempt whose stream broke a rule or was lost.  */
+static void
+att_broken (struct attempt *attempt, enum rsn_refusal reason)
+{
+  struct msg_refuse refuse = { .reason = reason, .run = RSN_UNKNOWN };
+
+  if (reason == RSN_ANSWER_INCOMPLETE)
+    front_send (attempt->call->front, att_msg (attempt, MSG_CANCEL));
+  att_failed (attempt, &refuse);
+}
+
+static void
+att_head (struct attempt *attempt, struct msg *msg)
+{
+  if (attempt->head_seen)
+    return;
+  attempt->head_seen = true;
+  attempt->head_at = clk_now ();
+  call_head (attempt->call, attempt, msg);
+}
+
+static void
+att_body (struct attempt *attempt, struct msg *msg)
+{
+  const struct msg_body *body = &msg->u.body;
+
+  attempt->answer_total += body->len;
+  if (!attempt->head_seen || body->sequence != attempt->answer_sequence
+      || (body->end && body->total != attempt->answer_total))
+    {
+      att_broken (attempt, RSN_ANSWER_INCOMPLETE);
+      return;
+    }
+  attempt->answer_sequence++;
+  call_body (attempt->call, attempt, msg);
+}
+
+void
+att_message (struct front *front, struct msg *msg)
+{
+  struct attempt *attempt = att_find (front, msg->stream);
+
+  /* Late messages of attempts that have ended are dropped here: stream
+     numbers are never used twice.  */
+  if (attempt == NULL)
+    return;
+  switch (msg->kind)
+    {
+    case MSG_HEAD:
+      att_head (attempt, msg);
+      break;
+    case MSG_BODY:
+      att_body (attempt, msg);
+      break;
+    case MSG_CREDIT:
+      attempt->body_credit += msg->u.credit;
+      att_send_body (attempt);
+      call_body_progress (attempt->call);
+      break;
+    case MSG_REFUSE:
+      att_failed (attempt, &msg->u.refuse);
+      break;
+    default:
+      break;
+    }
+}
+
+/* First attempt to ROUTE whose stream is older than LIMIT, or NULL.  */
+static struct attempt *
+att_find_route (struct front *front, const struct msg_route *route,
+                uint64_t limit)
+{
+  for (int i = 0; i < FRONT_BUCKETS; i++)
+    lst_each (node, &front->attempt_buckets[i])
+      {
+        struct attempt *attempt = lst_entry (node, struct attempt, hash_node);
+
+        if (attempt->route.kind == MSG_ROUTE_DIAL && attempt->stream < limit
+            && strcmp (attempt->route.u.address, route->u.address) == 0)
+          return attempt;
+      }
+  return NULL;
+}
+
+void
+att_peer_lost (struct front *front, const struct msg_route *route)
+{
+  /* Retries that start meanwhile use a new connection.  */
+  uint64_t limit = front->next_stream;
+  struct attempt *attempt;
+
+  while ((attempt = att_find_route (front, route, limit)) != NULL)
+    att_broken (attempt, RSN_PEER_LOST);
+}
--- /dev/null
+++ b/tasks/front_backend.c
@@ -0,0 +1,517 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "core/slog.h"
+#include "tasks/front_state.h"
+
+#define BCK_READ_BYTES (16 * 1024)
+#define BCK_KEEP_WARM_S 10
+/* A non-idempotent request uses an idle connection only this long after its
+   last answer: servers close idle connections, and a request written into one
+   that is being closed could not be repeated.  */
+#define BCK_FRESH_US clk_s (1)
+/* An idle connection older than this is not used: something between the two
+   ends may have forgotten it.  */
+#define BCK_IDLE_MAX_US clk_s (30)
+/* Part of the time to the deadline after which a reused connection without a
+   first byte counts as silent.  */
+#define BCK_SILENT_SHARE 4
+/* Time for which no request is repeated after a new connection was silent.  */
+#define BCK_STALLED_US clk_s (5)
+
+static const struct lws_protocols bck_protocols[]
+    = { { "backend", bck_callback, 0, BCK_READ_BYTES, 0, NULL, 0 },
+        { NULL, NULL, 0, 0, 0, NULL, 0 } };
+
+/* Creates a connection record with its own vhost.  */
+static struct backend_conn *
+bck_new_conn (struct front *front)
+{
+  struct backend_conn *conn = calloc (1, sizeof *conn);
+  struct lws_context_creation_info info = { 0 };
+
+  INVARIANT (conn != NULL);
+  conn->front = front;
+  snprintf (conn->vhost_name, sizeof conn->vhost_name, "backend-%u",
+            front->backend.vhost_count++);
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.protocols = bck_protocols;
+  info.vhost_name = conn->vhost_name;
+  conn->vhost = lws_create_vhost (front->context, &info);
+  if (conn->vhost == NULL)
+    {
+      free (conn);
+      return NULL;
+    }
+  front->backend.conn_count++;
+  return conn;
+}
+
+/* An idle connection record, or a new one; NULL at the declared limit.  */
+static struct backend_conn *
+bck_take_conn (struct front *front)
+{
+  struct backend *backend = &front->backend;
+  struct lst_node *node = lst_pop_head (&backend->idle);
+  struct backend_conn *conn;
+
+  if (node != NULL)
+    conn = lst_entry (node, struct backend_conn, node);
+  else if (backend->conn_count < backend->connections)
+    conn = bck_new_conn (front);
+  else
+    conn = NULL;
+  if (conn != NULL)
+    lst_push_tail (&backend->busy, &conn->node);
+  return conn;
+}
+
+/* Puts a connection record back; it is connected when WARM.  */
+static void
+bck_put_conn (struct backend_conn *conn, bool warm)
+{
+  struct backend *backend = &conn->front->backend;
+
+  lst_remove (&conn->node);
+  warm = warm && conn->kept;
+  conn->serve = NULL;
+  conn->idle_since = warm ? clk_now () : 0;
+  if (warm)
+    lst_push_head (&backend->idle, &conn->node);
+  else
+    lst_push_tail (&backend->idle, &conn->node);
+}
+
+/* Whether the idle connection of CONN may carry the request.  */
+static bool
+bck_may_reuse (const struct backend_conn *conn, const struct serve *serve)
+{
+  clk_us idle = clk_now () - conn->idle_since;
+
+  if (conn->idle_since == 0 || idle >= BCK_IDLE_MAX_US)
+    return false;
+  return serve->req.kind->idempotent || idle < BCK_FRESH_US;
+}
+
+/* Closes the connection; its record may be used again at once.  */
+static void
+bck_kill (struct backend_conn *conn)
+{
+  if (conn->wsi != NULL)
+    lws_set_timeout (conn->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  conn->idle_since = 0;
+}
+
+/* What lost track of one connection may have lost the others, too.  */
+static void
+bck_close_idle (struct front *front)
+{
+  lst_each (node, &front->backend.idle)
+    bck_kill (lst_entry (node, struct backend_conn, node));
+}
+
+/* Whether a request without a first byte is sent again on a new connection.
+   Not when new connections are silent as well: then the server is slow, and a
+   second copy would only add to its load.  */
+static bool
+bck_may_redispatch (struct serve *serve, clk_us now)
+{
+  struct front *front = serve->front;
+  struct flt_service *service
+      = flt_find_service (&front->state, serve->req.service_name);
+
+  if (serve->redispatched)
+    {
+      front->backend.stalled_until = now + BCK_STALLED_US;
+      return false;
+    }
+  if (now < front->backend.stalled_until || !serve->req.kind->idempotent)
+    return false;
+  if (service == NULL || serve->hop->allowance.remaining == 0
+      || !rty_budget_take (&service->budget, now))
+    return false;
+  return rty_take (&serve->hop->allowance);
+}
+
+/* No byte of the answer has come within the bound.  */
+static void
+bck_silence (lws_sorted_usec_list_t *timer)
+{
+  struct serve *serve = lws_container_of (timer, struct serve, retry_timer);
+
+  if (serve->conn == NULL || serve->head_sent
+      || !bck_may_redispatch (serve, clk_now ()))
+    return;
+  ctr_retried (RSN_RETRY_CONNECTION_SILENT);
+  bck_close_idle (serve->front);
+  bck_abandon (serve);
+  serve->redispatched = true;
+  if (!bck_dispatch (serve, true))
+    srv_refuse (serve, RSN_CONNECTION_SILENT, RSN_UNKNOWN);
+}
+
+/* Watches for the first byte of the answer.  */
+static void
+bck_watch (struct serve *serve)
+{
+  clk_us now = clk_now ();
+  clk_us left = serve->req.deadline > now ? serve->req.deadline - now : 0;
+
+  if (serve->body.base != 0)
+    return;
+  lws_sul_schedule (serve->front->context, 0, &serve->retry_timer, bck_silence,
+                    (lws_usec_t)(left / BCK_SILENT_SHARE));
+}
+
+bool
+bck_dispatch (struct serve *serve, bool fresh)
+{
+  struct front *front = serve->front;
+  struct backend_conn *conn = bck_take_conn (front);
+  struct lws_client_connect_info info = { 0 };
+
+  if (conn == NULL)
+    return false;
+  conn->reused = !fresh && bck_may_reuse (conn, serve);
+  if (!conn->reused)
+    bck_kill (conn);
+  conn->kept = conn->reused || conn->wsi == NULL;
+  conn->serve = serve;
+  conn->headers_seen = false;
+  conn->received = 0;
+  conn->body_sent = serve->body.base;
+  conn->paused = false;
+  serve->conn = conn;
+  info.context = front->context;
+  info.vhost = conn->vhost;
+  info.address = front->backend.host;
+  info.port = front->backend.port;
+  info.host = serve->req.service_name;
+  info.path = serve->path;
+  info.method = serve->method;
+  info.protocol = NULL;
+  info.local_protocol_name = bck_protocols[0].name;
+  info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+  /* Without this flag libwebsockets opens a new connection, which is closed
+     after the answer.  */
+  if (conn->kept)
+    info.ssl_connection |= LCCSCF_PIPELINE;
+  info.keep_warm_secs = BCK_KEEP_WARM_S;
+  info.opaque_user_data = conn;
+  info.pwsi = &conn->wsi;
+  if (!conn->reused)
+    ctr_add (CTR_CONNECTIONS, 1);
+  /* A failure before this call returns has been reported to the callback,
+     which has ended the request.  */
+  lws_client_connect_via_info (&info);
+  if (conn->serve == serve && (conn->reused || serve->redispatched))
+    bck_watch (serve);
+  return true;
+}
+
+void
+bck_abandon (struct serve *serve)
+{
+  struct backend_conn *conn = serve->conn;
+
+  serve->conn = NULL;
+  conn->serve = NULL;
+  if (conn->wsi != NULL)
+    bck_kill (conn);
+  else
+    bck_put_conn (conn, false);
+}
+
+void
+bck_body_ready (struct serve *serve)
+{
+  if (serve->conn->wsi != NULL && serve->handed_over)
+    lws_callback_on_writable (serve->conn->wsi);
+}
+
+void
+bck_resume (struct serve *serve)
+{
+  struct backend_conn *conn = serve->conn;
+
+  if (conn == NULL || !conn->paused || !srv_wants_data (serve))
+    return;
+  conn->paused = false;
+  lws_rx_flow_control (conn->wsi, 1);
+}
+
+/* Puts the hop into the list members of other vendors, which stay.  */
+static void
+bck_trace_state (const struct serve *serve, char *out, size_t size)
+{
+  const char *state = msg_field_get (&serve->fields, "tracestate");
+  size_t len = (size_t)snprintf (out, size, "rudder=");
+  const char *member;
+
+  for (int i = 0; i < RNG_ID_BYTES; i++)
+    len += (size_t)snprintf (out + len, size - len, "%02x", serve->hop->id[i]);
+  while (state != NULL && *state != '\0')
+    {
+      member = state + strspn (state, " ,");
+      state = member + strcspn (member, ",");
+      if (state == member || strncmp (member, "rudder=", 7) == 0)
+        continue;
+      if (len + (size_t)(state - member) + 2 >= size)
+        return;
+      len += (size_t)snprintf (out + len, size - len, ",%.*s",
+                               (int)(state - member), member);
+    }
+}
+
+/* A new trace for a request that came without one.  */
+static void
+bck_trace_parent (char *out, size_t size)
+{
+  uint8_t id[24];
+  size_t len = (size_t)snprintf (out, size, "00-");
+
+  rng_id (id, sizeof id);
+  for (size_t i = 0; i < sizeof id; i++)
+    len += (size_t)snprintf (out + len, size - len, "%s%02x",
+                             i == 16 ? "-" : "", id[i]);
+  snprintf (out + len, size - len, "-00");
+}
+
+/* Fields that this node sets itself.  */
+static int
+bck_add_own_fields (struct serve *serve, struct lws *wsi, unsigned char **p,
+                    unsigned char *end)
+{
+  char text[1024];
+  clk_us now = clk_now ();
+  clk_us left = serve->req.deadline > now ? serve->req.deadline - now : 0;
+
+  bck_trace_state (serve, text, sizeof text);
+  if (fhttp_add_field (wsi, "tracestate", text, p, end))
+    return -1;
+  if (msg_field_get (&serve->fields, "traceparent") == NULL)
+    {
+      bck_trace_parent (text, sizeof text);
+      if (fhttp_add_field (wsi, "traceparent", text, p, end))
+        return -1;
+    }
+  snprintf (text, sizeof text, "%llu",
+            (unsigned long long)(left / CLK_US_PER_MS));
+  if (fhttp_add_field (wsi, "x-request-timeout-ms", text, p, end))
+    return -1;
+  if (serve->body_len == 0 && strcmp (serve->method, "GET") == 0)
+    return 0;
+  snprintf (text, sizeof text, "%lld", (long long)serve->body_len);
+  return fhttp_add_field (wsi, "content-length", text, p, end);
+}
+
+/* libwebsockets is about to write the request's header.  */
+static int
+bck_write_head (struct backend_conn *conn, struct lws *wsi, unsigned char **p,
+                size_t len)
+{
+  unsigned char *end = *p + len;
+  struct serve *serve = conn->serve;
+
+  if (serve == NULL)
+    return -1;
+  serve->handed_over = true;
+  lst_each (node, &serve->fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      if (strcmp (field->name, "tracestate") == 0)
+        continue;
+      if (fhttp_add_field (wsi, field->name, field->value, p, end))
+        return -1;
+    }
+  if (bck_add_own_fields (serve, wsi, p, end))
+    return -1;
+  if (serve->body_len > 0)
+    {
+      lws_client_http_body_pending (wsi, 1);
+      lws_callback_on_writable (wsi);
+    }
+  return 0;
+}
+
+/* Writes the next part of the request's body.  */
+static int
+bck_write_body (struct backend_conn *conn, struct lws *wsi)
+{
+  unsigned char buffer[LWS_PRE + MSG_BODY_BYTES_MAX];
+  struct serve *serve = conn->serve;
+  const uint8_t *data;
+  size_t len;
+  bool last;
+
+  if (serve == NULL)
+    return -1;
+  if (conn->body_sent == (uint64_t)serve->body_len)
+    return 0;
+  data = buf_from (&serve->body, conn->body_sent, &len);
+  if (len == 0)
+    return 0;
+  if (len > MSG_BODY_BYTES_MAX)
+    len = MSG_BODY_BYTES_MAX;
+  memcpy (buffer + LWS_PRE, data, len);
+  conn->body_sent += len;
+  last = conn->body_sent == (uint64_t)serve->body_len;
+  if (lws_write (wsi, buffer + LWS_PRE, len,
+                 last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+      < (int)len)
+    return -1;
+  /* A body that is kept whole can be sent again on another connection.  */
+  if (serve->body_len > FRONT_BODY_KEEP_BYTES)
+    buf_drop (&serve->body, conn->body_sent);
+  if (last)
+    lws_client_http_body_pending (wsi, 0);
+  else
+    lws_callback_on_writable (wsi);
+  return 0;
+}
+
+/* Status line and fields of the answer have come.  */
+static int
+bck_read_head (struct backend_conn *conn, struct lws *wsi)
+{
+  struct serve *serve = conn->serve;
+  struct lst fields;
+  int status = (int)lws_http_client_http_response (wsi);
+
+  if (serve == NULL)
+    return -1;
+  lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
+  conn->headers_seen = true;
+  conn->body_len = fhttp_content_length (wsi);
+  conn->chunked
+      = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
+  lst_init (&fields);
+  fhttp_answer_fields (wsi, serve->front->state.model, &fields);
+  srv_head (serve, status, &fields, conn->body_len);
+  msg_fields_free (&fields);
+  return 0;
+}
+
+/* Reads what has come of the body, unless the receiver is behind.  */
+static int
+bck_read_body (struct backend_conn *conn, struct lws *wsi)
+{
+  char buffer[LWS_PRE + BCK_READ_BYTES];
+  char *start = buffer + LWS_PRE;
+  int len = BCK_READ_BYTES;
+
+  if (conn->serve == NULL)
+    return -1;
+  if (!srv_wants_data (conn->serve))
+    {
+      conn->paused = true;
+      lws_rx_flow_control (wsi, 0);
+    }
+  return lws_http_client_read (wsi, &start, &len) < 0 ? -1 : 0;
+}
+
+/* The answer has ended as libwebsockets sees it.  Whether it is whole is for
+   the declared length or the last chunk to say.  */
+static void
+bck_completed (struct backend_conn *conn)
+{
+  struct serve *serve = conn->serve;
+  bool whole
+      = conn->chunked
+        || (conn->body_len >= 0 && conn->received == (uint64_t)conn->body_len);
+
+  if (serve == NULL)
+    return;
+  serve->conn = NULL;
+  bck_put_conn (conn, whole);
+  if (whole)
+    srv_whole (serve);
+  else
+    srv_refuse (serve, RSN_ANSWER_INCOMPLETE, RSN_UNKNOWN);
+}
+
+/* The connection failed or was closed before the answer was whole.  */
+static void
+bck_broken (struct backend_conn *conn, const char *why)
+{
+  struct serve *serve = conn->serve;
+  bool headers_seen = conn->headers_seen;
+
+  conn->wsi = NULL;
+  if (serve == NULL)
+    {
+      bck_put_conn (conn, false);
+      return;
+    }
+  serve->conn = NULL;
+  bck_put_conn (conn, false);
+  if (serve->handed_over)
+    {
+      /* An answer that breaks off may be a server that has crashed.  */
+      serve->refusal
+          = headers_seen ? RSN_ANSWER_INCOMPLETE : RSN_BACKEND_CLOSED;
+      bck_probe (serve);
+      return;
+    }
+  slog (SLOG_WARNING,
+        "cannot connect to the backend server address=%s "
+        "error=\"%s\"",
+        conn->front->backend.address, why);
+  bck_down (conn->front, "connection refused");
+  srv_refuse (serve, RSN_CONNECT_FAILED, RSN_NOT_RUN);
+}
+
+int
+bck_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+              void *in, size_t len)
+{
+  struct backend_conn *conn = lws_get_opaque_user_data (wsi);
+
+  (void)user;
+  /* A connection that was passed on to a later request reports its end under
+     its first handle.  */
+  if (conn == NULL || conn->wsi != wsi)
+    return 0;
+  switch (reason)
+    {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+      return bck_write_head (conn, wsi, in, len);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+      return bck_write_body (conn, wsi);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+      return bck_read_head (conn, wsi);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+      return bck_read_body (conn, wsi);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+      if (conn->serve == NULL)
+        return -1;
+      conn->received += len;
+      srv_data (conn->serve, in, len);
+      return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+      bck_completed (conn);
+      return 0;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+      bck_broken (conn, in != NULL ? in : "closed");
+      return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+      bck_broken (conn, "closed");
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+void
+bck_free (struct front *front)
+{
+  struct lst_node *node;
+
+  lst_splice_tail (&front->backend.idle, &front->backend.busy);
+  while ((node = lst_pop_head (&front->backend.idle)) != NULL)
+    free (lst_entry (node, struct backend_conn, node));
+}
--- /dev/null
+++ b/tasks/front_call.c
@@ -0,0 +1,690 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/err.h"
+#include "core/slog.h"
+#include "filters/retry.h"
+#include "tasks/front_state.h"
+
+#define CALL_WRITE_BYTES (16 * 1024)
+#define CALL_CHUNK_HEAD_BYTES 16
+/* Share of Retry-After that is random, so that refused callers do not come
+   back together.  */
+#define CALL_RETRY_AFTER_S 1
+#define CALL_RETRY_JITTER_S 3
+
+static void call_deadline (lws_sorted_usec_list_t *timer);
+static void call_hedge (lws_sorted_usec_list_t *timer);
+
+/* Service name from the Host field: up to the first "." or ":".  */
+static void
+call_service_name (struct lws *wsi, char *out, size_t size)
+{
+  char host[256];
+
+  fhttp_copy_token (wsi, WSI_TOKEN_HOST, host, sizeof host);
+  host[strcspn (host, ".:")] = '\0';
+  snprintf (out, size, "%.*s", (int)size - 1, host);
+}
+
+/* Value of a hexadecimal digit, or -1.  */
+static int
+call_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  return -1;
+}
+
+/* Reads the hop id from the tracestate member "rudder".  */
+static void
+call_read_hop (struct call *call)
+{
+  const char *state = msg_field_get (&call->fields, "tracestate");
+  const char *member = state != NULL ? strstr (state, "rudder=") : NULL;
+
+  if (member == NULL)
+    return;
+  member += strlen ("rudder=");
+  for (int i = 0; i < RNG_ID_BYTES; i++)
+    {
+      int high = call_digit (member[2 * i]);
+      int low = high < 0 ? -1 : call_digit (member[2 * i + 1]);
+
+      if (low < 0)
+        return;
+      call->req.hop_id[i] = (uint8_t)(high << 4 | low);
+    }
+  call->req.has_hop = true;
+}
+
+/* Trace id of a traceparent field "00-<32 digits>-…".  */
+static void
+call_read_trace (struct call *call)
+{
+  const char *parent = msg_field_get (&call->fields, "traceparent");
+
+  if (parent == NULL || strlen (parent) < 35)
+    return;
+  snprintf (call->trace, sizeof call->trace, "%.32s", parent + 3);
+}
+
+static void
+call_read_caller (struct call *call, struct lws *wsi)
+{
+  const struct mdl *model = call->front->state.model;
+  const char *name = NULL;
+
+  if (model != NULL && model->caller_header[0] != '\0')
+    name = msg_field_get (&call->fields, model->caller_header);
+  if (name != NULL)
+    snprintf (call->caller, sizeof call->caller, "%.*s", MSG_CALLER_BYTES - 1,
+              name);
+  else
+    lws_get_peer_simple (wsi, call->caller, sizeof call->caller);
+}
+
+/* A copy of the idempotency key that fits; a longer one is replaced by its
+   hash, so that two long keys do not become equal.  */
+static void
+call_read_key (struct call *call)
+{
+  const char *key = msg_field_get (&call->fields, "idempotency-key");
+
+  if (key == NULL)
+    return;
+  if (strlen (key) < sizeof call->key)
+    {
+      snprintf (call->key, sizeof call->key, "%s", key);
+      return;
+    }
+  struct hsh_part part = { key, strlen (key) };
+  uint8_t digest[HSH_BYTES];
+
+  hsh_128 (&part, 1, digest);
+  for (size_t i = 0; i < HSH_BYTES; i++)
+    snprintf (call->key + 2 * i, 3, "%02x", digest[i]);
+}
+
+static struct call *
+call_new (struct front *front, struct lws *wsi)
+{
+  struct call *call = calloc (1, sizeof *call);
+
+  INVARIANT (call != NULL);
+  call->front = front;
+  call->wsi = wsi;
+  lst_init (&call->fields);
+  lst_init (&call->attempts);
+  lst_init (&call->answer.fields);
+  call->answer.body_len = MSG_LENGTH_UNKNOWN;
+  call->req.arrived = clk_now ();
+  call->req.deadline = UINT64_MAX;
+  call->req.method = call->method;
+  call->req.path = call->path;
+  call->req.caller = call->caller;
+  call->req.key = call->key;
+  call->req.trace = call->trace;
+  lst_push_tail (&front->calls, &call->node);
+  return call;
+}
+
+static void
+call_cancel_timers (struct call *call)
+{
+  lws_sul_schedule (call->front->context, 0, &call->deadline_timer, NULL,
+                    LWS_SET_TIMER_USEC_CANCEL);
+  lws_sul_schedule (call->front->context, 0, &call->hedge_timer, NULL,
+                    LWS_SET_TIMER_USEC_CANCEL);
+}
+
+static void
+call_cancel_attempts (struct call *call, const struct attempt *except)
+{
+  lst_each (node, &call->attempts)
+    {
+      struct attempt *attempt = lst_entry (node, struct attempt, node);
+
+      if (attempt != except)
+        att_cancel (attempt);
+    }
+}
+
+static void
+call_free (struct call *call)
+{
+  call_cancel_timers (call);
+  call_cancel_attempts (call, NULL);
+  flt_release (&call->front->state, &call->req, clk_now ());
+  lst_remove (&call->node);
+  msg_fields_free (&call->fields);
+  msg_fields_free (&call->answer.fields);
+  buf_free (&call->body);
+  buf_free (&call->answer.body);
+  free (call);
+}
+
+/* Sets an answer made by this node.  */
+static void
+call_own_answer (struct call *call, int status, const char *text)
+{
+  call->answer.status = status;
+  msg_field_add (&call->answer.fields, "content-type",
+                 "text/plain; charset=utf-8");
+  buf_append (&call->answer.body, text, strlen (text));
+  call->answer.body_len = (int64_t)strlen (text);
+  call->answer.whole = true;
+}
+
+/* Adds the fields that tell why a request was refused.  */
+static void
+call_refusal_fields (struct call *call, enum rsn_refusal reason,
+                     enum rsn_run run)
+{
+  char text[256];
+
+  snprintf (text, sizeof text, "sycamorerudder; error=%s; details=\"%s; %s\"",
+            rsn_proxy_error (reason), rsn_name (reason), rsn_run_name (run));
+  msg_field_add (&call->answer.fields, "proxy-status", text);
+  if (!rsn_resend_helps (reason))
+    return;
+  snprintf (text, sizeof text, "%u",
+            CALL_RETRY_AFTER_S
+                + rng_below (&call->front->state.rng, CALL_RETRY_JITTER_S));
+  msg_field_add (&call->answer.fields, "retry-after", text);
+}
+
+void
+call_refuse (struct call *call, enum rsn_refusal reason, enum rsn_run run)
+{
+  char text[128];
+
+  if (call->phase >= CALL_ANSWERING)
+    return;
+  ctr_refused (reason);
+  call_cancel_timers (call);
+  call_cancel_attempts (call, NULL);
+  msg_fields_free (&call->answer.fields);
+  buf_free (&call->answer.body);
+  call_refusal_fields (call, reason, run);
+  snprintf (text, sizeof text, "refused: %s (%s)\n", rsn_name (reason),
+            rsn_run_name (run));
+  call_own_answer (call, rsn_http_status (reason), text);
+  call->phase = CALL_ANSWERING;
+  if (call->wsi != NULL)
+    lws_callback_on_writable (call->wsi);
+}
+
+/* Chooses a server and starts an attempt; refuses when there is none.  */
+static bool
+call_try (struct call *call)
+{
+  struct flt_state *state = &call->front->state;
+  struct flt_result result;
+
+  flt_start (&call->req, flt_attempt_chain);
+  result = flt_run (state, &call->req, clk_now ());
+  if (result.kind != FLT_CONTINUE)
+    {
+      call->reason = result.u.refuse.reason;
+      call->run = result.u.refuse.run;
+      return false;
+    }
+  if (call->req.query.tried_count < CHS_TRIED_MAX)
+    call->req.query.tried[call->req.query.tried_count++] = call->req.server;
+  att_start (call, call->req.server,
+             flt_find_service (state, call->req.service_name));
+  return true;
+}
+
+/* Arms the hedge of an idempotent call.  */
+static void
+call_arm_hedge (struct call *call)
+{
+  struct flt_service *service
+      = flt_find_service (&call->front->state, call->req.service_name);
+  clk_us delay;
+
+  if (!call->req.kind->idempotent || service == NULL)
+    return;
+  delay = chs_hedge_delay (service->servers, call->req.kind->cost);
+  if (delay == 0)
+    return;
+  lws_sul_schedule (call->front->context, 0, &call->hedge_timer, call_hedge,
+                    (lws_usec_t)delay);
+}
+
+/* Runs the call side chain once the body is there as far as it is kept.  */
+static void
+call_start (struct call *call)
+{
+  struct flt_state *state = &call->front->state;
+  struct flt_service *service;
+  struct flt_result result;
+  clk_us now = clk_now ();
+  size_t len;
+  const uint8_t *body = buf_from (&call->body, call->body.base, &len);
+
+  call->phase = CALL_RUNNING;
+  ctr_add (CTR_CALLS, 1);
+  if (len > FRONT_BODY_KEEP_BYTES)
+    len = FRONT_BODY_KEEP_BYTES;
+  call->req.body_hash = hsh_bytes (body, len);
+  call->req.body_whole = buf_end (&call->body) == (uint64_t)call->body_len;
+  flt_start (&call->req, flt_call_chain);
+  result = flt_run (state, &call->req, now);
+  if (result.kind != FLT_CONTINUE)
+    {
+      call_refuse (call, result.u.refuse.reason, result.u.refuse.run);
+      return;
+    }
+  lws_sul_schedule (
+      call->front->context, 0, &call->deadline_timer, call_deadline,
+      (lws_usec_t)(call->req.deadline - now + FRONT_DEADLINE_GRACE_US));
+  service = flt_find_service (state, call->req.service_name);
+  if (service != NULL)
+    rty_budget_first (&service->budget, now);
+  if (call_try (call))
+    call_arm_hedge (call);
+  else
+    call_refuse (call, call->reason, call->run);
+}
+
+static void
+call_deadline (lws_sorted_usec_list_t *timer)
+{
+  struct call *call = lws_container_of (timer, struct call, deadline_timer);
+
+  if (call->phase == CALL_RUNNING)
+    {
+      call_refuse (call, RSN_DEADLINE_RUNNING, RSN_UNKNOWN);
+      return;
+    }
+  /* The head has been written: only a broken connection tells the caller that
+     the answer is not whole.  */
+  if (call->phase == CALL_ANSWERING && !call->answer.whole)
+    {
+      ctr_refused (RSN_DEADLINE_RUNNING);
+      call->answer.broken = true;
+      lws_callback_on_writable (call->wsi);
+    }
+}
+
+static void
+call_hedge (lws_sorted_usec_list_t *timer)
+{
+  struct call *call = lws_container_of (timer, struct call, hedge_timer);
+
+  if (call->phase != CALL_RUNNING || call->winner != NULL)
+    return;
+  if (!flt_may_hedge (&call->front->state, &call->req, clk_now ()))
+    return;
+  if (call_try (call))
+    ctr_retried (RSN_RETRY_HEDGE);
+}
+
+/* Drops what a failed winner has sent so far.  */
+static void
+call_reset_answer (struct call *call)
+{
+  msg_fields_free (&call->answer.fields);
+  buf_free (&call->answer.body);
+  call->answer.written = 0;
+  call->answer.whole = false;
+}
+
+void
+call_attempt_failed (struct call *call, struct attempt *attempt,
+                     const struct msg_refuse *refuse)
+{
+  struct flt_failure failure
+      = { .reason = refuse->reason, .run = refuse->run };
+  struct flt_retry retry;
+
+  if (call->phase == CALL_ANSWERING && attempt != NULL)
+    {
+      ctr_refused (refuse->reason);
+      call->answer.broken = true;
+      lws_callback_on_writable (call->wsi);
+      return;
+    }
+  if (call->phase != CALL_RUNNING)
+    return;
+  if (attempt != NULL)
+    call_reset_answer (call);
+  /* An attempt that may have run decides what the caller is told.  */
+  if (call->reason == RSN_NONE || refuse->run == RSN_UNKNOWN
+      || call->run == RSN_NOT_RUN)
+    call->reason = refuse->reason;
+  if (refuse->run == RSN_UNKNOWN)
+    call->run = RSN_UNKNOWN;
+  if (!lst_empty (&call->attempts))
+    return;
+  retry = (struct flt_retry){ .kind = FLT_GIVE_UP };
+  if (call->body.base == 0)
+    retry = flt_retry (&call->front->state, &call->req, &failure, clk_now ());
+  if (retry.kind == FLT_RETRY)
+    {
+      enum rsn_refusal reason = call->reason;
+      enum rsn_run run = call->run;
+
+      ctr_retried (retry.reason);
+      if (call_try (call))
+        return;
+      call->reason = reason;
+      call->run = run;
+    }
+  call_refuse (call, call->reason, call->run);
+}
+
+/* Begins to write the answer.  */
+static void
+call_flush (struct call *call)
+{
+  if (call->phase == CALL_RUNNING)
+    call->phase = CALL_ANSWERING;
+  if (call->wsi != NULL)
+    lws_callback_on_writable (call->wsi);
+}
+
+void
+call_head (struct call *call, struct attempt *attempt, struct msg *msg)
+{
+  if (call->phase != CALL_RUNNING || call->winner != NULL)
+    return;
+  call->winner = attempt;
+  call_cancel_attempts (call, attempt);
+  call->answer.status = msg->u.head.status;
+  call->answer.body_len = msg->u.head.body_len;
+  call->answer.chunked = msg->u.head.body_len < 0;
+  lst_splice_tail (&call->answer.fields, &msg->u.head.fields);
+}
+
+/* A retry that ended with a whole answer has proved its request harmless.  */
+static void
+call_answered (struct call *call, struct attempt *attempt,
+               const struct msg_trailer *trailer)
+{
+  qrt_clear (call->front->state.marks, call->req.fingerprint);
+  att_end (attempt, CHS_ANSWERED, trailer);
+  call->answer.whole = true;
+  ctr_add (CTR_ANSWERS, 1);
+  call_flush (call);
+}
+
+void
+call_body (struct call *call, struct attempt *attempt, struct msg *msg)
+{
+  if (call->winner != attempt)
+    return;
+  buf_append (&call->answer.body, msg->u.body.data, msg->u.body.len);
+  if (msg->u.body.end)
+    {
+      call_answered (call, attempt, &msg->u.body.trailer);
+      return;
+    }
+  if (call->phase == CALL_ANSWERING
+      || buf_end (&call->answer.body) >= FRONT_HOLD_BYTES)
+    call_flush (call);
+}
+
+/* Whether lws_add_http_header_content_length() would add a wrong field.  */
+static bool
+call_has_no_body (int status)
+{
+  return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+/* Writes status line and fields.  */
+static int
+call_write_head (struct call *call)
+{
+  unsigned char buffer[LWS_PRE + 2 * FRONT_HEADER_BYTES];
+  unsigned char *start = buffer + LWS_PRE;
+  unsigned char *p = start;
+  unsigned char *end = buffer + sizeof buffer - 1;
+  struct lws *wsi = call->wsi;
+
+  if (lws_add_http_header_status (wsi, (unsigned)call->answer.status, &p, end))
+    return -1;
+  lst_each (node, &call->answer.fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      if (fhttp_add_field (wsi, field->name, field->value, &p, end))
+        return -1;
+    }
+  if (call->answer.chunked)
+    {
+      if (fhttp_add_field (wsi, "transfer-encoding", "chunked", &p, end))
+        return -1;
+    }
+  else if (!call_has_no_body (call->answer.status)
+           && lws_add_http_header_content_length (
+               wsi, (lws_filepos_t)call->answer.body_len, &p, end))
+    return -1;
+  if (lws_finalize_write_http_header (wsi, start, &p, end))
+    return -1;
+  call->answer.head_written = true;
+  return 0;
+}
+
+/* Writes the next part of the body; sets *LAST after the last one.  */
+static int
+call_write_body (struct call *call, bool *last)
+{
+  unsigned char
+      buffer[LWS_PRE + CALL_CHUNK_HEAD_BYTES + CALL_WRITE_BYTES + 2 + 8];
+  unsigned char *start = buffer + LWS_PRE;
+  struct call_answer *answer = &call->answer;
+  size_t len;
+  size_t used = 0;
+  const uint8_t *data = buf_from (&answer->body, answer->written, &len);
+
+  if (len > CALL_WRITE_BYTES)
+    len = CALL_WRITE_BYTES;
+  *last = answer->whole && answer->written + len == buf_end (&answer->body);
+  if (answer->chunked && len > 0)
+    used = (size_t)snprintf ((char *)start, CALL_CHUNK_HEAD_BYTES, "%zx\r\n",
+                             len);
+  if (len > 0)
+    memcpy (start + used, data, len);
+  used += len;
+  if (answer->chunked && len > 0)
+    {
+      memcpy (start + used, "\r\n", 2);
+      used += 2;
+    }
+  if (answer->chunked && *last)
+    {
+      memcpy (start + used, "0\r\n\r\n", 5);
+      used += 5;
+    }
+  answer->written += len;
+  buf_drop (&answer->body, answer->written);
+  if (used == 0 && !*last)
+    return 0;
+  if (lws_write (call->wsi, start, used,
+                 *last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+      < (int)used)
+    return -1;
+  return 0;
+}
+
+/* Writes what is there; returns nonzero to close the connection.  */
+static int
+call_writeable (struct call *call)
+{
+  bool last = false;
+
+  if (call->phase != CALL_ANSWERING)
+    return 0;
+  if (call->answer.broken)
+    return -1;
+  if (!call->answer.head_written)
+    {
+      if (call_write_head (call) != 0)
+        return -1;
+      lws_callback_on_writable (call->wsi);
+      return 0;
+    }
+  if (call_write_body (call, &last) != 0)
+    return -1;
+  if (last)
+    {
+      call->phase = CALL_ENDED;
+      /* What is left of the request's body must not be read as the next
+         request.  */
+      if (buf_end (&call->body) < (uint64_t)call->body_len)
+        return -1;
+      return lws_http_transaction_completed (call->wsi) ? -1 : 0;
+    }
+  if (call->winner != NULL)
+    att_credit (call->winner, call->answer.written);
+  if (call->answer.whole || call->answer.body.len > 0)
+    lws_callback_on_writable (call->wsi);
+  return 0;
+}
+
+/* Offset up to which every attempt has sent the body.  */
+static uint64_t
+call_body_sent (const struct call *call)
+{
+  uint64_t sent = buf_end (&call->body);
+
+  lst_each (node, &call->attempts)
+    {
+      const struct attempt *attempt = lst_entry (node, struct attempt, node);
+
+      if (attempt->body_sent < sent)
+        sent = attempt->body_sent;
+    }
+  return sent;
+}
+
+/* Drops what every attempt has sent of a body that is too long to be kept,
+   and reads on when there is room.  */
+void
+call_body_progress (struct call *call)
+{
+  /* The whole body has to be read before the connection can carry the next
+     request; what no attempt takes any more is dropped.  */
+  if (lst_empty (&call->attempts))
+    buf_drop (&call->body, buf_end (&call->body));
+  else if (call->body.len > FRONT_BODY_KEEP_BYTES)
+    buf_drop (&call->body, call_body_sent (call));
+  if (call->wsi != NULL)
+    lws_rx_flow_control (call->wsi, call->body.len <= FRONT_BODY_KEEP_BYTES);
+}
+
+/* Takes a part of the request's body.  A body longer than what is kept is
+   passed on as it comes and can't be repeated.  */
+static int
+call_body_part (struct call *call, const void *data, size_t len)
+{
+  buf_append (&call->body, data, len);
+  if (call->phase == CALL_RECEIVING)
+    {
+      if (buf_end (&call->body) >= FRONT_BODY_KEEP_BYTES
+          && buf_end (&call->body) < (uint64_t)call->body_len)
+        call_start (call);
+      return 0;
+    }
+  lst_each (node, &call->attempts)
+    att_send_body (lst_entry (node, struct attempt, node));
+  call_body_progress (call);
+  return 0;
+}
+
+/* A request's header has come.  */
+static int
+call_request (struct front *front, struct lws *wsi, struct call **slot)
+{
+  struct call *call = call_new (front, wsi);
+
+  *slot = call;
+  lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
+  fhttp_request_fields (wsi, front->state.model, &call->fields);
+  call_service_name (wsi, call->req.service_name,
+                     sizeof call->req.service_name);
+  call_read_hop (call);
+  call_read_trace (call);
+  call_read_caller (call, wsi);
+  call_read_key (call);
+  if (fhttp_method (wsi, call->method, sizeof call->method, call->path,
+                    sizeof call->path)
+      != SR_OK)
+    {
+      call_refuse (call, RSN_MALFORMED, RSN_NOT_RUN);
+      return 0;
+    }
+  if (lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0)
+    {
+      call_refuse (call, RSN_LENGTH_REQUIRED, RSN_NOT_RUN);
+      return 0;
+    }
+  call->body_len = fhttp_content_length (wsi);
+  if (call->body_len < 0)
+    call->body_len = 0;
+  if (call->body_len == 0)
+    call_start (call);
+  return 0;
+}
+
+/* The caller's connection is gone.  */
+static void
+call_closed (struct call *call)
+{
+  if (call->phase == CALL_RECEIVING)
+    ctr_refused (RSN_BODY_INCOMPLETE);
+  else if (call->phase == CALL_RUNNING)
+    ctr_refused (RSN_CANCELLED);
+  call_free (call);
+}
+
+int
+call_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+               void *in, size_t len)
+{
+  struct call **slot = user;
+  struct front *front = lws_context_user (lws_get_context (wsi));
+
+  switch (reason)
+    {
+    case LWS_CALLBACK_HTTP:
+      if (*slot != NULL)
+        call_free (*slot);
+      *slot = NULL;
+      return call_request (front, wsi, slot);
+    case LWS_CALLBACK_HTTP_BODY:
+      return *slot != NULL ? call_body_part (*slot, in, len) : 0;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      if (*slot != NULL && (*slot)->phase == CALL_RECEIVING)
+        call_start (*slot);
+      return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return *slot != NULL ? call_writeable (*slot) : 0;
+    case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
+      /* The transaction is over; the connection may carry another one.  */
+      if (*slot != NULL && (*slot)->phase == CALL_ENDED)
+        {
+          call_free (*slot);
+          *slot = NULL;
+        }
+      return 0;
+    case LWS_CALLBACK_CLOSED_HTTP:
+      if (*slot != NULL)
+        {
+          (*slot)->wsi = NULL;
+          call_closed (*slot);
+          *slot = NULL;
+        }
+      return 0;
+    default:
+      return 0;
+    }
+}
--- /dev/null
+++ b/tasks/front_http.c
@@ -0,0 +1,242 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tasks/front_state.h"
+
+/* Fields that are passed from callers to backend servers.  */
+static const enum lws_token_indexes fhttp_request_tokens[] = {
+  WSI_TOKEN_HTTP_ACCEPT,
+  WSI_TOKEN_HTTP_ACCEPT_ENCODING,
+  WSI_TOKEN_HTTP_ACCEPT_LANGUAGE,
+  WSI_TOKEN_HTTP_AUTHORIZATION,
+  WSI_TOKEN_HTTP_COOKIE,
+  WSI_TOKEN_HTTP_CONTENT_TYPE,
+  WSI_TOKEN_HTTP_CONTENT_ENCODING,
+  WSI_TOKEN_HTTP_IF_MATCH,
+  WSI_TOKEN_HTTP_IF_NONE_MATCH,
+  WSI_TOKEN_HTTP_IF_MODIFIED_SINCE,
+  WSI_TOKEN_HTTP_RANGE,
+  WSI_TOKEN_HTTP_IF_RANGE,
+  WSI_TOKEN_HTTP_REFERER,
+  WSI_TOKEN_HTTP_USER_AGENT,
+};
+
+/* Fields that are passed from backend servers to callers.  */
+static const enum lws_token_indexes fhttp_answer_tokens[] = {
+  WSI_TOKEN_HTTP_CONTENT_TYPE,     WSI_TOKEN_HTTP_CONTENT_ENCODING,
+  WSI_TOKEN_HTTP_CONTENT_LANGUAGE, WSI_TOKEN_HTTP_CONTENT_DISPOSITION,
+  WSI_TOKEN_HTTP_CONTENT_RANGE,    WSI_TOKEN_HTTP_ACCEPT_RANGES,
+  WSI_TOKEN_HTTP_CACHE_CONTROL,    WSI_TOKEN_HTTP_ETAG,
+  WSI_TOKEN_HTTP_LAST_MODIFIED,    WSI_TOKEN_HTTP_EXPIRES,
+  WSI_TOKEN_HTTP_LOCATION,         WSI_TOKEN_HTTP_VARY,
+  WSI_TOKEN_HTTP_SET_COOKIE,       WSI_TOKEN_HTTP_WWW_AUTHENTICATE,
+  WSI_TOKEN_HTTP_RETRY_AFTER,
+};
+
+/* Fields without a token of libwebsockets that are always passed.  */
+static const char *const fhttp_custom_request[]
+    = { "traceparent", "tracestate", "idempotency-key" };
+
+struct fhttp_method_row
+{
+  enum lws_token_indexes token;
+  const char *name;
+};
+
+static const struct fhttp_method_row fhttp_methods[] = {
+  { WSI_TOKEN_GET_URI, "GET" },     { WSI_TOKEN_POST_URI, "POST" },
+  { WSI_TOKEN_PUT_URI, "PUT" },     { WSI_TOKEN_DELETE_URI, "DELETE" },
+  { WSI_TOKEN_PATCH_URI, "PATCH" }, { WSI_TOKEN_OPTIONS_URI, "OPTIONS" },
+  { WSI_TOKEN_HEAD_URI, "HEAD" },
+};
+
+void
+fhttp_copy_token (struct lws *wsi, enum lws_token_indexes token, char *out,
+                  size_t size)
+{
+  out[0] = '\0';
+  if (lws_hdr_copy (wsi, out, (int)size, token) < 0)
+    out[0] = '\0';
+}
+
+void
+fhttp_copy_custom (struct lws *wsi, const char *name, char *out, size_t size)
+{
+  char colon[MDL_NAME_BYTES + 1];
+  int len = snprintf (colon, sizeof colon, "%s:", name);
+
+  out[0] = '\0';
+  if (lws_hdr_custom_copy (wsi, out, (int)size, colon, len) < 0)
+    out[0] = '\0';
+}
+
+/* Appends TEXT in percent encoding; libwebsockets has decoded it.  KEEP lists
+   characters besides letters and digits that stay as they are.  */
+static size_t
+fhttp_encode (const char *text, const char *keep, char *out, size_t size)
+{
+  static const char digits[] = "0123456789ABCDEF";
+  size_t len = 0;
+
+  for (; *text != '\0' && len + 4 < size; text++)
+    {
+      unsigned char c = (unsigned char)*text;
+
+      if ((c >= '0' && c <= '9') || (c >= 'a' && c <= 'z')
+          || (c >= 'A' && c <= 'Z') || strchr (keep, c) != NULL)
+        out[len++] = (char)c;
+      else
+        {
+          out[len++] = '%';
+          out[len++] = digits[c >> 4];
+          out[len++] = digits[c & 15];
+        }
+    }
+  out[len] = '\0';
+  return len;
+}
+
+/* Appends the query of the request to URI.  */
+static void
+fhttp_query (struct lws *wsi, char *uri, size_t size)
+{
+  size_t len = strlen (uri);
+  char part[FRONT_URI_BYTES / 2];
+
+  for (int n = 0; len + 4 < size; n++)
+    {
+      if (lws_hdr_copy_fragment (wsi, part, sizeof part,
+                                 WSI_TOKEN_HTTP_URI_ARGS, n)
+          < 0)
+        return;
+      uri[len++] = n == 0 ? '?' : '&';
+      len += fhttp_encode (part, "-._~=/:,@!$'()*;", uri + len, size - len);
+    }
+}
+
+int
+fhttp_method (struct lws *wsi, char *method, size_t size, char *uri,
+              size_t uri_size)
+{
+  char path[FRONT_URI_BYTES / 2];
+
+  for (size_t i = 0; i < sizeof fhttp_methods / sizeof fhttp_methods[0]; i++)
+    {
+      if (lws_hdr_total_length (wsi, fhttp_methods[i].token) <= 0)
+        continue;
+      if (lws_hdr_copy (wsi, path, sizeof path, fhttp_methods[i].token) < 0)
+        return SR_EFULL;
+      snprintf (method, size, "%s", fhttp_methods[i].name);
+      fhttp_encode (path, "-._~/:,@!$&'()*+;=", uri, uri_size);
+      fhttp_query (wsi, uri, uri_size);
+      return SR_OK;
+    }
+  return SR_EMALFORMED;
+}
+
+int64_t
+fhttp_content_length (struct lws *wsi)
+{
+  char text[32];
+  char *end = NULL;
+  long long value;
+
+  if (lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) <= 0)
+    return MSG_LENGTH_UNKNOWN;
+  fhttp_copy_token (wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH, text, sizeof text);
+  value = strtoll (text, &end, 10);
+  if (end == text || *end != '\0' || value < 0)
+    return MSG_LENGTH_UNKNOWN;
+  return value;
+}
+
+/* Appends the field with TOKEN when the message has it.  */
+static void
+fhttp_take_token (struct lws *wsi, enum lws_token_indexes token,
+                  struct lst *out)
+{
+  char value[FRONT_HEADER_BYTES / 2];
+  char name[MDL_NAME_BYTES];
+  size_t len;
+
+  if (lws_hdr_total_length (wsi, token) <= 0)
+    return;
+  fhttp_copy_token (wsi, token, value, sizeof value);
+  snprintf (name, sizeof name, "%s",
+            (const char *)lws_token_to_string (token));
+  len = strlen (name);
+  if (len > 0 && name[len - 1] == ':')
+    name[len - 1] = '\0';
+  msg_field_add (out, name, value);
+}
+
+static void
+fhttp_take_custom (struct lws *wsi, const char *name, struct lst *out)
+{
+  char value[FRONT_HEADER_BYTES / 2];
+
+  fhttp_copy_custom (wsi, name, value, sizeof value);
+  if (value[0] != '\0' && msg_field_get (out, name) == NULL)
+    msg_field_add (out, name, value);
+}
+
+/* Fields that the configuration declares.  */
+static void
+fhttp_take_declared (struct lws *wsi, const struct mdl *model, struct lst *out)
+{
+  if (model == NULL)
+    return;
+  if (model->caller_header[0] != '\0')
+    fhttp_take_custom (wsi, model->caller_header, out);
+  for (uint32_t i = 0; i < model->pass_header_count; i++)
+    fhttp_take_custom (wsi, model->pass_headers[i], out);
+}
+
+void
+fhttp_request_fields (struct lws *wsi, const struct mdl *model,
+                      struct lst *out)
+{
+  size_t count = sizeof fhttp_request_tokens / sizeof fhttp_request_tokens[0];
+  size_t customs
+      = sizeof fhttp_custom_request / sizeof fhttp_custom_request[0];
+
+  for (size_t i = 0; i < count; i++)
+    fhttp_take_token (wsi, fhttp_request_tokens[i], out);
+  for (size_t i = 0; i < customs; i++)
+    fhttp_take_custom (wsi, fhttp_custom_request[i], out);
+  fhttp_take_declared (wsi, model, out);
+}
+
+void
+fhttp_answer_fields (struct lws *wsi, const struct mdl *model, struct lst *out)
+{
+  size_t count = sizeof fhttp_answer_tokens / sizeof fhttp_answer_tokens[0];
+
+  for (size_t i = 0; i < count; i++)
+    fhttp_take_token (wsi, fhttp_answer_tokens[i], out);
+  fhttp_take_declared (wsi, model, out);
+}
+
+int
+fhttp_add_field (struct lws *wsi, const char *name, const char *value,
+                 unsigned char **p, unsigned char *end)
+{
+  char colon[MDL_NAME_BYTES + 2];
+
+  snprintf (colon, sizeof colon, "%s:", name);
+  return lws_add_http_header_by_name (wsi, (const unsigned char *)colon,
+                                      (const unsigned char *)value,
+                                      (int)strlen (value), p, end);
+}
+
+bool
+fhttp_is_local (struct lws *wsi)
+{
+  char address[64];
+
+  address[0] = '\0';
+  lws_get_peer_simple (wsi, address, sizeof address);
+  return strncmp (address, "127.", 4) == 0 || strcmp (address, "::1") == 0
+         || strncmp (address, "::ffff:127.", 11) == 0;
+}
--- /dev/null
+++ b/tasks/front_state.h
@@ -0,0 +1,343 @@
+#ifndef TASKS_FRONT_STATE_H
+#define TASKS_FRONT_STATE_H
+
+/**
+ * DOC: front_state - records of the front task, used by its files only
+ */
+
+#include <libwebsockets.h>
+#include <signal.h>
+
+#include "core/buf.h"
+#include "core/err.h"
+#include "core/hash.h"
+#include "filters/chain.h"
+#include "tasks/front.h"
+
+/* Body bytes that are kept to repeat a request, and that are hashed.  */
+#define FRONT_BODY_KEEP_BYTES (256 * 1024)
+/* Answer bytes that are held back until the answer is whole or this many have
+   come, so that a broken short answer can be retried.  */
+#define FRONT_HOLD_BYTES (32 * 1024)
+/* The node beside the server reports the deadline; the call side waits this
+   much longer for the report.  */
+#define FRONT_DEADLINE_GRACE_US clk_ms (100)
+#define FRONT_BUCKETS 1024
+#define FRONT_URI_BYTES 8192
+#define FRONT_HEADER_BYTES (16 * 1024)
+
+enum call_phase
+{
+  CALL_RECEIVING, /* the body of the request */
+  CALL_RUNNING,   /* attempts are out */
+  CALL_ANSWERING, /* the head is written */
+  CALL_ENDED,     /* answered; waits for the connection */
+};
+
+/* What is written to the caller.  */
+struct call_answer
+{
+  int status;
+  struct lst fields;
+  int64_t body_len;
+  bool chunked;
+  bool head_written;
+  bool whole; /* the last byte is in @body */
+  bool broken;
+  struct buf body;
+  uint64_t written;
+};
+
+/* A caller's request, or a child call of the own backend server.  */
+struct call
+{
+  struct lst_node node;
+  struct front *front;
+  struct lws *wsi;
+  enum call_phase phase;
+  struct flt_request req;
+  char method[16];
+  char path[FRONT_URI_BYTES];
+  char caller[MSG_CALLER_BYTES];
+  char key[MSG_KEY_BYTES];
+  char trace[64];
+  struct lst fields;
+  int64_t body_len;
+  struct buf body;
+  struct lst attempts;
+  struct attempt *winner;
+  enum rsn_refusal reason; /* of the last failure */
+  enum rsn_run run;
+  uint32_t retry_after_ms;
+  struct call_answer answer;
+  lws_sorted_usec_list_t deadline_timer;
+  lws_sorted_usec_list_t hedge_timer;
+};
+
+/* One try of a call at one server.  */
+struct attempt
+{
+  struct lst_node node;      /* call->attempts */
+  struct lst_node hash_node; /* front->attempts */
+  struct call *call;
+  struct flt_service *service;
+  struct chs_server *server;
+  struct msg_route route;
+  uint64_t stream;
+  uint32_t granted;
+  clk_us started;
+  uint64_t body_sent;
+  uint64_t body_credit; /* offset up to which bytes may be sent */
+  uint32_t body_sequence;
+  bool body_done;
+  bool head_seen;
+  clk_us head_at;
+  uint32_t answer_sequence;
+  uint64_t answer_total;
+  uint64_t answer_credited;
+};
+
+/* A request at the node beside the chosen server.  */
+struct serve
+{
+  struct lst_node node;
+  struct lst_node hash_node;
+  struct front *front;
+  struct msg_route route;
+  uint64_t stream;
+  struct flt_request req;
+  char method[16];
+  char *path;
+  char caller[MSG_CALLER_BYTES];
+  char key[MSG_KEY_BYTES];
+  struct lst fields;
+  uint8_t attempt[RNG_ID_BYTES];
+  uint32_t allowance;
+  int64_t body_len;
+  struct buf body;
+  bool body_whole;
+  uint32_t body_sequence;
+  uint64_t body_credited;
+  bool started; /* the chain has been started */
+  struct hop *hop;
+  struct backend_conn *conn;
+  bool handed_over;  /* bytes may have reached the backend server */
+  bool redispatched; /* sent a second time on a fresh connection */
+  bool detached;     /* nobody waits; runs on so that its answer is kept */
+  bool head_sent;
+  bool holding; /* the end is held until the answer is recorded */
+  struct lst_node probe_node; /* backend->probed: waits for the probe */
+  clk_us dispatched;
+  struct buf answer; /* not yet sent for lack of credit */
+  uint64_t answer_credit;
+  uint32_t answer_sequence;
+  bool answer_whole;
+  uint64_t claim_request; /* outstanding proposal, 0 when none */
+  int record_status;
+  struct lst record_fields;
+  struct buf record;                  /* answer to be recorded */
+  enum rsn_refusal refusal;           /* while the server is probed */
+  lws_sorted_usec_list_t timer;       /* deadline */
+  lws_sorted_usec_list_t retry_timer; /* claim polling, silence */
+};
+
+/* One connection to the own backend server.  Its vhost keeps the connection
+   apart from the others.  */
+struct backend_conn
+{
+  struct lst_node node;
+  struct front *front;
+  struct lws_vhost *vhost;
+  char vhost_name[32];
+  struct lws *wsi;
+  struct serve *serve;
+  bool reused;       /* the current request did not open it */
+  bool kept;         /* stays open after the current request */
+  clk_us idle_since; /* 0: not connected as far as known */
+  int64_t body_len;
+  bool chunked;
+  bool headers_seen;
+  uint64_t received;
+  uint64_t body_sent;
+  bool paused;
+};
+
+/* The own backend server.  */
+struct backend
+{
+  char service[MDL_NAME_BYTES];
+  char address[MSG_ADDRESS_BYTES];
+  char host[MSG_ADDRESS_BYTES];
+  int port;
+  uint32_t slots;
+  uint32_t connections;
+  clk_us announced;
+  bool leaving;
+  struct lst idle; /* struct backend_conn, last used first */
+  struct lst busy;
+  uint32_t conn_count;
+  uint32_t vhost_count;
+  clk_us stalled_until; /* new connections are silent, too: the server is */
+  struct lst probed;    /* struct serve: their connection broke */
+  struct lws_vhost *probe_vhost;
+  bool probing;
+  lws_sorted_usec_list_t probe_timer;
+};
+
+/* A request on the admin port.  */
+struct admin_request
+{
+  struct lst_node node;
+  struct front *front;
+  struct lws *wsi;
+  uint64_t id;
+  char method[16];
+  char path[256];
+  char query[512];
+  char host[128];
+  bool local;
+  bool authorized;
+  struct buf body;
+  int status;
+  const char *type;
+  const char *disposition;
+  uint64_t version;
+  char *text;
+  size_t len;
+  size_t written;
+  bool head_written;
+  bool console; /* the reply of the control task goes into a page */
+};
+
+struct front
+{
+  struct front_opts opts;
+  struct lws_context *context;
+  struct lws_vhost *listen_vhost;
+  struct lws_vhost *admin_vhost;
+  struct inb *inbox;
+  struct inb *peer;
+  struct inb *control;
+  struct flt_state state;
+  struct mem_version version;
+  bool confirmed;
+  char *document; /* text in force, for the console */
+  struct backend backend;
+  struct lst calls;
+  struct lst serves;
+  struct lst admins;
+  struct lst attempt_buckets[FRONT_BUCKETS];
+  struct lst serve_buckets[FRONT_BUCKETS];
+  struct lst local; /* messages from this task to itself */
+  struct lst view;  /* struct mem_item, last members told by control */
+  uint64_t next_stream;
+  uint64_t next_request;
+  lws_sorted_usec_list_t tick_timer;
+  lws_sorted_usec_list_t admission_timer;
+  volatile sig_atomic_t stop_requests;
+  bool stopping;
+  bool stopped;
+  clk_us stop_at; /* latest end of a graceful shutdown */
+  clk_us stop_not_before;
+  int exit_status;
+};
+
+/* front.c */
+void front_send (struct front *front, struct msg *msg);
+void front_report_backend (struct front *front);
+void front_drain (struct front *front);
+void front_configure_admission (struct front *front);
+void front_send_marks (struct front *front);
+void front_apply_members (struct front *front);
+
+/* front_http.c */
+void fhttp_copy_token (struct lws *wsi, enum lws_token_indexes token,
+                       char *out, size_t size);
+void fhttp_copy_custom (struct lws *wsi, const char *name, char *out,
+                        size_t size);
+int fhttp_method (struct lws *wsi, char *method, size_t size, char *uri,
+                  size_t uri_size);
+int64_t fhttp_content_length (struct lws *wsi);
+void fhttp_request_fields (struct lws *wsi, const struct mdl *model,
+                           struct lst *out);
+void fhttp_answer_fields (struct lws *wsi, const struct mdl *model,
+                          struct lst *out);
+int fhttp_add_field (struct lws *wsi, const char *name, const char *value,
+                     unsigned char **p, unsigned char *end);
+bool fhttp_is_local (struct lws *wsi);
+
+/* front_call.c */
+int call_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                   void *user, void *in, size_t len);
+void call_attempt_failed (struct call *call, struct attempt *attempt,
+                          const struct msg_refuse *refuse);
+void call_head (struct call *call, struct attempt *attempt, struct msg *msg);
+void call_body (struct call *call, struct attempt *attempt, struct msg *msg);
+void call_refuse (struct call *call, enum rsn_refusal reason,
+                  enum rsn_run run);
+void call_body_progress (struct call *call);
+
+/* front_attempt.c */
+void att_start (struct call *call, struct chs_server *server,
+                struct flt_service *service);
+void att_send_body (struct attempt *attempt);
+void att_credit (struct attempt *attempt, uint64_t written);
+void att_message (struct front *front, struct msg *msg);
+void att_cancel (struct attempt *attempt);
+void att_end (struct attempt *attempt, enum chs_result result,
+              const struct msg_trailer *trailer);
+void att_peer_lost (struct front *front, const struct msg_route *route);
+struct attempt *att_find (struct front *front, uint64_t stream);
+
+/* front_serve.c */
+void srv_message (struct front *front, struct msg *msg);
+void srv_peer_lost (struct front *front, const struct msg_route *route);
+void srv_run_admission (struct front *front);
+void srv_refuse_waiting (struct front *front, enum rsn_refusal reason);
+void srv_refuse (struct serve *serve, enum rsn_refusal reason,
+                 enum rsn_run run);
+void srv_advance (struct serve *serve);
+void srv_timer (lws_sorted_usec_list_t *timer);
+void srv_free (struct serve *serve);
+
+/* front_answer.c */
+void srv_head (struct serve *serve, int status, struct lst *fields,
+               int64_t body_len);
+void srv_data (struct serve *serve, const void *data, size_t len);
+void srv_whole (struct serve *serve);
+void srv_send_answer (struct serve *serve);
+void srv_trailer (struct serve *serve, struct msg_trailer *trailer);
+struct msg *srv_msg (const struct serve *serve, enum msg_kind kind);
+bool srv_wants_data (const struct serve *serve);
+
+/* front_claim.c */
+void srv_claim (struct serve *serve);
+void srv_claim_result (struct front *front, struct msg *msg);
+void srv_release (struct serve *serve);
+void srv_record (struct serve *serve);
+
+/* front_backend.c */
+int bck_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                  void *user, void *in, size_t len);
+bool bck_dispatch (struct serve *serve, bool fresh);
+void bck_body_ready (struct serve *serve);
+void bck_resume (struct serve *serve);
+void bck_abandon (struct serve *serve);
+void bck_free (struct front *front);
+
+/* front_health.c */
+int bck_probe_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                        void *user, void *in, size_t len);
+void bck_probe (struct serve *serve);
+int bck_announce (struct front *front, const char *service,
+                  const char *address, uint32_t slots, uint32_t connections);
+void bck_leave (struct front *front);
+void bck_check (struct front *front, clk_us now);
+void bck_down (struct front *front, const char *why);
+
+/* front_admin.c */
+int adn_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                  void *user, void *in, size_t len);
+void adn_reply (struct front *front, struct msg *msg);
+
+#endif
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -389,6 +389,7 @@
       return SR_OK;
     case MSG_REP:
       msgpack_pack_uint32 (packer, msg->u.rep.group);
+      pio_put_text (packer, msg->u.rep.from);
       return pck_put_rep (msg->u.rep.msg, frames);
     default:
       return SR_EINVAL;
--- /dev/null
+++ b/wire/record.h
@@ -0,0 +1,31 @@
+#ifndef WIRE_RECORD_H
+#define WIRE_RECORD_H
+
+/**
+ * DOC: rcd - recorded answers of non-idempotent requests
+ *
+ * Stored with the claim, and given again to a resend.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/buf.h"
+#include "core/list.h"
+
+struct rcd_answer
+{
+  int status;
+  bool body_kept;    /* false: the body was too large to be recorded */
+  struct lst fields; /* struct msg_field */
+  struct buf body;
+};
+
+int rcd_encode (const struct rcd_answer *answer, uint8_t **out, size_t *len);
+
+/* SR_EMALFORMED; on success free with rcd_free().  */
+int rcd_decode (const uint8_t *data, size_t len, struct rcd_answer *answer);
+void rcd_free (struct rcd_answer *answer);
+
+#endif
