--- a/controllers/hop.c
+++ b/controllers/hop.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "core/err.h"
-#include "core/hash.h"
+#include "core/digest.h"
 
 #define HOP_BUCKETS 4096
 
@@ -44,7 +44,7 @@
 static struct lst *
 hop_bucket (struct hop_table *table, const uint8_t id[RNG_ID_BYTES])
 {
-  return &table->buckets[hsh_bytes (id, RNG_ID_BYTES) % HOP_BUCKETS];
+  return &table->buckets[dig_bytes (id, RNG_ID_BYTES) % HOP_BUCKETS];
 }
 
 struct hop *
--- a/core/hash.c
+++ b/core/digest.c
@@ -1,4 +1,4 @@
-#include "core/hash.h"
+#include "core/digest.h"
 
 #include <xxhash.h>
 
@@ -6,7 +6,7 @@
 
 /* Feeds all parts with their lengths.  */
 static void
-hsh_feed (XXH3_state_t *state, const struct hsh_part *parts, size_t count)
+dig_feed (XXH3_state_t *state, const struct dig_part *parts, size_t count)
 {
   for (size_t i = 0; i < count; i++)
     {
@@ -19,34 +19,34 @@
 }
 
 void
-hsh_128 (const struct hsh_part *parts, size_t count, uint8_t out[HSH_BYTES])
+dig_128 (const struct dig_part *parts, size_t count, uint8_t out[DIG_BYTES])
 {
   XXH3_state_t *state = XXH3_createState ();
   XXH128_canonical_t canonical;
 
   INVARIANT (state != NULL);
   XXH3_128bits_reset (state);
-  hsh_feed (state, parts, count);
+  dig_feed (state, parts, count);
   XXH128_canonicalFromHash (&canonical, XXH3_128bits_digest (state));
   XXH3_freeState (state);
-  for (size_t i = 0; i < HSH_BYTES; i++)
+  for (size_t i = 0; i < DIG_BYTES; i++)
     out[i] = canonical.digest[i];
 }
 
 uint64_t
-hsh_64 (const struct hsh_part *parts, size_t count)
+dig_64 (const struct dig_part *parts, size_t count)
 {
-  uint8_t digest[HSH_BYTES];
+  uint8_t digest[DIG_BYTES];
   uint64_t value = 0;
 
-  hsh_128 (parts, count, digest);
+  dig_128 (parts, count, digest);
   for (int i = 0; i < 8; i++)
     value = value << 8 | digest[i];
   return value;
 }
 
 uint64_t
-hsh_bytes (const void *data, size_t len)
+dig_bytes (const void *data, size_t len)
 {
   return len > 0 ? XXH3_64bits (data, len) : 0;
 }
--- a/filters/allowance.c
+++ b/filters/allowance.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "core/hash.h"
+#include "core/digest.h"
 #include "filters/chain.h"
 
 /* Key under which resends of one caller's request share an allowance, or
@@ -9,14 +9,14 @@
 flt_resend_key (const struct flt_request *request)
 {
   const char *id = request->key[0] != '\0' ? request->key : request->trace;
-  struct hsh_part parts[] = {
+  struct dig_part parts[] = {
     { request->caller, strlen (request->caller) },
     { id, strlen (id) },
   };
 
   if (id[0] == '\0')
     return 0;
-  return hsh_64 (parts, sizeof parts / sizeof parts[0]);
+  return dig_64 (parts, sizeof parts / sizeof parts[0]);
 }
 
 struct flt_result
--- a/filters/key.c
+++ b/filters/key.c
@@ -1,24 +1,24 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "core/hash.h"
+#include "core/digest.h"
 #include "filters/chain.h"
 
 /* Key of a child call without one, from the key of the chain's entry.  */
 static void
 flt_derive_key (struct flt_request *request)
 {
-  struct hsh_part parts[] = {
+  struct dig_part parts[] = {
     { request->chain_key, strlen (request->chain_key) },
     { request->service_name, strlen (request->service_name) },
     { request->kind->name, strlen (request->kind->name) },
     { request->path, strlen (request->path) },
     { &request->body_hash, sizeof request->body_hash },
   };
-  uint8_t digest[HSH_BYTES];
+  uint8_t digest[DIG_BYTES];
 
-  hsh_128 (parts, sizeof parts / sizeof parts[0], digest);
-  for (size_t i = 0; i < HSH_BYTES; i++)
+  dig_128 (parts, sizeof parts / sizeof parts[0], digest);
+  for (size_t i = 0; i < DIG_BYTES; i++)
     snprintf (request->claim_key + 2 * i, 3, "%02x", digest[i]);
 }
 
--- a/filters/quarantine.c
+++ b/filters/quarantine.c
@@ -1,12 +1,12 @@
 #include <string.h>
 
-#include "core/hash.h"
+#include "core/digest.h"
 #include "filters/chain.h"
 
 uint64_t
 flt_fingerprint (const struct flt_request *request)
 {
-  struct hsh_part parts[] = {
+  struct dig_part parts[] = {
     { request->caller, strlen (request->caller) },
     { request->service_name, strlen (request->service_name) },
     { request->method, strlen (request->method) },
@@ -14,7 +14,7 @@
     { &request->body_hash, sizeof request->body_hash },
   };
 
-  return hsh_64 (parts, sizeof parts / sizeof parts[0]);
+  return dig_64 (parts, sizeof parts / sizeof parts[0]);
 }
 
 struct flt_result
--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -442,9 +442,9 @@
   if (query != NULL)
     {
       *query = '\0';
-      snprintf (request->query, sizeof request->query, "%s", query + 1);
+      snprintf (request->query, sizeof request->query, "%.511s", query + 1);
     }
-  snprintf (request->path, sizeof request->path, "%s", uri);
+  snprintf (request->path, sizeof request->path, "%.255s", uri);
   if (fhttp_content_length (wsi) <= 0)
     adn_start (request);
 }
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -102,11 +102,11 @@
       snprintf (call->key, sizeof call->key, "%s", key);
       return;
     }
-  struct hsh_part part = { key, strlen (key) };
-  uint8_t digest[HSH_BYTES];
+  struct dig_part part = { key, strlen (key) };
+  uint8_t digest[DIG_BYTES];
 
-  hsh_128 (&part, 1, digest);
-  for (size_t i = 0; i < HSH_BYTES; i++)
+  dig_128 (&part, 1, digest);
+  for (size_t i = 0; i < DIG_BYTES; i++)
     snprintf (call->key + 2 * i, 3, "%02x", digest[i]);
 }
 
@@ -273,7 +273,7 @@
   ctr_add (CTR_CALLS, 1);
   if (len > FRONT_BODY_KEEP_BYTES)
     len = FRONT_BODY_KEEP_BYTES;
-  call->req.body_hash = hsh_bytes (body, len);
+  call->req.body_hash = dig_bytes (body, len);
   call->req.body_whole = buf_end (&call->body) == (uint64_t)call->body_len;
   flt_start (&call->req, flt_call_chain);
   result = flt_run (state, &call->req, now);
--- a/tasks/front_claim.c
+++ b/tasks/front_claim.c
@@ -22,14 +22,14 @@
 static void
 srv_claim_key (const struct serve *serve, uint8_t out[CLM_KEY_BYTES])
 {
-  struct hsh_part parts[] = {
+  struct dig_part parts[] = {
     { serve->caller, strlen (serve->caller) },
     { serve->req.service_name, strlen (serve->req.service_name) },
     { serve->req.kind->name, strlen (serve->req.kind->name) },
     { serve->key, strlen (serve->key) },
   };
 
-  hsh_128 (parts, sizeof parts / sizeof parts[0], out);
+  dig_128 (parts, sizeof parts / sizeof parts[0], out);
 }
 
 /* Sends a command to the claims group; returns its request id.  */
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -192,7 +192,7 @@
   serve->started = true;
   if (len > FRONT_BODY_KEEP_BYTES)
     len = FRONT_BODY_KEEP_BYTES;
-  serve->req.body_hash = hsh_bytes (body, len);
+  serve->req.body_hash = dig_bytes (body, len);
   serve->req.body_whole = serve->body_whole;
   flt_start (&serve->req, flt_serve_chain);
   srv_advance (serve);
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -10,7 +10,7 @@
 
 #include "core/buf.h"
 #include "core/err.h"
-#include "core/hash.h"
+#include "core/digest.h"
 #include "filters/chain.h"
 #include "tasks/front.h"
 
