--- a/controllers/mbr.h
+++ b/controllers/mbr.h
@@ -50,6 +50,4 @@
    by "apply --wait".  Returns how many live members are below NUMBER.  */
 uint32_t mbr_behind (const struct mbr *mbr, uint64_t number);
 
-void mem_free_items (struct lst *items);
-
 #endif
--- /dev/null
+++ b/core/bytes.c
@@ -0,0 +1,207 @@
+#include "core/bytes.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+#define BYT_ROOM_MIN 64u
+
+void
+byt_write_begin (struct byt_writer *writer, size_t room)
+{
+  writer->len = 0;
+  writer->room = room < BYT_ROOM_MIN ? BYT_ROOM_MIN : room;
+  writer->data = malloc (writer->room);
+  writer->failed = writer->data == NULL;
+}
+
+/* Makes room for LEN more bytes; NULL when that fails.  */
+static uint8_t *
+byt_extend (struct byt_writer *writer, size_t len)
+{
+  uint8_t *grown;
+  size_t room = writer->room;
+
+  if (writer->failed)
+    return NULL;
+  if (len > room - writer->len)
+    {
+      room = len > room ? room + len : room * 2;
+      grown = realloc (writer->data, room);
+      writer->failed = grown == NULL;
+      if (writer->failed)
+        return NULL;
+      writer->data = grown;
+      writer->room = room;
+    }
+  writer->len += len;
+  return writer->data + writer->len - len;
+}
+
+/* Writes the low BYTES bytes of VALUE.  */
+static void
+byt_put_number (struct byt_writer *writer, uint64_t value, size_t bytes)
+{
+  uint8_t *at = byt_extend (writer, bytes);
+
+  for (size_t i = 0; at != NULL && i < bytes; i++)
+    at[i] = (uint8_t)(value >> (8 * i));
+}
+
+void
+byt_put_u8 (struct byt_writer *writer, uint8_t value)
+{
+  byt_put_number (writer, value, sizeof value);
+}
+
+void
+byt_put_u32 (struct byt_writer *writer, uint32_t value)
+{
+  byt_put_number (writer, value, sizeof value);
+}
+
+void
+byt_put_u64 (struct byt_writer *writer, uint64_t value)
+{
+  byt_put_number (writer, value, sizeof value);
+}
+
+void
+byt_put_raw (struct byt_writer *writer, const void *data, size_t len)
+{
+  uint8_t *at = byt_extend (writer, len);
+
+  if (at != NULL && len > 0)
+    memcpy (at, data, len);
+}
+
+void
+byt_put_blob (struct byt_writer *writer, const void *data, size_t len)
+{
+  if (len > UINT32_MAX)
+    writer->failed = true;
+  byt_put_u32 (writer, (uint32_t)len);
+  byt_put_raw (writer, data, len);
+}
+
+int
+byt_write_end (struct byt_writer *writer, uint8_t **out, size_t *len)
+{
+  if (writer->failed)
+    {
+      free (writer->data);
+      writer->data = NULL;
+      writer->len = 0;
+    }
+  *out = writer->data;
+  *len = writer->len;
+  writer->data = NULL;
+  return writer->failed ? SR_ENOMEM : SR_OK;
+}
+
+void
+byt_read_begin (struct byt_reader *reader, const uint8_t *data, size_t len)
+{
+  reader->data = data;
+  reader->left = len;
+  reader->failed = false;
+}
+
+/* Steps over LEN bytes; NULL when fewer are left.  */
+static const uint8_t *
+byt_step (struct byt_reader *reader, size_t len)
+{
+  const uint8_t *at = reader->data;
+
+  if (reader->failed || len > reader->left)
+    {
+      reader->failed = true;
+      return NULL;
+    }
+  reader->left -= len;
+  if (len > 0)
+    reader->data += len;
+  return at;
+}
+
+static uint64_t
+byt_get_number (struct byt_reader *reader, size_t bytes)
+{
+  const uint8_t *at = byt_step (reader, bytes);
+  uint64_t value = 0;
+
+  for (size_t i = 0; at != NULL && i < bytes; i++)
+    value |= (uint64_t)at[i] << (8 * i);
+  return value;
+}
+
+uint8_t
+byt_get_u8 (struct byt_reader *reader)
+{
+  return (uint8_t)byt_get_number (reader, sizeof (uint8_t));
+}
+
+uint32_t
+byt_get_u32 (struct byt_reader *reader)
+{
+  return (uint32_t)byt_get_number (reader, sizeof (uint32_t));
+}
+
+uint64_t
+byt_get_u64 (struct byt_reader *reader)
+{
+  return byt_get_number (reader, sizeof (uint64_t));
+}
+
+void
+byt_get_raw (struct byt_reader *reader, void *out, size_t len)
+{
+  const uint8_t *at = byt_step (reader, len);
+
+  if (at != NULL)
+    memcpy (out, at, len);
+  else
+    memset (out, 0, len);
+}
+
+const uint8_t *
+byt_get_blob (struct byt_reader *reader, size_t most, size_t *len)
+{
+  size_t bytes = byt_get_u32 (reader);
+  const uint8_t *at = NULL;
+
+  if (bytes > most)
+    reader->failed = true;
+  else
+    at = byt_step (reader, bytes);
+  *len = at != NULL ? bytes : 0;
+  return at != NULL ? at : (const uint8_t *)"";
+}
+
+void
+byt_get_text (struct byt_reader *reader, char *out, size_t room)
+{
+  size_t len;
+  const uint8_t *text = byt_get_blob (reader, room - 1, &len);
+
+  if (len == 0 || memchr (text, '\0', len) != NULL)
+    {
+      reader->failed = true;
+      len = 0;
+    }
+  memcpy (out, text, len);
+  out[len] = '\0';
+}
+
+void
+byt_reject (struct byt_reader *reader)
+{
+  reader->failed = true;
+}
+
+int
+byt_read_end (const struct byt_reader *reader)
+{
+  return reader->failed || reader->left > 0 ? SR_EMALFORMED : SR_OK;
+}
--- a/core/member.h
+++ b/core/member.h
@@ -49,7 +49,8 @@
 };
 
 /* Position in the table of one replica.  A replica's table has a random epoch
-   from each start.  */
+   from each start, never 0.  Epoch 0 asks for the whole table; @change is then
+   the node's own number of the request and comes back in the reply.  */
 struct mem_position
 {
   uint64_t epoch;
@@ -86,6 +87,7 @@
 struct mem_members
 {
   enum mem_status status;
+  struct mem_position since;         /* from the renewal that this answers */
   struct mem_position position;      /* after these changes */
   bool whole;                        /* the whole table, not changes */
   struct lst items;                  /* struct mem_item */
@@ -95,4 +97,12 @@
   struct lst marks;                  /* struct qrt_mark */
 };
 
+/* Orders records of one instance: negative when A is older than B, 0 when
+   both are the same, positive when A is newer.  */
+int mem_compare (const struct mem_record *a, const struct mem_record *b);
+
+/* Appends a copy of RECORD as struct mem_item; SR_OK or SR_ENOMEM.  */
+int mem_add_item (struct lst *items, const struct mem_record *record);
+void mem_free_items (struct lst *items);
+
 #endif
