--- /dev/null
+++ b/controllers/cfg.c
@@ -0,0 +1,371 @@
+#include "controllers/cfg.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/bytes.h"
+#include "core/err.h"
+#include "core/list.h"
+
+#define CFG_CHANGE_FORMAT 1u
+#define CFG_SNAPSHOT_FORMAT 1u
+/* Encoded bytes besides change id and document.  */
+#define CFG_CHANGE_OVERHEAD 32u
+#define CFG_RESULT_BYTES 9u
+
+/* Result of one change id, kept for resends.  */
+struct cfg_kept
+{
+  struct lst_node node;
+  char change_id[CFG_CHANGE_ID_BYTES];
+  struct cfg_result result;
+};
+
+/* What a snapshot holds.  */
+struct cfg_state
+{
+  uint64_t last_term; /* of the last entry applied */
+  uint64_t last_index;
+  struct mem_version version;
+  char *document;
+  size_t document_len;
+  struct lst kept; /* struct cfg_kept, oldest first */
+  uint32_t kept_count;
+};
+
+struct cfg
+{
+  struct cfg_opts opts;
+  struct cfg_state state;
+};
+
+static void
+cfg_state_init (struct cfg_state *state)
+{
+  *state = (struct cfg_state){ 0 };
+  lst_init (&state->kept);
+}
+
+static void
+cfg_state_fini (struct cfg_state *state)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&state->kept)) != NULL)
+    free (lst_entry (node, struct cfg_kept, node));
+  free (state->document);
+}
+
+struct cfg *
+cfg_new (const struct cfg_opts *opts)
+{
+  struct cfg *cfg = calloc (1, sizeof *cfg);
+
+  if (cfg == NULL)
+    return NULL;
+  cfg->opts = *opts;
+  if (cfg->opts.results_kept == 0)
+    cfg->opts.results_kept = 1;
+  cfg_state_init (&cfg->state);
+  return cfg;
+}
+
+void
+cfg_free (struct cfg *cfg)
+{
+  if (cfg == NULL)
+    return;
+  cfg_state_fini (&cfg->state);
+  free (cfg);
+}
+
+struct mem_version
+cfg_version (const struct cfg *cfg)
+{
+  return cfg->state.version;
+}
+
+const char *
+cfg_document (const struct cfg *cfg, size_t *len)
+{
+  *len = cfg->state.document_len;
+  return cfg->state.document;
+}
+
+/* Copy of a document, one byte at least so that it is never NULL.  */
+static char *
+cfg_copy (const char *document, size_t len)
+{
+  char *copy = malloc (len + 1);
+
+  if (copy == NULL)
+    return NULL;
+  if (len > 0)
+    memcpy (copy, document, len);
+  copy[len] = '\0';
+  return copy;
+}
+
+static const struct cfg_kept *
+cfg_find (const struct cfg_state *state, const char *change_id)
+{
+  lst_each (node, &state->kept)
+    {
+      const struct cfg_kept *kept = lst_entry (node, struct cfg_kept, node);
+
+      if (strcmp (kept->change_id, change_id) == 0)
+        return kept;
+    }
+  return NULL;
+}
+
+static void
+cfg_keep (struct cfg *cfg, struct cfg_kept *kept)
+{
+  struct cfg_state *state = &cfg->state;
+
+  lst_push_tail (&state->kept, &kept->node);
+  state->kept_count++;
+  while (state->kept_count > cfg->opts.results_kept)
+    {
+      struct lst_node *oldest = lst_pop_head (&state->kept);
+
+      free (lst_entry (oldest, struct cfg_kept, node));
+      state->kept_count--;
+    }
+}
+
+/* Decides on a change whose id is new, and remembers the result.  */
+static int
+cfg_decide (struct cfg *cfg, uint64_t term, uint64_t index,
+            const struct cfg_change *change)
+{
+  struct cfg_state *state = &cfg->state;
+  struct cfg_kept *kept = calloc (1, sizeof *kept);
+  char *document = NULL;
+  bool accepted = change->base == state->version.number;
+
+  if (accepted)
+    document = cfg_copy (change->document, change->document_len);
+  if (kept == NULL || (accepted && document == NULL))
+    {
+      free (kept);
+      free (document);
+      return SR_ENOMEM;
+    }
+  if (accepted)
+    {
+      free (state->document);
+      state->document = document;
+      state->document_len = change->document_len;
+      state->version = (struct mem_version){
+        .term = term, .index = index, .number = state->version.number + 1
+      };
+    }
+  memcpy (kept->change_id, change->change_id, sizeof kept->change_id);
+  kept->result.kind = accepted ? CFG_ACCEPTED : CFG_CONFLICT;
+  kept->result.number = state->version.number;
+  cfg_keep (cfg, kept);
+  return SR_OK;
+}
+
+/* Decodes a change whose document points into DATA.  */
+static int
+cfg_decode (const uint8_t *data, size_t len, struct cfg_change *change)
+{
+  struct byt_reader reader;
+
+  byt_read_begin (&reader, data, len);
+  if (byt_get_u8 (&reader) != CFG_CHANGE_FORMAT)
+    return len == 0 ? SR_EMALFORMED : SR_EVERSION;
+  change->base = byt_get_u64 (&reader);
+  memset (change->change_id, 0, sizeof change->change_id);
+  byt_get_text (&reader, change->change_id, sizeof change->change_id);
+  change->document = (const char *)byt_get_blob (
+      &reader, CFG_DOCUMENT_BYTES_MAX, &change->document_len);
+  return byt_read_end (&reader);
+}
+
+int
+cfg_apply (struct cfg *cfg, uint64_t term, uint64_t index, const uint8_t *data,
+           size_t len, struct cfg_result *result)
+{
+  struct cfg_state *state = &cfg->state;
+  struct cfg_change change;
+  const struct cfg_kept *kept;
+  int error = cfg_decode (data, len, &change);
+
+  if (error != SR_OK)
+    return error;
+  if (index <= state->last_index || term < state->last_term)
+    return SR_EINVAL;
+  kept = cfg_find (state, change.change_id);
+  if (kept == NULL)
+    {
+      error = cfg_decide (cfg, term, index, &change);
+      if (error != SR_OK)
+        return error;
+      kept = lst_entry (lst_last (&state->kept), struct cfg_kept, node);
+    }
+  state->last_term = term;
+  state->last_index = index;
+  *result = kept->result;
+  return SR_OK;
+}
+
+int
+cfg_encode (const struct cfg_change *change, uint8_t **out, size_t *len)
+{
+  struct byt_writer writer;
+  size_t id_len = strnlen (change->change_id, sizeof change->change_id);
+
+  if (id_len == 0 || id_len == sizeof change->change_id
+      || change->document_len > CFG_DOCUMENT_BYTES_MAX)
+    return SR_EINVAL;
+  byt_write_begin (&writer,
+                   id_len + change->document_len + CFG_CHANGE_OVERHEAD);
+  byt_put_u8 (&writer, CFG_CHANGE_FORMAT);
+  byt_put_u64 (&writer, change->base);
+  byt_put_blob (&writer, change->change_id, id_len);
+  byt_put_blob (&writer, change->document, change->document_len);
+  return byt_write_end (&writer, out, len);
+}
+
+static void
+cfg_put_result (struct byt_writer *writer, const struct cfg_result *result)
+{
+  byt_put_u8 (writer, (uint8_t)result->kind);
+  byt_put_u64 (writer, result->number);
+}
+
+static struct cfg_result
+cfg_get_result (struct byt_reader *reader)
+{
+  struct cfg_result result = { 0 };
+  uint8_t kind = byt_get_u8 (reader);
+
+  if (kind > CFG_CONFLICT)
+    byt_reject (reader);
+  else
+    result.kind = (enum cfg_result_kind)kind;
+  result.number = byt_get_u64 (reader);
+  return result;
+}
+
+int
+cfg_result_encode (const struct cfg_result *result, uint8_t **out, size_t *len)
+{
+  struct byt_writer writer;
+
+  byt_write_begin (&writer, CFG_RESULT_BYTES);
+  cfg_put_result (&writer, result);
+  return byt_write_end (&writer, out, len);
+}
+
+int
+cfg_result_decode (const uint8_t *data, size_t len, struct cfg_result *result)
+{
+  struct byt_reader reader;
+
+  byt_read_begin (&reader, data, len);
+  *result = cfg_get_result (&reader);
+  return byt_read_end (&reader);
+}
+
+int
+cfg_snapshot (const struct cfg *cfg, uint8_t **out, size_t *len)
+{
+  const struct cfg_state *state = &cfg->state;
+  struct byt_writer writer;
+
+  byt_write_begin (&writer, state->document_len);
+  byt_put_u8 (&writer, CFG_SNAPSHOT_FORMAT);
+  byt_put_u64 (&writer, state->last_term);
+  byt_put_u64 (&writer, state->last_index);
+  byt_put_u64 (&writer, state->version.term);
+  byt_put_u64 (&writer, state->version.index);
+  byt_put_u64 (&writer, state->version.number);
+  byt_put_blob (&writer, state->document, state->document_len);
+  byt_put_u32 (&writer, state->kept_count);
+  lst_each (node, &state->kept)
+    {
+      const struct cfg_kept *kept = lst_entry (node, struct cfg_kept, node);
+
+      byt_put_blob (&writer, kept->change_id, strlen (kept->change_id));
+      cfg_put_result (&writer, &kept->result);
+    }
+  return byt_write_end (&writer, out, len);
+}
+
+/* Reads the kept results; stops at the first malformed one, so that a false
+   count costs no more than the input is long.  */
+static int
+cfg_get_kept (struct byt_reader *reader, struct cfg_state *state)
+{
+  uint32_t count = byt_get_u32 (reader);
+
+  while (state->kept_count < count && !reader->failed)
+    {
+      struct cfg_kept *kept = calloc (1, sizeof *kept);
+
+      if (kept == NULL)
+        return SR_ENOMEM;
+      byt_get_text (reader, kept->change_id, sizeof kept->change_id);
+      kept->result = cfg_get_result (reader);
+      lst_push_tail (&state->kept, &kept->node);
+      state->kept_count++;
+    }
+  return SR_OK;
+}
+
+static int
+cfg_get_state (struct byt_reader *reader, struct cfg_state *state)
+{
+  const uint8_t *document;
+
+  state->last_term = byt_get_u64 (reader);
+  state->last_index = byt_get_u64 (reader);
+  state->version.term = byt_get_u64 (reader);
+  state->version.index = byt_get_u64 (reader);
+  state->version.number = byt_get_u64 (reader);
+  document
+      = byt_get_blob (reader, CFG_DOCUMENT_BYTES_MAX, &state->document_len);
+  if (state->version.index > state->last_index
+      || state->version.term > state->last_term)
+    byt_reject (reader);
+  if (state->version.number == 0 && state->document_len > 0)
+    byt_reject (reader);
+  if (state->version.number == 0)
+    return cfg_get_kept (reader, state);
+  state->document = cfg_copy ((const char *)document, state->document_len);
+  if (state->document == NULL)
+    return SR_ENOMEM;
+  return cfg_get_kept (reader, state);
+}
+
+int
+cfg_restore (struct cfg *cfg, const uint8_t *data, size_t len)
+{
+  struct byt_reader reader;
+  struct cfg_state state;
+  int error;
+
+  byt_read_begin (&reader, data, len);
+  if (byt_get_u8 (&reader) != CFG_SNAPSHOT_FORMAT)
+    return len == 0 ? SR_EMALFORMED : SR_EVERSION;
+  cfg_state_init (&state);
+  error = cfg_get_state (&reader, &state);
+  if (error == SR_OK)
+    error = byt_read_end (&reader);
+  if (error != SR_OK)
+    {
+      cfg_state_fini (&state);
+      return error;
+    }
+  cfg_state_fini (&cfg->state);
+  cfg->state = state;
+  lst_init (&cfg->state.kept);
+  lst_splice_tail (&cfg->state.kept, &state.kept);
+  return SR_OK;
+}
--- a/controllers/cfg.h
+++ b/controllers/cfg.h
@@ -20,13 +20,15 @@
 
 struct cfg_opts
 {
-  uint32_t results_kept; /* change ids whose result is remembered */
+  /* Change ids whose result is remembered, at least 1.  All replicas must
+     use the same number, otherwise their states diverge.  */
+  uint32_t results_kept;
 };
 
 struct cfg_change
 {
   uint64_t base; /* version number that the operator saw; 0 for the first */
-  char change_id[CFG_CHANGE_ID_BYTES];
+  char change_id[CFG_CHANGE_ID_BYTES]; /* not empty */
   const char *document;
   size_t document_len;
 };
@@ -55,18 +57,35 @@
  * @len: length of @data
  * @result: set on success
  *
- * Return: SR_OK (also for a conflict), SR_EMALFORMED, SR_ENOMEM.
+ * Nothing changes unless SR_OK is returned.  After SR_ENOMEM the replica must
+ * not go on to the next entry, as its state would differ from the others.
+ *
+ * Return: SR_OK (also for a conflict), SR_EMALFORMED, SR_EVERSION, SR_ENOMEM,
+ * SR_EINVAL when the entry is not after the last one applied.
  */
 int cfg_apply (struct cfg *cfg, uint64_t term, uint64_t index,
                const uint8_t *data, size_t len, struct cfg_result *result);
 
-/* Version in force; the document is valid until the next change.  */
+/* Version in force, all 0 before the first.  The document is valid until the
+   next change or cfg_restore(), and NULL before the first.  */
 struct mem_version cfg_version (const struct cfg *cfg);
 const char *cfg_document (const struct cfg *cfg, size_t *len);
 
-/* Encoded forms; the buffer is malloc()ed.  */
+/* Encoded change; the buffer is malloc()ed.  Returns SR_OK, SR_ENOMEM,
+   SR_EINVAL for an empty change id or a document that is too long.  */
 int cfg_encode (const struct cfg_change *change, uint8_t **out, size_t *len);
+
+/* Whole state, malloc()ed; equal states give equal bytes.  */
 int cfg_snapshot (const struct cfg *cfg, uint8_t **out, size_t *len);
+
+/* Replaces the state by a snapshot; the state is unchanged unless SR_OK is
+   returned.  Returns SR_OK, SR_EMALFORMED, SR_EVERSION, SR_ENOMEM.  */
 int cfg_restore (struct cfg *cfg, const uint8_t *data, size_t len);
 
+/* Encoded results, as sent from the leader to whoever proposed.  */
+int cfg_result_encode (const struct cfg_result *result, uint8_t **out,
+                       size_t *len);
+int cfg_result_decode (const uint8_t *data, size_t len,
+                       struct cfg_result *result);
+
 #endif
