controllers: a node's view over the replicas

A replica that restarts has an empty table, so its silence about a member counts only after a lease. Replies overtaken by newer ones are ignored by position. Compiled only; tests follow.

--- /dev/null
+++ b/controllers/view.c
@@ -0,0 +1,330 @@
+#include "controllers/view.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/hash.h"
+
+/* A replica, and its bit in viw_member.listed and viw_member.recent.  */
+struct viw_replica
+{
+  struct lst_node node;
+  char address[MEM_ADDRESS_BYTES];
+  uint32_t bit;
+  struct mem_position position; /* epoch 0: to be asked for the whole */
+  uint64_t epoch;               /* last seen, 0 before the first answer */
+  clk_us epoch_since;
+  clk_us answered;
+};
+
+struct viw_member
+{
+  struct hsh_node by_instance;
+  struct lst_node node;
+  uint32_t listed; /* bits of the replicas that list it, or did so before
+                      they restarted and are not yet settled again */
+  uint32_t recent; /* bits of the replicas whose present table lists it */
+  struct mem_record record;
+};
+
+struct viw
+{
+  struct viw_opts opts;
+  uint64_t generation; /* number of the requests for the whole table */
+  struct lst replicas; /* struct viw_replica, longest silent first */
+  uint32_t bits;       /* in use */
+  struct lst members;  /* struct viw_member */
+  struct hsh instances;
+};
+
+struct viw *
+viw_new (const struct viw_opts *opts)
+{
+  struct viw *view = calloc (1, sizeof *view);
+
+  if (view == NULL || hsh_init (&view->instances) != SR_OK)
+    {
+      free (view);
+      return NULL;
+    }
+  view->opts = *opts;
+  lst_init (&view->replicas);
+  lst_init (&view->members);
+  return view;
+}
+
+void
+viw_free (struct viw *view)
+{
+  struct lst_node *node;
+
+  if (view == NULL)
+    return;
+  while ((node = lst_pop_head (&view->members)) != NULL)
+    free (lst_entry (node, struct viw_member, node));
+  while ((node = lst_pop_head (&view->replicas)) != NULL)
+    free (lst_entry (node, struct viw_replica, node));
+  hsh_fini (&view->instances);
+  free (view);
+}
+
+static struct viw_replica *
+viw_find_replica (const struct viw *view, const char *address)
+{
+  lst_each (node, &view->replicas)
+    {
+      struct viw_replica *replica = lst_entry (node, struct viw_replica, node);
+
+      if (strcmp (replica->address, address) == 0)
+        return replica;
+    }
+  return NULL;
+}
+
+static struct viw_member *
+viw_find_member (struct viw *view, const char *instance)
+{
+  uint64_t hash = hsh_text (instance);
+
+  lst_each (node, hsh_bucket (&view->instances, hash))
+    {
+      struct viw_member *member
+          = lst_entry (node, struct viw_member, by_instance.node);
+
+      if (member->by_instance.hash == hash
+          && strcmp (member->record.instance, instance) == 0)
+        return member;
+    }
+  return NULL;
+}
+
+static void
+viw_forget_replica (struct viw *view, struct viw_replica *replica)
+{
+  lst_each (node, &view->members)
+    {
+      struct viw_member *member = lst_entry (node, struct viw_member, node);
+
+      member->listed &= ~replica->bit;
+      member->recent &= ~replica->bit;
+    }
+  view->bits &= ~replica->bit;
+  lst_remove (&replica->node);
+  free (replica);
+}
+
+/* Adds a replica; the one that is silent longest makes room.  */
+static struct viw_replica *
+viw_add_replica (struct viw *view, const char *address)
+{
+  struct viw_replica *replica = calloc (1, sizeof *replica);
+
+  if (replica == NULL)
+    return NULL;
+  if (view->bits == UINT32_MAX)
+    viw_forget_replica (view, lst_entry (lst_first (&view->replicas),
+                                         struct viw_replica, node));
+  replica->bit = ~view->bits & (view->bits + 1);
+  view->bits |= replica->bit;
+  strncpy (replica->address, address, sizeof replica->address - 1);
+  replica->position.change = view->generation;
+  lst_push_tail (&view->replicas, &replica->node);
+  return replica;
+}
+
+struct mem_position
+viw_position (const struct viw *view, const char *replica)
+{
+  const struct viw_replica *known = viw_find_replica (view, replica);
+
+  if (known == NULL)
+    return (struct mem_position){ .change = view->generation };
+  return known->position;
+}
+
+void
+viw_restart (struct viw *view)
+{
+  view->generation++;
+  lst_each (node, &view->replicas)
+    lst_entry (node, struct viw_replica, node)->position
+        = (struct mem_position){ .change = view->generation };
+}
+
+/* Whether REPLY continues what is known of REPLICA.  */
+static bool
+viw_continues (const struct viw_replica *replica,
+               const struct mem_members *reply)
+{
+  const struct mem_position *held = &replica->position;
+  const struct mem_position *since = &reply->since;
+
+  if (reply->status != MEM_OK || reply->position.epoch == 0)
+    return false;
+  if (since->epoch != held->epoch)
+    return false;
+  if (held->epoch == 0)
+    return reply->whole && since->change == held->change;
+  if (reply->position.epoch != held->epoch)
+    return reply->whole;
+  return since->change <= held->change
+         && reply->position.change >= held->change;
+}
+
+/* Takes one listed record; *CHANGED is set when the set of members does.  */
+static int
+viw_list_record (struct viw *view, const struct viw_replica *replica,
+                 const struct mem_record *record, bool *changed)
+{
+  struct viw_member *member = viw_find_member (view, record->instance);
+
+  if (record->state == MEM_GONE)
+    {
+      if (member == NULL)
+        return SR_OK;
+      member->listed &= ~replica->bit;
+      member->recent &= ~replica->bit;
+      return SR_OK;
+    }
+  if (member == NULL)
+    {
+      member = calloc (1, sizeof *member);
+      if (member == NULL)
+        return SR_ENOMEM;
+      member->record = *record;
+      lst_push_tail (&view->members, &member->node);
+      hsh_add (&view->instances, &member->by_instance,
+               hsh_text (record->instance));
+      *changed = true;
+    }
+  else if (mem_compare (record, &member->record) > 0)
+    {
+      member->record = *record;
+      *changed = true;
+    }
+  member->listed |= replica->bit;
+  member->recent |= replica->bit;
+  return SR_OK;
+}
+
+static void
+viw_drop (struct viw *view, struct viw_member *member)
+{
+  lst_remove (&member->node);
+  hsh_remove (&view->instances, &member->by_instance);
+  free (member);
+}
+
+/* Replicas that have answered within the time of a lease; *SETTLED are those
+   whose epoch is known for longer than that.  */
+static uint32_t
+viw_speaking (const struct viw *view, clk_us now, uint32_t *settled)
+{
+  clk_us silent = view->opts.replica_silent;
+  uint32_t speaking = 0;
+
+  *settled = 0;
+  lst_each (node, &view->replicas)
+    {
+      const struct viw_replica *replica
+          = lst_entry (node, struct viw_replica, node);
+
+      if (replica->epoch == 0 || now - replica->answered > silent)
+        continue;
+      speaking |= replica->bit;
+      if (now - replica->epoch_since > silent)
+        *settled |= replica->bit;
+    }
+  return speaking;
+}
+
+/* Drops members that no speaking replica lists, if one of the speaking ones
+   is settled; returns whether there were any.  */
+static bool
+viw_sweep (struct viw *view, clk_us now)
+{
+  uint32_t settled;
+  uint32_t speaking = viw_speaking (view, now, &settled);
+  bool dropped = false;
+
+  lst_each (node, &view->members)
+    {
+      struct viw_member *member = lst_entry (node, struct viw_member, node);
+
+      member->listed &= member->recent | ~settled;
+      if (settled == 0 || (member->listed & speaking) != 0)
+        continue;
+      viw_drop (view, member);
+      dropped = true;
+    }
+  return dropped;
+}
+
+/* Takes the items of a reply that continues what is known.  */
+static int
+viw_take_items (struct viw *view, struct viw_replica *replica,
+                const struct mem_members *reply, bool *changed)
+{
+  if (reply->whole)
+    lst_each (node, &view->members)
+      lst_entry (node, struct viw_member, node)->recent &= ~replica->bit;
+  lst_each (node, &reply->items)
+    {
+      const struct mem_item *item = lst_entry (node, struct mem_item, node);
+      int error = viw_list_record (view, replica, &item->record, changed);
+
+      if (error != SR_OK)
+        return error;
+    }
+  return SR_OK;
+}
+
+int
+viw_take (struct viw *view, const char *address,
+          const struct mem_members *reply, clk_us now)
+{
+  struct viw_replica *replica = viw_find_replica (view, address);
+  bool changed = false;
+  bool dropped;
+  int error;
+
+  if (replica == NULL)
+    replica = viw_add_replica (view, address);
+  if (replica == NULL)
+    return SR_ENOMEM;
+  if (!viw_continues (replica, reply))
+    return 0;
+  error = viw_take_items (view, replica, reply, &changed);
+  if (error != SR_OK)
+    return error;
+  if (reply->position.epoch != replica->epoch)
+    {
+      replica->epoch = reply->position.epoch;
+      replica->epoch_since = now;
+    }
+  replica->position = reply->position;
+  replica->answered = now;
+  lst_remove (&replica->node);
+  lst_push_tail (&view->replicas, &replica->node);
+  dropped = viw_sweep (view, now);
+  return changed || dropped;
+}
+
+uint32_t
+viw_list (const struct viw *view, const char *service, struct lst *out)
+{
+  uint32_t count = 0;
+
+  lst_each (node, &view->members)
+    {
+      const struct mem_record *record
+          = &lst_entry (node, struct viw_member, node)->record;
+
+      if (service != NULL && strcmp (record->service, service) != 0)
+        continue;
+      if (mem_add_item (out, record) == SR_OK)
+        count++;
+    }
+  return count;
+}
--- a/controllers/view.h
+++ b/controllers/view.h
@@ -6,17 +6,22 @@
  *
  * For an instance the newest (incarnation, sequence) wins.  A record is
  * dropped when every replica that has answered within the lease no longer
- * lists it; silence of replicas drops nothing.
+ * lists it; silence of replicas drops nothing.  A replica that has restarted
+ * has an empty table at first, so what it does not list counts only once its
+ * new epoch is known for the time of a lease.
  */
 
 #include "core/clk.h"
 #include "core/member.h"
 
+#define VIW_REPLICAS_MAX 32u
+
 struct viw;
 
 struct viw_opts
 {
-  clk_us replica_silent; /* a replica silent for longer has no say */
+  clk_us replica_silent; /* a replica silent for longer has no say; the time
+                            of a lease */
 };
 
 struct viw *viw_new (const struct viw_opts *opts);
@@ -26,10 +31,13 @@
  * viw_take() - take a reply of a replica
  * @view: view
  * @replica: its address
- * @reply: reply to a renewal
+ * @reply: reply to a renewal; one that was overtaken by a newer one, or was
+ *	asked for before viw_restart(), changes nothing
  * @now: time
  *
- * Return: 1 when the set of members changed, 0 when not, negative on error.
+ * Return: 1 when the set of members changed, 0 when not, SR_ENOMEM; after
+ * SR_ENOMEM the position is unchanged, so that the next reply repeats what is
+ * missing.
  */
 int viw_take (struct viw *view, const char *replica,
               const struct mem_members *reply, clk_us now);
@@ -37,6 +45,10 @@
 /* Position to put into the next renewal to REPLICA.  */
 struct mem_position viw_position (const struct viw *view, const char *replica);
 
+/* Asks every replica for its whole table again.  To be called before the
+   first renewal with more wanted services.  */
+void viw_restart (struct viw *view);
+
 /* Appends copies of the members of SERVICE (all when NULL) to OUT as struct
    mem_item and returns their number.  */
 uint32_t viw_list (const struct viw *view, const char *service,
