--- a/core/bytes.c
+++ b/core/bytes.c
@@ -29,9 +29,11 @@
     {
       room = len > room ? room + len : room * 2;
       grown = realloc (writer->data, room);
-      writer->failed = grown == NULL;
-      if (writer->failed)
-        return NULL;
+      if (grown == NULL)
+        {
+          writer->failed = true;
+          return NULL;
+        }
       writer->data = grown;
       writer->room = room;
     }
