--- /dev/null
+++ b/tests/test_bytes.c
@@ -0,0 +1,165 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/bytes.h"
+#include "core/hash.h"
+#include "core/rng.h"
+#include "sycamorerudder.h"
+#include "tests/suite.h"
+
+#define TEXT_ROOM 8
+
+/* Reads what write_sample() wrote; returns what byt_read_end() says.  */
+static int
+read_sample (const uint8_t *data, size_t len)
+{
+  struct byt_reader reader;
+  uint8_t raw[3];
+  char text[TEXT_ROOM];
+  const uint8_t *blob;
+  size_t blob_len;
+
+  byt_read_begin (&reader, data, len);
+  CU_ASSERT_TRUE (byt_get_u8 (&reader) == 0xab || reader.failed);
+  CU_ASSERT_TRUE (byt_get_u32 (&reader) == 0x12345678u || reader.failed);
+  CU_ASSERT_TRUE (byt_get_u64 (&reader) == UINT64_MAX - 1 || reader.failed);
+  byt_get_raw (&reader, raw, sizeof raw);
+  CU_ASSERT_TRUE (memcmp (raw, "raw", 3) == 0 || reader.failed);
+  byt_get_text (&reader, text, sizeof text);
+  CU_ASSERT_TRUE (strcmp (text, "seven77") == 0 || reader.failed);
+  blob = byt_get_blob (&reader, 200, &blob_len);
+  CU_ASSERT_PTR_NOT_NULL (blob);
+  CU_ASSERT_TRUE (blob_len == 200 || reader.failed);
+  return byt_read_end (&reader);
+}
+
+static void
+write_sample (uint8_t **out, size_t *len)
+{
+  struct byt_writer writer;
+  uint8_t blob[200] = { 7 };
+
+  byt_write_begin (&writer, 0);
+  byt_put_u8 (&writer, 0xab);
+  byt_put_u32 (&writer, 0x12345678u);
+  byt_put_u64 (&writer, UINT64_MAX - 1);
+  byt_put_raw (&writer, "raw", 3);
+  byt_put_blob (&writer, "seven77", 7);
+  byt_put_blob (&writer, blob, sizeof blob);
+  CU_ASSERT_EQUAL (byt_write_end (&writer, out, len), SR_OK);
+}
+
+/* Guards against values that change on the way, a reader that goes past the
+   end of truncated input, and bytes that are left over unnoticed.  */
+static void
+test_round_trip_and_truncation (void)
+{
+  uint8_t *data;
+  size_t len;
+
+  write_sample (&data, &len);
+  CU_ASSERT_EQUAL (read_sample (data, len), SR_OK);
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      /* An exact copy, so that the sanitizer sees a read past its end.  */
+      uint8_t *copy = malloc (cut + 1);
+
+      memcpy (copy + 1, data, cut);
+      CU_ASSERT_EQUAL (read_sample (copy + 1, cut), SR_EMALFORMED);
+      free (copy);
+    }
+  data = realloc (data, len + 1);
+  data[len] = 0;
+  CU_ASSERT_EQUAL (read_sample (data, len + 1), SR_EMALFORMED);
+  free (data);
+}
+
+/* Guards against a text that overflows its buffer, is empty or ends early. */
+static void
+test_text_limits (void)
+{
+  static const struct
+  {
+    const char *text;
+    uint8_t len;
+    int expected;
+  } rows[] = { { "seven77", 7, SR_OK },
+               { "eight888", 8, SR_EMALFORMED },
+               { "", 0, SR_EMALFORMED },
+               { "a\0b", 3, SR_EMALFORMED } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      uint8_t data[16] = { rows[i].len };
+      struct byt_reader reader;
+      char text[TEXT_ROOM];
+
+      memcpy (data + 4, rows[i].text, rows[i].len);
+      byt_read_begin (&reader, data, 4u + rows[i].len);
+      byt_get_text (&reader, text, sizeof text);
+      CU_ASSERT_EQUAL (byt_read_end (&reader), rows[i].expected);
+    }
+}
+
+struct item
+{
+  struct hsh_node node;
+  bool added;
+};
+
+static bool
+table_has (struct hsh *table, const struct item *item, uint64_t hash)
+{
+  lst_each (node, hsh_bucket (table, hash))
+    if (lst_entry (node, struct item, node.node) == item)
+      return true;
+  return false;
+}
+
+/* Guards against items that are lost or found twice while a table doubles. */
+static void
+test_hash_doubling (void)
+{
+  enum
+  {
+    ITEMS = 3000
+  };
+  struct item *items = calloc (ITEMS, sizeof *items);
+  struct hsh table;
+  struct rng rng;
+  size_t count = 0;
+
+  rng_seed (&rng, 7);
+  CU_ASSERT_EQUAL (hsh_init (&table), SR_OK);
+  for (int step = 0; step < 4 * ITEMS; step++)
+    {
+      uint32_t i = rng_below (&rng, ITEMS);
+      uint64_t hash = hsh_bytes (&i, sizeof i);
+
+      CU_ASSERT_EQUAL_FATAL (table_has (&table, &items[i], hash),
+                             items[i].added);
+      if (!items[i].added)
+        hsh_add (&table, &items[i].node, hash);
+      else if (rng_below (&rng, 4) == 0)
+        hsh_remove (&table, &items[i].node);
+      else
+        continue;
+      items[i].added = !items[i].added;
+      count += items[i].added ? 1 : (size_t)-1;
+      CU_ASSERT_EQUAL (table.items, count);
+    }
+  hsh_fini (&table);
+  free (items);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "round trip and truncation", test_round_trip_and_truncation },
+          { "text limits", test_text_limits },
+          { "hash doubling", test_hash_doubling },
+          { NULL, NULL } };
+
+  return suite_run ("bytes", tests);
+}
