--- /dev/null
+++ b/tests/test_clm.c
@@ -0,0 +1,432 @@
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "controllers/clm.h"
+#include "core/clk.h"
+#include "core/rng.h"
+#include "sycamorerudder.h"
+#include "tests/suite.h"
+
+#define HOUR_MS (60u * 60 * 1000)
+#define KEEP_MS ((uint64_t)2 * HOUR_MS)
+
+static struct clm *
+new_clm (uint32_t keys_max, uint64_t bytes_max)
+{
+  return clm_new (&(struct clm_opts){
+      .keep_ms = KEEP_MS, .keys_max = keys_max, .bytes_max = bytes_max });
+}
+
+/* A command on key number KEY by attempt number ATTEMPT.  */
+static struct clm_command
+command (enum clm_op op, uint32_t key, uint32_t attempt)
+{
+  struct clm_command command = { .op = op, .run_ms = 1000 };
+
+  memcpy (command.key, &key, sizeof key);
+  memcpy (command.attempt, &attempt, sizeof attempt);
+  return command;
+}
+
+/* Applies COMMAND at NOW; the result has gone through its encoded form, and
+   its answer is valid until the next call.  */
+static struct clm_result
+apply (struct clm *clm, uint64_t now, const struct clm_command *command)
+{
+  static uint8_t *kept;
+  struct clm_result result = { 0 };
+  uint8_t *data;
+  size_t len;
+
+  CU_ASSERT_EQUAL_FATAL (clm_encode (command, &data, &len), SR_OK);
+  CU_ASSERT_EQUAL (clm_apply (clm, now, data, len, &result), SR_OK);
+  free (data);
+  free (kept);
+  CU_ASSERT_EQUAL (clm_result_encode (&result, &kept, &len), SR_OK);
+  CU_ASSERT_EQUAL (clm_result_decode (kept, len - 1, &result), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (clm_result_decode (kept, len, &result), SR_OK);
+  return result;
+}
+
+static enum clm_result_kind
+kind (struct clm *clm, uint64_t now, enum clm_op op, uint32_t key,
+      uint32_t attempt)
+{
+  struct clm_command c = command (op, key, attempt);
+
+  c.answer = (const uint8_t *)"answer";
+  c.answer_len = 6;
+  return apply (clm, now, &c).kind;
+}
+
+/* Guards against a second run of a request: by another attempt, after the
+   deadline, after an outcome, or by a release that proves nothing.  */
+static void
+test_life_of_a_claim (void)
+{
+  struct clm *clm = new_clm (10, 1000);
+  struct clm_command other_body = command (CLM_CLAIM, 1, 1);
+  struct clm_command again = command (CLM_CLAIM, 1, 2);
+  struct clm_result result;
+
+  other_body.body_hash = 9;
+  CU_ASSERT_EQUAL (kind (clm, 1000, CLM_CLAIM, 1, 1), CLM_GRANTED);
+  CU_ASSERT_EQUAL (kind (clm, 1500, CLM_CLAIM, 1, 1), CLM_GRANTED);
+  CU_ASSERT_EQUAL (kind (clm, 1999, CLM_CLAIM, 1, 2), CLM_IN_PROGRESS);
+  CU_ASSERT_EQUAL (kind (clm, 1999, CLM_RELEASE, 1, 2), CLM_NOT_HELD);
+  CU_ASSERT_EQUAL (kind (clm, 1999, CLM_OUTCOME, 1, 2), CLM_NOT_HELD);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_CLAIM, 1, 2), CLM_UNKNOWN);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_CLAIM, 1, 1), CLM_UNKNOWN);
+  CU_ASSERT_EQUAL (kind (clm, 500, CLM_CLAIM, 1, 2), CLM_UNKNOWN);
+  CU_ASSERT_EQUAL (apply (clm, 2000, &other_body).kind, CLM_MISMATCH);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_OUTCOME, 1, 1), CLM_RECORDED);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_OUTCOME, 1, 1), CLM_RECORDED);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_RELEASE, 1, 1), CLM_NOT_HELD);
+  result = apply (clm, 2000, &again);
+  CU_ASSERT_EQUAL (result.kind, CLM_DONE);
+  CU_ASSERT_FALSE (result.without_answer);
+  CU_ASSERT (result.answer_len == 6
+             && memcmp (result.answer, "answer", 6) == 0);
+
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_CLAIM, 2, 1), CLM_GRANTED);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_RELEASE, 2, 1), CLM_RELEASED);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_OUTCOME, 2, 1), CLM_NOT_HELD);
+  CU_ASSERT_EQUAL (kind (clm, 2000, CLM_CLAIM, 2, 2), CLM_GRANTED);
+  clm_free (clm);
+}
+
+/* Guards against a full store that forgets keys or answers to make room.  */
+static void
+test_full (void)
+{
+  struct clm *clm = new_clm (3, 10);
+  struct clm_command c = command (CLM_CLAIM, 1, 1);
+  struct clm_result result;
+
+  c.answer_reserve = 6;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_GRANTED);
+  c = command (CLM_CLAIM, 2, 1);
+  c.answer_reserve = 5;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_FULL);
+  c.answer_reserve = 3;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_GRANTED);
+  /* Five bytes do not fit besides the six reserved for key 1.  */
+  c = command (CLM_OUTCOME, 2, 1);
+  c.answer = (const uint8_t *)"12345";
+  c.answer_len = 5;
+  result = apply (clm, 0, &c);
+  CU_ASSERT (result.kind == CLM_RECORDED && result.without_answer);
+  c = command (CLM_CLAIM, 2, 2);
+  result = apply (clm, 0, &c);
+  CU_ASSERT (result.kind == CLM_DONE && result.without_answer);
+  CU_ASSERT_EQUAL (kind (clm, 0, CLM_OUTCOME, 1, 1), CLM_RECORDED);
+  CU_ASSERT_EQUAL (clm_bytes (clm), 6);
+  CU_ASSERT_EQUAL (kind (clm, 0, CLM_CLAIM, 3, 1), CLM_GRANTED);
+  CU_ASSERT_EQUAL (kind (clm, 0, CLM_CLAIM, 4, 1), CLM_FULL);
+  CU_ASSERT_EQUAL (kind (clm, KEEP_MS - 1, CLM_CLAIM, 4, 1), CLM_FULL);
+  CU_ASSERT_EQUAL (kind (clm, KEEP_MS, CLM_CLAIM, 4, 1), CLM_GRANTED);
+  CU_ASSERT_EQUAL (clm_keys (clm), 1);
+  clm_free (clm);
+}
+
+/* Guards against truncated input being taken or changing the state.  */
+static void
+test_truncated (void)
+{
+  struct clm *clm = new_clm (10, 1000);
+  struct clm_command c = command (CLM_OUTCOME, 1, 1);
+  struct clm_result result;
+  uint8_t *data;
+  size_t len;
+
+  c.answer = (const uint8_t *)"answer";
+  c.answer_len = 6;
+  for (int op = CLM_CLAIM; op <= CLM_OUTCOME; op++)
+    {
+      c.op = (enum clm_op)op;
+      CU_ASSERT_EQUAL (clm_encode (&c, &data, &len), SR_OK);
+      for (size_t cut = 0; cut < len; cut++)
+        CU_ASSERT_EQUAL (clm_apply (clm, 1, data, cut, &result),
+                         SR_EMALFORMED);
+      free (data);
+    }
+  CU_ASSERT_EQUAL (clm_keys (clm), 0);
+  kind (clm, 1, CLM_CLAIM, 1, 1);
+  kind (clm, 1, CLM_OUTCOME, 1, 1);
+  kind (clm, 1, CLM_CLAIM, 2, 1);
+  CU_ASSERT_EQUAL (clm_snapshot (clm, &data, &len), SR_OK);
+  for (size_t cut = 0; cut < len; cut++)
+    CU_ASSERT_EQUAL (clm_restore (clm, data, cut), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (clm_keys (clm), 2);
+  free (data);
+  clm_free (clm);
+}
+
+/* The reference model: an array of keys, searched in full.  */
+enum
+{
+  KEYS = 24,
+  KEYS_MAX = 20,
+  BYTES_MAX = 200,
+  STEPS = 3000
+};
+
+struct model_key
+{
+  bool used;
+  bool done;
+  bool without_answer;
+  uint32_t attempt;
+  uint64_t body;
+  uint64_t claimed;
+  uint64_t run;
+  uint64_t keep;
+  uint32_t bytes;      /* recorded or reserved */
+  uint32_t granted_to; /* 0: nobody since the last release */
+};
+
+struct model
+{
+  struct model_key keys[KEYS];
+  uint64_t now;
+};
+
+static void
+model_expire (struct model *model, uint64_t stamp)
+{
+  model->now = stamp > model->now ? stamp : model->now;
+  for (int i = 0; i < KEYS; i++)
+    if (model->keys[i].used
+        && model->now - model->keys[i].claimed >= model->keys[i].keep)
+      model->keys[i] = (struct model_key){ 0 };
+}
+
+static uint32_t
+model_bytes (const struct model *model, uint32_t *used)
+{
+  uint32_t bytes = 0;
+
+  *used = 0;
+  for (int i = 0; i < KEYS; i++)
+    {
+      bytes += model->keys[i].bytes;
+      *used += model->keys[i].used;
+    }
+  return bytes;
+}
+
+static enum clm_result_kind
+model_claim (struct model *model, struct model_key *key, uint32_t attempt,
+             const struct clm_command *c)
+{
+  uint32_t used;
+  uint32_t bytes = model_bytes (model, &used);
+
+  if (key->used && key->body != c->body_hash)
+    return CLM_MISMATCH;
+  if (key->used && key->done)
+    return CLM_DONE;
+  if (key->used && model->now >= key->claimed + key->run)
+    return CLM_UNKNOWN;
+  if (key->used)
+    return key->attempt == attempt ? CLM_GRANTED : CLM_IN_PROGRESS;
+  if (used == KEYS_MAX || bytes == BYTES_MAX
+      || bytes + c->answer_reserve > BYTES_MAX)
+    return CLM_FULL;
+  key->used = true;
+  key->attempt = attempt;
+  key->body = c->body_hash;
+  key->claimed = model->now;
+  key->run = c->run_ms;
+  key->keep = c->keep_hours > 0 ? c->keep_hours * HOUR_MS : KEEP_MS;
+  key->bytes = c->answer_reserve;
+  return CLM_GRANTED;
+}
+
+static enum clm_result_kind
+model_apply (struct model *model, uint32_t n, uint32_t attempt,
+             const struct clm_command *c)
+{
+  struct model_key *key = &model->keys[n];
+  uint32_t used;
+
+  if (c->op == CLM_CLAIM)
+    return model_claim (model, key, attempt, c);
+  if (!key->used || key->attempt != attempt)
+    return CLM_NOT_HELD;
+  if (c->op == CLM_RELEASE)
+    {
+      if (key->done)
+        return CLM_NOT_HELD;
+      *key = (struct model_key){ 0 };
+      return CLM_RELEASED;
+    }
+  if (!key->done)
+    {
+      key->bytes = 0;
+      key->without_answer
+          = model_bytes (model, &used) + c->answer_len > BYTES_MAX;
+      key->bytes = key->without_answer ? 0 : (uint32_t)c->answer_len;
+    }
+  key->done = true;
+  return CLM_RECORDED;
+}
+
+/* Moves the state of *CLM to a new state machine by a snapshot, and checks
+   that the copy gives the same snapshot.  */
+static void
+replace_by_snapshot (struct clm **clm)
+{
+  struct clm *copy = new_clm (KEYS_MAX, BYTES_MAX);
+  uint8_t *data[2];
+  size_t len[2];
+
+  CU_ASSERT_EQUAL (clm_snapshot (*clm, &data[0], &len[0]), SR_OK);
+  CU_ASSERT_EQUAL_FATAL (clm_restore (copy, data[0], len[0]), SR_OK);
+  CU_ASSERT_EQUAL (clm_snapshot (copy, &data[1], &len[1]), SR_OK);
+  CU_ASSERT (len[0] == len[1] && memcmp (data[0], data[1], len[0]) == 0);
+  free (data[0]);
+  free (data[1]);
+  clm_free (*clm);
+  *clm = copy;
+}
+
+static struct clm_command
+random_command (struct rng *rng, uint32_t n, uint32_t attempt)
+{
+  static const uint8_t answer[60];
+  enum clm_op op = (enum clm_op)rng_below (rng, 3);
+  struct clm_command c = command (op, n, attempt);
+
+  if (op == CLM_CLAIM)
+    {
+      c.body_hash = rng_below (rng, 12) == 0;
+      c.run_ms = rng_below (rng, 40) * 60 * 1000;
+      c.keep_hours = rng_below (rng, 4);
+      c.answer_reserve = rng_below (rng, 40);
+    }
+  c.answer = answer;
+  c.answer_len = op == CLM_OUTCOME ? rng_below (rng, sizeof answer) : 0;
+  return c;
+}
+
+/* Guards against a key that is granted to two attempts without a release in
+   between, over resends, releases, expiry and restarts, and against any other
+   difference from the model.  */
+static void
+run_random (uint64_t seed)
+{
+  struct clm *clm = new_clm (KEYS_MAX, BYTES_MAX);
+  struct model model = { .now = 0 };
+  struct rng rng;
+  uint64_t clock = 1;
+
+  rng_seed (&rng, seed);
+  for (int step = 0; step < STEPS; step++)
+    {
+      uint32_t n = rng_below (&rng, KEYS);
+      uint32_t attempt = 1 + rng_below (&rng, 3);
+      struct clm_command c = random_command (&rng, n, attempt);
+      struct model_key *key = &model.keys[n];
+      uint32_t used;
+      struct clm_result result;
+
+      /* A new leader's clock may be behind by some minutes.  */
+      clock += rng_below (&rng, 2 * 60 * 1000);
+      clock -= rng_below (&rng, 50) == 0 && clock > HOUR_MS ? HOUR_MS / 20 : 0;
+      model_expire (&model, clock);
+      result = apply (clm, clock, &c);
+      if (result.kind == CLM_GRANTED)
+        {
+          CU_ASSERT (key->granted_to == 0 || key->granted_to == attempt);
+          key->granted_to = attempt;
+        }
+      CU_ASSERT_EQUAL (result.kind, model_apply (&model, n, attempt, &c));
+      CU_ASSERT_EQUAL (result.without_answer,
+                       (result.kind == CLM_DONE || result.kind == CLM_RECORDED)
+                           && key->without_answer);
+      if (result.kind == CLM_DONE)
+        CU_ASSERT_EQUAL (result.answer_len, key->bytes);
+      CU_ASSERT_EQUAL (clm_bytes (clm), model_bytes (&model, &used));
+      CU_ASSERT_EQUAL (clm_keys (clm), used);
+      if (rng_below (&rng, 40) == 0)
+        replace_by_snapshot (&clm);
+    }
+  clm_free (clm);
+}
+
+static void
+test_random (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    run_random (seed);
+}
+
+/* Prints memory and time for COUNT keys with answers of 200 bytes.  */
+static void
+measure (uint32_t count)
+{
+  struct clm *clm = new_clm (count, UINT64_MAX / 2);
+  size_t before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
+  uint8_t answer[200] = { 0 };
+  clk_us start = clk_now ();
+  clk_us longest = 0;
+  size_t bytes;
+  uint8_t *data;
+  size_t len;
+
+  for (uint32_t i = 0; i < 2 * count; i++)
+    {
+      struct clm_command c
+          = command (i < count ? CLM_CLAIM : CLM_OUTCOME, i % count, 1);
+      clk_us begin;
+
+      c.answer = answer;
+      c.answer_len = i < count ? 0 : sizeof answer;
+      begin = clk_now ();
+      if (i == count)
+        {
+          bytes = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
+          printf ("keys=%u bytes_per_key=%zu claim_mean_ns=%.0f ", count,
+                  bytes / count,
+                  1000.0 * (double)(begin - start) / (double)count);
+        }
+      apply (clm, 1, &c);
+      if (clk_now () - begin > longest)
+        longest = clk_now () - begin;
+    }
+  bytes = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
+  printf ("bytes_per_key_with_200_byte_answer=%zu longest_us=%lu ",
+          bytes / count, (unsigned long)longest);
+  start = clk_now ();
+  clm_snapshot (clm, &data, &len);
+  printf ("snapshot_bytes=%zu snapshot_ms=%.1f ", len,
+          (double)(clk_now () - start) / 1000);
+  start = clk_now ();
+  clm_restore (clm, data, len);
+  printf ("restore_ms=%.1f\n", (double)(clk_now () - start) / 1000);
+  free (data);
+  clm_free (clm);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct suite_test tests[]
+      = { { "life of a claim", test_life_of_a_claim },
+          { "full", test_full },
+          { "truncated", test_truncated },
+          { "random against a model", test_random },
+          { NULL, NULL } };
+
+  if (argc > 1 && strcmp (argv[1], "measure") == 0)
+    {
+      CU_initialize_registry ();
+      for (uint32_t count = 10000; count <= 1000000; count *= 10)
+        measure (count);
+      return 0;
+    }
+  return suite_run ("clm", tests);
+}
