--- a/tests/test_clm.c
+++ b/tests/test_clm.c
@@ -364,49 +364,70 @@
     run_random (seed);
 }
 
-/* Prints memory and time for COUNT keys with answers of 200 bytes.  */
+static size_t
+allocated (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+
+  return info.uordblks + info.hblkhd;
+}
+
+/* Applies OP to COUNT keys; prints the mean and longest time of one.  */
 static void
-measure (uint32_t count)
+measure_op (struct clm *clm, enum clm_op op, uint32_t count)
 {
-  struct clm *clm = new_clm (count, UINT64_MAX / 2);
-  size_t before = mallinfo2 ().uordblks + mallinfo2 ().hblkhd;
-  uint8_t answer[200] = { 0 };
+  static const uint8_t answer[200];
   clk_us start = clk_now ();
+  clk_us last = start;
   clk_us longest = 0;
-  size_t bytes;
-  uint8_t *data;
-  size_t len;
 
-  for (uint32_t i = 0; i < 2 * count; i++)
+  for (uint32_t i = 0; i < count; i++)
     {
-      struct clm_command c
-          = command (i < count ? CLM_CLAIM : CLM_OUTCOME, i % count, 1);
-      clk_us begin;
+      struct clm_command c = command (op, i, 1);
+      struct clm_result result;
+      uint8_t *data;
+      size_t len;
+      clk_us now;
 
       c.answer = answer;
-      c.answer_len = i < count ? 0 : sizeof answer;
-      begin = clk_now ();
-      if (i == count)
-        {
-          bytes = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
-          printf ("keys=%u bytes_per_key=%zu claim_mean_ns=%.0f ", count,
-                  bytes / count,
-                  1000.0 * (double)(begin - start) / (double)count);
-        }
-      apply (clm, 1, &c);
-      if (clk_now () - begin > longest)
-        longest = clk_now () - begin;
+      c.answer_len = op == CLM_OUTCOME ? sizeof answer : 0;
+      if (clm_encode (&c, &data, &len) != SR_OK
+          || clm_apply (clm, 1, data, len, &result) != SR_OK)
+        abort ();
+      free (data);
+      now = clk_now ();
+      longest = now - last > longest ? now - last : longest;
+      last = now;
     }
-  bytes = mallinfo2 ().uordblks + mallinfo2 ().hblkhd - before;
-  printf ("bytes_per_key_with_200_byte_answer=%zu longest_us=%lu ",
-          bytes / count, (unsigned long)longest);
+  printf (" mean_ns=%.0f longest_us=%u",
+          1000.0 * (double)(last - start) / count, (unsigned)longest);
+}
+
+/* Prints memory and times for COUNT keys with answers of 200 bytes.  */
+static void
+measure (uint32_t count)
+{
+  struct clm *clm = new_clm (count, UINT64_MAX / 2);
+  size_t before = allocated ();
+  clk_us start;
+  uint8_t *data;
+  size_t len;
+
+  printf ("keys=%u claim:", count);
+  measure_op (clm, CLM_CLAIM, count);
+  printf (" bytes_per_key=%zu outcome:", (allocated () - before) / count);
+  measure_op (clm, CLM_OUTCOME, count);
+  printf (" bytes_per_key=%zu", (allocated () - before) / count);
   start = clk_now ();
-  clm_snapshot (clm, &data, &len);
-  printf ("snapshot_bytes=%zu snapshot_ms=%.1f ", len,
-          (double)(clk_now () - start) / 1000);
+  if (clm_snapshot (clm, &data, &len) != SR_OK)
+    abort ();
+  printf (" snapshot: bytes_per_key=%zu ms=%u", len / count,
+          (unsigned)((clk_now () - start) / CLK_US_PER_MS));
   start = clk_now ();
-  clm_restore (clm, data, len);
-  printf ("restore_ms=%.1f\n", (double)(clk_now () - start) / 1000);
+  if (clm_restore (clm, data, len) != SR_OK)
+    abort ();
+  printf (" restore: ms=%u\n",
+          (unsigned)((clk_now () - start) / CLK_US_PER_MS));
   free (data);
   clm_free (clm);
 }
@@ -423,7 +444,6 @@
 
   if (argc > 1 && strcmp (argv[1], "measure") == 0)
     {
-      CU_initialize_registry ();
       for (uint32_t count = 10000; count <= 1000000; count *= 10)
         measure (count);
       return 0;
