controllers: admission, retry, choice and quarantine

Cause: the request path needs decisions to link against. Change: adm with wtq (waiting tickets), whl (timing wheel) and lim (limit), rty, chs with spd (speed of a server), qrt; header changes: adm_ticket has the members expiry and reason, adm_opts has policies whose zero value is the default, chs_server has speed[] in place of latency_us and answers, new calls chs_watch(), chs_unwatch(), chs_weight() and rty_table_count(), qrt_clear() takes the time.

--- a/controllers/adm.h
+++ b/controllers/adm.h
@@ -5,7 +5,7 @@
  * DOC: adm - admission at the node beside the backend server
  *
  * Decides which requests hold the server's slots.  The concurrency limit
- * follows observed latency between ADM_LIMIT_MIN and the declared slots.
+ * follows observed latency (lim.h); the declared slots are its upper bound.
  * Waiting requests are ordered by importance, then age; under overload the
  * newest of an importance comes first.  Long requests hold at most a declared
  * share of the limit.  Tickets are embedded in the request and owned by the
@@ -15,6 +15,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "controllers/lim.h"
+#include "controllers/whl.h"
 #include "core/clk.h"
 #include "core/list.h"
 #include "core/model.h"
@@ -22,11 +24,31 @@
 
 struct adm;
 
+/* Order of waiting requests of one importance.  */
+enum adm_order
+{
+  ADM_ORDER_ADAPTIVE, /* oldest first, newest first under overload */
+  ADM_ORDER_FIFO,     /* to compare in the benchmark, like the next */
+  ADM_ORDER_LIFO,
+};
+
+/* Which waiting request of the least importance a full queue drops.  */
+enum adm_evict
+{
+  ADM_EVICT_LAST,   /* the one that would be served last */
+  ADM_EVICT_NEWEST, /* to compare in the benchmark, like the next */
+  ADM_EVICT_OLDEST,
+};
+
+/* The zero value of each policy is the one that is used in production.  */
 struct adm_opts
 {
   uint32_t slots;              /* concurrent requests of the server */
   uint32_t queue;              /* most waiting requests */
   uint32_t long_slots_percent; /* share of the limit for long requests */
+  enum lim_way limit;
+  enum adm_order order;
+  enum adm_evict evict;
 };
 
 enum adm_state
@@ -36,14 +58,17 @@
   ADM_RUNNING,
 };
 
+/* Must be zero when it is submitted, but for what the caller sets.  */
 struct adm_ticket
 {
   struct lst_node node;
+  struct whl_timer expiry;
   enum adm_state state;
+  enum rsn_refusal reason; /* refused and not yet reported by adm_next() */
   uint8_t importance;
   enum mdl_cost cost;
-  uint32_t kind; /* index of the kind, to learn the cost of each */
-  clk_us arrived;
+  uint32_t kind;  /* index of the kind, to learn the cost of each */
+  clk_us arrived; /* not after the time of the submit */
   clk_us started;
   clk_us deadline; /* absolute */
 };
@@ -116,7 +141,8 @@
 
 struct adm_level adm_level (const struct adm *adm, clk_us now);
 
-/* Time at which adm_next() has to be called again, 0 when never.  */
+/* Time at which adm_next() has to be called again, 0 when never.  It may be
+   in the past, and there may be nothing to report then.  */
 clk_us adm_wakeup (const struct adm *adm);
 
 uint32_t adm_running (const struct adm *adm);
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -31,6 +31,23 @@
   char failure_domain[MDL_NAME_BYTES]; /* own; used for equal choices */
 };
 
+/* Short and long work are measured apart.  */
+#define CHS_COSTS 2
+
+/* How fast a server answers requests of one cost.  The time that unanswered
+   requests have spent counts as well: the average is that of the time spent
+   by all of them from one answer to the next, which for a steady load equals
+   the latency (Little's law) and shows slowness before slow answers come.  */
+struct chs_speed
+{
+  double average_us;   /* moving average; 0 before the first answer */
+  uint32_t answers;    /* since the average began */
+  uint32_t unanswered; /* attempts that are watched now */
+  double spent_us;     /* by watched attempts since the last answer */
+  clk_us counted_at;   /* SPENT_US holds the time up to here */
+  bool watched;        /* chs_watch() is in use for this server */
+};
+
 struct chs_server
 {
   struct lst_node node;
@@ -47,12 +64,22 @@
   struct adm_level level;
   clk_us level_at;
   clk_us joined;
-  double latency_us; /* moving average; 0 before the first answer */
-  uint32_t answers;
+  struct chs_speed speed[CHS_COSTS];
+  double failures; /* moving share of attempts that the server failed */
   bool ejected;
   clk_us ejected_at;
-  clk_us probe_at;
-  double weight; /* 0 … 1 while ramping */
+  clk_us probe_at;      /* earliest time of the next probe */
+  uint32_t probe_picks; /* picks of the service until the next probe */
+  uint32_t probes_good; /* in a row, while ejected */
+  clk_us ramp_from;     /* start of a cold start or a reinstatement */
+  clk_us ramp;          /* its length */
+};
+
+/* An attempt that waits for its first byte; embedded in the attempt.  */
+struct chs_watch
+{
+  struct chs_server *server; /* NULL when not watched */
+  enum mdl_cost cost;
 };
 
 /* How an attempt ended, as far as the choice of server is concerned.  */
@@ -104,6 +131,15 @@
 /* An attempt at SERVER begins; pairs with one chs_done().  */
 void chs_start (struct chs *chs, struct chs_server *server, clk_us now);
 
+/* Counts the attempt as unanswered from now on.  To be called with
+   chs_start(), so that a server that stopped answering is noticed.  */
+void chs_watch (struct chs_server *server, struct chs_watch *watch,
+                enum mdl_cost cost, clk_us now);
+
+/* Ends that, at the first byte or the end of the attempt, whichever is first
+   and before chs_done(); does nothing when it was called before.  */
+void chs_unwatch (struct chs_watch *watch, clk_us now);
+
 /**
  * chs_done() - an attempt ended
  * @chs: servers
@@ -122,6 +158,9 @@
    of recent answers of this cost; 0 while it is not known.  */
 clk_us chs_hedge_delay (const struct chs *chs, enum mdl_cost cost);
 
+/* Share of its full load that a server gets while it ramps, 0 … 1.  */
+double chs_weight (const struct chs_server *server, clk_us now);
+
 /* Servers that are listed, for status pages.  */
 const struct lst *chs_servers (const struct chs *chs);
 
--- a/controllers/qrt.h
+++ b/controllers/qrt.h
@@ -39,9 +39,17 @@
 struct qrt *qrt_new (const struct qrt_opts *opts);
 void qrt_free (struct qrt *qrt);
 void qrt_configure (struct qrt *qrt, const struct qrt_opts *opts);
+
+/* Marks a fingerprint that was in flight when the server of INSTANCE was
+   lost.  Returns SR_OK or SR_ENOMEM.  */
 int qrt_add (struct qrt *qrt, uint64_t fingerprint, const char *instance,
              clk_us at);
-void qrt_clear (struct qrt *qrt, uint64_t fingerprint);
+
+/* Clears the marks after a whole answer.  Marks from before NOW are not
+   imported again.  */
+void qrt_clear (struct qrt *qrt, uint64_t fingerprint, clk_us now);
+
+/* Whether the fingerprint is in quarantine.  */
 bool qrt_blocked (struct qrt *qrt, uint64_t fingerprint, clk_us now);
 
 /* Drops marks older than the keep time.  */
@@ -52,7 +60,8 @@
 uint32_t qrt_export (struct qrt *qrt, struct lst *out, uint32_t most,
                      clk_us now);
 
-/* Adds a mark received from elsewhere; returns SR_EEXIST when known.  */
+/* Adds a mark received from elsewhere; returns SR_EEXIST when it is
+   known, cleared since, or too old.  */
 int qrt_import (struct qrt *qrt, const struct qrt_mark *mark, clk_us now);
 
 #endif
--- a/controllers/rty.h
+++ b/controllers/rty.h
@@ -38,8 +38,10 @@
 {
   uint32_t percent; /* of first attempts */
   double tokens;
-  double capacity;
+  double capacity; /* bounds the tokens saved up for a burst of failures */
+  double earned;   /* from first attempts since WINDOW */
   clk_us refilled;
+  clk_us window;
 };
 
 void rty_budget_init (struct rty_budget *budget, uint32_t percent, clk_us now);
@@ -62,7 +64,7 @@
 /* One chain at its entry node; shared by the caller's resends.  */
 struct rty_chain
 {
-  struct lst_node node; /* by age */
+  struct lst_node node; /* by age, while it has no users */
   struct lst_node hash_node;
   uint64_t key;
   uint32_t users; /* calls that hold it now */
@@ -90,4 +92,7 @@
 void rty_chain_put (struct rty_table *table, struct rty_chain *chain,
                     clk_us now);
 
+/* Chains that the table knows.  */
+uint32_t rty_table_count (const struct rty_table *table);
+
 #endif
--- /dev/null
+++ b/tests/test_adm.c
@@ -0,0 +1,410 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "controllers/adm.h"
+#include "core/rng.h"
+#include "tests/suite.h"
+
+#define TICKETS 64
+
+/* What the test knows of each ticket, to compare with the controller.  */
+enum known
+{
+  KNOWN_IDLE,
+  KNOWN_WAITING,
+  KNOWN_RUNNING,
+};
+
+struct world
+{
+  struct adm *adm;
+  struct adm_opts opts;
+  clk_us now;
+  struct adm_ticket tickets[TICKETS];
+  enum known known[TICKETS];
+  uint32_t submitted;
+  uint32_t ended;
+};
+
+static struct adm_ticket
+ticket_make (uint8_t importance, enum mdl_cost cost, clk_us now, clk_us left)
+{
+  return (struct adm_ticket){ .importance = importance,
+                              .cost = cost,
+                              .kind = cost,
+                              .arrived = now,
+                              .deadline = now + left };
+}
+
+static uint32_t
+world_count (const struct world *world, enum known known, int cost)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < TICKETS; i++)
+    count += world->known[i] == known
+             && (cost < 0 || (int)world->tickets[i].cost == cost);
+  return count;
+}
+
+/* Least or most importance that waits, at one cost or at any.  */
+static int
+world_waiting (const struct world *world, bool most, int cost)
+{
+  int found = most ? -1 : MDL_IMPORTANCE_MAX + 1;
+
+  for (int i = 0; i < TICKETS; i++)
+    {
+      int importance = world->tickets[i].importance;
+
+      if (world->known[i] == KNOWN_WAITING
+          && (cost < 0 || (int)world->tickets[i].cost == cost)
+          && (most ? importance > found : importance < found))
+        found = importance;
+    }
+  return found;
+}
+
+static uint32_t
+world_long_limit (const struct world *world)
+{
+  uint32_t most
+      = adm_limit (world->adm) * world->opts.long_slots_percent / 100;
+
+  return most > 0 ? most : 1;
+}
+
+/* Checks one event against what the test knows, and records it.  */
+static void
+world_take (struct world *world, struct adm_event event)
+{
+  struct adm_ticket *ticket = event.ticket;
+  enum known *known = &world->known[ticket - world->tickets];
+  bool room = world_count (world, KNOWN_RUNNING, MDL_LONG)
+              < world_long_limit (world);
+
+  switch (event.kind)
+    {
+    case ADM_RUN:
+      *known = KNOWN_RUNNING;
+      CU_ASSERT_TRUE (ticket->deadline > world->now);
+      CU_ASSERT_TRUE (world_waiting (world, true, MDL_SHORT)
+                      <= ticket->importance);
+      if (room)
+        CU_ASSERT_TRUE (world_waiting (world, true, MDL_LONG)
+                        <= ticket->importance);
+      if (ticket->cost == MDL_LONG)
+        CU_ASSERT_TRUE (room);
+      break;
+    case ADM_REFUSE:
+      *known = KNOWN_IDLE;
+      world->ended++;
+      if (event.reason == RSN_DEADLINE_QUEUED)
+        break;
+      CU_ASSERT_TRUE (event.reason == RSN_QUEUE_FULL
+                      || event.reason == RSN_EVICTED);
+      CU_ASSERT_TRUE (world_waiting (world, false, -1) >= ticket->importance);
+      break;
+    case ADM_QUEUED:
+      *known = KNOWN_WAITING;
+      break;
+    case ADM_NOTHING:
+      break;
+    }
+}
+
+static void
+world_drain (struct world *world)
+{
+  struct adm_event event;
+
+  while ((event = adm_next (world->adm, world->now)).kind != ADM_NOTHING)
+    world_take (world, event);
+  CU_ASSERT_EQUAL (adm_running (world->adm),
+                   world_count (world, KNOWN_RUNNING, -1));
+  CU_ASSERT_EQUAL (adm_waiting (world->adm),
+                   world_count (world, KNOWN_WAITING, -1));
+  CU_ASSERT_TRUE (adm_limit (world->adm) <= world->opts.slots);
+  CU_ASSERT_TRUE (adm_running (world->adm) <= world->opts.slots);
+  for (int i = 0; i < TICKETS; i++)
+    if (world->known[i] == KNOWN_WAITING)
+      CU_ASSERT_TRUE (world->tickets[i].deadline + CLK_US_PER_MS > world->now);
+}
+
+/* One random step: a new request, an answer, a withdrawal or time.  */
+static void
+world_step (struct world *world, struct rng *rng)
+{
+  int i = (int)rng_below (rng, TICKETS);
+  struct adm_ticket *ticket = &world->tickets[i];
+
+  switch (world->known[i])
+    {
+    case KNOWN_IDLE:
+      *ticket = ticket_make ((uint8_t)(rng_below (rng, 5) * 25),
+                             (enum mdl_cost) (rng_below (rng, 3) == 0),
+                             world->now, 1000 + rng_below (rng, 200000));
+      world->submitted++;
+      world_take (world, adm_submit (world->adm, ticket, world->now));
+      break;
+    case KNOWN_WAITING:
+      if (rng_below (rng, 20) != 0)
+        return;
+      adm_withdraw (world->adm, ticket, world->now);
+      world->known[i] = KNOWN_IDLE;
+      world->ended++;
+      break;
+    case KNOWN_RUNNING:
+      if (rng_below (rng, 10) == 0)
+        adm_withdraw (world->adm, ticket, world->now);
+      else
+        adm_finish (world->adm, ticket, rng_below (rng, 8) != 0, world->now);
+      world->known[i] = KNOWN_IDLE;
+      world->ended++;
+      break;
+    }
+  world_drain (world);
+  world->now += rng_below (rng, 2000);
+  world_drain (world);
+}
+
+/* Guards against an important request being refused or left waiting for a
+   less important one, against running more than the limit, against requests
+   that expire unnoticed and against slots that are never given back.  */
+static void
+test_random_order (void)
+{
+  for (uint64_t seed = 1; seed <= 30; seed++)
+    {
+      struct world world = { .opts = { .slots = 2 + seed % 9,
+                                       .queue = 1 + seed * 3 % 20,
+                                       .long_slots_percent = 10 + seed } };
+      struct rng rng;
+
+      rng_seed (&rng, seed);
+      world.now = 1000000;
+      world.adm = adm_new (&world.opts);
+      for (int step = 0; step < 3000; step++)
+        world_step (&world, &rng);
+      world.now += clk_s (1);
+      world_drain (&world);
+      for (int i = 0; i < TICKETS; i++)
+        if (world.known[i] == KNOWN_RUNNING)
+          {
+            adm_finish (world.adm, &world.tickets[i], true, world.now);
+            world.ended++;
+          }
+      CU_ASSERT_EQUAL (adm_running (world.adm), 0);
+      CU_ASSERT_EQUAL (adm_waiting (world.adm), 0);
+      CU_ASSERT_EQUAL (world.submitted, world.ended);
+      adm_free (world.adm);
+    }
+}
+
+/* Runs WAITING until the queue is empty and frees the controller.  */
+static void
+finish_all (struct adm *adm, clk_us now)
+{
+  struct adm_event event;
+
+  while ((event = adm_next (adm, now)).kind != ADM_NOTHING)
+    if (event.kind == ADM_RUN)
+      adm_withdraw (adm, event.ticket, now);
+  adm_free (adm);
+}
+
+/* Guards against old requests being run at the cost of fresh ones while the
+   server cannot keep up.  */
+static void
+test_newest_first_under_overload (void)
+{
+  struct adm_opts opts = { .slots = 1, .queue = 10, .long_slots_percent = 50 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (1);
+  struct adm_ticket tickets[6];
+
+  for (int i = 0; i < 6; i++)
+    {
+      tickets[i] = ticket_make (50, MDL_SHORT, now, clk_s (10));
+      adm_submit (adm, &tickets[i], now);
+      now += 1000;
+    }
+  adm_withdraw (adm, &tickets[0], now);
+  CU_ASSERT_PTR_EQUAL (adm_next (adm, now).ticket, &tickets[1]);
+  now += clk_s (1);
+  adm_withdraw (adm, &tickets[1], now);
+  CU_ASSERT_PTR_EQUAL (adm_next (adm, now).ticket, &tickets[5]);
+  adm_withdraw (adm, &tickets[5], now);
+  finish_all (adm, now);
+}
+
+/* Guards against long requests that take all slots, or whose wait holds back
+   short ones behind them.  */
+static void
+test_long_share (void)
+{
+  struct adm_opts opts = { .slots = 8, .queue = 50, .long_slots_percent = 25 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (1);
+  struct adm_ticket sheets[10];
+  struct adm_ticket glances[6];
+
+  for (int i = 0; i < 10; i++)
+    {
+      sheets[i] = ticket_make (90, MDL_LONG, now, clk_s (10));
+      CU_ASSERT_EQUAL (adm_submit (adm, &sheets[i], now).kind,
+                       i < 2 ? ADM_RUN : ADM_QUEUED);
+    }
+  for (int i = 0; i < 6; i++)
+    {
+      glances[i] = ticket_make (10, MDL_SHORT, now, clk_s (10));
+      CU_ASSERT_EQUAL (adm_submit (adm, &glances[i], now).kind, ADM_RUN);
+    }
+  CU_ASSERT_EQUAL (adm_next (adm, now).kind, ADM_NOTHING);
+  adm_withdraw (adm, &sheets[0], now);
+  CU_ASSERT_PTR_EQUAL (adm_next (adm, now).ticket, &sheets[2]);
+  for (int i = 0; i < 6; i++)
+    adm_withdraw (adm, &glances[i], now);
+  adm_withdraw (adm, &sheets[1], now);
+  adm_withdraw (adm, &sheets[2], now);
+  finish_all (adm, now);
+}
+
+/* Guards against a wakeup that comes after a deadline, so that a request
+   waits longer than it may.  */
+static void
+test_wakeup_reports_expiry (void)
+{
+  struct adm_opts opts = { .slots = 1, .queue = 9, .long_slots_percent = 50 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (5);
+  struct adm_ticket holder = ticket_make (50, MDL_SHORT, now, clk_s (900));
+  struct adm_ticket late = ticket_make (50, MDL_SHORT, now, clk_s (300));
+  struct adm_event event = { .kind = ADM_NOTHING };
+
+  CU_ASSERT_EQUAL (adm_wakeup (adm), 0);
+  adm_submit (adm, &holder, now);
+  adm_submit (adm, &late, now);
+  for (int i = 0; i < 10000 && event.kind == ADM_NOTHING; i++)
+    {
+      now = adm_wakeup (adm);
+      CU_ASSERT_TRUE (now > 0 && now <= late.deadline + CLK_US_PER_MS);
+      event = adm_next (adm, now);
+    }
+  CU_ASSERT_EQUAL (event.kind, ADM_REFUSE);
+  CU_ASSERT_EQUAL (event.reason, RSN_DEADLINE_QUEUED);
+  CU_ASSERT_TRUE (now >= late.deadline);
+  adm_withdraw (adm, &holder, now);
+  adm_free (adm);
+}
+
+/* Runs a full server for a time.  Its service time is BASE_US, which grows in
+   proportion to the running requests beyond CAPACITY.  */
+static clk_us
+run_full (struct adm *adm, clk_us now, clk_us until, double base_us,
+          uint32_t capacity)
+{
+  static struct adm_ticket tickets[256];
+  clk_us ends[256] = { 0 };
+  uint32_t slots = 0;
+
+  memset (tickets, 0, sizeof tickets);
+  for (; now < until; now += 100)
+    for (uint32_t i = 0; i < 100; i++)
+      {
+        if (tickets[i].state == ADM_RUNNING && ends[i] <= now)
+          adm_finish (adm, &tickets[i], true, now);
+        slots = adm_limit (adm);
+        if (tickets[i].state == ADM_IDLE && adm_running (adm) < slots)
+          {
+            double over = (adm_running (adm) + 1.0) / capacity;
+
+            tickets[i] = ticket_make (50, MDL_SHORT, now, clk_s (60));
+            adm_submit (adm, &tickets[i], now);
+            ends[i] = now + (clk_us)(base_us * (over > 1 ? over : 1));
+          }
+      }
+  for (uint32_t i = 0; i < 100; i++)
+    adm_withdraw (adm, &tickets[i], now);
+  return now;
+}
+
+/* Guards against a limit that trusts the declared slots of a server that can
+   do less, or that stays low when it can do them again.  */
+static void
+test_limit_follows_capacity (void)
+{
+  struct adm_opts opts = { .slots = 80, .queue = 9, .long_slots_percent = 50 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (1);
+
+  now = run_full (adm, now, now + clk_s (5), 10000, 20);
+  CU_ASSERT_TRUE (adm_limit (adm) <= 40);
+  CU_ASSERT_TRUE (adm_limit (adm) >= 18);
+  now = run_full (adm, now, now + clk_s (2), 10000, 100);
+  CU_ASSERT_EQUAL (adm_limit (adm), 80);
+  adm_free (adm);
+}
+
+/* Guards against a limit that is cut although the server is only slow because
+   it waits for another service; a low limit would then cost throughput.  */
+static void
+test_limit_ignores_slow_dependency (void)
+{
+  struct adm_opts opts = { .slots = 80, .queue = 9, .long_slots_percent = 50 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (1);
+
+  now = run_full (adm, now, now + clk_s (3), 10000, 100);
+  now = run_full (adm, now, now + clk_s (8), 50000, 100);
+  CU_ASSERT_EQUAL (adm_limit (adm), 80);
+  adm_free (adm);
+}
+
+/* Guards against upstream nodes that shed work which would still be run, or
+   that keep sending work which never will.  */
+static void
+test_level (void)
+{
+  struct adm_opts opts = { .slots = 1, .queue = 8, .long_slots_percent = 50 };
+  struct adm *adm = adm_new (&opts);
+  clk_us now = clk_s (1);
+  struct adm_ticket tickets[20];
+
+  CU_ASSERT_EQUAL (adm_level (adm, now).importance, 0);
+  for (int i = 0; i < 20; i++, now += 20000)
+    {
+      tickets[i]
+          = ticket_make (i % 2 == 0 ? 80 : 20, MDL_SHORT, now, clk_s (100));
+      adm_submit (adm, &tickets[i], now);
+      if (i == 0)
+        continue;
+      for (int j = 0; j < i; j++)
+        if (i % 2 == 0 && tickets[j].state == ADM_RUNNING)
+          adm_withdraw (adm, &tickets[j], now);
+      while (adm_next (adm, now).kind != ADM_NOTHING)
+        continue;
+    }
+  CU_ASSERT_EQUAL (adm_level (adm, now).importance, 80);
+  for (int i = 0; i < 20; i++)
+    adm_withdraw (adm, &tickets[i], now);
+  CU_ASSERT_EQUAL (adm_level (adm, now).importance, 0);
+  adm_free (adm);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "random order", test_random_order },
+          { "newest first under overload", test_newest_first_under_overload },
+          { "long share", test_long_share },
+          { "wakeup reports expiry", test_wakeup_reports_expiry },
+          { "limit follows capacity", test_limit_follows_capacity },
+          { "limit ignores slow dependency",
+            test_limit_ignores_slow_dependency },
+          { "level", test_level },
+          { NULL, NULL } };
+
+  return suite_run ("adm", tests);
+}
