controllers: test of the choice of server

Cause: a restarted server with requests under way got no load, since its time counted from zero; ramping servers were held back twice. Change: test_chs; the average restarts at the present time, and the ramp acts on the draw alone; the share of ejected servers is checked at each review. Result: test_chs passes with sanitizers.

--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -102,7 +102,7 @@
 server_restart (struct chs_server *server, clk_us now)
 {
   for (int cost = 0; cost < CHS_COSTS; cost++)
-    spd_reset (&server->speed[cost], 0);
+    spd_reset (&server->speed[cost], now);
   server->failures = 0;
   server->ejected = false;
   server->level_at = 0;
@@ -213,23 +213,31 @@
          && average > median + CHS_STRAGGLER_LEAST_US;
 }
 
-/* Whether one more server may be ejected.  */
+/* Whether a server counts for the share of ejected ones.  */
 static bool
-eject_allowed (const struct chs *chs)
+server_counts (const struct chs_server *server)
+{
+  return server->present && !server->draining;
+}
+
+/* By how many servers too many are ejected if MORE are added.  */
+static uint32_t
+ejected_excess (const struct chs *chs, uint32_t more)
 {
   uint32_t present = 0;
-  uint32_t ejected = 0;
+  uint32_t ejected = more;
+  uint32_t most;
 
   lst_each (node, &chs->servers)
     {
       const struct chs_server *server
           = lst_entry (node, struct chs_server, node);
 
-      present += server->present && !server->draining;
-      ejected += server->present && !server->draining && server->ejected;
+      present += server_counts (server);
+      ejected += server_counts (server) && server->ejected;
     }
-  return (uint64_t)(ejected + 1) * 100
-         <= (uint64_t)present * chs->opts.max_ejected_percent;
+  most = present * chs->opts.max_ejected_percent / 100;
+  return ejected > most ? ejected - most : 0;
 }
 
 static void
@@ -263,50 +271,40 @@
          || server_slow (chs, server, MDL_LONG, now);
 }
 
-/* Ejects servers that are much worse than the others, and takes ejected ones
-   back while too many are (after a change of members).  */
+/* Takes ejected servers back while more are ejected than allowed, which
+   happens after a change of members.  */
 static void
-chs_review (struct chs *chs, clk_us now)
+chs_review_share (struct chs *chs, clk_us now)
 {
-  if (now < chs->reviewed_at + CHS_REVIEW_US)
-    return;
-  chs->reviewed_at = now;
+  uint32_t excess = ejected_excess (chs, 0);
+
   lst_each (node, &chs->servers)
     {
       struct chs_server *server = lst_entry (node, struct chs_server, node);
 
-      if (server->present && !server->draining && !server->ejected
-          && server_bad (chs, server, now) && eject_allowed (chs))
-        server_eject (server, now);
+      if (excess > 0 && server_counts (server) && server->ejected)
+        {
+          server_reinstate (server, now);
+          excess--;
+        }
     }
 }
 
-/* Ejected servers in use beyond the share are reinstated.  */
+/* Ejects servers that are much worse than the others.  */
 static void
-chs_review_share (struct chs *chs, clk_us now)
+chs_review (struct chs *chs, clk_us now)
 {
-  uint32_t present = 0;
-  uint32_t ejected = 0;
-
-  lst_each (node, &chs->servers)
-    {
-      struct chs_server *server = lst_entry (node, struct chs_server, node);
-
-      present += server->present && !server->draining;
-    }
+  if (now < chs->reviewed_at + CHS_REVIEW_US)
+    return;
+  chs->reviewed_at = now;
+  chs_review_share (chs, now);
   lst_each (node, &chs->servers)
     {
       struct chs_server *server = lst_entry (node, struct chs_server, node);
 
-      if (!server->ejected || !server->present || server->draining)
-        continue;
-      ejected++;
-      if ((uint64_t)ejected * 100
-          > (uint64_t)present * chs->opts.max_ejected_percent)
-        {
-          server_reinstate (server, now);
-          ejected--;
-        }
+      if (server_counts (server) && !server->ejected
+          && server_bad (chs, server, now) && ejected_excess (chs, 1) == 0)
+        server_eject (server, now);
     }
 }
 
@@ -409,8 +407,7 @@
 
   if (latency <= 0)
     latency = usual_us;
-  return (server->in_flight + 1) * (latency + 1)
-         / (server->slots * chs_weight (server, now));
+  return (server->in_flight + 1) * (latency + 1) / server->slots;
 }
 
 /* Draws one of the candidates other than EXCEPT, a ramping one less often. */
@@ -471,7 +468,6 @@
   enum standing standing;
 
   chs_review (chs, now);
-  chs_review_share (chs, now);
   standing = candidates_collect (chs, query, &all, now);
   if (standing == STANDING_OUT)
     return choice;
