--- a/controllers/qrt.c
+++ b/controllers/qrt.c
@@ -78,8 +78,12 @@
 entries_trim (struct qrt *qrt, uint32_t most)
 {
   while (qrt->count > most)
-    entry_drop (qrt,
-                lst_entry (lst_first (&qrt->entries), struct qrt_entry, node));
+    {
+      struct lst_node *oldest = lst_pop_head (&qrt->entries);
+
+      INVARIANT (oldest != NULL);
+      entry_drop (qrt, lst_entry (oldest, struct qrt_entry, node));
+    }
 }
 
 void
@@ -226,9 +230,7 @@
 void
 qrt_expire (struct qrt *qrt, clk_us now)
 {
-  struct lst_node *node;
-
-  while ((node = lst_first (&qrt->entries)) != NULL)
+  lst_each (node, &qrt->entries)
     {
       struct qrt_entry *entry = lst_entry (node, struct qrt_entry, node);
 
--- a/controllers/rty.c
+++ b/controllers/rty.c
@@ -163,9 +163,7 @@
 static void
 table_expire (struct rty_table *table, clk_us now)
 {
-  struct lst_node *node;
-
-  while ((node = lst_first (&table->idle)) != NULL)
+  lst_each (node, &table->idle)
     {
       struct rty_chain *chain = lst_entry (node, struct rty_chain, node);
 
