wire/doc: read, check and canonicalise the configuration document

Cause: nodes, rudderctl and the console need one checked reading of the document, and operators need every fault of it at once.

--- /dev/null
+++ b/wire/text.c
@@ -0,0 +1,151 @@
+#include "wire/text.h"
+
+#include <ctype.h>
+#include <string.h>
+#include <strings.h>
+
+#include "core/model.h"
+
+#define TXT_WORD_BYTES 64
+
+/* HTTP fields that the node sets or that belong to one connection.  */
+static const char *const txt_reserved[] = {
+  "connection",
+  "content-length",
+  "endpoint-load-metrics",
+  "expect",
+  "host",
+  "idempotency-key",
+  "keep-alive",
+  "proxy-connection",
+  "proxy-status",
+  "retry-after",
+  "te",
+  "traceparent",
+  "tracestate",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "x-request-timeout-ms",
+};
+
+bool
+txt_header_reserved (const char *name)
+{
+  size_t count = sizeof txt_reserved / sizeof txt_reserved[0];
+
+  for (size_t i = 0; i < count; i++)
+    if (strcasecmp (name, txt_reserved[i]) == 0)
+      return true;
+  return false;
+}
+
+/* Whether all characters of TEXT are in ALLOWED or are letters or digits;
+   upper case only when UPPER.  */
+static bool
+txt_only (const char *text, const char *allowed, bool upper)
+{
+  for (; *text != '\0'; text++)
+    {
+      unsigned char c = (unsigned char)*text;
+
+      if (c >= 0x80)
+        return false;
+      if (isdigit (c) || islower (c) || (upper && isupper (c)))
+        continue;
+      if (strchr (allowed, c) == NULL)
+        return false;
+    }
+  return true;
+}
+
+bool
+txt_valid (enum txt_form form, const char *text)
+{
+  size_t len = strlen (text);
+
+  switch (form)
+    {
+    case TXT_NAME:
+      return len > 0 && len < MDL_NAME_BYTES && txt_only (text, "-", false);
+    case TXT_PATH:
+      return text[0] == '/' && len < MDL_PATH_BYTES
+             && txt_only (text, "/-._~!$&'()*+,;=:@%", true);
+    case TXT_HEADER:
+      return len > 0 && len < MDL_NAME_BYTES
+             && txt_only (text, "!#$%&'*+-.^_`|~", true)
+             && !txt_header_reserved (text);
+    }
+  return false;
+}
+
+const char *
+txt_allowed (enum txt_form form)
+{
+  switch (form)
+    {
+    case TXT_NAME:
+      return "1 to 63 characters of a-z, 0-9 and -";
+    case TXT_PATH:
+      return "a path of at most 127 characters that begins with /";
+    case TXT_HEADER:
+      return "an HTTP field name of 1 to 63 characters that the system does "
+             "not set itself";
+    }
+  return "";
+}
+
+/* Letters to insert, remove or replace to turn A into B.  B must be shorter
+   than TXT_WORD_BYTES.  */
+static size_t
+txt_distance (const char *a, const char *b)
+{
+  size_t row[TXT_WORD_BYTES];
+  size_t width = strlen (b);
+
+  for (size_t j = 0; j <= width; j++)
+    row[j] = j;
+  for (size_t i = 0; a[i] != '\0'; i++)
+    {
+      size_t diagonal = row[0];
+
+      row[0] = i + 1;
+      for (size_t j = 0; j < width; j++)
+        {
+          bool same = tolower ((unsigned char)a[i]) == b[j];
+          size_t best = diagonal + (same ? 0 : 1);
+
+          diagonal = row[j + 1];
+          if (row[j] + 1 < best)
+            best = row[j] + 1;
+          if (diagonal + 1 < best)
+            best = diagonal + 1;
+          row[j + 1] = best;
+        }
+    }
+  return row[width];
+}
+
+const char *
+txt_nearest (const char *word, const char *const *names, size_t count)
+{
+  size_t len = strlen (word);
+  size_t best = len <= 3 ? 2 : 3;
+  const char *nearest = NULL;
+
+  if (len >= TXT_WORD_BYTES)
+    return NULL;
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t distance;
+
+      if (strlen (names[i]) >= TXT_WORD_BYTES)
+        continue;
+      distance = txt_distance (word, names[i]);
+      if (distance >= best)
+        continue;
+      best = distance;
+      nearest = names[i];
+    }
+  return nearest;
+}
