control task: membership, proposals, configuration in force, operators' requests

Cause: every node renews its lease, follows the configuration and claims. Change: tasks/control*.c; attempts are watched by chs_watch(); claims reserve room for their answer.

--- /dev/null
+++ b/tasks/control.c
@@ -0,0 +1,307 @@
+#include "tasks/control.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/rng.h"
+#include "core/slog.h"
+#include "tasks/control_state.h"
+
+#define CTL_MEMBERS_MAX 4096
+#define CTL_KEEP_GONE_US clk_s (600)
+#define CTL_MARKS_MAX 4096
+#define CTL_MARKS_KEEP_US clk_s (300)
+/* Time for handing leadership over and for the last renewal to be sent.  */
+#define CTL_STOP_US clk_ms (500)
+
+/* Splits the replica addresses of the settings.  */
+static void
+ctl_read_join (struct control *control)
+{
+  const char *part = control->opts.join;
+
+  while (part != NULL && *part != '\0'
+         && control->replica_count < CTL_REPLICAS_MAX)
+    {
+      size_t len = strcspn (part, ",");
+      struct ctl_replica *replica
+          = &control->replicas[control->replica_count++];
+
+      snprintf (replica->address, sizeof replica->address, "%.*s", (int)len,
+                part);
+      part += len + (part[len] == ',');
+    }
+}
+
+static void
+ctl_new_record (struct control *control)
+{
+  struct mem_record *record = &control->record;
+
+  snprintf (record->instance, sizeof record->instance, "%s",
+            control->opts.instance);
+  snprintf (record->address, sizeof record->address, "%s",
+            control->opts.address);
+  snprintf (record->failure_domain, sizeof record->failure_domain, "%s",
+            control->opts.failure_domain);
+  record->incarnation = clk_wall_ms ();
+  record->sequence = 1;
+  record->state = MEM_STARTING;
+  record->control = control->opts.store != NULL;
+}
+
+/* Member table and log groups of a control replica.  */
+static void
+ctl_new_replica (struct control *control)
+{
+  struct mbr_opts members = { .lease = CTL_LEASE_US,
+                              .keep_gone = CTL_KEEP_GONE_US,
+                              .most = CTL_MEMBERS_MAX };
+  struct rpl_opts replica = { .address = control->opts.address,
+                              .join = control->opts.join,
+                              .store = control->opts.store };
+
+  rng_id ((uint8_t *)&members.epoch, sizeof members.epoch);
+  members.epoch |= 1;
+  control->members = mbr_new (&members);
+  control->replica = rpl_new (&replica, clk_now ());
+  INVARIANT (control->members != NULL && control->replica != NULL);
+}
+
+struct control *
+control_new (const struct control_opts *opts)
+{
+  struct inb_opts inbox = { .wake = INB_WAKE_CONDITION };
+  struct viw_opts view = { .replica_silent = CTL_LEASE_US };
+  struct qrt_opts marks
+      = { .keep = CTL_MARKS_KEEP_US, .most = CTL_MARKS_MAX };
+  struct control *control = calloc (1, sizeof *control);
+
+  INVARIANT (control != NULL);
+  control->opts = *opts;
+  control->inbox = inb_new (&inbox);
+  control->view = viw_new (&view);
+  control->marks = qrt_new (&marks);
+  INVARIANT (control->inbox != NULL && control->view != NULL
+             && control->marks != NULL);
+  lst_init (&control->pending);
+  /* Numbers of an earlier process must not be mistaken for own ones.  */
+  rng_id ((uint8_t *)&control->next_request, sizeof control->next_request);
+  control->started = clk_now ();
+  ctl_read_join (control);
+  ctl_new_record (control);
+  return control;
+}
+
+struct inb *
+control_inbox (struct control *control)
+{
+  return control->inbox;
+}
+
+/* Sends a log message to another replica.  */
+static void
+ctl_send_rep (struct control *control, struct rpl_send *send)
+{
+  struct msg *msg = msg_new (MSG_REP);
+
+  msg->route.kind = MSG_ROUTE_DIAL;
+  snprintf (msg->route.u.address, sizeof msg->route.u.address, "%s",
+            send->address);
+  msg->u.rep.group = send->group;
+  snprintf (msg->u.rep.from, sizeof msg->u.rep.from, "%s",
+            control->opts.address);
+  msg->u.rep.msg = send->msg;
+  send->msg = NULL;
+  inb_put (control->opts.peer, msg);
+}
+
+/* Leaders as the own replica knows them.  */
+static void
+ctl_note_leaders (struct control *control)
+{
+  for (int i = 0; i < MSG_GROUP_COUNT; i++)
+    {
+      struct rpl_status status;
+
+      rpl_status (control->replica, (enum msg_group)i, &status);
+      snprintf (control->leader[i], sizeof control->leader[i], "%s",
+                status.leader);
+    }
+}
+
+/* Carries out what the own replica wants done.  */
+void
+ctl_run_replica (struct control *control, clk_us now)
+{
+  struct rpl_output output;
+
+  if (control->replica == NULL)
+    return;
+  while (rpl_next_output (control->replica, &output))
+    switch (output.kind)
+      {
+      case RPL_SEND:
+        ctl_send_rep (control, &output.u.send);
+        break;
+      case RPL_RESULT:
+        ctl_take_result (control, &output.u.result, now);
+        free (output.u.result.data);
+        break;
+      case RPL_CONFIG_CHANGED:
+        ctl_config_local (control);
+        break;
+      case RPL_FATAL:
+        slog (SLOG_CRIT, "replica stops error=\"%s\"", output.u.fatal);
+        control->failed = true;
+        control->stopping = true;
+        break;
+      }
+  ctl_note_leaders (control);
+}
+
+/* Graceful stop: leadership first, then the lease.  */
+static void
+ctl_begin_stop (struct control *control, clk_us now)
+{
+  control->stopping = true;
+  control->stop_at = now + CTL_STOP_US;
+  if (control->replica != NULL)
+    rpl_transfer (control->replica, now);
+  control->record.state = MEM_GONE;
+  control->record.sequence++;
+  ctl_renew_all (control, now);
+}
+
+static void
+ctl_take (struct control *control, struct msg *msg, clk_us now)
+{
+  struct ctl_origin front = { .kind = CTL_ORIGIN_FRONT };
+
+  switch (msg->kind)
+    {
+    case MSG_RENEW:
+      ctl_take_renew (control, msg, now);
+      break;
+    case MSG_MEMBERS:
+      ctl_take_members (control, msg, now);
+      break;
+    case MSG_PROPOSE:
+      ctl_take_propose (control, msg, now);
+      break;
+    case MSG_RESULT:
+      ctl_take_result (control, &msg->u.result, now);
+      break;
+    case MSG_CLAIM:
+      front.request = msg->u.propose.request;
+      ctl_propose (control, &front, &msg->u.propose, now);
+      break;
+    case MSG_REP:
+      if (control->replica != NULL)
+        rpl_message (control->replica, msg->u.rep.from, msg->u.rep.group,
+                     msg->u.rep.msg, now);
+      break;
+    case MSG_STORE_DONE:
+      rpl_store_done (control->replica, msg->u.store_done, now);
+      break;
+    case MSG_BACKEND:
+      ctl_take_backend (control, &msg->u.backend, now);
+      break;
+    case MSG_MARKS:
+      ctl_take_marks (control, &msg->u.items, now);
+      break;
+    case MSG_ADMIN:
+      ctl_take_admin (control, msg, now);
+      break;
+    case MSG_STOP:
+      ctl_begin_stop (control, now);
+      break;
+    default:
+      break;
+    }
+  msg_free (msg);
+}
+
+/* What is due at NOW.  */
+static void
+ctl_tick (struct control *control, clk_us now)
+{
+  if (now >= control->next_renew && !control->stopping)
+    ctl_renew_all (control, now);
+  if (control->members != NULL)
+    mbr_expire (control->members, now);
+  qrt_expire (control->marks, now);
+  if (control->replica != NULL && now >= control->next_replica_tick)
+    control->next_replica_tick = rpl_tick (control->replica, now);
+  ctl_run_replica (control, now);
+  ctl_check_pending (control, now);
+  ctl_config_check (control, now);
+}
+
+/* Time at which something is due next.  */
+static clk_us
+ctl_wakeup (const struct control *control)
+{
+  clk_us wakeup = control->next_renew;
+
+  if (control->replica != NULL && control->next_replica_tick < wakeup)
+    wakeup = control->next_replica_tick;
+  if (control->stopping && control->stop_at < wakeup)
+    wakeup = control->stop_at;
+  return ctl_pending_wakeup (control, wakeup);
+}
+
+static void *
+ctl_run (void *arg)
+{
+  struct control *control = arg;
+  struct lst messages;
+  struct lst_node *node;
+
+  if (control->opts.store != NULL)
+    ctl_new_replica (control);
+  lst_init (&messages);
+  while (!control->failed
+         && !(control->stopping && clk_now () >= control->stop_at))
+    {
+      inb_wait (control->inbox, ctl_wakeup (control), &messages);
+      while ((node = lst_pop_head (&messages)) != NULL)
+        {
+          ctl_take (control, lst_entry (node, struct msg, node), clk_now ());
+          ctl_run_replica (control, clk_now ());
+        }
+      ctl_tick (control, clk_now ());
+    }
+  if (control->failed)
+    inb_put (control->opts.front, msg_new (MSG_STOP));
+  return NULL;
+}
+
+int
+control_start (struct control *control)
+{
+  return pthread_create (&control->thread, NULL, ctl_run, control) == 0
+             ? SR_OK
+             : SR_EIO;
+}
+
+int
+control_join (struct control *control)
+{
+  bool failed;
+
+  pthread_join (control->thread, NULL);
+  failed = control->failed;
+  ctl_free_pending (control);
+  rpl_free (control->replica);
+  mbr_free (control->members);
+  viw_free (control->view);
+  qrt_free (control->marks);
+  mdl_unref (control->model);
+  free (control->document);
+  inb_free (control->inbox);
+  free (control);
+  return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tasks/control_member.c
@@ -0,0 +1,180 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/slog.h"
+#include "tasks/control_state.h"
+
+static void
+ctl_renew (struct control *control, struct ctl_replica *replica, clk_us now)
+{
+  struct msg *msg = msg_new (MSG_RENEW);
+  struct mem_renew *renew = &msg->u.renew;
+
+  msg->route.kind = MSG_ROUTE_DIAL;
+  snprintf (msg->route.u.address, sizeof msg->route.u.address, "%s",
+            replica->address);
+  renew->record = control->record;
+  renew->position = viw_position (control->view, replica->address);
+  renew->config = control->version;
+  renew->all_services = true;
+  qrt_export (control->marks, &renew->marks, MEM_MARKS_MAX, now);
+  replica->renewed = now;
+  inb_put (control->opts.peer, msg);
+}
+
+void
+ctl_renew_all (struct control *control, clk_us now)
+{
+  control->next_renew = now + CTL_RENEW_US;
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    ctl_renew (control, &control->replicas[i], now);
+}
+
+/* Adds marks that are not known yet; returns whether there was one.  */
+static bool
+ctl_import_marks (struct control *control, const struct lst *marks,
+                  clk_us now)
+{
+  bool added = false;
+
+  lst_each (node, marks)
+  {
+    const struct qrt_mark *mark = lst_entry (node, struct qrt_mark, node);
+
+    if (qrt_import (control->marks, mark, now) == SR_OK)
+      added = true;
+  }
+  return added;
+}
+
+/* Passes all marks on to the front task.  */
+static void
+ctl_send_marks (struct control *control, clk_us now)
+{
+  struct msg *msg = msg_new (MSG_MARKS);
+
+  qrt_export (control->marks, &msg->u.items, MEM_MARKS_MAX, now);
+  inb_put (control->opts.front, msg);
+}
+
+void
+ctl_take_marks (struct control *control, const struct lst *marks, clk_us now)
+{
+  /* A mark has to be known before the request's next attempt.  */
+  if (ctl_import_marks (control, marks, now))
+    ctl_renew_all (control, now);
+}
+
+/* A node renews its lease here.  */
+void
+ctl_take_renew (struct control *control, struct msg *msg, clk_us now)
+{
+  struct msg *reply;
+  struct mem_members *members;
+  int error;
+
+  if (control->members == NULL)
+    return;
+  reply = msg_new (MSG_MEMBERS);
+  members = &reply->u.members;
+  reply->route = msg->route;
+  error = mbr_renew (control->members, &msg->u.renew, members, now);
+  if (error != SR_OK && error != SR_EEXIST)
+    {
+      slog (SLOG_ERR, "renewal refused instance=%s error=\"%s\"",
+            msg->u.renew.record.instance, sr_strerror (error));
+      msg_free (reply);
+      return;
+    }
+  if (ctl_import_marks (control, &msg->u.renew.marks, now))
+    ctl_send_marks (control, now);
+  members->config = control->version;
+  members->config_confirmed = control->confirmed;
+  for (int i = 0; i < MSG_GROUP_COUNT; i++)
+    memcpy (members->leader[i], control->leader[i],
+            sizeof members->leader[i]);
+  qrt_export (control->marks, &members->marks, MEM_MARKS_MAX, now);
+  inb_put (control->opts.peer, reply);
+}
+
+static struct ctl_replica *
+ctl_find_replica (struct control *control, const char *address)
+{
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    if (strcmp (control->replicas[i].address, address) == 0)
+      return &control->replicas[i];
+  return NULL;
+}
+
+/* Passes the members on to the front task.  */
+static void
+ctl_send_view (struct control *control)
+{
+  struct msg *msg = msg_new (MSG_VIEW);
+
+  viw_list (control->view, NULL, &msg->u.items);
+  inb_put (control->opts.front, msg);
+}
+
+/* Another instance uses this node's name.  */
+static void
+ctl_note_name (struct control *control, const struct mem_members *members)
+{
+  bool taken = members->status == MEM_NAME_TAKEN;
+
+  if (taken && !control->name_taken)
+    slog (SLOG_ERR,
+          "instance name is in use by a live lease at another address "
+          "setting=--instance value=%s",
+          control->record.instance);
+  control->name_taken = taken;
+}
+
+void
+ctl_take_members (struct control *control, struct msg *msg, clk_us now)
+{
+  const struct mem_members *members = &msg->u.members;
+  struct ctl_replica *replica
+      = ctl_find_replica (control, msg->route.u.address);
+
+  if (replica == NULL)
+    return;
+  replica->heard = now;
+  replica->config = members->config;
+  ctl_note_name (control, members);
+  for (int i = 0; i < MSG_GROUP_COUNT; i++)
+    if (control->replica == NULL && members->leader[i][0] != '\0')
+      memcpy (control->leader[i], members->leader[i],
+              sizeof control->leader[i]);
+  if (viw_take (control->view, replica->address, members, now) == 1)
+    ctl_send_view (control);
+  if (ctl_import_marks (control, &members->marks, now))
+    ctl_send_marks (control, now);
+  ctl_config_check (control, now);
+}
+
+void
+ctl_take_backend (struct control *control, const struct msg_backend *msg,
+                  clk_us now)
+{
+  struct mem_record *record = &control->record;
+
+  memcpy (record->service, msg->service, sizeof record->service);
+  record->slots = msg->slots;
+  record->sequence++;
+  switch (msg->state)
+    {
+    case MSG_BACKEND_UP:
+      record->state = MEM_SERVING;
+      break;
+    case MSG_BACKEND_DRAINING:
+      record->state = MEM_DRAINING;
+      break;
+    case MSG_BACKEND_DOWN:
+      record->state = MEM_STARTING;
+      break;
+    }
+  ctl_renew_all (control, now);
+}
--- /dev/null
+++ b/tasks/control_state.h
@@ -0,0 +1,133 @@
+#ifndef TASKS_CONTROL_STATE_H
+#define TASKS_CONTROL_STATE_H
+
+/**
+ * DOC: control_state - records of the control task, used by its files only
+ */
+
+#include <pthread.h>
+
+#include "controllers/cfg.h"
+#include "controllers/mbr.h"
+#include "controllers/qrt.h"
+#include "controllers/view.h"
+#include "tasks/control.h"
+#include "tasks/replica.h"
+
+#define CTL_REPLICAS_MAX 7
+/* Time between two renewals, and length of a lease.  */
+#define CTL_RENEW_US clk_s (1)
+#define CTL_LEASE_US clk_s (3)
+/* Time without a quorum after which a starting node takes the newest
+   configuration that any replica holds.  */
+#define CTL_CONFIRM_WAIT_US clk_s (5)
+/* Longest wait for the answer of one replica to a proposal.  */
+#define CTL_TRY_US clk_ms (400)
+/* Wait before a proposal without an accepted answer is sent again.  */
+#define CTL_RETRY_US clk_ms (30)
+
+/* A control replica as this node sees it.  */
+struct ctl_replica
+{
+  char address[MSG_ADDRESS_BYTES];
+  clk_us heard; /* 0: never */
+  clk_us renewed;
+  struct mem_version config; /* newest that it has applied */
+};
+
+/* Who waits for the result of a proposal.  */
+enum ctl_origin_kind
+{
+  CTL_ORIGIN_FRONT,  /* a claim command of the front task */
+  CTL_ORIGIN_CHANGE, /* a configuration change of an operator */
+  CTL_ORIGIN_CONFIG, /* this task wants the configuration */
+  CTL_ORIGIN_REMOTE, /* another node; this one is a replica */
+};
+
+struct ctl_origin
+{
+  enum ctl_origin_kind kind;
+  uint64_t request; /* of the origin */
+  struct msg_route route;
+};
+
+/* A proposal or read without a result.  */
+struct ctl_pending
+{
+  struct lst_node node;
+  uint64_t request; /* of this task, in messages and at the own replica */
+  struct ctl_origin origin;
+  enum msg_propose_kind kind;
+  enum msg_group group;
+  uint8_t *data;
+  size_t len;
+  clk_us deadline;
+  clk_us next_try; /* when it is sent again without a result */
+  uint32_t target; /* replica tried last */
+};
+
+struct control
+{
+  struct control_opts opts;
+  struct inb *inbox;
+  pthread_t thread;
+  bool stopping;
+  bool failed;
+  clk_us stop_at;
+  struct mem_record record; /* own */
+  bool name_taken;
+  struct ctl_replica replicas[CTL_REPLICAS_MAX];
+  uint32_t replica_count;
+  char leader[MSG_GROUP_COUNT][MSG_ADDRESS_BYTES];
+  struct viw *view;
+  struct mbr *members; /* NULL when no replica is held */
+  struct rpl *replica; /* NULL when none is held */
+  struct qrt *marks;   /* known crash marks */
+  struct lst pending;  /* struct ctl_pending */
+  uint64_t next_request;
+  clk_us started;
+  clk_us next_renew;
+  clk_us next_replica_tick;
+  struct mdl *model;
+  char *document;
+  size_t document_len;
+  struct mem_version version; /* in force */
+  bool confirmed;
+  bool reading; /* a read of the configuration is pending */
+};
+
+/* control_member.c */
+void ctl_renew_all (struct control *control, clk_us now);
+void ctl_take_renew (struct control *control, struct msg *msg, clk_us now);
+void ctl_take_members (struct control *control, struct msg *msg, clk_us now);
+void ctl_take_backend (struct control *control, const struct msg_backend *msg,
+                       clk_us now);
+void ctl_take_marks (struct control *control, const struct lst *marks,
+                     clk_us now);
+
+/* control_propose.c */
+void ctl_propose (struct control *control, const struct ctl_origin *origin,
+                  struct msg_propose *propose, clk_us now);
+void ctl_take_propose (struct control *control, struct msg *msg, clk_us now);
+void ctl_take_result (struct control *control, struct msg_result *result,
+                      clk_us now);
+void ctl_check_pending (struct control *control, clk_us now);
+clk_us ctl_pending_wakeup (const struct control *control, clk_us latest);
+void ctl_free_pending (struct control *control);
+void ctl_run_replica (struct control *control, clk_us now);
+
+/* control_config.c */
+void ctl_config_check (struct control *control, clk_us now);
+void ctl_config_result (struct control *control, struct msg_result *result,
+                        clk_us now);
+void ctl_config_put (struct control *control, const char *document,
+                     size_t len, const struct mem_version *version,
+                     bool confirmed);
+void ctl_config_local (struct control *control);
+
+/* control_admin.c */
+void ctl_take_admin (struct control *control, struct msg *msg, clk_us now);
+void ctl_change_result (struct control *control, uint64_t request,
+                        const struct msg_result *result);
+
+#endif
--- a/tasks/front_answer.c
+++ b/tasks/front_answer.c
@@ -93,7 +93,7 @@
   if (serve->req.ticket.state == ADM_RUNNING)
     adm_finish (front->state.admission, &serve->req.ticket, true, clk_now ());
   if (serve->req.fingerprint != 0)
-    qrt_clear (front->state.marks, serve->req.fingerprint);
+    qrt_clear (front->state.marks, serve->req.fingerprint, clk_now ());
   if (srv_is_recorded (serve))
     {
       serve->holding = true;
--- a/tasks/front_attempt.c
+++ b/tasks/front_attempt.c
@@ -92,6 +92,7 @@
   lst_push_tail (&call->attempts, &attempt->node);
   lst_push_tail (att_bucket (front, attempt->stream), &attempt->hash_node);
   chs_start (service->servers, server, now);
+  chs_watch (server, &attempt->watch, call->req.kind->cost, now);
   ctr_add (CTR_ATTEMPTS, 1);
   att_send_open (attempt, now);
   att_send_body (attempt);
@@ -165,6 +166,7 @@
                                 .wait_us = trailer->level_wait_us };
   if (unused < attempt->granted)
     ctr_add (CTR_ALLOWANCE_LOST, attempt->granted - unused);
+  chs_unwatch (&attempt->watch, now);
   rty_return (call->req.allowance, attempt->granted, unused);
   chs_done (attempt->service->servers, attempt->server, result,
             call->req.kind->cost, head_at - attempt->started,
@@ -233,6 +235,7 @@
     return;
   attempt->head_seen = true;
   attempt->head_at = clk_now ();
+  chs_unwatch (&attempt->watch, attempt->head_at);
   call_head (attempt->call, attempt, msg);
 }
 
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -409,7 +409,7 @@
 call_answered (struct call *call, struct attempt *attempt,
                const struct msg_trailer *trailer)
 {
-  qrt_clear (call->front->state.marks, call->req.fingerprint);
+  qrt_clear (call->front->state.marks, call->req.fingerprint, clk_now ());
   att_end (attempt, CHS_ANSWERED, trailer);
   call->answer.whole = true;
   ctr_add (CTR_ANSWERS, 1);
--- a/tasks/front_claim.c
+++ b/tasks/front_claim.c
@@ -8,6 +8,8 @@
 #include "tasks/front_state.h"
 #include "wire/record.h"
 
+/* Room for status and fields beside the body of a recorded answer.  */
+#define SRV_RECORD_BYTES 4096
 /* Wait before a claim that another attempt holds is asked for again.  */
 #define SRV_CLAIM_POLL_US clk_ms (50)
 /* Longest time that a request waits for the claims group.  */
@@ -75,6 +77,8 @@
   command.body_hash = serve->req.body_hash;
   command.run_ms = remaining + SRV_CLAIM_GRACE_MS;
   command.keep_hours = serve->front->state.model->claim_keep_hours;
+  command.answer_reserve
+      = serve->front->state.model->claim_answer_bytes_max + SRV_RECORD_BYTES;
   serve->req.claim = FLT_CLAIM_ASKED;
   serve->claim_request = srv_propose (
       serve, &command,
@@ -145,6 +149,8 @@
 {
   struct rcd_answer answer;
 
+  if (result->without_answer)
+    return FLT_CLAIM_NOT_KEPT;
   if (rcd_decode (result->answer, result->answer_len, &answer) != SR_OK)
     return FLT_CLAIM_UNKNOWN;
   if (!answer.body_kept)
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -82,6 +82,7 @@
   struct call *call;
   struct flt_service *service;
   struct chs_server *server;
+  struct chs_watch watch;
   struct msg_route route;
   uint64_t stream;
   uint32_t granted;
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -262,6 +262,8 @@
   size_t count = 0;
 
   msgpack_pack_uint32 (packer, members->status);
+  msgpack_pack_uint64 (packer, members->since.epoch);
+  msgpack_pack_uint64 (packer, members->since.change);
   msgpack_pack_uint64 (packer, members->position.epoch);
   msgpack_pack_uint64 (packer, members->position.change);
   pio_put_bool (packer, members->whole);
@@ -287,6 +289,8 @@
   struct pio_reader items;
 
   members->status = (enum mem_status)pio_u32 (reader, MEM_NAME_TAKEN);
+  members->since.epoch = pio_u64 (reader);
+  members->since.change = pio_u64 (reader);
   members->position.epoch = pio_u64 (reader);
   members->position.change = pio_u64 (reader);
   members->whole = pio_bool (reader);
