--- /dev/null
+++ b/log/boot.c
@@ -0,0 +1,227 @@
+#include "log/boot.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "core/err.h"
+#include "core/list.h"
+
+/* One address of the set, without the own one; those learned from hello
+   replies follow the listed ones.  */
+struct boot_peer
+{
+  struct lst_node node;
+  char address[REP_ADDRESS_BYTES];
+  bool listed;
+  bool answered;
+  clk_us answered_at;
+  bool belongs;
+  bool same_set;
+  uint64_t id;
+  uint64_t term;
+};
+
+struct boot
+{
+  struct boot_opts opts;
+  struct lst peers; /* struct boot_peer, by address */
+  uint64_t digest;
+  clk_us hello_at;
+  struct lst_node *hello_next; /* next peer of the running round, or NULL */
+  bool created;
+};
+
+static struct boot_peer *
+boot_peer (struct lst_node *node)
+{
+  return lst_entry (node, struct boot_peer, node);
+}
+
+/* Finds or inserts ADDRESS; the list stays sorted.  */
+static struct boot_peer *
+boot_peer_add (struct boot *boot, const char *address)
+{
+  struct lst_node *pos = &boot->peers.head;
+  struct boot_peer *peer;
+
+  lst_each (node, &boot->peers)
+    {
+      int order = strcmp (boot_peer (node)->address, address);
+
+      if (order == 0)
+        return boot_peer (node);
+      if (order > 0)
+        {
+          pos = node;
+          break;
+        }
+    }
+  peer = calloc (1, sizeof *peer);
+  INVARIANT (peer != NULL);
+  memcpy (peer->address, address, strnlen (address, REP_ADDRESS_BYTES - 1));
+  lst_insert_before (pos, &peer->node);
+  return peer;
+}
+
+/* Hash of the sorted addresses, the own one among them.  */
+static uint64_t
+boot_hash (const struct boot *boot)
+{
+  bool own = false;
+  uint64_t hash = 0;
+
+  lst_each (node, &boot->peers)
+    {
+      const struct boot_peer *peer = boot_peer (node);
+
+      if (!own && strcmp (boot->opts.address, peer->address) < 0)
+        {
+          hash = XXH64 (boot->opts.address, strlen (boot->opts.address), hash);
+          own = true;
+        }
+      hash = XXH64 (peer->address, strlen (peer->address), hash);
+    }
+  if (!own)
+    hash = XXH64 (boot->opts.address, strlen (boot->opts.address), hash);
+  return hash;
+}
+
+struct boot *
+boot_new (const struct boot_opts *opts)
+{
+  struct boot *boot = calloc (1, sizeof *boot);
+  uint32_t count = 1;
+
+  INVARIANT (boot != NULL);
+  INVARIANT (opts->id != 0 && opts->join_count <= REP_MEMBERS_MAX);
+  boot->opts = *opts;
+  lst_init (&boot->peers);
+  for (uint32_t i = 0; i < opts->join_count; i++)
+    if (strcmp (opts->join[i], opts->address) != 0)
+      boot_peer_add (boot, opts->join[i])->listed = true;
+  lst_each (node, &boot->peers)
+    count++;
+  if (count > REP_MEMBERS_MAX)
+    {
+      boot_free (boot);
+      return NULL;
+    }
+  boot->digest = boot_hash (boot);
+  return boot;
+}
+
+void
+boot_free (struct boot *boot)
+{
+  struct lst_node *node;
+
+  if (boot == NULL)
+    return;
+  while ((node = lst_pop_head (&boot->peers)) != NULL)
+    free (boot_peer (node));
+  free (boot);
+}
+
+uint64_t
+boot_digest (const struct boot *boot)
+{
+  return boot->digest;
+}
+
+void
+boot_reply (struct boot *boot, const char *address,
+            const struct rep_msg *reply, clk_us now)
+{
+  const struct rep_hello_reply *hello = &reply->u.hello_reply;
+
+  lst_each (node, &boot->peers)
+    {
+      struct boot_peer *peer = boot_peer (node);
+
+      if (strcmp (peer->address, address) != 0)
+        continue;
+      peer->answered = true;
+      peer->answered_at = now;
+      peer->belongs = hello->belongs;
+      peer->same_set = hello->peers_digest == boot->digest;
+      peer->id = reply->from;
+      peer->term = reply->term;
+    }
+  if (hello->leader[0] != '\0'
+      && strcmp (hello->leader, boot->opts.address) != 0)
+    boot_peer_add (boot, hello->leader);
+}
+
+/* Whether this replica is the one that creates the group, and all peers agree
+   that there is none yet.  */
+static bool
+boot_may_create (const struct boot *boot, clk_us now)
+{
+  uint32_t listed = 1;
+
+  lst_each (node, &boot->peers)
+    {
+      const struct boot_peer *peer = boot_peer (node);
+
+      if (!peer->listed)
+        return false;
+      if (!peer->answered || peer->belongs || !peer->same_set
+          || peer->answered_at + clk_ms (BOOT_FRESH_MS) < now)
+        return false;
+      if (strcmp (peer->address, boot->opts.address) < 0)
+        return false;
+      listed++;
+    }
+  return listed <= REP_VOTERS_MAX;
+}
+
+static void
+boot_create (const struct boot *boot, struct boot_create *create)
+{
+  struct rep_members *members = &create->members;
+
+  *create = (struct boot_create){ .term = 1 };
+  members->count = 1;
+  members->list[0].id = boot->opts.id;
+  memcpy (members->list[0].address, boot->opts.address, REP_ADDRESS_BYTES);
+  lst_each (node, &boot->peers)
+    {
+      const struct boot_peer *peer = boot_peer (node);
+      struct rep_member *member = &members->list[members->count++];
+
+      *member = (struct rep_member){ .id = peer->id };
+      memcpy (member->address, peer->address, REP_ADDRESS_BYTES);
+      if (peer->term >= create->term)
+        create->term = peer->term + 1;
+    }
+}
+
+void
+boot_next (struct boot *boot, bool empty, clk_us now, struct boot_step *step)
+{
+  if (empty && !boot->created && boot_may_create (boot, now))
+    {
+      boot->created = true;
+      step->kind = BOOT_CREATE;
+      boot_create (boot, &step->u.create);
+      return;
+    }
+  if (boot->hello_next == NULL && now >= boot->hello_at)
+    {
+      boot->hello_at = now + clk_ms (BOOT_HELLO_MS);
+      boot->hello_next = lst_first (&boot->peers);
+    }
+  if (boot->hello_next != NULL)
+    {
+      step->kind = BOOT_HELLO;
+      memcpy (step->u.address, boot_peer (boot->hello_next)->address,
+              REP_ADDRESS_BYTES);
+      boot->hello_next = boot->hello_next->next;
+      if (boot->hello_next == &boot->peers.head)
+        boot->hello_next = NULL;
+      return;
+    }
+  step->kind = BOOT_WAIT;
+  step->u.wait_until = boot->hello_at;
+}
