--- /dev/null
+++ b/tests/test_rep_sim.c
@@ -0,0 +1,753 @@
+/* Seeded runs of the replicated log in virtual time with lost, repeated and
+   reordered messages, cuts, kills, frozen replicas and lost disks.
+   Usage: test_rep_sim [SEED [COUNT]]  */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/msg.h"
+#include "core/rng.h"
+#include "core/slog.h"
+#include "log/boot.h"
+#include "log/rep.h"
+#include "tests/suite.h"
+
+#define SIM_NODES 5
+#define SIM_STEP_US 1000
+#define SIM_STEPS 60000 /* of faults, then the run heals */
+#define SIM_HEAL_STEPS 30000
+#define SIM_SETTLE_STEPS 2000 /* at the end, without new commands */
+#define SIM_COMMANDS 20000
+#define SIM_INDEXES 60000
+#define SIM_TERMS 4000
+#define SIM_SEEDS 24
+
+/* State machine: which commands were applied.  */
+struct sim_state
+{
+  uint64_t index;
+  uint32_t count;
+  uint8_t seen[SIM_COMMANDS / 8];
+};
+
+struct sim_disk
+{
+  struct sto_loaded durable;
+  struct lst pending; /* struct msg of kind MSG_STORE_WRITE */
+  clk_us sync_at;
+};
+
+struct sim_node
+{
+  struct rep *rep;
+  struct boot *boot;
+  uint64_t id; /* changes when the disk is lost */
+  char address[REP_ADDRESS_BYTES];
+  struct sim_disk disk;
+  struct sim_state state;
+  clk_us down_until;   /* process killed */
+  clk_us frozen_until; /* process stopped, with its inbox kept */
+  clk_us hello_at;
+};
+
+struct sim_packet
+{
+  struct lst_node node;
+  clk_us due;
+  uint32_t to;
+  struct rep_msg *msg;
+};
+
+struct sim
+{
+  struct rng rng;
+  uint64_t seed;
+  clk_us now;
+  uint32_t nodes;
+  struct sim_node node[SIM_NODES];
+  bool cut[SIM_NODES][SIM_NODES]; /* from, to */
+  clk_us cut_until;
+  uint32_t loss_percent;
+  struct lst packets; /* by due time */
+  uint64_t next_id;
+  uint32_t next_command;
+  bool quiet;  /* no new faults */
+  bool silent; /* no new commands */
+  /* What must stay true.  */
+  uint32_t command_at[SIM_INDEXES]; /* 0: none applied yet */
+  uint32_t index_of[SIM_COMMANDS];
+  bool acked[SIM_COMMANDS];
+  uint64_t acked_index;
+  uint64_t read_floor[SIM_COMMANDS];
+  uint64_t leader_of[SIM_TERMS];
+  /* What the run covered.  */
+  uint32_t acks;
+  uint32_t reads;
+  uint32_t losses;
+  uint32_t kills;
+  uint32_t leaders;
+  uint32_t restores;
+  int failures;
+};
+
+static void
+sim_check (struct sim *sim, bool good, const char *what, uint64_t value)
+{
+  if (good)
+    return;
+  sim->failures++;
+  if (sim->failures <= 3)
+    printf ("seed %llu at %llu ms: %s (%llu)\n", (unsigned long long)sim->seed,
+            (unsigned long long)(sim->now / 1000), what,
+            (unsigned long long)value);
+}
+
+static bool
+sim_up (const struct sim *sim, uint32_t n)
+{
+  return sim->node[n].rep != NULL && sim->node[n].frozen_until <= sim->now;
+}
+
+static void
+sim_queue (struct sim *sim, struct sim_packet *packet)
+{
+  struct lst_node *pos = &sim->packets.head;
+
+  while (pos->prev != &sim->packets.head
+         && lst_entry (pos->prev, struct sim_packet, node)->due > packet->due)
+    pos = pos->prev;
+  lst_insert_before (pos, &packet->node);
+}
+
+/* Puts MSG on the network, perhaps twice or not at all.  */
+static void
+sim_send (struct sim *sim, uint32_t from, uint32_t to, struct rep_msg *msg)
+{
+  uint32_t copies = rng_below (&sim->rng, 50) == 0 ? 2 : 1;
+
+  if (to >= sim->nodes || sim->cut[from][to]
+      || rng_below (&sim->rng, 100) < sim->loss_percent)
+    copies = 0;
+  for (uint32_t i = 0; i < copies; i++)
+    {
+      struct sim_packet *packet = calloc (1, sizeof *packet);
+
+      packet->due = sim->now + 500 + rng_below (&sim->rng, 3000);
+      if (rng_below (&sim->rng, 100) == 0)
+        packet->due += rng_below (&sim->rng, 800000);
+      packet->to = to;
+      packet->msg = rep_msg_copy (msg);
+      sim_queue (sim, packet);
+    }
+  rep_msg_free (msg);
+}
+
+static uint32_t
+sim_find (const struct sim *sim, const char *address)
+{
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    if (strcmp (sim->node[n].address, address) == 0)
+      return n;
+  return SIM_NODES;
+}
+
+/* Ids contain the node number.  */
+static uint32_t
+sim_node_of (uint64_t id)
+{
+  return (uint32_t)(id % 16);
+}
+
+static struct rep_entry *
+sim_entry (struct lst_node *node)
+{
+  return node == NULL ? NULL : lst_entry (node, struct rep_entry, node);
+}
+
+static void
+sim_disk_apply (struct sim_disk *disk, struct sto_write *write)
+{
+  struct sto_loaded *durable = &disk->durable;
+  struct rep_entry *entry;
+
+  if (write->snapshot != NULL)
+    {
+      rep_snapshot_free (durable->snapshot);
+      durable->snapshot = write->snapshot;
+      write->snapshot = NULL;
+    }
+  while (write->truncate_from != 0
+         && (entry = sim_entry (lst_last (&durable->entries))) != NULL
+         && entry->index >= write->truncate_from)
+    {
+      lst_remove (&entry->node);
+      rep_entry_free (entry);
+    }
+  lst_splice_tail (&durable->entries, &write->entries);
+  while (durable->snapshot != NULL
+         && (entry = sim_entry (lst_first (&durable->entries))) != NULL
+         && entry->index <= durable->snapshot->index)
+    {
+      lst_remove (&entry->node);
+      rep_entry_free (entry);
+    }
+  durable->hard = write->hard;
+}
+
+/* Makes the COUNT oldest pending writes durable; returns the sequence of the
+   last one, or 0.  */
+static uint64_t
+sim_disk_sync (struct sim_disk *disk, uint32_t count)
+{
+  uint64_t sequence = 0;
+  struct lst_node *node;
+
+  while (count-- > 0 && (node = lst_pop_head (&disk->pending)) != NULL)
+    {
+      struct msg *msg = lst_entry (node, struct msg, node);
+
+      sequence = msg->u.store_write->sequence;
+      sim_disk_apply (disk, msg->u.store_write);
+      msg_free (msg);
+    }
+  return sequence;
+}
+
+static void
+sim_disk_drop_pending (struct sim_disk *disk)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&disk->pending)) != NULL)
+    msg_free (lst_entry (node, struct msg, node));
+}
+
+static void
+sim_copy_loaded (const struct sto_loaded *from, struct sto_loaded *to)
+{
+  sto_loaded_init (to);
+  to->hard = from->hard;
+  to->snapshot = rep_snapshot_copy (from->snapshot);
+  lst_each (node, &from->entries)
+    lst_push_tail (&to->entries, &rep_entry_copy (sim_entry (node))->node);
+}
+
+static void
+sim_start (struct sim *sim, uint32_t n)
+{
+  struct sim_node *node = &sim->node[n];
+  struct rep_opts opts = { 0 };
+  struct boot_opts boot = { 0 };
+  struct sto_loaded loaded;
+
+  if (node->id == 0)
+    node->id = 16 * ++sim->next_id + n;
+  boot.id = node->id;
+  memcpy (boot.address, node->address, sizeof boot.address);
+  for (uint32_t i = 0; i < sim->nodes; i++)
+    memcpy (boot.join[boot.join_count++], sim->node[i].address,
+            REP_ADDRESS_BYTES);
+  node->boot = boot_new (&boot);
+  rep_opts_default (&opts);
+  opts.id = node->id;
+  memcpy (opts.address, node->address, sizeof opts.address);
+  opts.peers_digest = boot_digest (node->boot);
+  opts.seed = rng_below (&sim->rng, 1u << 30);
+  opts.snapshot_every = 40;
+  opts.replace_after = clk_s (20);
+  sim_copy_loaded (&node->disk.durable, &loaded);
+  node->state = (struct sim_state){ 0 };
+  node->hello_at = sim->now;
+  node->rep = rep_new (&opts, &loaded, sim->now);
+}
+
+static void
+sim_kill (struct sim *sim, uint32_t n, clk_us down)
+{
+  struct sim_node *node = &sim->node[n];
+
+  node->down_until = sim->now + down;
+  node->frozen_until = 0;
+  if (node->rep == NULL)
+    return;
+  sim->kills++;
+  rep_free (node->rep);
+  boot_free (node->boot);
+  node->rep = NULL;
+  node->boot = NULL;
+  /* Writes that were not synced survive in part.  */
+  sim_disk_sync (&node->disk, rng_below (&sim->rng, 3));
+  sim_disk_drop_pending (&node->disk);
+}
+
+static void
+sim_apply (struct sim *sim, struct sim_node *node,
+           const struct rep_out_apply *apply)
+{
+  const struct rep_entry *entry = apply->entry;
+  uint32_t command;
+
+  INVARIANT (entry->len == sizeof command && entry->index < SIM_INDEXES);
+  memcpy (&command, entry->data, sizeof command);
+  sim_check (sim, entry->index > node->state.index, "entry applied twice",
+             entry->index);
+  sim_check (sim, (node->state.seen[command / 8] >> command % 8 & 1) == 0,
+             "command applied twice", command);
+  if (sim->command_at[entry->index] == 0)
+    {
+      sim_check (sim, sim->index_of[command] == 0, "command at two indexes",
+                 command);
+      sim->command_at[entry->index] = command;
+      sim->index_of[command] = (uint32_t)entry->index;
+    }
+  sim_check (sim, sim->command_at[entry->index] == command,
+             "replicas apply different sequences", entry->index);
+  node->state.index = entry->index;
+  node->state.count++;
+  node->state.seen[command / 8] |= (uint8_t)(1 << command % 8);
+  if (!apply->proposed_here)
+    return;
+  sim_check (sim, apply->request == command, "answer to another request",
+             command);
+  sim->acked[command] = true;
+  sim->acks++;
+  if (entry->index > sim->acked_index)
+    sim->acked_index = entry->index;
+}
+
+static void
+sim_snapshot (struct sim_node *node, uint64_t index)
+{
+  /* Some are larger than one chunk.  */
+  size_t len = sizeof node->state + (index % 3 == 0 ? 150000 : 0);
+  uint8_t *data = calloc (1, len);
+
+  memcpy (data, &node->state, sizeof node->state);
+  rep_snapshot_taken (node->rep, index, data, len);
+}
+
+static void
+sim_role (struct sim *sim, struct sim_node *node)
+{
+  struct rep_status status;
+
+  rep_status (node->rep, &status);
+  if (status.role != REP_LEADER)
+    return;
+  INVARIANT (status.term < SIM_TERMS);
+  sim->leaders++;
+  sim_check (sim,
+             sim->leader_of[status.term] == 0
+                 || sim->leader_of[status.term] == node->id,
+             "two leaders in one term", status.term);
+  sim->leader_of[status.term] = node->id;
+}
+
+static void
+sim_output (struct sim *sim, uint32_t n, struct rep_out *out)
+{
+  struct sim_node *node = &sim->node[n];
+  struct msg *write;
+
+  switch (out->kind)
+    {
+    case REP_OUT_SEND:
+      sim_send (sim, n, sim_node_of (out->u.send->to), out->u.send);
+      out->u.send = NULL;
+      break;
+    case REP_OUT_WRITE:
+      if (lst_empty (&node->disk.pending))
+        node->disk.sync_at = sim->now + 200 + rng_below (&sim->rng, 4000);
+      write = msg_new (MSG_STORE_WRITE);
+      write->u.store_write = out->u.write;
+      out->u.write = NULL;
+      lst_push_tail (&node->disk.pending, &write->node);
+      break;
+    case REP_OUT_APPLY:
+      sim_apply (sim, node, &out->u.apply);
+      break;
+    case REP_OUT_RESTORE:
+      sim->restores++;
+      memcpy (&node->state, out->u.restore->data, sizeof node->state);
+      break;
+    case REP_OUT_READ:
+      sim->reads++;
+      sim_check (sim, node->state.index >= sim->read_floor[out->u.read],
+                 "read older than an acknowledged entry", out->u.read);
+      break;
+    case REP_OUT_ROLE:
+      sim_role (sim, node);
+      break;
+    case REP_OUT_SNAPSHOT_WANTED:
+      sim_snapshot (node, out->u.snapshot_index);
+      break;
+    case REP_OUT_REFUSED:
+      break;
+    }
+  rep_out_free (out);
+}
+
+/* First start, and the return of a replica that no leader speaks to.  */
+static void
+sim_boot (struct sim *sim, uint32_t n)
+{
+  struct sim_node *node = &sim->node[n];
+  struct rep_status status;
+  struct boot_step step;
+  struct rep_msg *hello;
+
+  rep_status (node->rep, &status);
+  if (status.member && status.leader_heard + clk_s (3) > sim->now)
+    return;
+  for (;;)
+    {
+      boot_next (node->boot, status.last_index == 0, sim->now, &step);
+      switch (step.kind)
+        {
+        case BOOT_WAIT:
+          return;
+        case BOOT_HELLO:
+          hello = rep_msg_new (REP_HELLO);
+          hello->from = node->id;
+          memcpy (hello->address, node->address, sizeof hello->address);
+          sim_send (sim, n, sim_find (sim, step.u.address), hello);
+          break;
+        case BOOT_CREATE:
+          rep_create (node->rep, &step.u.create.members, step.u.create.term,
+                      sim->now);
+          return;
+        }
+    }
+}
+
+static void
+sim_run_node (struct sim *sim, uint32_t n)
+{
+  struct sim_node *node = &sim->node[n];
+  struct rep_out *out;
+  uint64_t sequence;
+
+  if (node->rep == NULL && node->down_until <= sim->now)
+    sim_start (sim, n);
+  if (!sim_up (sim, n))
+    return;
+  if (!lst_empty (&node->disk.pending) && node->disk.sync_at <= sim->now)
+    {
+      sequence = sim_disk_sync (&node->disk, UINT32_MAX);
+      rep_synced (node->rep, sequence, sim->now);
+    }
+  rep_tick (node->rep, sim->now);
+  sim_boot (sim, n);
+  while ((out = rep_next_output (node->rep)) != NULL)
+    sim_output (sim, n, out);
+}
+
+static void
+sim_deliver (struct sim *sim)
+{
+  struct lst_node *first;
+
+  while ((first = lst_first (&sim->packets)) != NULL)
+    {
+      struct sim_packet *packet = lst_entry (first, struct sim_packet, node);
+      struct sim_node *node = &sim->node[packet->to];
+
+      if (packet->due > sim->now)
+        return;
+      lst_remove (first);
+      if (node->rep != NULL && !sim_up (sim, packet->to))
+        {
+          /* The inbox of a frozen process fills up.  */
+          packet->due = node->frozen_until;
+          sim_queue (sim, packet);
+          continue;
+        }
+      if (node->rep == NULL)
+        rep_msg_free (packet->msg);
+      else
+        {
+          if (packet->msg->kind == REP_HELLO_REPLY)
+            boot_reply (node->boot, packet->msg->address, packet->msg,
+                        sim->now);
+          rep_message (node->rep, packet->msg, sim->now);
+        }
+      free (packet);
+    }
+}
+
+/* Proposals and reads at any replica; most are refused by non-leaders.  */
+static void
+sim_clients (struct sim *sim)
+{
+  uint32_t n = rng_below (&sim->rng, sim->nodes);
+  struct rep_status status;
+  uint32_t command;
+  uint8_t *data;
+
+  if (!sim_up (sim, n) || sim->next_command + 1 >= SIM_COMMANDS)
+    return;
+  rep_status (sim->node[n].rep, &status);
+  if (status.role != REP_LEADER)
+    return;
+  command = ++sim->next_command;
+  if (rng_below (&sim->rng, 3) == 0)
+    {
+      sim->read_floor[command] = sim->acked_index;
+      rep_read (sim->node[n].rep, command, sim->now);
+      return;
+    }
+  data = malloc (sizeof command);
+  memcpy (data, &command, sizeof command);
+  rep_propose (sim->node[n].rep, command, sim->now / 1000, data,
+               sizeof command, sim->now);
+}
+
+/* Newest leader whose lease holds, or SIM_NODES.  */
+static uint32_t
+sim_leader (const struct sim *sim, struct rep_status *status)
+{
+  uint32_t leader = SIM_NODES;
+  struct rep_status one;
+
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    {
+      if (!sim_up (sim, n))
+        continue;
+      rep_status (sim->node[n].rep, &one);
+      if (one.role == REP_LEADER
+          && (leader == SIM_NODES || one.term > status->term))
+        {
+          leader = n;
+          *status = one;
+        }
+    }
+  return leader;
+}
+
+/* Loses a disk when the group is repaired, so that the quorum keeps its
+   disks; this is often right after the last repair.  */
+static void
+sim_lose_disk (struct sim *sim)
+{
+  uint32_t n = rng_below (&sim->rng, sim->nodes);
+  struct rep_status status;
+  uint32_t voters = 0;
+
+  if (sim_leader (sim, &status) == SIM_NODES)
+    return;
+  for (uint32_t i = 0; i < status.members.count; i++)
+    {
+      const struct rep_member *member = &status.members.list[i];
+
+      if (member->learner)
+        continue;
+      voters++;
+      if (sim->node[sim_node_of (member->id)].id != member->id)
+        return;
+    }
+  if (voters != sim->nodes || !sim->acked_index
+      || status.commit < status.last_index)
+    return;
+  sim_kill (sim, n, clk_ms (rng_below (&sim->rng, 3000)));
+  sim_disk_drop_pending (&sim->node[n].disk);
+  sto_loaded_clear (&sim->node[n].disk.durable);
+  sim->node[n].id = 0;
+  sim->losses++;
+}
+
+static void
+sim_cut (struct sim *sim)
+{
+  struct rep_status status;
+  uint32_t leader = sim_leader (sim, &status);
+  uint32_t n = rng_below (&sim->rng, sim->nodes);
+  uint32_t ways = rng_below (&sim->rng, 3);
+
+  if (leader != SIM_NODES && rng_below (&sim->rng, 2) == 0)
+    n = leader;
+  for (uint32_t i = 0; i < sim->nodes; i++)
+    {
+      sim->cut[n][i] = ways != 0 && (ways == 2 || rng_below (&sim->rng, 2));
+      sim->cut[i][n] = ways != 1 && (ways == 2 || rng_below (&sim->rng, 2));
+    }
+  /* Some cuts last much longer than all timeouts.  */
+  sim->cut_until
+      = sim->now + clk_ms (rng_below (&sim->rng, ways == 2 ? 20000 : 4000));
+}
+
+static void
+sim_heal (struct sim *sim)
+{
+  memset (sim->cut, 0, sizeof sim->cut);
+  sim->cut_until = 0;
+}
+
+static void
+sim_fault (struct sim *sim)
+{
+  uint32_t n = rng_below (&sim->rng, sim->nodes);
+
+  switch (rng_below (&sim->rng, 8))
+    {
+    case 0:
+      sim_kill (sim, n, clk_ms (rng_below (&sim->rng, 2000)));
+      break;
+    case 1:
+      if (sim->node[n].rep != NULL)
+        sim->node[n].frozen_until
+            = sim->now + clk_ms (rng_below (&sim->rng, 3000));
+      break;
+    case 2:
+    case 3:
+      sim_cut (sim);
+      break;
+    case 4:
+      sim->loss_percent = rng_below (&sim->rng, 2) * rng_below (&sim->rng, 20);
+      break;
+    case 5:
+      if (rng_below (&sim->rng, 4) == 0)
+        for (n = 0; n < sim->nodes; n++)
+          sim_kill (sim, n, clk_ms (rng_below (&sim->rng, 500)));
+      break;
+    case 6:
+      if (sim_up (sim, n))
+        rep_transfer (sim->node[n].rep, sim->now);
+      break;
+    case 7:
+      sim_lose_disk (sim);
+      break;
+    }
+}
+
+static void
+sim_step (struct sim *sim)
+{
+  sim->now += SIM_STEP_US;
+  if (sim->cut_until != 0 && sim->cut_until <= sim->now)
+    sim_heal (sim);
+  if (!sim->quiet && rng_below (&sim->rng, 700) == 0)
+    sim_fault (sim);
+  if (!sim->silent && rng_below (&sim->rng, 5) == 0)
+    sim_clients (sim);
+  sim_deliver (sim);
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    sim_run_node (sim, n);
+}
+
+static uint32_t
+sim_voters (const struct rep_status *status)
+{
+  uint32_t voters = 0;
+
+  for (uint32_t i = 0; i < status->members.count; i++)
+    voters += status->members.list[i].learner ? 0 : 1;
+  return voters;
+}
+
+/* After healing, every voter holds every acknowledged command.  */
+static void
+sim_check_end (struct sim *sim)
+{
+  struct rep_status status;
+  uint32_t leader = sim_leader (sim, &status);
+
+  sim_check (sim, leader != SIM_NODES, "no leader after healing", 0);
+  if (leader == SIM_NODES)
+    return;
+  sim_check (sim, sim_voters (&status) == sim->nodes,
+             "not all replicas are voters again", status.members.count);
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    for (uint32_t c = 1; c <= sim->next_command; c++)
+      if (sim->acked[c])
+        sim_check (sim, sim->node[n].state.seen[c / 8] >> c % 8 & 1,
+                   "acknowledged entry lost", c);
+}
+
+static void
+sim_free (struct sim *sim)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&sim->packets)) != NULL)
+    {
+      struct sim_packet *packet = lst_entry (node, struct sim_packet, node);
+
+      rep_msg_free (packet->msg);
+      free (packet);
+    }
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    {
+      sim_kill (sim, n, 0);
+      sto_loaded_clear (&sim->node[n].disk.durable);
+    }
+  free (sim);
+}
+
+/* One run; returns the number of failed checks.  */
+static int
+sim_run (uint64_t seed)
+{
+  struct sim *sim = calloc (1, sizeof *sim);
+  int failures;
+
+  INVARIANT (sim != NULL);
+  sim->seed = seed;
+  rng_seed (&sim->rng, seed);
+  sim->now = clk_s (10);
+  sim->nodes = seed % 3 == 0 ? 5 : 3;
+  lst_init (&sim->packets);
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    {
+      snprintf (sim->node[n].address, REP_ADDRESS_BYTES, "127.0.0.1:%u",
+                7000 + n);
+      lst_init (&sim->node[n].disk.pending);
+      sto_loaded_init (&sim->node[n].disk.durable);
+    }
+  for (uint32_t i = 0; i < SIM_STEPS; i++)
+    sim_step (sim);
+  sim->quiet = true;
+  sim->loss_percent = 0;
+  sim_heal (sim);
+  for (uint32_t i = 0; i < SIM_HEAL_STEPS; i++)
+    {
+      sim->silent = i > SIM_HEAL_STEPS - SIM_SETTLE_STEPS;
+      sim_step (sim);
+    }
+  sim_check_end (sim);
+  printf ("seed %llu nodes %u acks %u reads %u kills %u disks lost %u "
+          "leaders %u restores %u\n",
+          (unsigned long long)seed, sim->nodes, sim->acks, sim->reads,
+          sim->kills, sim->losses, sim->leaders, sim->restores);
+  failures = sim->failures;
+  sim_free (sim);
+  return failures;
+}
+
+static uint64_t sim_first = 1;
+static uint64_t sim_count = SIM_SEEDS;
+
+/* Guards against lost, repeated or reordered entries, two leaders in a term
+   and stale reads under combined faults.  */
+static void
+test_faults (void)
+{
+  printf ("\n");
+  for (uint64_t seed = sim_first; seed < sim_first + sim_count; seed++)
+    CU_ASSERT_EQUAL (sim_run (seed), 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct suite_test tests[]
+      = { { "faults", test_faults }, { NULL, NULL } };
+
+  slog_open ("test_rep_sim", SLOG_ERR);
+  if (argc > 1)
+    sim_first = strtoull (argv[1], NULL, 10);
+  if (argc > 1)
+    sim_count = argc > 2 ? strtoull (argv[2], NULL, 10) : 1;
+  return suite_run ("rep_sim", tests);
+}
