--- a/log/rep.c
+++ b/log/rep.c
@@ -689,6 +689,8 @@
   rep_begin (rep, now);
   if (rep->role != REP_LEADER)
     return SR_ENOTLEADER;
+  if (rep->transfer_to != 0)
+    return SR_OK;
   lst_each (node, &rep->peers)
     {
       const struct rep_peer *peer = lst_entry (node, struct rep_peer, node);
@@ -698,7 +700,7 @@
         best = peer;
     }
   if (best == NULL)
-    return SR_EAGAIN;
+    return SR_ENOENT;
   rep->transfer_to = best->member.id;
   rep->transfer_deadline = now + rep->opts.election_min;
   if (best->match == rep->log.last_index)
@@ -706,6 +708,14 @@
   return SR_OK;
 }
 
+const char *
+rep_address (const struct rep *rep, uint64_t id)
+{
+  const struct rep_member *member = rep_members_find (&rep->members, id);
+
+  return member == NULL ? NULL : member->address;
+}
+
 void
 rep_status (const struct rep *rep, struct rep_status *status)
 {
--- a/log/rep.h
+++ b/log/rep.h
@@ -149,9 +149,13 @@
    way, SR_ENOENT, SR_EINVAL for the leader itself.  */
 int rep_remove (struct rep *rep, uint64_t id, clk_us now);
 
-/* Hands leadership to the most advanced voter.  SR_ENOTLEADER, SR_EAGAIN.  */
+/* Hands leadership to the most advanced voter.  SR_OK once it is under way,
+   SR_ENOTLEADER, SR_ENOENT when no other voter is alive.  */
 int rep_transfer (struct rep *rep, clk_us now);
 
+/* Address of a member, or NULL.  */
+const char *rep_address (const struct rep *rep, uint64_t id);
+
 void rep_status (const struct rep *rep, struct rep_status *status);
 
 /* The next output, freed with rep_out_free(), or NULL.  */
--- a/log/rep_snap.c
+++ b/log/rep_snap.c
@@ -106,7 +106,9 @@
   rep_log_reset (&rep->log, snapshot);
   rep->hard.commit = snapshot->index;
   rep->written = snapshot->index;
-  rep->truncate_from = snapshot->index + 1;
+  /* The whole log: an old entry at the snapshot's index would make the files
+     look as if the log differed from the snapshot.  */
+  rep->truncate_from = 1;
   rep->durable = 0;
   lst_each (node, &rep->writes)
     lst_entry (node, struct rep_pending_write, node)->last_index = 0;
--- a/wire/packio.c
+++ b/wire/packio.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/err.h"
 #include "core/msg.h"
 
 #define PIO_FIELDS_MAX 64
