--- a/log/rep.c
+++ b/log/rep.c
@@ -328,11 +328,24 @@
   return false;
 }
 
+/* A large state is written less often than every so many entries, so that
+   snapshots stay in proportion to the log.  */
+static bool
+rep_snapshot_due (const struct rep *rep)
+{
+  const struct rep_snapshot *last = rep->snapshot;
+  uint64_t from = last == NULL ? 0 : last->index;
+  uint64_t bytes = last == NULL ? 0 : last->len / REP_SNAPSHOT_SHARE;
+
+  return !rep->snapshot_wanted && !rep_sends_snapshot (rep)
+         && rep->hard.commit - from >= rep->opts.snapshot_every
+         && rep->snapshot_bytes >= bytes;
+}
+
 void
 rep_commit_to (struct rep *rep, uint64_t index)
 {
   struct rep_entry *entry;
-  uint64_t snapshot = rep->snapshot == NULL ? 0 : rep->snapshot->index;
 
   if (index <= rep->hard.commit)
     return;
@@ -342,11 +355,11 @@
     {
       INVARIANT (entry->index == rep->hard.commit + 1);
       rep->hard.commit = entry->index;
+      rep->snapshot_bytes += entry->len + sizeof *entry;
       rep_apply (rep, entry);
       entry = lst_entry (entry->node.next, struct rep_entry, node);
     }
-  if (!rep->snapshot_wanted && !rep_sends_snapshot (rep)
-      && rep->hard.commit - snapshot >= rep->opts.snapshot_every)
+  if (rep_snapshot_due (rep))
     {
       rep->snapshot_wanted = true;
       rep_output (rep, REP_OUT_SNAPSHOT_WANTED)->u.snapshot_index
@@ -655,6 +668,7 @@
   uint64_t at;
 
   rep->snapshot_wanted = false;
+  rep->snapshot_bytes = 0;
   if (index <= rep->log.base_index
       || (rep->snapshot != NULL && index <= rep->snapshot->index))
     {
--- a/log/rep_impl.h
+++ b/log/rep_impl.h
@@ -16,6 +16,10 @@
 #define REP_WINDOW_ENTRIES 2048
 /* A learner this close to the end of the log counts as caught up.  */
 #define REP_CAUGHT_UP_ENTRIES 64
+/* A snapshot is taken once the entries since the last one have this part of
+   its size: at most four bytes of snapshot are written for one of log, and
+   the log in memory stays under a quarter of the state.  */
+#define REP_SNAPSHOT_SHARE 4
 /* A snapshot larger than this is refused; a bound on what a peer can make
    this replica allocate.  */
 #define REP_SNAPSHOT_BYTES_MAX (256ull * 1024 * 1024)
@@ -115,6 +119,7 @@
   uint64_t transfer_to;
   clk_us transfer_deadline;
   bool snapshot_wanted;
+  uint64_t snapshot_bytes; /* committed since the last snapshot */
   struct rep_incoming incoming;
 
   struct lst proposals; /* struct rep_pending_proposal, by index */
