--- /dev/null
+++ b/programs/sycamorerudder-node.c
@@ -0,0 +1,162 @@
+#include <popt.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/slog.h"
+#include "programs/node_settings.h"
+#include "tasks/control.h"
+#include "tasks/front.h"
+#include "tasks/peer.h"
+#include "tasks/store.h"
+
+/* Exit statuses.  */
+#define NODE_EXIT_FAILED 1
+#define NODE_EXIT_USAGE 2
+
+struct node
+{
+  struct nst settings;
+  struct store *store;
+  struct front *front;
+  struct control *control;
+  struct peer *peer;
+};
+
+/* For the signal handler only.  */
+static struct front *node_front;
+
+static void
+node_signal (int signal)
+{
+  (void)signal;
+  if (node_front != NULL)
+    front_shut_down (node_front);
+}
+
+static void
+node_catch_signals (void)
+{
+  struct sigaction action = { .sa_handler = node_signal };
+  struct sigaction ignore = { .sa_handler = SIG_IGN };
+
+  sigemptyset (&action.sa_mask);
+  sigaction (SIGTERM, &action, NULL);
+  sigaction (SIGINT, &action, NULL);
+  sigaction (SIGPIPE, &ignore, NULL);
+}
+
+/* Opens sockets and files; a fault is logged by who finds it.  */
+static int
+node_open (struct node *node)
+{
+  const struct nst *settings = &node->settings;
+  struct front_opts front = { .listen = settings->listen,
+                              .admin = settings->admin,
+                              .peer_address = settings->peer,
+                              .instance = settings->instance,
+                              .failure_domain = settings->failure_domain,
+                              .operator_token = settings->operator_token,
+                              .drain_limit_ms = settings->drain_limit_ms,
+                              .control = settings->control };
+  struct control_opts control = { .instance = settings->instance,
+                                  .failure_domain = settings->failure_domain,
+                                  .address = settings->peer,
+                                  .join = settings->join };
+  struct peer_opts peer = { .address = settings->peer,
+                            .curve_secret = settings->curve_secret,
+                            .curve_public = settings->curve_public };
+
+  node->front = front_new (&front);
+  if (node->front == NULL)
+    return SR_EIO;
+  control.front = front_inbox (node->front);
+  node->control = control_new (&control);
+  peer.front = control.front;
+  peer.control = control_inbox (node->control);
+  node->peer = peer_new (&peer);
+  if (node->peer == NULL)
+    return SR_EIO;
+  front_connect (node->front, peer_inbox (node->peer), peer.control);
+  return SR_OK;
+}
+
+/* Opens the data folder of a control replica.  */
+static int
+node_open_store (struct node *node)
+{
+  struct store_opts opts = { .data_dir = node->settings.data_dir,
+                             .control = control_inbox (node->control) };
+  char fault[REP_ERROR_BYTES] = "";
+  int error;
+
+  if (!node->settings.control)
+    return SR_OK;
+  error = store_new (&opts, &node->store, fault);
+  if (error != SR_OK)
+    {
+      slog (SLOG_ERR,
+            "cannot use the data folder setting=--data-dir "
+            "value=%s error=\"%s\" detail=\"%s\"",
+            node->settings.data_dir, sr_strerror (error), fault);
+      return error;
+    }
+  return store_start (node->store);
+}
+
+/* Runs all tasks until the front task has shut down.  */
+static int
+node_run (struct node *node)
+{
+  int status;
+
+  control_attach (node->control, peer_inbox (node->peer), node->store);
+  if (peer_start (node->peer) != SR_OK
+      || control_start (node->control) != SR_OK)
+    {
+      slog (SLOG_ERR, "cannot start a thread");
+      return NODE_EXIT_FAILED;
+    }
+  slog (SLOG_NOTICE,
+        "started version=" SR_VERSION
+        " instance=%s listen=%s admin=%s peer=%s control=%d",
+        node->settings.instance, node->settings.listen, node->settings.admin,
+        node->settings.peer, (int)node->settings.control);
+  status = front_run (node->front);
+  inb_put (control_inbox (node->control), msg_new (MSG_STOP));
+  if (control_join (node->control) != 0)
+    status = NODE_EXIT_FAILED;
+  if (node->store != NULL)
+    store_stop (node->store);
+  inb_put (peer_inbox (node->peer), msg_new (MSG_STOP));
+  peer_join (node->peer);
+  front_free (node->front);
+  if (node->store != NULL)
+    store_free (node->store);
+  slog (SLOG_NOTICE, "stopped status=%d", status);
+  return status;
+}
+
+int
+main (int argc, const char **argv)
+{
+  struct node node = { 0 };
+
+  slog_open ("sycamorerudder-node", SLOG_INFO);
+  switch (nst_read (&node.settings, argc, argv))
+    {
+    case NST_RUN:
+      break;
+    case NST_DONE:
+      return EXIT_SUCCESS;
+    case NST_WRONG:
+      return NODE_EXIT_USAGE;
+    }
+  node_catch_signals ();
+  if (node_open (&node) != SR_OK || node_open_store (&node) != SR_OK)
+    return NODE_EXIT_FAILED;
+  node_front = node.front;
+  return node_run (&node);
+}
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -49,7 +49,6 @@
   record->incarnation = clk_wall_ms ();
   record->sequence = 1;
   record->state = MEM_STARTING;
-  record->control = control->opts.store != NULL;
 }
 
 /* Member table and log groups of a control replica.  */
@@ -59,10 +58,20 @@
   struct mbr_opts members = { .lease = CTL_LEASE_US,
                               .keep_gone = CTL_KEEP_GONE_US,
                               .most = CTL_MEMBERS_MAX };
-  struct rpl_opts replica = { .address = control->opts.address,
-                              .join = control->opts.join,
-                              .store = control->opts.store };
+  struct rpl_opts replica;
 
+  rpl_opts_default (&replica);
+  snprintf (replica.address, sizeof replica.address, "%s",
+            control->opts.address);
+  replica.join_count = control->replica_count;
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    memcpy (replica.join[i], control->replicas[i].address,
+            sizeof replica.join[i]);
+  replica.id = store_id (control->store);
+  for (int i = 0; i < MSG_GROUP_COUNT; i++)
+    replica.loaded[i] = store_loaded (control->store, (enum msg_group)i);
+  replica.store = store_inbox (control->store);
+  rng_id ((uint8_t *)&replica.seed, sizeof replica.seed);
   rng_id ((uint8_t *)&members.epoch, sizeof members.epoch);
   members.epoch |= 1;
   control->members = mbr_new (&members);
@@ -75,8 +84,7 @@
 {
   struct inb_opts inbox = { .wake = INB_WAKE_CONDITION };
   struct viw_opts view = { .replica_silent = CTL_LEASE_US };
-  struct qrt_opts marks
-      = { .keep = CTL_MARKS_KEEP_US, .most = CTL_MARKS_MAX };
+  struct qrt_opts marks = { .keep = CTL_MARKS_KEEP_US, .most = CTL_MARKS_MAX };
   struct control *control = calloc (1, sizeof *control);
 
   INVARIANT (control != NULL);
@@ -95,6 +103,14 @@
   return control;
 }
 
+void
+control_attach (struct control *control, struct inb *peer, struct store *store)
+{
+  control->peer = peer;
+  control->store = store;
+  control->record.control = store != NULL;
+}
+
 struct inb *
 control_inbox (struct control *control)
 {
@@ -115,7 +131,7 @@
             control->opts.address);
   msg->u.rep.msg = send->msg;
   send->msg = NULL;
-  inb_put (control->opts.peer, msg);
+  inb_put (control->peer, msg);
 }
 
 /* Leaders as the own replica knows them.  */
@@ -124,11 +140,11 @@
 {
   for (int i = 0; i < MSG_GROUP_COUNT; i++)
     {
-      struct rpl_status status;
+      struct rep_status status;
 
       rpl_status (control->replica, (enum msg_group)i, &status);
       snprintf (control->leader[i], sizeof control->leader[i], "%s",
-                status.leader);
+                status.leader_address);
     }
 }
 
@@ -136,29 +152,30 @@
 void
 ctl_run_replica (struct control *control, clk_us now)
 {
-  struct rpl_output output;
+  struct rpl_out output;
 
   if (control->replica == NULL)
     return;
   while (rpl_next_output (control->replica, &output))
-    switch (output.kind)
-      {
-      case RPL_SEND:
-        ctl_send_rep (control, &output.u.send);
-        break;
-      case RPL_RESULT:
-        ctl_take_result (control, &output.u.result, now);
-        free (output.u.result.data);
-        break;
-      case RPL_CONFIG_CHANGED:
-        ctl_config_local (control);
-        break;
-      case RPL_FATAL:
-        slog (SLOG_CRIT, "replica stops error=\"%s\"", output.u.fatal);
-        control->failed = true;
-        control->stopping = true;
-        break;
-      }
+    {
+      switch (output.kind)
+        {
+        case RPL_SEND:
+          ctl_send_rep (control, &output.u.send);
+          break;
+        case RPL_RESULT:
+          ctl_take_result (control, &output.u.result.result, now);
+          break;
+        case RPL_CONFIG_CHANGED:
+          ctl_config_local (control);
+          break;
+        case RPL_FATAL:
+          slog (SLOG_CRIT, "replica stops error=\"%s\"", output.u.fatal);
+          control->failed = true;
+          break;
+        }
+      rpl_out_clear (&output);
+    }
   ctl_note_leaders (control);
 }
 
@@ -175,6 +192,17 @@
   ctl_renew_all (control, now);
 }
 
+/* A message of another replica; the own one takes it over.  */
+static void
+ctl_take_rep (struct control *control, struct msg *msg, clk_us now)
+{
+  if (control->replica == NULL)
+    return;
+  rpl_message (control->replica, msg->u.rep.from, msg->u.rep.group,
+               msg->u.rep.msg, now);
+  msg->u.rep.msg = NULL;
+}
+
 static void
 ctl_take (struct control *control, struct msg *msg, clk_us now)
 {
@@ -199,9 +227,7 @@
       ctl_propose (control, &front, &msg->u.propose, now);
       break;
     case MSG_REP:
-      if (control->replica != NULL)
-        rpl_message (control->replica, msg->u.rep.from, msg->u.rep.group,
-                     msg->u.rep.msg, now);
+      ctl_take_rep (control, msg, now);
       break;
     case MSG_STORE_DONE:
       rpl_store_done (control->replica, msg->u.store_done, now);
@@ -260,7 +286,7 @@
   struct lst messages;
   struct lst_node *node;
 
-  if (control->opts.store != NULL)
+  if (control->store != NULL)
     ctl_new_replica (control);
   lst_init (&messages);
   while (!control->failed
--- a/tasks/control.h
+++ b/tasks/control.h
@@ -19,15 +19,19 @@
 {
   const char *instance;
   const char *failure_domain;
-  const char *address;      /* own peer address */
-  const char *join;         /* peer addresses of the replicas, "," between */
-  struct store *store;      /* NULL when this node holds no replica */
+  const char *address; /* own peer address */
+  const char *join;    /* peer addresses of the replicas, "," between */
   struct inb *front;
-  struct inb *peer;
 };
 
 struct control *control_new (const struct control_opts *opts);
 struct inb *control_inbox (struct control *control);
+
+/* Sets where messages go, and the store of the replica that this node holds,
+   or NULL; to be called before control_start().  */
+void control_attach (struct control *control, struct inb *peer,
+                     struct store *store);
+
 int control_start (struct control *control);
 
 /* Hands leadership over, leaves the members and ends the task after a
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -37,6 +37,26 @@
     }
 }
 
+static const char *
+ctl_role_name (const struct rep_status *status)
+{
+  if (!status->member)
+    return "joining";
+  if (!status->voter)
+    return "learner";
+  switch (status->role)
+    {
+    case REP_FOLLOWER:
+      return "follower";
+    case REP_PRECANDIDATE:
+    case REP_CANDIDATE:
+      return "candidate";
+    case REP_LEADER:
+      return "leader";
+    }
+  return "unknown";
+}
+
 static void
 ctl_status_groups (struct control *control, struct sts_status *status)
 {
@@ -51,10 +71,10 @@
       memcpy (group->leader, control->leader[i], sizeof group->leader);
       if (control->replica == NULL)
         continue;
-      struct rpl_status replica;
+      struct rep_status replica;
 
       rpl_status (control->replica, (enum msg_group)i, &replica);
-      group->role = rpl_role_name (replica.role);
+      group->role = ctl_role_name (&replica);
       group->term = replica.term;
       group->commit = replica.commit;
     }
@@ -123,9 +143,9 @@
 
   if (control->members == NULL)
     {
-      ctl_admin_reply (
-          control, admin->request, 404,
-          sts_encode_error ("only control replicas know this"), 0);
+      ctl_admin_reply (control, admin->request, 404,
+                       sts_encode_error ("only control replicas know this"),
+                       0);
       return;
     }
   snprintf (text, sizeof text, "{\"behind\": %u}\n",
@@ -146,8 +166,7 @@
                                  .group = MSG_GROUP_CONFIG,
                                  .timeout_ms = CTL_CHANGE_TIMEOUT_MS };
 
-  snprintf (change.change_id, sizeof change.change_id, "%s",
-            admin->change_id);
+  snprintf (change.change_id, sizeof change.change_id, "%s", admin->change_id);
   if (cfg_encode (&change, &propose.data, &propose.len) != SR_OK)
     {
       ctl_admin_reply (
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -21,7 +21,7 @@
   renew->all_services = true;
   qrt_export (control->marks, &renew->marks, MEM_MARKS_MAX, now);
   replica->renewed = now;
-  inb_put (control->opts.peer, msg);
+  inb_put (control->peer, msg);
 }
 
 void
@@ -34,18 +34,17 @@
 
 /* Adds marks that are not known yet; returns whether there was one.  */
 static bool
-ctl_import_marks (struct control *control, const struct lst *marks,
-                  clk_us now)
+ctl_import_marks (struct control *control, const struct lst *marks, clk_us now)
 {
   bool added = false;
 
   lst_each (node, marks)
-  {
-    const struct qrt_mark *mark = lst_entry (node, struct qrt_mark, node);
+    {
+      const struct qrt_mark *mark = lst_entry (node, struct qrt_mark, node);
 
-    if (qrt_import (control->marks, mark, now) == SR_OK)
-      added = true;
-  }
+      if (qrt_import (control->marks, mark, now) == SR_OK)
+        added = true;
+    }
   return added;
 }
 
@@ -93,10 +92,9 @@
   members->config = control->version;
   members->config_confirmed = control->confirmed;
   for (int i = 0; i < MSG_GROUP_COUNT; i++)
-    memcpy (members->leader[i], control->leader[i],
-            sizeof members->leader[i]);
+    memcpy (members->leader[i], control->leader[i], sizeof members->leader[i]);
   qrt_export (control->marks, &members->marks, MEM_MARKS_MAX, now);
-  inb_put (control->opts.peer, reply);
+  inb_put (control->peer, reply);
 }
 
 static struct ctl_replica *
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -18,7 +18,7 @@
 ctl_free_pending (struct control *control)
 {
   lst_each (node, &control->pending)
-      ctl_drop_pending (lst_entry (node, struct ctl_pending, node));
+    ctl_drop_pending (lst_entry (node, struct ctl_pending, node));
 }
 
 /* Whether this node's own replica leads the group.  */
@@ -74,7 +74,7 @@
       memcpy (msg->u.propose.data, pending->data, pending->len);
       msg->u.propose.len = pending->len;
     }
-  inb_put (control->opts.peer, msg);
+  inb_put (control->peer, msg);
 }
 
 static struct ctl_pending *
@@ -133,12 +133,12 @@
 ctl_find_pending (struct control *control, uint64_t request)
 {
   lst_each (node, &control->pending)
-  {
-    struct ctl_pending *pending = lst_entry (node, struct ctl_pending, node);
+    {
+      struct ctl_pending *pending = lst_entry (node, struct ctl_pending, node);
 
-    if (pending->request == request)
-      return pending;
-  }
+      if (pending->request == request)
+        return pending;
+    }
   return NULL;
 }
 
@@ -161,7 +161,7 @@
       msg->u.result.request = origin.request;
       result->data = NULL;
       inb_put (origin.kind == CTL_ORIGIN_FRONT ? control->opts.front
-                                               : control->opts.peer,
+                                               : control->peer,
                msg);
       break;
     case CTL_ORIGIN_CHANGE:
@@ -211,37 +211,37 @@
 ctl_check_pending (struct control *control, clk_us now)
 {
   lst_each (node, &control->pending)
-  {
-    struct ctl_pending *pending = lst_entry (node, struct ctl_pending, node);
-    struct msg_result result = { .status = SR_EAGAIN };
-
-    if (now >= pending->deadline)
-      {
-        ctl_finish (control, pending, &result, now);
+    {
+      struct ctl_pending *pending = lst_entry (node, struct ctl_pending, node);
+      struct msg_result result = { .status = SR_EAGAIN };
+
+      if (now >= pending->deadline)
+        {
+          ctl_finish (control, pending, &result, now);
+          continue;
+        }
+      if (now < pending->next_try)
         continue;
-      }
-    if (now < pending->next_try)
-      continue;
-    /* A leader that does not answer may be cut off.  */
-    if (control->replica == NULL)
-      control->leader[pending->group][0] = '\0';
-    pending->target++;
-    ctl_send (control, pending, now);
-  }
+      /* A leader that does not answer may be cut off.  */
+      if (control->replica == NULL)
+        control->leader[pending->group][0] = '\0';
+      pending->target++;
+      ctl_send (control, pending, now);
+    }
 }
 
 clk_us
 ctl_pending_wakeup (const struct control *control, clk_us latest)
 {
   lst_each (node, &control->pending)
-  {
-    const struct ctl_pending *pending
-        = lst_entry (node, struct ctl_pending, node);
-
-    if (pending->next_try < latest)
-      latest = pending->next_try;
-    if (pending->deadline < latest)
-      latest = pending->deadline;
-  }
+    {
+      const struct ctl_pending *pending
+          = lst_entry (node, struct ctl_pending, node);
+
+      if (pending->next_try < latest)
+        latest = pending->next_try;
+      if (pending->deadline < latest)
+        latest = pending->deadline;
+    }
   return latest;
 }
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -69,6 +69,8 @@
 struct control
 {
   struct control_opts opts;
+  struct inb *peer;
+  struct store *store; /* NULL when no replica is held */
   struct inb *inbox;
   pthread_t thread;
   bool stopping;
@@ -120,9 +122,8 @@
 void ctl_config_check (struct control *control, clk_us now);
 void ctl_config_result (struct control *control, struct msg_result *result,
                         clk_us now);
-void ctl_config_put (struct control *control, const char *document,
-                     size_t len, const struct mem_version *version,
-                     bool confirmed);
+void ctl_config_put (struct control *control, const char *document, size_t len,
+                     const struct mem_version *version, bool confirmed);
 void ctl_config_local (struct control *control);
 
 /* control_admin.c */
--- a/tasks/front.c
+++ b/tasks/front.c
@@ -430,6 +430,11 @@
     case MSG_ADMIN_REPLY:
       adn_reply (front, msg);
       break;
+    case MSG_STOP:
+      /* The control task has failed: the process must not go on.  */
+      front->exit_status = 1;
+      front->stopped = true;
+      break;
     default:
       break;
     }
