--- /dev/null
+++ b/core/digest.c
@@ -0,0 +1,52 @@
+#include "core/digest.h"
+
+#include <xxhash.h>
+
+#include "core/err.h"
+
+/* Feeds all parts with their lengths.  */
+static void
+dig_feed (XXH3_state_t *state, const struct dig_part *parts, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t len = parts[i].len;
+
+      XXH3_128bits_update (state, &len, sizeof len);
+      if (len > 0)
+        XXH3_128bits_update (state, parts[i].data, parts[i].len);
+    }
+}
+
+void
+dig_128 (const struct dig_part *parts, size_t count, uint8_t out[DIG_BYTES])
+{
+  XXH3_state_t *state = XXH3_createState ();
+  XXH128_canonical_t canonical;
+
+  INVARIANT (state != NULL);
+  XXH3_128bits_reset (state);
+  dig_feed (state, parts, count);
+  XXH128_canonicalFromHash (&canonical, XXH3_128bits_digest (state));
+  XXH3_freeState (state);
+  for (size_t i = 0; i < DIG_BYTES; i++)
+    out[i] = canonical.digest[i];
+}
+
+uint64_t
+dig_64 (const struct dig_part *parts, size_t count)
+{
+  uint8_t digest[DIG_BYTES];
+  uint64_t value = 0;
+
+  dig_128 (parts, count, digest);
+  for (int i = 0; i < 8; i++)
+    value = value << 8 | digest[i];
+  return value;
+}
+
+uint64_t
+dig_bytes (const void *data, size_t len)
+{
+  return len > 0 ? XXH3_64bits (data, len) : 0;
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -71,6 +71,7 @@
 {
   MSG_ROUTE_DIAL,  /* a node by its peer address */
   MSG_ROUTE_REPLY, /* back to where a message came from */
+  MSG_ROUTE_LOCAL, /* within the front task of this node */
 };
 
 struct msg_route
@@ -84,6 +85,7 @@
       uint8_t bytes[MSG_IDENTITY_BYTES];
       uint8_t len;
     } identity;
+    bool to_serve; /* local: from the call side to the serve side */
   } u;
 };
 
@@ -164,6 +166,7 @@
   enum msg_propose_kind kind;
   enum msg_group group;
   uint64_t request;
+  uint32_t timeout_ms; /* in process: time to keep trying */
   uint8_t *data;
   size_t len;
 };
@@ -181,6 +184,7 @@
 struct msg_rep
 {
   enum msg_group group;
+  char from[MSG_ADDRESS_BYTES]; /* peer address of the sender */
   struct rep_msg *msg;
 };
 
@@ -229,8 +233,8 @@
 {
   uint64_t request;
   int http_status;
-  char *text; /* JSON, malloc()ed */
-  size_t len;
+  uint64_t version; /* of the document in @text, 0 otherwise */
+  char *text;       /* JSON, malloc()ed, ends with NUL */
 };
 
 struct msg
--- /dev/null
+++ b/tasks/control.h
@@ -0,0 +1,41 @@
+#ifndef TASKS_CONTROL_H
+#define TASKS_CONTROL_H
+
+/**
+ * DOC: control - task for membership, configuration and claims
+ *
+ * Every node has one.  It renews the node's lease at the control replicas,
+ * keeps the configuration in force and passes proposals to the leaders of the
+ * log groups.  On a control replica it also holds the member table and hosts
+ * the log groups.
+ */
+
+#include "core/inbox.h"
+#include "tasks/store.h"
+
+struct control;
+
+struct control_opts
+{
+  const char *instance;
+  const char *failure_domain;
+  const char *address; /* own peer address */
+  const char *join;    /* peer addresses of the replicas, "," between */
+  struct inb *front;
+};
+
+struct control *control_new (const struct control_opts *opts);
+struct inb *control_inbox (struct control *control);
+
+/* Sets where messages go, and the store of the replica that this node holds,
+   or NULL; to be called before control_start().  */
+void control_attach (struct control *control, struct inb *peer,
+                     struct store *store);
+
+int control_start (struct control *control);
+
+/* Hands leadership over, leaves the members and ends the task after a
+   MSG_STOP in its inbox.  Returns nonzero when the task had failed.  */
+int control_join (struct control *control);
+
+#endif
