--- a/programs/fake_options.c
+++ b/programs/fake_options.c
@@ -79,6 +79,7 @@
     NUMBER ("stall-for-ms", stall_for_ms, 0, 86400000, "N", "its length"),
     TEXT ("crash-path", crash_path, "PREFIX", "exit on such a request"),
     TEXT ("truncate-path", truncate_path, "PREFIX", "close half-way"),
+    TEXT ("corrupt-path", corrupt_path, "PREFIX", "answer with a wrong byte"),
     TEXT ("late-path", late_path, "PREFIX", "answer late"),
     NUMBER ("late-ms", late_ms, 0, 600000, "N", "how late"),
     TEXT ("silent-path", silent_path, "PREFIX", "never answer"),
--- a/programs/fake_options.h
+++ b/programs/fake_options.h
@@ -29,6 +29,7 @@
   uint64_t stall_for_ms;
   char *crash_path;
   char *truncate_path;
+  char *corrupt_path;
   char *late_path;
   uint64_t late_ms;
   char *silent_path;
--- a/programs/fake_work.c
+++ b/programs/fake_work.c
@@ -31,6 +31,8 @@
     act.kind = FAKE_ACT_CRASH;
   else if (fwk_has_prefix (path, options->truncate_path))
     act.kind = FAKE_ACT_TRUNCATE;
+  else if (fwk_has_prefix (path, options->corrupt_path))
+    act.kind = FAKE_ACT_CORRUPT;
   else if (fwk_has_prefix (path, options->silent_path))
     act.kind = FAKE_ACT_SILENT;
   else if (fwk_has_prefix (path, options->late_path))
@@ -110,6 +112,8 @@
              child);
   if (request->act.kind == FAKE_ACT_TRUNCATE)
     request->act.u.cut_at = request->answer.len / 2;
+  if (request->act.kind == FAKE_ACT_CORRUPT)
+    request->answer.data[request->answer.len / 2] ^= 1;
   fsv_answer (request);
 }
 
@@ -253,6 +257,7 @@
       break;
     case FAKE_ACT_ANSWER:
     case FAKE_ACT_TRUNCATE:
+    case FAKE_ACT_CORRUPT:
     case FAKE_ACT_LATE:
       fwk_enqueue (request);
       break;
--- a/programs/tool_client.c
+++ b/programs/tool_client.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "core/err.h"
 
@@ -31,6 +32,7 @@
   struct tbf body;
   bool handshake; /* the request's head was built, so a connection exists */
   bool answered;
+  bool closing; /* the server closes the connection after the answer */
   bool over;
   bool reported;
   long long declared; /* content length, or -1 */
@@ -186,6 +188,8 @@
     slot->result.answer.proxy_status[0] = '\0';
   if (lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_HTTP_CONTENT_LENGTH) > 0)
     slot->declared = strtoll (text, NULL, 10);
+  if (lws_hdr_copy (wsi, text, sizeof text, WSI_TOKEN_CONNECTION) > 0)
+    slot->closing = strcasecmp (text, "close") == 0;
 }
 
 static int
@@ -198,12 +202,15 @@
   return lws_http_client_read (wsi, &at, &len) < 0 ? -1 : 0;
 }
 
-/* The answer has ended; a declared length must have been reached.  */
+/* The answer has ended; a declared length must have been reached.  A
+   connection that is about to close must not get the next request.  */
 static void
-tcl_on_whole (struct tcl_slot *slot)
+tcl_on_whole (struct tcl_slot *slot, struct lws *wsi)
 {
   bool whole = slot->declared < 0 || slot->body.len == (size_t)slot->declared;
 
+  if (slot->closing)
+    slot->dying = wsi;
   tcl_end (slot, whole ? TCL_WHOLE : TCL_TRUNCATED);
 }
 
@@ -254,7 +261,7 @@
       tbf_add (&slot->body, in, len);
       return 0;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      tcl_on_whole (slot);
+      tcl_on_whole (slot, wsi);
       return 0;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
     case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
@@ -356,6 +363,7 @@
 {
   slot->handshake = false;
   slot->answered = false;
+  slot->closing = false;
   slot->over = false;
   slot->reported = false;
   slot->sent = 0;
--- /dev/null
+++ b/tests/test_tools.sh
@@ -0,0 +1,105 @@
+#!/bin/bash
+# rudder-fake and rudder-load against each other.  Guards against a load tool
+# that takes a broken answer for a whole one, which would make every
+# measurement useless.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/mesh.sh
+mesh_begin
+mesh_port
+fake=127.0.0.1:$REPLY
+mesh_port
+nobody=127.0.0.1:$REPLY
+failures=0
+
+fail () {
+  failures=$((failures + 1))
+  echo "FAIL $1"
+  [ $# -lt 2 ] || echo "$2"
+}
+
+# load TARGET FLAG...: one second of calls; sets output and status.
+load () {
+  output=$("$MESH_BIN/rudder-load" --target "$1" --host stock --seconds 1 \
+    "${@:2}" 2>&1)
+  status=$?
+}
+
+# Number after a word in the line of all calls.
+count () {
+  echo "$output" | sed -n "s/^label all .*\b$1 \([0-9]*\).*/\1/p"
+}
+
+# expect NAME WORD: all calls, at least one, ended as WORD.
+expect () {
+  local calls
+  calls=$(count calls)
+  if [ "${calls:-0}" -eq 0 ] || [ "$(count "$2")" != "$calls" ] \
+    || [ "$status" -ne 0 ]; then
+    fail "$1: status $status" "$output"
+  fi
+}
+
+# wrong_setting PROGRAM NAME VALUE: one line that names both, status 2.
+wrong_setting () {
+  output=$("$MESH_BIN/$1" "--$2" "$3" 2>&1)
+  status=$?
+  if [ "$status" -ne 2 ] || [ "$(echo "$output" | wc -l)" -ne 1 ] \
+    || ! echo "$output" | grep -q -- "--$2 \"$3\".*allowed: "; then
+    fail "$1 --$2 $3: status $status" "$output"
+  fi
+}
+
+mesh_start fake "$MESH_BIN/rudder-fake" --listen "$fake" --service-us 500 \
+  --truncate-path /cut --silent-path /silent --crash-path /crash \
+  --corrupt-path /flip \
+  --journal "$MESH_DIR/journal"
+mesh_until 5 mesh_listens "${fake#*:}" || fail "fake does not listen"
+
+load "$fake" --concurrency 4 --request "GET /a/{n}/bytes/70000 2" \
+  --request "POST /b 1 bytes=40000 key" --callers 3
+expect "whole answers" whole
+load "$fake" --rate 50 --chunked --request "POST /c 1 bytes=5000 key"
+expect "chunked requests" whole
+load "$fake" --concurrency 1 --request "GET /cut/bytes/9000 1"
+expect "truncated answers" truncated
+load "$fake" --concurrency 2 --timeout-ms 200 --request "GET /silent 1"
+expect "silent answers" timed-out
+load "$nobody" --rate 20 --request "GET /a 1"
+expect "nobody listens" unreachable
+
+# A request that is resent keeps its key, and each attempt is in the journal.
+load "$fake" --concurrency 1 --timeout-ms 300 --retries 2 --retry-at-once \
+  --request "POST /silent/{n} 1 key"
+[ "$(grep -c ' start POST /silent/0 ' "$MESH_DIR/journal")" -eq 3 ] \
+  || fail "resends are not in the journal"
+[ "$(sed -n 's/.* start POST \/silent\/0 \(key=[^ ]*\).*/\1/p' \
+  "$MESH_DIR/journal" | sort -u | wc -l)" -eq 1 ] \
+  || fail "resends change the key"
+
+# One wrong byte in an answer of the declared length.
+load "$fake" --rate 20 --request "GET /flip/bytes/5000 1"
+if [ "$(count wrong)" != "$(count calls)" ] || [ "$status" -eq 0 ]; then
+  fail "wrong answers: status $status" "$output"
+fi
+
+load "$fake" --rate 5 --request "GET /crash 1"
+[ "$(count closed)" -ge 1 ] || fail "crash not reported" "$output"
+mesh_until 5 mesh_ended fake || fail "fake did not exit on /crash"
+mesh_kill fake
+
+mesh_start fake "$MESH_BIN/rudder-fake" --listen "$fake"
+mesh_until 5 mesh_listens "${fake#*:}" || fail "fake does not listen"
+mesh_stop fake 5 || fail "fake does not stop cleanly"
+
+for program in rudder-fake rudder-load; do
+  "$MESH_BIN/$program" --help >/dev/null || fail "$program --help"
+done
+wrong_setting rudder-fake listen 127.0.0.1
+wrong_setting rudder-fake slots 0
+wrong_setting rudder-load rate 1x
+wrong_setting rudder-load timeout-ms 0
+wrong_setting rudder-load target 127.0.0.1:70000
+
+[ "$failures" -eq 0 ] && echo "tools: ok"
+exit "$((failures > 0))"
