Thin path: three nodes serve a two-hop request end to end

Cause: peer frames lacked the array header, and the sender's address of log messages was not read. Change: field counts per kind in wire/pack; the address is decoded.

--- a/wire/pack.c
+++ b/wire/pack.c
@@ -12,6 +12,17 @@
 #define PCK_PATH_BYTES_MAX (16 * 1024)
 #define PCK_ITEMS_MAX 8192
 
+/* Version, kind and stream.  */
+#define PCK_HEAD_FIELDS 3
+
+/* Fields of each kind after the head.  */
+static const uint8_t pck_fields[MSG_WIRE_COUNT] = {
+  [MSG_OPEN] = 13,  [MSG_BODY] = 6,     [MSG_CREDIT] = 1,  [MSG_CANCEL] = 0,
+  [MSG_HEAD] = 3,   [MSG_REFUSE] = 6,   [MSG_PING] = 0,    [MSG_PONG] = 0,
+  [MSG_RENEW] = 17, [MSG_MEMBERS] = 14, [MSG_PROPOSE] = 3, [MSG_RESULT] = 6,
+  [MSG_REP] = 2,
+};
+
 /* Admission level and unused allowance.  */
 static void
 pck_put_trailer (msgpack_packer *packer, const struct msg_trailer *trailer)
@@ -408,8 +419,11 @@
   int error;
 
   *frames = (struct pck_frames){ 0 };
+  if (msg->kind >= MSG_WIRE_COUNT)
+    return SR_EINVAL;
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, PCK_HEAD_FIELDS + pck_fields[msg->kind]);
   msgpack_pack_uint32 (&packer, PCK_VERSION);
   msgpack_pack_uint32 (&packer, msg->kind);
   msgpack_pack_uint64 (&packer, msg->stream);
@@ -511,6 +525,7 @@
       break;
     case MSG_REP:
       msg->u.rep.group = (enum msg_group)pio_u32 (reader, MSG_GROUP_COUNT - 1);
+      pio_text (reader, msg->u.rep.from, sizeof msg->u.rep.from);
       break;
     default:
       break;
