programs: rudderctl with its commands; wire/diff

Cause: operators need one command to check, apply and read the document, and a change whose response is lost must be sent again safely. Change: popt command line (programs/ctl_opts), one HTTP exchange on libwebsockets (ctl_http), apply with resends under one change id and with the difference to the version in force (ctl_apply, wire/diff).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BUILD = build
 
 LIB_SRC = $(wildcard core/*.c filters/*.c controllers/*.c log/*.c wire/*.c \
-	tasks/*.c)
+	tasks/*.c programs/*_*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libsycamorerudder.a
 PROGRAMS = sycamorerudder-node rudderctl rudder-load rudder-fake
--- /dev/null
+++ b/programs/ctl_opts.c
@@ -0,0 +1,285 @@
+#include "programs/ctl_opts.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <popt.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/rng.h"
+#include "sycamorerudder.h"
+
+#define CTO_ADMIN_PRESET "127.0.0.1:7070"
+#define CTO_TIMEOUT_MS_PRESET 10000
+#define CTO_TIMEOUT_MS_MAX 3600000
+#define CTO_CHANGE_ID_CHARS                                                   \
+  "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
+
+/* Values as popt leaves them; strings are malloc()ed.  */
+struct cto_raw
+{
+  char *admin;
+  char *token_file;
+  char *base;
+  char *change_id;
+  int timeout_ms;
+  int json;
+  int quiet;
+  int wait;
+  int version;
+};
+
+struct cto_row
+{
+  const char *name;
+  enum cto_command_kind kind;
+  bool takes_file;
+};
+
+static const struct cto_row cto_rows[] = {
+  { "validate", CTO_VALIDATE, true }, { "apply", CTO_APPLY, true },
+  { "get", CTO_GET, false },          { "status", CTO_STATUS, false },
+  { "drain", CTO_DRAIN, false },      { "members", CTO_MEMBERS, false },
+};
+
+/* Command called NAME, or NULL.  */
+static const struct cto_row *
+cto_find (const char *name)
+{
+  size_t count = sizeof cto_rows / sizeof cto_rows[0];
+
+  for (size_t i = 0; name != NULL && i < count; i++)
+    if (strcmp (cto_rows[i].name, name) == 0)
+      return &cto_rows[i];
+  return NULL;
+}
+
+/* Reports a setting with its value and what is allowed.  */
+static int
+cto_refuse (FILE *err, const char *setting, const char *value,
+            const char *allowed)
+{
+  fprintf (err, "rudderctl: %s: \"%s\" is not allowed; allowed: %s\n", setting,
+           value, allowed);
+  return SR_EINVAL;
+}
+
+/* Reads a decimal number of at most MOST.  */
+static int
+cto_number (const char *text, uint64_t most, uint64_t *number)
+{
+  char *end;
+
+  if (text[0] < '0' || text[0] > '9')
+    return SR_EINVAL;
+  errno = 0;
+  *number = strtoull (text, &end, 10);
+  return *end != '\0' || errno != 0 || *number > most ? SR_EINVAL : SR_OK;
+}
+
+static int
+cto_read_admin (const char *text, struct cto_options *options, FILE *err)
+{
+  const char *colon = strrchr (text, ':');
+  size_t len = colon == NULL ? 0 : (size_t)(colon - text);
+  struct in_addr address;
+  uint64_t port;
+
+  if (colon != NULL && len < sizeof options->address)
+    {
+      memcpy (options->address, text, len);
+      options->address[len] = '\0';
+      if (inet_pton (AF_INET, options->address, &address) == 1
+          && cto_number (colon + 1, UINT16_MAX, &port) == SR_OK && port > 0)
+        {
+          options->port = (uint16_t)port;
+          return SR_OK;
+        }
+    }
+  return cto_refuse (err, "--admin", text, "IP:PORT, such as 127.0.0.1:7070");
+}
+
+/* Reads the operator's token: the first line of the file.  */
+static int
+cto_read_token (const char *path, struct cto_options *options, FILE *err)
+{
+  FILE *file = fopen (path, "r");
+  char *got = NULL;
+
+  if (file != NULL)
+    {
+      got = fgets (options->token, sizeof options->token, file);
+      fclose (file);
+    }
+  if (got != NULL)
+    options->token[strcspn (options->token, "\r\n")] = '\0';
+  if (got != NULL && options->token[0] != '\0')
+    return SR_OK;
+  return cto_refuse (err, "--operator-token-file", path,
+                     "a readable file whose first line is the token");
+}
+
+/* Makes a random change id.  */
+static void
+cto_make_change_id (struct cto_apply *apply)
+{
+  uint8_t id[RNG_ID_BYTES];
+
+  rng_id (id, sizeof id);
+  for (size_t i = 0; i < sizeof id; i++)
+    snprintf (apply->change_id + 2 * i, 3, "%02x", id[i]);
+  apply->change_id_made = true;
+}
+
+static int
+cto_read_apply (const struct cto_raw *raw, struct cto_apply *apply, FILE *err)
+{
+  const char *base = raw->base == NULL ? "" : raw->base;
+  size_t len;
+
+  apply->wait = raw->wait != 0;
+  if (cto_number (base, INT64_MAX, &apply->base) != SR_OK)
+    return cto_refuse (err, "--base", base,
+                       "the version number that the change is based on, 0 "
+                       "for the first document");
+  if (raw->change_id == NULL)
+    {
+      cto_make_change_id (apply);
+      return SR_OK;
+    }
+  len = strlen (raw->change_id);
+  if (len == 0 || len >= sizeof apply->change_id
+      || strspn (raw->change_id, CTO_CHANGE_ID_CHARS) != len)
+    return cto_refuse (err, "--change-id", raw->change_id,
+                       "1 to 63 letters, digits, \"-\", \"_\" or \".\"");
+  memcpy (apply->change_id, raw->change_id, len + 1);
+  return SR_OK;
+}
+
+/* Reads the command and its file.  */
+static int
+cto_read_command (poptContext popt, const struct cto_raw *raw,
+                  struct cto_command *command, FILE *err)
+{
+  const char *name = poptGetArg (popt);
+  const struct cto_row *row = cto_find (name);
+  const char *file = NULL;
+
+  if (row == NULL)
+    return cto_refuse (err, "command", name == NULL ? "" : name,
+                       "validate, apply, get, status, drain or members");
+  command->kind = row->kind;
+  if (row->takes_file)
+    {
+      file = poptGetArg (popt);
+      if (file == NULL || strlen (file) >= sizeof command->file)
+        return cto_refuse (err, "FILE", file == NULL ? "" : file,
+                           "the path of a configuration document");
+      snprintf (command->file, sizeof command->file, "%s", file);
+    }
+  if (poptPeekArg (popt) != NULL)
+    return cto_refuse (err, "argument", poptPeekArg (popt), "no further one");
+  if (row->kind == CTO_APPLY)
+    return cto_read_apply (raw, &command->u.apply, err);
+  return SR_OK;
+}
+
+/* Value of the option, of the environment variable, or of the preset.  */
+static const char *
+cto_setting (const char *option, const char *variable, const char *preset)
+{
+  const char *value = option != NULL ? option : getenv (variable);
+
+  return value != NULL && value[0] != '\0' ? value : preset;
+}
+
+static int
+cto_read_all (poptContext popt, const struct cto_raw *raw,
+              struct cto_options *options, FILE *err)
+{
+  const char *admin
+      = cto_setting (raw->admin, "SYCAMORERUDDER_ADMIN", CTO_ADMIN_PRESET);
+  const char *token_file = cto_setting (
+      raw->token_file, "SYCAMORERUDDER_OPERATOR_TOKEN_FILE", NULL);
+  char shown[16];
+
+  options->json = raw->json != 0;
+  options->quiet = raw->quiet != 0;
+  options->timeout_ms = raw->timeout_ms;
+  if (raw->timeout_ms < 1 || raw->timeout_ms > CTO_TIMEOUT_MS_MAX)
+    {
+      snprintf (shown, sizeof shown, "%d", raw->timeout_ms);
+      return cto_refuse (err, "--timeout-ms", shown, "1 to 3600000");
+    }
+  if (cto_read_admin (admin, options, err) != SR_OK)
+    return SR_EINVAL;
+  if (token_file != NULL && cto_read_token (token_file, options, err) != SR_OK)
+    return SR_EINVAL;
+  return cto_read_command (popt, raw, &options->command, err);
+}
+
+/* Reads the command line into RESULT.  */
+static void
+cto_read (poptContext popt, const struct cto_raw *raw, FILE *err,
+          struct cto_result *result)
+{
+  int left;
+
+  while ((left = poptGetNextOpt (popt)) > 0)
+    ;
+  result->kind = CTO_EXIT;
+  result->u.status = CTO_USAGE;
+  if (left < -1)
+    fprintf (err, "rudderctl: %s: %s\n", poptBadOption (popt, 0),
+             poptStrerror (left));
+  else if (raw->version != 0)
+    {
+      printf ("rudderctl %s\n", SR_VERSION);
+      result->u.status = CTO_DONE;
+    }
+  else
+    {
+      struct cto_options options = { 0 };
+
+      if (cto_read_all (popt, raw, &options, err) != SR_OK)
+        return;
+      result->kind = CTO_RUN;
+      result->u.options = options;
+    }
+}
+
+void
+cto_parse (int argc, const char **argv, FILE *err, struct cto_result *result)
+{
+  struct cto_raw raw = { .timeout_ms = CTO_TIMEOUT_MS_PRESET };
+  struct poptOption table[]
+      = { { "admin", '\0', POPT_ARG_STRING, &raw.admin, 0,
+            "admin port of a node (127.0.0.1:7070)", "IP:PORT" },
+          { "operator-token-file", '\0', POPT_ARG_STRING, &raw.token_file, 0,
+            "file with the operator's token", "FILE" },
+          { "timeout-ms", '\0', POPT_ARG_INT, &raw.timeout_ms, 0,
+            "time for the whole command (10000)", "N" },
+          { "json", '\0', POPT_ARG_NONE, &raw.json, 0, "print JSON", NULL },
+          { "quiet", '\0', POPT_ARG_NONE, &raw.quiet, 0,
+            "apply: do not show the difference", NULL },
+          { "base", '\0', POPT_ARG_STRING, &raw.base, 0,
+            "apply: version that the change is based on", "VERSION" },
+          { "change-id", '\0', POPT_ARG_STRING, &raw.change_id, 0,
+            "apply: id of the change, the same for a resend", "ID" },
+          { "wait", '\0', POPT_ARG_NONE, &raw.wait, 0,
+            "apply: wait until the version is in force on every node", NULL },
+          { "version", '\0', POPT_ARG_NONE, &raw.version, 0,
+            "print the version", NULL },
+          POPT_AUTOHELP POPT_TABLEEND };
+  poptContext popt = poptGetContext ("rudderctl", argc, argv, table, 0);
+
+  poptSetOtherOptionHelp (popt,
+                          "validate FILE | apply FILE --base VERSION | get | "
+                          "status | drain | members  [OPTION...]");
+  cto_read (popt, &raw, err, result);
+  poptFreeContext (popt);
+  free (raw.admin);
+  free (raw.token_file);
+  free (raw.base);
+  free (raw.change_id);
+}
--- /dev/null
+++ b/programs/ctl_run.h
@@ -0,0 +1,16 @@
+#ifndef PROGRAMS_CTL_RUN_H
+#define PROGRAMS_CTL_RUN_H
+
+/**
+ * DOC: ctl - the commands of rudderctl
+ */
+
+#include <stdio.h>
+
+#include "programs/ctl_opts.h"
+
+/* Runs the command; results go to OUT, messages to ERR.  */
+enum cto_exit ctl_run (const struct cto_options *options, FILE *out,
+                       FILE *err);
+
+#endif
--- /dev/null
+++ b/programs/ctl_show.h
@@ -0,0 +1,23 @@
+#ifndef PROGRAMS_CTL_SHOW_H
+#define PROGRAMS_CTL_SHOW_H
+
+/**
+ * DOC: cts - how rudderctl shows values and faults
+ */
+
+#include <jansson.h>
+#include <stdio.h>
+
+/* Writes VALUE as indented JSON.  */
+void cts_json (FILE *out, const json_t *value);
+
+/* Writes VALUE for people: a line for each field, one for each list entry.  */
+void cts_text (FILE *out, const json_t *value);
+
+/* Writes the list of objects with "path" and "text", a line for each.  */
+void cts_faults (FILE *out, const json_t *faults);
+
+/* An sr_fault_fn that appends to a json_t list.  */
+void cts_keep_fault (void *list, const char *path, const char *text);
+
+#endif
--- /dev/null
+++ b/tests/test_ctl.c
@@ -0,0 +1,342 @@
+#include <arpa/inet.h>
+#include <poll.h>
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/clk.h"
+#include "programs/ctl_opts.h"
+#include "programs/ctl_run.h"
+#include "tests/suite.h"
+
+#define REQUEST_BYTES (256 * 1024)
+#define SCRIPT_MAX 6
+#define STAND_IN_LIMIT_MS 5000
+#define HEAD(status, len)                                                     \
+  "HTTP/1.1 " status "\r\nx-version: 7\r\ncontent-length: " len               \
+  "\r\nconnection: close\r\n\r\n"
+#define ACCEPTED                                                              \
+  HEAD ("200 OK", "36") "{\"status\":\"accepted\",\"version\":8   }"
+#define APPLY                                                                 \
+  "rudderctl", "apply", "examples/fes.json", "--base", "7", "--change-id",    \
+      "c-1", "--quiet"
+
+/* A stand-in for the admin port: answers each connection with the next
+   response of its script and keeps the requests.  */
+struct stand_in
+{
+  const char *script[SCRIPT_MAX]; /* "" leaves the request unanswered */
+  char *requests[SCRIPT_MAX];
+  int count;
+  int listener;
+  int held;
+  uint16_t port;
+  pthread_t thread;
+};
+
+/* Whether the request in TEXT has arrived whole.  */
+static bool
+request_whole (const char *text)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *length = strstr (text, "ontent-length: ");
+
+  if (end == NULL)
+    return false;
+  return length == NULL || length > end
+         || strlen (end + 4) >= strtoul (length + 15, NULL, 10);
+}
+
+static bool
+readable (int fd)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+
+  return poll (&poll_fd, 1, STAND_IN_LIMIT_MS) == 1;
+}
+
+static void *
+stand_in_serve (void *arg)
+{
+  struct stand_in *self = arg;
+
+  for (; self->count < SCRIPT_MAX && self->script[self->count] != NULL;
+       self->count++)
+    {
+      const char *response = self->script[self->count];
+      char *text = calloc (1, REQUEST_BYTES);
+      size_t used = 0;
+      int fd;
+
+      self->requests[self->count] = text;
+      if (!readable (self->listener))
+        break;
+      fd = accept (self->listener, NULL, NULL);
+      while (!request_whole (text) && readable (fd))
+        {
+          ssize_t got = read (fd, text + used, REQUEST_BYTES - 1 - used);
+
+          if (got <= 0)
+            break;
+          used += (size_t)got;
+        }
+      if (response[0] == '\0')
+        {
+          self->held = fd;
+          continue;
+        }
+      CU_ASSERT_TRUE (write (fd, response, strlen (response)) > 0);
+      close (fd);
+    }
+  return NULL;
+}
+
+static void
+stand_in_start (struct stand_in *self)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t len = sizeof address;
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  self->held = -1;
+  self->listener = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (self->listener, (struct sockaddr *)&address, len), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (self->listener, 8), 0);
+  getsockname (self->listener, (struct sockaddr *)&address, &len);
+  self->port = ntohs (address.sin_port);
+  pthread_create (&self->thread, NULL, stand_in_serve, self);
+}
+
+/* Waits for the end of the script.  */
+static void
+stand_in_join (struct stand_in *self)
+{
+  pthread_join (self->thread, NULL);
+}
+
+static void
+stand_in_free (struct stand_in *self)
+{
+  close (self->listener);
+  if (self->held >= 0)
+    close (self->held);
+  for (int i = 0; i < SCRIPT_MAX; i++)
+    free (self->requests[i]);
+}
+
+/* What a run of rudderctl left.  */
+struct run
+{
+  int status;
+  char out[8192];
+  char err[8192];
+};
+
+/* Runs a command line against PORT.  */
+static struct run
+run_ctl (uint16_t port, int argc, const char **argv)
+{
+  struct run run = { 0 };
+  struct cto_result result;
+  char admin[32];
+  FILE *out = fmemopen (run.out, sizeof run.out - 1, "w");
+  FILE *err = fmemopen (run.err, sizeof run.err - 1, "w");
+
+  snprintf (admin, sizeof admin, "127.0.0.1:%u", (unsigned)port);
+  setenv ("SYCAMORERUDDER_ADMIN", admin, 1);
+  cto_parse (argc, argv, err, &result);
+  run.status = result.kind == CTO_EXIT
+                   ? (int)result.u.status
+                   : (int)ctl_run (&result.u.options, out, err);
+  fclose (out);
+  fclose (err);
+  return run;
+}
+
+#define RUN(port, ...)                                                        \
+  run_ctl ((port),                                                            \
+           (int)(sizeof ((const char *[]){ __VA_ARGS__ })                     \
+                 / sizeof (const char *)),                                    \
+           (const char *[]){ __VA_ARGS__, NULL })
+
+#define ASSERT_HAS(text, part) CU_ASSERT_PTR_NOT_NULL (strstr (text, part))
+
+/* Guards against a change that is lost, or sent under another id, when its
+   response does not come, is cut off or makes no sense.  */
+static void
+test_resends_until_known (void)
+{
+  struct stand_in node
+      = { .script = { HEAD ("503 Unavailable", "2") "{}",
+                      HEAD ("200 OK", "500") "{\"status\":\"acce",
+                      HEAD ("200 OK", "2") "{}", ACCEPTED } };
+  struct run run;
+
+  stand_in_start (&node);
+  run = RUN (node.port, APPLY);
+  CU_ASSERT_EQUAL (run.status, CTO_DONE);
+  ASSERT_HAS (run.out, "accepted as version 8");
+  stand_in_join (&node);
+  CU_ASSERT_EQUAL_FATAL (node.count, 4);
+  for (int i = 0; i < 4; i++)
+    ASSERT_HAS (node.requests[i],
+                "PUT /v1/document?base=7&change_id=c-1 HTTP/1.1\r\n");
+  CU_ASSERT_TRUE (request_whole (node.requests[3]));
+  stand_in_free (&node);
+}
+
+/* Guards against a run that hangs on a silent node, or that keeps the random
+   change id which the operator needs for a resend to itself.  */
+static void
+test_unknown_result (void)
+{
+  struct stand_in node = { .script = { "" } };
+  clk_us start = clk_now ();
+  struct run run;
+
+  stand_in_start (&node);
+  run = RUN (node.port, "rudderctl", "apply", "examples/fes.json", "--base",
+             "7", "--quiet", "--timeout-ms", "300");
+  CU_ASSERT_EQUAL (run.status, CTO_REFUSED);
+  CU_ASSERT_TRUE (clk_now () - start < clk_s (2));
+  ASSERT_HAS (run.err, "change id ");
+  ASSERT_HAS (run.err, "send it again with --base 7 --change-id ");
+  stand_in_join (&node);
+  stand_in_free (&node);
+}
+
+/* Guards against a refusal that looks like success or does not say why.  */
+static void
+test_refusals (void)
+{
+  static const struct
+  {
+    const char *response;
+    const char *shown;
+  } rows[] = {
+    { HEAD ("409 Conflict", "33") "{\"status\":\"conflict\",\"version\":9} ",
+      "version 9 is in force, not the base 7" },
+    { HEAD ("400 Bad", "59") "{\"status\":\"invalid\",\"faults\":[{\"path\":"
+                             "\"a.b\",\"text\":\"t\"}]}   ",
+      "a.b: t" },
+    { HEAD ("401 No", "2") "{}", "operator's token" },
+    { HEAD ("418 Other", "0"), "HTTP status 418" },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct stand_in node = { .script = { rows[i].response } };
+      struct run run;
+
+      stand_in_start (&node);
+      run = RUN (node.port, APPLY);
+      CU_ASSERT_EQUAL (run.status, CTO_REFUSED);
+      ASSERT_HAS (run.err, rows[i].shown);
+      stand_in_join (&node);
+      stand_in_free (&node);
+    }
+}
+
+/* Guards against a change that reports to be everywhere while a node is
+   behind, and against a difference to the wrong version.  */
+static void
+test_wait_and_difference (void)
+{
+  struct stand_in node
+      = { .script
+          = { HEAD ("404 None", "0"), ACCEPTED,
+              HEAD ("200 OK", "29") "{\"behind\":1,\"members\":[\"n\"]}",
+              HEAD ("200 OK", "12") "{\"behind\":0}" } };
+  struct run run;
+
+  stand_in_start (&node);
+  run = RUN (node.port, "rudderctl", "apply", "examples/fes.json", "--base",
+             "7", "--wait");
+  CU_ASSERT_EQUAL (run.status, CTO_DONE);
+  ASSERT_HAS (run.out, "in force on every node");
+  ASSERT_HAS (run.err, "+  \"format\": 1,");
+  stand_in_join (&node);
+  CU_ASSERT_EQUAL_FATAL (node.count, 4);
+  ASSERT_HAS (node.requests[3], "GET /v1/behind?version=8 HTTP/1.1");
+  stand_in_free (&node);
+}
+
+/* Guards against a long document that arrives cut off, and a token that is
+   not sent.  */
+static void
+test_long_document (void)
+{
+  static char pad[150000];
+  struct stand_in node = { .script = { ACCEPTED } };
+  char path[] = "build/test_ctl_XXXXXX";
+  char token[] = "build/test_ctl_XXXXXX";
+  FILE *from = fopen ("examples/fes.json", "r");
+  FILE *to = fdopen (mkstemp (path), "w");
+  FILE *secret = fdopen (mkstemp (token), "w");
+  size_t len = fread (pad, 1, 8192, from);
+
+  memset (pad + len, ' ', sizeof pad - len);
+  fwrite (pad, 1, sizeof pad, to);
+  fputs ("s3cret\n", secret);
+  fclose (from);
+  fclose (to);
+  fclose (secret);
+  stand_in_start (&node);
+  CU_ASSERT_EQUAL (RUN (node.port, "rudderctl", "apply", path, "--base", "7",
+                        "--quiet", "--operator-token-file", token)
+                       .status,
+                   CTO_DONE);
+  stand_in_join (&node);
+  ASSERT_HAS (node.requests[0], "content-length: 150000\r\n");
+  ASSERT_HAS (node.requests[0], "authorization: Bearer s3cret\r\n");
+  CU_ASSERT_TRUE (request_whole (node.requests[0]));
+  CU_ASSERT_EQUAL (
+      memcmp (strstr (node.requests[0], "\r\n\r\n") + 4, pad, sizeof pad), 0);
+  stand_in_free (&node);
+  unlink (path);
+  unlink (token);
+}
+
+/* Guards against a wrong command line that is taken for a refused change.  */
+static void
+test_usage (void)
+{
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl").status, CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "aply").status, CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "get", "x").status, CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "apply", "f").status, CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "apply", "f", "--base", "-1").status,
+                   CTO_USAGE);
+  CU_ASSERT_EQUAL (
+      RUN (1, "rudderctl", "apply", "f", "--base", "1", "--change-id", "a b")
+          .status,
+      CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "get", "--admin", "host:1").status,
+                   CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "get", "--colour").status, CTO_USAGE);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "get").status, CTO_REFUSED);
+  CU_ASSERT_EQUAL (RUN (1, "rudderctl", "validate", "Makefile").status,
+                   CTO_REFUSED);
+  CU_ASSERT_EQUAL (
+      RUN (1, "rudderctl", "validate", "examples/fes.json").status, CTO_DONE);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "resends until known", test_resends_until_known },
+          { "unknown result", test_unknown_result },
+          { "refusals", test_refusals },
+          { "wait and difference", test_wait_and_difference },
+          { "long document", test_long_document },
+          { "usage", test_usage },
+          { NULL, NULL } };
+
+  return suite_run ("ctl", tests);
+}
