wire/console: form, review and results as pages without scripts

Cause: operators without rudderctl at hand need to change the document, and see faults at the field where they are.

--- /dev/null
+++ b/wire/consoleform.c
@@ -0,0 +1,409 @@
+#include "wire/consoleform.h"
+
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "wire/doc.h"
+#include "wire/formdoc.h"
+#include "wire/html.h"
+#include "wire/schema.h"
+
+#define COF_PATH_BYTES 256
+#define COF_ALLOWED_BYTES 160
+#define COF_ACTION_BYTES 64
+#define COF_HEADERS "headers"
+
+/* Services up to this number are shown unfolded.  */
+#define COF_UNFOLDED_MAX 4
+
+/* A form that is being written.  */
+struct cof
+{
+  FILE *out;
+  const json_t *faults;
+};
+
+/* Adds a fault to the object at ARG.  */
+static void
+cof_keep_fault (void *arg, const char *path, const char *text)
+{
+  json_t *faults = arg;
+  const char *before;
+  json_t *line;
+
+  if (strncmp (path, COF_HEADERS "[", strlen (COF_HEADERS "[")) == 0)
+    path = COF_HEADERS;
+  before = json_string_value (json_object_get (faults, path));
+  if (before == NULL)
+    line = json_string (text);
+  else
+    line = json_sprintf ("%s\n%s", before, text);
+  json_object_set_new (faults, path, line);
+}
+
+json_t *
+cof_faults (const char *text, size_t len)
+{
+  json_t *faults = json_object ();
+
+  if (doc_parse (text, len, cof_keep_fault, faults, NULL) != SR_OK
+      && json_object_size (faults) == 0)
+    cof_keep_fault (faults, "document", "out of memory");
+  return faults;
+}
+
+static const char *
+cof_fault (const struct cof *form, const char *path)
+{
+  return json_string_value (json_object_get (form->faults, path));
+}
+
+/* Writes the fault at PATH, if there is one.  */
+static void
+cof_write_fault (const struct cof *form, const char *path)
+{
+  const char *fault = cof_fault (form, path);
+
+  if (fault == NULL)
+    return;
+  fputs ("<p class=\"fault\"", form->out);
+  htm_id_attribute (form->out, "id", path, "-fault");
+  fputc ('>', form->out);
+  htm_text (form->out, fault);
+  fputs ("</p>\n", form->out);
+}
+
+/* Writes the attributes that each control has.  */
+static void
+cof_write_control (const struct cof *form, const struct sch_field *field,
+                   const char *path)
+{
+  bool faulty = cof_fault (form, path) != NULL;
+
+  htm_id_attribute (form->out, "id", path, "");
+  htm_attribute (form->out, "name", path);
+  fputs (" aria-describedby=\"", form->out);
+  htm_id (form->out, path, "-help");
+  if (faulty)
+    {
+      fputc (' ', form->out);
+      htm_id (form->out, path, "-fault");
+    }
+  fputc ('"', form->out);
+  if (faulty)
+    fputs (" aria-invalid=\"true\"", form->out);
+  if (field->required)
+    fputs (" aria-required=\"true\"", form->out);
+}
+
+/* Writes an option of a select; the value is shown when LABEL is NULL.  */
+static void
+cof_write_option (FILE *out, const char *value, const char *label,
+                  const char *chosen)
+{
+  fputs ("<option", out);
+  htm_attribute (out, "value", value);
+  if (strcmp (value, chosen) == 0)
+    fputs (" selected", out);
+  fputc ('>', out);
+  htm_text (out, label != NULL ? label : value);
+  fputs ("</option>\n", out);
+}
+
+/* Writes a select with NAMES.  A value that is not among them stays, so that
+   the fault is seen next to it.  */
+static void
+cof_write_select (const struct cof *form, const struct sch_field *field,
+                  const char *path, const char *const *names,
+                  const char *chosen)
+{
+  bool known = chosen[0] == '\0';
+
+  fputs ("<select", form->out);
+  cof_write_control (form, field, path);
+  fputs (">\n", form->out);
+  cof_write_option (form->out, "", field->required ? "choose" : "not set",
+                    chosen);
+  for (; *names != NULL; names++)
+    {
+      known = known || strcmp (*names, chosen) == 0;
+      cof_write_option (form->out, *names, NULL, chosen);
+    }
+  if (!known)
+    cof_write_option (form->out, chosen, NULL, chosen);
+  fputs ("</select>\n", form->out);
+}
+
+/* Writes the control of a field with its value as text.  */
+static void
+cof_write_value (const struct cof *form, const struct sch_field *field,
+                 const char *path, const char *value)
+{
+  static const char *const answers[] = { "true", "false", NULL };
+
+  switch (field->type)
+    {
+    case SCH_BOOLEAN:
+      cof_write_select (form, field, path, answers, value);
+      return;
+    case SCH_CHOICE:
+      cof_write_select (form, field, path, field->as.choice.names, value);
+      return;
+    case SCH_LIST:
+      fputs ("<textarea rows=\"6\" cols=\"40\"", form->out);
+      cof_write_control (form, field, path);
+      fputs (">\n", form->out);
+      htm_text (form->out, value);
+      fputs ("</textarea>\n", form->out);
+      return;
+    case SCH_NUMBER:
+    case SCH_TEXT:
+    case SCH_OBJECT:
+      fputs ("<input type=\"text\"", form->out);
+      if (field->type == SCH_NUMBER)
+        fputs (" inputmode=\"numeric\"", form->out);
+      cof_write_control (form, field, path);
+      htm_attribute (form->out, "value", value);
+      fputs (">\n", form->out);
+      return;
+    }
+}
+
+/* Writes the meaning of a field and what it may hold.  */
+static void
+cof_write_help (const struct cof *form, const struct sch_field *field,
+                const char *path)
+{
+  char allowed[COF_ALLOWED_BYTES];
+
+  sch_allowed (field, allowed, sizeof allowed);
+  fputs ("<p class=\"help\"", form->out);
+  htm_id_attribute (form->out, "id", path, "-help");
+  fputc ('>', form->out);
+  htm_text (form->out, field->meaning);
+  fputs (" Allowed: ", form->out);
+  if (field->type == SCH_LIST)
+    fputs ("names of HTTP fields, one a line; ", form->out);
+  htm_text (form->out, allowed);
+  if (!field->required)
+    {
+      fputs (". When empty: ", form->out);
+      htm_text (form->out, field->preset_text);
+    }
+  fputs (".</p>\n", form->out);
+}
+
+/* Writes a field with label, control, meaning and fault.  */
+static void
+cof_write_field (const struct cof *form, const struct sch_field *field,
+                 const char *path, const json_t *value)
+{
+  char *text = fdc_value (value);
+
+  fputs ("<div class=\"field\">\n<label", form->out);
+  htm_id_attribute (form->out, "for", path, "");
+  fputc ('>', form->out);
+  htm_text (form->out, field->label);
+  if (field->unit[0] != '\0')
+    {
+      fputs (" (", form->out);
+      htm_text (form->out, field->unit);
+      fputc (')', form->out);
+    }
+  fputs ("</label>\n", form->out);
+  cof_write_value (form, field, path, text != NULL ? text : "");
+  cof_write_help (form, field, path);
+  cof_write_fault (form, path);
+  fputs ("</div>\n", form->out);
+  free (text);
+}
+
+static void cof_write_group (const struct cof *form,
+                             const struct sch_group *group,
+                             const json_t *object, const char *path);
+
+/* Writes the start of a set of fields; the fault at PATH belongs to it.  */
+static void
+cof_open_set (const struct cof *form, const char *path, const char *label,
+              const char *name)
+{
+  fputs ("<fieldset", form->out);
+  htm_id_attribute (form->out, "id", path, "");
+  fputs ("><legend>", form->out);
+  htm_text (form->out, label);
+  if (name != NULL)
+    {
+      fputc (' ', form->out);
+      htm_text (form->out, name);
+    }
+  fputs ("</legend>\n", form->out);
+  cof_write_fault (form, path);
+}
+
+/* Path of the entry of the list at PATH; AT has COF_PATH_BYTES.  */
+static void
+cof_entry_path (char *at, const char *path, size_t position)
+{
+  int len = snprintf (at, COF_PATH_BYTES, "%s[%zu]", path, position);
+
+  INVARIANT (len > 0 && len < COF_PATH_BYTES);
+}
+
+/* Name of an entry of a list, or NULL.  */
+static const char *
+cof_name (const json_t *entry)
+{
+  return json_string_value (json_object_get (entry, "name"));
+}
+
+static void
+cof_write_kinds (const struct cof *form, const struct sch_field *field,
+                 const char *path, const json_t *kinds, size_t service)
+{
+  char action[COF_ACTION_BYTES];
+  char at[COF_PATH_BYTES];
+
+  cof_write_fault (form, path);
+  for (size_t i = 0; i < json_array_size (kinds); i++)
+    {
+      const json_t *kind = json_array_get (kinds, i);
+
+      cof_entry_path (at, path, i);
+      cof_open_set (form, at, "Kind", cof_name (kind));
+      cof_write_group (form, field->as.list.group, kind, at);
+      snprintf (action, sizeof action, COF_REMOVE_KIND "%zu.%zu", service, i);
+      htm_button (form->out, action, "Remove this kind");
+      fputs ("</fieldset>\n", form->out);
+    }
+  snprintf (action, sizeof action, COF_ADD_KIND "%zu", service);
+  htm_button (form->out, action, "Add a kind");
+}
+
+static void
+cof_write_services (const struct cof *form, const struct sch_field *field,
+                    const char *path, const json_t *services)
+{
+  size_t count = json_array_size (services);
+  bool open = count <= COF_UNFOLDED_MAX || json_object_size (form->faults) > 0;
+  char action[COF_ACTION_BYTES];
+  char at[COF_PATH_BYTES];
+
+  fputs ("<h2 id=\"services\">Services</h2>\n", form->out);
+  cof_write_fault (form, path);
+  for (size_t i = 0; i < count; i++)
+    {
+      const json_t *service = json_array_get (services, i);
+      const char *name = cof_name (service);
+
+      fprintf (form->out, "<details%s><summary>Service ", open ? " open" : "");
+      htm_text (form->out, name != NULL ? name : "without a name");
+      fputs ("</summary>\n", form->out);
+      cof_entry_path (at, path, i);
+      cof_open_set (form, at, "Service", name);
+      cof_write_group (form, field->as.list.group, service, at);
+      fputs ("</fieldset>\n", form->out);
+      snprintf (action, sizeof action, COF_REMOVE_SERVICE "%zu", i);
+      htm_button (form->out, action, "Remove this service");
+      fputs ("</details>\n", form->out);
+    }
+  htm_button (form->out, COF_ADD_SERVICE, "Add a service");
+}
+
+/* Writes a list.  */
+static void
+cof_write_list (const struct cof *form, const struct sch_field *field,
+                const char *path, const json_t *value)
+{
+  size_t service = 0;
+
+  switch (field->as.list.item)
+    {
+    case SCH_ITEM_HEADER:
+      cof_write_field (form, field, path, value);
+      return;
+    case SCH_ITEM_SERVICE:
+      cof_write_services (form, field, path, value);
+      return;
+    case SCH_ITEM_KIND:
+      sscanf (path, "services[%zu]", &service);
+      cof_write_kinds (form, field, path, value, service);
+      return;
+    }
+}
+
+/* Writes the fields of GROUP with the values in OBJECT.  */
+static void
+cof_write_group (const struct cof *form, const struct sch_group *group,
+                 const json_t *object, const char *path)
+{
+  for (size_t i = 0; i < group->count; i++)
+    {
+      const struct sch_field *field = &group->fields[i];
+      const json_t *value = json_object_get (object, field->name);
+      char at[COF_PATH_BYTES];
+
+      snprintf (at, sizeof at, "%s%s%s", path, path[0] == '\0' ? "" : ".",
+                field->name);
+      if (strcmp (at, "format") == 0)
+        continue; /* the form writes the one format that there is */
+      switch (field->type)
+        {
+        case SCH_OBJECT:
+          cof_open_set (form, at, field->label, NULL);
+          cof_write_group (form, field->as.object, value, at);
+          fputs ("</fieldset>\n", form->out);
+          break;
+        case SCH_LIST:
+          cof_write_list (form, field, at, value);
+          break;
+        default:
+          cof_write_field (form, field, at, value);
+        }
+    }
+}
+
+/* Writes all faults with links to their fields.  */
+static void
+cof_write_summary (const struct cof *form)
+{
+  const char *path;
+  json_t *fault;
+
+  if (json_object_size (form->faults) == 0)
+    return;
+  fprintf (form->out,
+           "<div role=\"alert\">\n<h2>%zu fields need a change</h2>\n<ul>\n",
+           json_object_size (form->faults));
+  json_object_foreach ((json_t *)form->faults, path, fault)
+  {
+    fputs ("<li><a href=\"#", form->out);
+    htm_id (form->out, path, "");
+    fputs ("\">", form->out);
+    htm_text (form->out, path);
+    fputs ("</a>: ", form->out);
+    htm_text (form->out, json_string_value (fault));
+    fputs ("</li>\n", form->out);
+  }
+  fputs ("</ul>\n</div>\n", form->out);
+}
+
+void
+cof_write (FILE *out, const json_t *document, const json_t *faults,
+           const char *base)
+{
+  struct cof form = { .out = out, .faults = faults };
+
+  cof_write_summary (&form);
+  fputs ("<form method=\"post\" action=\"/console\">\n", out);
+  htm_hidden (out, "base", base);
+  /* The first button is the one that the Enter key presses.  */
+  htm_button (out, COF_REVIEW, "Review the change");
+  htm_button (out, COF_DOWNLOAD, "Download the document");
+  cof_write_group (&form, &sch_document, document, "");
+  fputs ("<p>", out);
+  htm_button (out, COF_REVIEW, "Review the change");
+  htm_button (out, COF_DOWNLOAD, "Download the document");
+  fputs ("</p>\n</form>\n", out);
+}
--- /dev/null
+++ b/wire/html.c
@@ -0,0 +1,106 @@
+#include "wire/html.h"
+
+#include <ctype.h>
+
+static const char htm_style[]
+    = "body{font:1rem/1.5 sans-serif;max-width:60rem;margin:1rem auto;"
+      "padding:0 1rem;color:#111;background:#fff}"
+      "fieldset,details{margin:1rem 0;padding:.5rem 1rem;border:1px solid "
+      "#767676}label,summary,legend{font-weight:bold}label{display:block}"
+      "input,select,textarea,button{font:inherit;padding:.25rem .5rem}"
+      ".help{margin:0;color:#444}.fault{margin:0;color:#a00000;"
+      "font-weight:bold}.field{margin:.75rem 0}"
+      "[aria-invalid=true]{border:2px solid #a00000}"
+      ":focus-visible{outline:3px solid #0050b0}"
+      "pre{overflow:auto;border:1px solid #767676;padding:.5rem}";
+
+void
+htm_text (FILE *out, const char *text)
+{
+  for (; *text != '\0'; text++)
+    switch (*text)
+      {
+      case '&':
+        fputs ("&amp;", out);
+        break;
+      case '<':
+        fputs ("&lt;", out);
+        break;
+      case '>':
+        fputs ("&gt;", out);
+        break;
+      case '"':
+        fputs ("&quot;", out);
+        break;
+      case '\'':
+        fputs ("&#39;", out);
+        break;
+      default:
+        fputc (*text, out);
+      }
+}
+
+void
+htm_attribute (FILE *out, const char *name, const char *value)
+{
+  fprintf (out, " %s=\"", name);
+  htm_text (out, value);
+  fputc ('"', out);
+}
+
+void
+htm_id (FILE *out, const char *path, const char *suffix)
+{
+  for (; *path != '\0'; path++)
+    fputc (isalnum ((unsigned char)*path) || *path == '_' ? *path : '-', out);
+  fputs (suffix, out);
+}
+
+void
+htm_id_attribute (FILE *out, const char *name, const char *path,
+                  const char *suffix)
+{
+  fprintf (out, " %s=\"", name);
+  htm_id (out, path, suffix);
+  fputc ('"', out);
+}
+
+void
+htm_hidden (FILE *out, const char *name, const char *value)
+{
+  fputs ("<input type=\"hidden\"", out);
+  htm_attribute (out, "name", name);
+  htm_attribute (out, "value", value);
+  fputs (">\n", out);
+}
+
+void
+htm_button (FILE *out, const char *action, const char *label)
+{
+  fputs ("<button type=\"submit\" name=\"action\"", out);
+  htm_attribute (out, "value", action);
+  fputc ('>', out);
+  htm_text (out, label);
+  fputs ("</button>\n", out);
+}
+
+void
+htm_page_start (FILE *out, const char *title)
+{
+  fputs ("<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n"
+         "<meta charset=\"utf-8\">\n"
+         "<meta name=\"viewport\" content=\"width=device-width\">\n<title>",
+         out);
+  htm_text (out, title);
+  fprintf (out, " - sycamorerudder</title>\n<style>%s</style>\n</head>\n",
+           htm_style);
+  fputs ("<body>\n<main>\n<h1>", out);
+  htm_text (out, title);
+  fputs ("</h1>\n", out);
+}
+
+void
+htm_page_end (FILE *out)
+{
+  fputs ("</main>\n</body>\n</html>\n", out);
+}
--- /dev/null
+++ b/wire/urlform.c
@@ -0,0 +1,103 @@
+#include "wire/urlform.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "sycamorerudder.h"
+
+static int
+urf_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  return tolower ((unsigned char)c) - 'a' + 10;
+}
+
+/* Decodes LEN bytes at IN to OUT; returns the byte after the NUL.  */
+static char *
+urf_decode (char *out, const char *in, size_t len)
+{
+  for (size_t i = 0; i < len; i++, out++)
+    {
+      *out = in[i];
+      if (in[i] == '+')
+        *out = ' ';
+      else if (in[i] == '%' && len - i > 2
+               && isxdigit ((unsigned char)in[i + 1])
+               && isxdigit ((unsigned char)in[i + 2]))
+        {
+          *out = (char)(urf_digit (in[i + 1]) * 16 + urf_digit (in[i + 2]));
+          i += 2;
+        }
+      if (*out == '\0')
+        *out = '?';
+    }
+  *out = '\0';
+  return out + 1;
+}
+
+/* Appends the pair that is encoded in LEN bytes at IN.  */
+static int
+urf_add (struct urf *form, const char *in, size_t len)
+{
+  const char *sign = memchr (in, '=', len);
+  size_t name_len = sign == NULL ? len : (size_t)(sign - in);
+  size_t value_len = sign == NULL ? 0 : len - name_len - 1;
+  struct urf_pair *pair = malloc (sizeof *pair + len + 2);
+
+  if (pair == NULL)
+    return SR_ENOMEM;
+  pair->name = (char *)(pair + 1);
+  pair->value = urf_decode (pair->name, in, name_len);
+  urf_decode (pair->value, in + len - value_len, value_len);
+  lst_push_tail (&form->pairs, &pair->node);
+  return SR_OK;
+}
+
+int
+urf_parse (struct urf *form, const char *body, size_t len)
+{
+  size_t count = 0;
+  int error = SR_OK;
+
+  lst_init (&form->pairs);
+  if (len > URF_BODY_BYTES_MAX)
+    return SR_EFULL;
+  while (len > 0 && error == SR_OK)
+    {
+      const char *end = memchr (body, '&', len);
+      size_t part = end == NULL ? len : (size_t)(end - body);
+
+      if (part > 0 && ++count > URF_PAIRS_MAX)
+        return SR_EFULL;
+      if (part > 0)
+        error = urf_add (form, body, part);
+      if (end != NULL)
+        part++;
+      body += part;
+      len -= part;
+    }
+  return error;
+}
+
+void
+urf_free (struct urf *form)
+{
+  lst_each (node, &form->pairs)
+    free (lst_entry (node, struct urf_pair, node));
+  lst_init (&form->pairs);
+}
+
+const char *
+urf_get (const struct urf *form, const char *name)
+{
+  lst_each (node, &form->pairs)
+    {
+      const struct urf_pair *pair = lst_entry (node, struct urf_pair, node);
+
+      if (strcmp (pair->name, name) == 0)
+        return pair->value;
+    }
+  return NULL;
+}
