wire/doc: split into report, reading and checks

Cause: the reader had grown to 719 lines with three jobs. Change: wire/docreport (path and faults), wire/docread (fields into the model), wire/doccheck (duplicates and contradictions), wire/doc (entry points and canonical text); no change of behaviour. Result: test_doc, test_console and test_ctl pass unchanged.

--- /dev/null
+++ b/wire/doccheck.h
@@ -0,0 +1,15 @@
+#ifndef WIRE_DOCCHECK_H
+#define WIRE_DOCCHECK_H
+
+/**
+ * DOC: dck - checks of the document that need more than one field
+ */
+
+#include "core/model.h"
+#include "wire/docreport.h"
+
+/* Fills in the presets that follow from other fields and reports duplicates
+   and contradictions.  */
+void dck_check (struct mdl *model, struct drp *report);
+
+#endif
--- /dev/null
+++ b/wire/docreport.h
@@ -0,0 +1,35 @@
+#ifndef WIRE_DOCREPORT_H
+#define WIRE_DOCREPORT_H
+
+/**
+ * DOC: drp - where a reading of the document is, and the faults it found
+ */
+
+#include <stddef.h>
+
+#include "sycamorerudder.h"
+
+#define DRP_PATH_BYTES 256
+
+/* PATH names the field that is being read; it ends with NUL.  */
+struct drp
+{
+  sr_fault_fn fault;
+  void *arg;
+  unsigned faults;
+  char path[DRP_PATH_BYTES];
+  size_t path_len;
+};
+
+/* Reports a fault at the current path.  */
+void drp_report (struct drp *report, const char *format, ...)
+    __attribute__ ((format (printf, 2, 3)));
+
+/* Append a key or a position in a list to the path.  They return the length
+   to which drp_leave() goes back.  */
+size_t drp_enter (struct drp *report, const char *key);
+size_t drp_enter_index (struct drp *report, size_t index);
+
+void drp_leave (struct drp *report, size_t before);
+
+#endif
