Console on the admin port of control replicas

Cause: operators drive the system through forms whose output is one document. Change: tasks/front_console.c serves wire/console; forms of other sites are refused; changes need the token.

--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -195,11 +195,13 @@
     {
     case CFG_ACCEPTED:
       ctl_admin_reply (control, request, 200,
-                       sts_encode_change ("accepted", change.number), 0);
+                       sts_encode_change ("accepted", change.number),
+                       change.number);
       break;
     case CFG_CONFLICT:
       ctl_admin_reply (control, request, 409,
-                       sts_encode_change ("conflict", change.number), 0);
+                       sts_encode_change ("conflict", change.number),
+                       change.number);
       break;
     }
 }
--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -27,6 +27,7 @@
   ADN_MEMBERS,
   ADN_BEHIND,
   ADN_DRAIN,
+  ADN_CONSOLE,
 };
 
 struct adn_route
@@ -49,6 +50,8 @@
   { "GET", "/v1/members", ADN_MEMBERS, false },
   { "GET", "/v1/behind", ADN_BEHIND, false },
   { "POST", "/v1/drain", ADN_DRAIN, true },
+  { "GET", "/console", ADN_CONSOLE, false },
+  { "POST", "/console", ADN_CONSOLE, false },
 };
 
 static void
@@ -56,12 +59,13 @@
 {
   lst_remove (&request->node);
   buf_free (&request->body);
+  cns_free (request);
   free (request->text);
   free (request);
 }
 
 /* Sets the answer and asks to write it; TEXT is owned by the request.  */
-static void
+void
 adn_answer (struct admin_request *request, int status, const char *type,
             char *text)
 {
@@ -79,7 +83,7 @@
   adn_answer (request, status, "application/json", text);
 }
 
-static void
+void
 adn_answer_error (struct admin_request *request, int status, const char *text)
 {
   adn_answer_json (request, status, sts_encode_error (text));
@@ -109,7 +113,7 @@
 }
 
 /* Compares in a time that does not depend on where the texts differ.  */
-static bool
+bool
 adn_equal (const char *a, const char *b)
 {
   size_t a_len = strlen (a);
@@ -136,8 +140,21 @@
   return adn_equal (field + strlen (bearer), front->opts.operator_token);
 }
 
+/* Whether a form was sent by a page of this admin port.  */
+static bool
+adn_is_same_origin (struct lws *wsi)
+{
+  char origin[256];
+  char host[256];
+
+  fhttp_copy_token (wsi, WSI_TOKEN_ORIGIN, origin, sizeof origin);
+  fhttp_copy_token (wsi, WSI_TOKEN_HOST, host, sizeof host);
+  return con_same_origin (origin[0] != '\0' ? origin : NULL,
+                          host[0] != '\0' ? host : NULL);
+}
+
 /* Passes the request on to the control task.  */
-static void
+void
 adn_ask_control (struct admin_request *request, enum msg_admin_op op)
 {
   struct front *front = request->front;
@@ -389,6 +406,9 @@
     case ADN_DRAIN:
       adn_drain (request);
       break;
+    case ADN_CONSOLE:
+      cns_start (request);
+      break;
     case ADN_NOT_FOUND:
       adn_answer_error (request, 404, "no such resource");
       break;
@@ -430,6 +450,7 @@
   request->wsi = wsi;
   request->local = fhttp_is_local (wsi);
   request->authorized = adn_is_authorized (front, wsi);
+  request->same_origin = adn_is_same_origin (wsi);
   lst_push_tail (&front->admins, &request->node);
   if (fhttp_method (wsi, request->method, sizeof request->method, uri,
                     sizeof uri)
@@ -467,6 +488,10 @@
       && fhttp_add_field (wsi, "content-disposition", request->disposition, &p,
                           end))
     return -1;
+  if (request->policy != NULL
+      && fhttp_add_field (wsi, "content-security-policy", request->policy, &p,
+                          end))
+    return -1;
   snprintf (number, sizeof number, "%llu",
             (unsigned long long)request->version);
   if (request->version != 0
@@ -528,6 +553,11 @@
 
   if (request == NULL)
     return;
+  if (request->console != ADMIN_CONSOLE_NONE)
+    {
+      cns_reply (request, reply);
+      return;
+    }
   request->version = reply->version;
   adn_answer_json (request, reply->http_status, reply->text);
   reply->text = NULL;
--- /dev/null
+++ b/tasks/front_console.c
@@ -0,0 +1,173 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tasks/front_state.h"
+
+/* Hexadecimal text of a random change id.  */
+static void
+cns_fresh_id (char out[RNG_ID_DIGITS + 1])
+{
+  uint8_t id[RNG_ID_BYTES];
+
+  rng_id (id, sizeof id);
+  for (int i = 0; i < RNG_ID_BYTES; i++)
+    snprintf (out + 2 * i, 3, "%02x", id[i]);
+}
+
+/* A change needs the token, or a connection from loopback without one.  */
+static bool
+cns_is_authorized (const struct admin_request *request)
+{
+  const char *token = request->front->opts.operator_token;
+
+  if (token == NULL)
+    return request->local;
+  return adn_equal (request->change.token, token);
+}
+
+void
+cns_start (struct admin_request *request)
+{
+  if (!request->front->opts.control)
+    {
+      adn_answer_error (request, 404, "the console is on control replicas");
+      return;
+    }
+  if (strcmp (request->method, "POST") == 0 && !request->same_origin)
+    {
+      adn_answer_error (request, 403, "the form comes from another site");
+      return;
+    }
+  request->console = ADMIN_CONSOLE_PAGE;
+  adn_ask_control (request, MSG_ADMIN_GET);
+}
+
+static void
+cns_answer_page (struct admin_request *request, struct con_response *response)
+{
+  request->policy = CON_PAGE_POLICY;
+  adn_answer (request, response->u.page.status, CON_PAGE_TYPE,
+              strdup (response->u.page.html));
+}
+
+static void cns_result (struct admin_request *request,
+                        enum con_outcome outcome, uint64_t version);
+
+/* Sends the change to the control task.  */
+static void
+cns_apply (struct admin_request *request, struct con_change *change)
+{
+  struct front *front = request->front;
+  struct msg *msg;
+
+  request->change = *change;
+  change->document = NULL;
+  if (!cns_is_authorized (request))
+    {
+      cns_result (request, CON_DENIED, 0);
+      return;
+    }
+  msg = msg_new (MSG_ADMIN);
+  request->console = ADMIN_CONSOLE_APPLY;
+  request->id = front->next_request++;
+  msg->u.admin.op = MSG_ADMIN_APPLY;
+  msg->u.admin.request = request->id;
+  msg->u.admin.base = request->change.base;
+  snprintf (msg->u.admin.change_id, sizeof msg->u.admin.change_id, "%s",
+            request->change.change_id);
+  msg->u.admin.text = strdup (request->change.document);
+  msg->u.admin.len = request->change.len;
+  inb_put (front->control, msg);
+}
+
+/* Runs a request for the console and carries out what it asks for.  */
+static void
+cns_run (struct admin_request *request, struct con_request *page)
+{
+  struct con_response response;
+  char fresh[RNG_ID_DIGITS + 1];
+
+  cns_fresh_id (fresh);
+  page->fresh_id = fresh;
+  page->in_force.version = request->in_force_version;
+  page->in_force.document = request->in_force;
+  page->in_force.len
+      = request->in_force != NULL ? strlen (request->in_force) : 0;
+  if (con_page (page, &response) != SR_OK)
+    {
+      adn_answer_error (request, 500, "out of memory");
+      return;
+    }
+  switch (response.kind)
+    {
+    case CON_PAGE:
+      cns_answer_page (request, &response);
+      break;
+    case CON_DOWNLOAD:
+      request->disposition = CON_DOWNLOAD_DISPOSITION;
+      adn_answer (request, 200, CON_DOWNLOAD_TYPE,
+                  strdup (response.u.download.document));
+      break;
+    case CON_APPLY:
+      cns_apply (request, &response.u.apply);
+      break;
+    }
+  con_response_free (&response);
+}
+
+static void
+cns_result (struct admin_request *request, enum con_outcome outcome,
+            uint64_t version)
+{
+  struct con_request page = { .kind = CON_RESULT };
+
+  page.u.result.outcome = outcome;
+  page.u.result.version = version;
+  page.u.result.change = &request->change;
+  cns_run (request, &page);
+}
+
+/* The version in force has come: show or submit the form.  */
+static void
+cns_page (struct admin_request *request, struct msg_admin_reply *reply)
+{
+  struct con_request page = { .kind = CON_SHOW };
+
+  if (reply->http_status == 200)
+    {
+      request->in_force = reply->text;
+      request->in_force_version = reply->version;
+      reply->text = NULL;
+    }
+  if (strcmp (request->method, "POST") == 0)
+    {
+      page.kind = CON_SUBMIT;
+      page.u.submit.body = (const char *)request->body.data;
+      page.u.submit.len = request->body.len;
+    }
+  cns_run (request, &page);
+}
+
+void
+cns_reply (struct admin_request *request, struct msg_admin_reply *reply)
+{
+  if (request->console == ADMIN_CONSOLE_PAGE)
+    {
+      cns_page (request, reply);
+      return;
+    }
+  if (reply->http_status == 200)
+    cns_result (request, CON_ACCEPTED, reply->version);
+  else if (reply->http_status == 409)
+    cns_result (request, CON_CONFLICT, reply->version);
+  else
+    cns_result (request, CON_UNAVAILABLE, 0);
+}
+
+void
+cns_free (struct admin_request *request)
+{
+  free (request->in_force);
+  free (request->change.document);
+}
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -13,6 +13,7 @@
 #include "core/digest.h"
 #include "filters/chain.h"
 #include "tasks/front.h"
+#include "wire/console.h"
 
 /* Body bytes that are kept to repeat a request, and that are hashed.  */
 #define FRONT_BODY_KEEP_BYTES (256 * 1024)
@@ -185,6 +186,14 @@
   lws_sorted_usec_list_t probe_timer;
 };
 
+/* What a request for the console waits for.  */
+enum admin_console
+{
+  ADMIN_CONSOLE_NONE,
+  ADMIN_CONSOLE_PAGE,  /* the version in force */
+  ADMIN_CONSOLE_APPLY, /* the result of a change */
+};
+
 /* A request on the admin port.  */
 struct admin_request
 {
@@ -207,7 +216,12 @@
   size_t len;
   size_t written;
   bool head_written;
-  bool console; /* the reply of the control task goes into a page */
+  enum admin_console console;
+  bool same_origin; /* the form comes from a page of this console */
+  const char *policy;
+  char *in_force; /* document, for the console */
+  uint64_t in_force_version;
+  struct con_change change;
 };
 
 struct front
@@ -336,7 +350,18 @@
 void bck_check (struct front *front, clk_us now);
 void bck_down (struct front *front, const char *why);
 
+/* front_console.c */
+void cns_start (struct admin_request *request);
+void cns_reply (struct admin_request *request, struct msg_admin_reply *reply);
+void cns_free (struct admin_request *request);
+
 /* front_admin.c */
+void adn_answer (struct admin_request *request, int status, const char *type,
+                 char *text);
+void adn_answer_error (struct admin_request *request, int status,
+                       const char *text);
+void adn_ask_control (struct admin_request *request, enum msg_admin_op op);
+bool adn_equal (const char *a, const char *b);
 int adn_callback (struct lws *wsi, enum lws_callback_reasons reason,
                   void *user, void *in, size_t len);
 void adn_reply (struct front *front, struct msg *msg);
