Backend connections are reused

Cause: libwebsockets 4.1 finds an idle connection only when host and address are equal, and a reused connection writes its request before the new handle is known; every request opened a connection that stayed for 10 s. Change: the address is given as the host and the Host line replaced; callbacks of the new handle are accepted while it is not known yet.

--- a/programs/node_settings.c
+++ b/programs/node_settings.c
@@ -313,3 +313,10 @@
     }
   return result;
 }
+
+void
+nst_free (struct nst *settings)
+{
+  for (size_t i = 0; i < NST_RULES; i++)
+    free (*nst_value (settings, &nst_rules[i]));
+}
--- a/programs/node_settings.h
+++ b/programs/node_settings.h
@@ -45,5 +45,6 @@
 };
 
 enum nst_result nst_read (struct nst *settings, int argc, const char **argv);
+void nst_free (struct nst *settings);
 
 #endif
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -143,6 +143,7 @@
 main (int argc, const char **argv)
 {
   struct node node = { 0 };
+  int status = NODE_EXIT_FAILED;
 
   slog_open ("sycamorerudder-node", SLOG_INFO);
   switch (nst_read (&node.settings, argc, argv))
@@ -150,13 +151,18 @@
     case NST_RUN:
       break;
     case NST_DONE:
+      nst_free (&node.settings);
       return EXIT_SUCCESS;
     case NST_WRONG:
+      nst_free (&node.settings);
       return NODE_EXIT_USAGE;
     }
   node_catch_signals ();
-  if (node_open (&node) != SR_OK || node_open_store (&node) != SR_OK)
-    return NODE_EXIT_FAILED;
-  node_front = node.front;
-  return node_run (&node);
+  if (node_open (&node) == SR_OK && node_open_store (&node) == SR_OK)
+    {
+      node_front = node.front;
+      status = node_run (&node);
+    }
+  nst_free (&node.settings);
+  return status;
 }
--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -8,13 +8,13 @@
 #include "tasks/front_state.h"
 
 #define BCK_READ_BYTES (16 * 1024)
-#define BCK_KEEP_WARM_S 10
+#define BCK_KEEP_WARM_S 40
 /* A non-idempotent request uses an idle connection only this long after its
    last answer: servers close idle connections, and a request written into one
    that is being closed could not be repeated.  */
 #define BCK_FRESH_US clk_s (1)
 /* An idle connection older than this is not used: something between the two
-   ends may have forgotten it.  */
+   ends may have forgotten it.  libwebsockets closes it a little later.  */
 #define BCK_IDLE_MAX_US clk_s (30)
 /* Part of the time to the deadline after which a reused connection without a
    first byte counts as silent.  */
@@ -185,11 +185,13 @@
   conn->body_sent = serve->body.base;
   conn->paused = false;
   serve->conn = conn;
+  conn->former = conn->wsi;
+  conn->wsi = NULL;
   info.context = front->context;
   info.vhost = conn->vhost;
   info.address = front->backend.host;
   info.port = front->backend.port;
-  info.host = serve->req.service_name;
+  info.host = front->backend.host;
   info.path = serve->path;
   info.method = serve->method;
   info.protocol = NULL;
@@ -280,6 +282,29 @@
   snprintf (out + len, size - len, "-00");
 }
 
+/* Replaces the Host line, which is the last one before *P.  libwebsockets 4.1
+   finds an idle connection only when host and address are equal, so the
+   address is given as the host.  */
+static int
+bck_set_host (const struct serve *serve, unsigned char **p,
+              const unsigned char *end)
+{
+  char line[MSG_ADDRESS_BYTES + 16];
+  size_t len = (size_t)snprintf (line, sizeof line, "\r\nHost: %s\r\n",
+                                 serve->front->backend.host);
+
+  if (memcmp (*p - len, line, len) != 0)
+    return -1;
+  *p -= len;
+  len = (size_t)snprintf (line, sizeof line, "\r\nHost: %s\r\n",
+                          serve->req.service_name);
+  if (*p + len >= end)
+    return -1;
+  memcpy (*p, line, len);
+  *p += len;
+  return 0;
+}
+
 /* Fields that this node sets itself.  */
 static int
 bck_add_own_fields (struct serve *serve, struct lws *wsi, unsigned char **p,
@@ -319,6 +344,8 @@
   if (serve == NULL)
     return -1;
   serve->handed_over = true;
+  if (bck_set_host (serve, p, end) != 0)
+    return -1;
   lst_each (node, &serve->fields)
     {
       const struct msg_field *field = lst_entry (node, struct msg_field, node);
@@ -465,6 +492,21 @@
   srv_refuse (serve, RSN_CONNECT_FAILED, RSN_NOT_RUN);
 }
 
+/* Whether WSI carries the current request.  A connection that is reused gets a
+   new handle, which writes its request before lws_client_connect_via_info()
+   has told it; the end of the former handle means nothing.  */
+static bool
+bck_is_current (struct backend_conn *conn, struct lws *wsi,
+                enum lws_callback_reasons reason)
+{
+  bool first = reason == LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER
+               || reason == LWS_CALLBACK_CLIENT_CONNECTION_ERROR;
+
+  if (conn->wsi == NULL && wsi != conn->former && first)
+    conn->wsi = wsi;
+  return conn->wsi == wsi;
+}
+
 int
 bck_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
               void *in, size_t len)
@@ -472,9 +514,7 @@
   struct backend_conn *conn = lws_get_opaque_user_data (wsi);
 
   (void)user;
-  /* A connection that was passed on to a later request reports its end under
-     its first handle.  */
-  if (conn == NULL || conn->wsi != wsi)
+  if (conn == NULL || !bck_is_current (conn, wsi, reason))
     return 0;
   switch (reason)
     {
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -152,6 +152,7 @@
   struct lws_vhost *vhost;
   char vhost_name[32];
   struct lws *wsi;
+  struct lws *former; /* handle of the request before */
   struct serve *serve;
   bool reused;       /* the current request did not open it */
   bool kept;         /* stays open after the current request */
