--- /dev/null
+++ b/tests/test_pack.c
@@ -0,0 +1,204 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "controllers/qrt.h"
+#include "core/err.h"
+#include "tests/suite.h"
+#include "wire/pack.h"
+#include "wire/record.h"
+
+/* A message of each kind with every field set.  */
+static struct msg *
+sample (enum msg_kind kind)
+{
+  struct msg *msg = msg_new (kind);
+
+  msg->stream = 77;
+  switch (kind)
+    {
+    case MSG_OPEN:
+      strcpy (msg->u.open.service, "orders");
+      strcpy (msg->u.open.method, "POST");
+      msg->u.open.path = strdup ("/orders?size=2");
+      msg_field_add (&msg->u.open.fields, "traceparent", "00-aa");
+      strcpy (msg->u.open.key, "k1");
+      msg->u.open.allowance = 3;
+      msg->u.open.remaining_us = 1500000;
+      msg->u.open.body_len = 5;
+      break;
+    case MSG_BODY:
+      msg->u.body.end = true;
+      msg->u.body.total = 5;
+      msg->u.body.trailer.unused_allowance = 2;
+      msg->u.body.data = malloc (5);
+      memcpy (msg->u.body.data, "hello", 5);
+      msg->u.body.len = 5;
+      break;
+    case MSG_REFUSE:
+      msg->u.refuse.reason = RSN_QUEUE_FULL;
+      msg->u.refuse.run = RSN_NOT_RUN;
+      break;
+    case MSG_HEAD:
+      msg->u.head.status = 200;
+      msg->u.head.body_len = MSG_LENGTH_UNKNOWN;
+      break;
+    case MSG_RENEW:
+      strcpy (msg->u.renew.record.instance, "n1");
+      msg->u.renew.service_count = 1;
+      msg->u.renew.services = calloc (1, MDL_NAME_BYTES);
+      strcpy (msg->u.renew.services[0], "stock");
+      break;
+    case MSG_MEMBERS:
+      mem_add_item (&msg->u.members.items,
+                    &(struct mem_record){ .instance = "n2", .slots = 9 });
+      break;
+    case MSG_REP:
+      msg_free (msg);
+      return NULL; /* covered by test_reppack */
+    default:
+      break;
+    }
+  return msg;
+}
+
+/* Encodes MSG and decodes it; NULL when either fails.  */
+static struct msg *
+round_trip (const struct msg *msg)
+{
+  struct pck_frames frames;
+  struct msg *out = NULL;
+
+  if (pck_encode (msg, &frames) != SR_OK)
+    return NULL;
+  pck_decode (frames.head, frames.head_len, frames.raw, frames.raw_len, &out);
+  pck_frames_free (&frames);
+  return out;
+}
+
+/* Guards against a field that is written and not read, or the reverse.  */
+static void
+test_round_trip (void)
+{
+  for (int kind = 0; kind < MSG_WIRE_COUNT; kind++)
+    {
+      struct msg *msg = sample ((enum msg_kind)kind);
+      struct msg *out;
+      struct pck_frames a;
+      struct pck_frames b;
+
+      if (msg == NULL)
+        continue;
+      out = round_trip (msg);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (out);
+      CU_ASSERT_EQUAL_FATAL (pck_encode (msg, &a), SR_OK);
+      CU_ASSERT_EQUAL_FATAL (pck_encode (out, &b), SR_OK);
+      CU_ASSERT_EQUAL_FATAL (a.head_len, b.head_len);
+      CU_ASSERT_EQUAL (memcmp (a.head, b.head, a.head_len), 0);
+      CU_ASSERT_EQUAL (a.raw_len, b.raw_len);
+      pck_frames_free (&a);
+      pck_frames_free (&b);
+      msg_free (out);
+      msg_free (msg);
+    }
+}
+
+/* Guards against reading past the end of a truncated message.  */
+static void
+test_truncated (void)
+{
+  for (int kind = 0; kind < MSG_WIRE_COUNT; kind++)
+    {
+      struct msg *msg = sample ((enum msg_kind)kind);
+      struct pck_frames frames;
+
+      if (msg == NULL)
+        continue;
+      CU_ASSERT_EQUAL_FATAL (pck_encode (msg, &frames), SR_OK);
+      for (size_t len = 0; len < frames.head_len; len++)
+        {
+          char *copy = malloc (len + 1);
+          struct msg *out = NULL;
+
+          memcpy (copy, frames.head, len);
+          CU_ASSERT_NOT_EQUAL (
+              pck_decode (copy, len, frames.raw, frames.raw_len, &out), SR_OK);
+          CU_ASSERT_PTR_NULL (out);
+          free (copy);
+        }
+      pck_frames_free (&frames);
+      msg_free (msg);
+    }
+}
+
+/* Guards against misreading a message of another version.  */
+static void
+test_other_version (void)
+{
+  struct msg *msg = msg_new (MSG_PING);
+  struct pck_frames frames;
+  struct msg *out = NULL;
+
+  CU_ASSERT_EQUAL_FATAL (pck_encode (msg, &frames), SR_OK);
+  frames.head[1] = PCK_VERSION + 1;
+  CU_ASSERT_EQUAL (pck_decode (frames.head, frames.head_len, NULL, 0, &out),
+                   SR_EVERSION);
+  CU_ASSERT_PTR_NULL (out);
+  pck_frames_free (&frames);
+  msg_free (msg);
+}
+
+/* Guards against a part that is larger than the flow control window allows. */
+static void
+test_body_too_large (void)
+{
+  struct msg *msg = msg_new (MSG_BODY);
+  struct pck_frames frames;
+  struct msg *out = NULL;
+
+  msg->u.body.len = MSG_BODY_BYTES_MAX + 1;
+  msg->u.body.data = calloc (1, msg->u.body.len);
+  CU_ASSERT_EQUAL_FATAL (pck_encode (msg, &frames), SR_OK);
+  CU_ASSERT_EQUAL (pck_decode (frames.head, frames.head_len, frames.raw,
+                               frames.raw_len, &out),
+                   SR_EMALFORMED);
+  pck_frames_free (&frames);
+  msg_free (msg);
+}
+
+/* Guards against a recorded answer that differs from the one given.  */
+static void
+test_record (void)
+{
+  struct rcd_answer answer = { .status = 201, .body_kept = true };
+  struct rcd_answer read;
+  uint8_t *data = NULL;
+  size_t len = 0;
+
+  lst_init (&answer.fields);
+  msg_field_add (&answer.fields, "content-type", "text/plain");
+  buf_append (&answer.body, "stored", 6);
+  CU_ASSERT_EQUAL_FATAL (rcd_encode (&answer, &data, &len), SR_OK);
+  CU_ASSERT_EQUAL_FATAL (rcd_decode (data, len, &read), SR_OK);
+  CU_ASSERT_EQUAL (read.status, 201);
+  CU_ASSERT_EQUAL (read.body.len, 6);
+  CU_ASSERT_STRING_EQUAL (msg_field_get (&read.fields, "content-type"),
+                          "text/plain");
+  rcd_free (&read);
+  CU_ASSERT_EQUAL (rcd_decode (data, len - 1, &read), SR_EMALFORMED);
+  free (data);
+  rcd_free (&answer);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "round trip", test_round_trip },
+          { "truncated", test_truncated },
+          { "other version", test_other_version },
+          { "body too large", test_body_too_large },
+          { "record", test_record },
+          { NULL, NULL } };
+
+  return suite_run ("pack", tests);
+}
