controllers/view: wanted services, simulation of members and views

A node that had moved to another service stayed in views that no longer get its changes. The view now knows the wanted services (viw_want) and drops a member when a newer record names another one. tests/test_view: 20 seeds of 105 s virtual time with 12 nodes and 3 replicas pass.

--- a/controllers/view.c
+++ b/controllers/view.c
@@ -32,6 +32,9 @@
 {
   struct viw_opts opts;
   uint64_t generation; /* number of the requests for the whole table */
+  bool all;            /* services wanted: all, or those listed */
+  uint32_t service_count;
+  char (*services)[MDL_NAME_BYTES];
   struct lst replicas; /* struct viw_replica, longest silent first */
   uint32_t bits;       /* in use */
   struct lst members;  /* struct viw_member */
@@ -49,6 +52,7 @@
       return NULL;
     }
   view->opts = *opts;
+  view->all = true;
   lst_init (&view->replicas);
   lst_init (&view->members);
   return view;
@@ -66,6 +70,7 @@
   while ((node = lst_pop_head (&view->replicas)) != NULL)
     free (lst_entry (node, struct viw_replica, node));
   hsh_fini (&view->instances);
+  free (view->services);
   free (view);
 }
 
@@ -143,13 +148,54 @@
   return known->position;
 }
 
-void
-viw_restart (struct viw *view)
+static bool
+viw_wanted (const struct viw *view, const struct mem_record *record)
+{
+  if (view->all || record->control)
+    return true;
+  for (uint32_t i = 0; i < view->service_count; i++)
+    if (strcmp (view->services[i], record->service) == 0)
+      return true;
+  return false;
+}
+
+static void
+viw_drop (struct viw *view, struct viw_member *member)
+{
+  lst_remove (&member->node);
+  hsh_remove (&view->instances, &member->by_instance);
+  free (member);
+}
+
+int
+viw_want (struct viw *view, bool all, char (*services)[MDL_NAME_BYTES],
+          uint32_t count)
 {
+  char (*copy)[MDL_NAME_BYTES] = NULL;
+
+  if (!all && count > 0)
+    {
+      copy = malloc (count * sizeof *copy);
+      if (copy == NULL)
+        return SR_ENOMEM;
+      memcpy (copy, services, count * sizeof *copy);
+    }
+  free (view->services);
+  view->services = copy;
+  view->service_count = copy != NULL ? count : 0;
+  view->all = all;
   view->generation++;
   lst_each (node, &view->replicas)
     lst_entry (node, struct viw_replica, node)->position
         = (struct mem_position){ .change = view->generation };
+  lst_each (node, &view->members)
+    {
+      struct viw_member *member = lst_entry (node, struct viw_member, node);
+
+      if (!viw_wanted (view, &member->record))
+        viw_drop (view, member);
+    }
+  return SR_OK;
 }
 
 /* Whether REPLY continues what is known of REPLICA.  */
@@ -172,50 +218,59 @@
          && reply->position.change >= held->change;
 }
 
-/* Takes one listed record; *CHANGED is set when the set of members does.  */
+static struct viw_member *
+viw_add (struct viw *view, const struct mem_record *record)
+{
+  struct viw_member *member = calloc (1, sizeof *member);
+
+  if (member == NULL)
+    return NULL;
+  member->record = *record;
+  lst_push_tail (&view->members, &member->node);
+  hsh_add (&view->instances, &member->by_instance,
+           hsh_text (record->instance));
+  return member;
+}
+
+/* Takes one record of a reply; *CHANGED is set when the set of members does.
+   A newer record of a service that is not wanted says that the instance has
+   left a wanted one; later changes to it are not sent.  */
 static int
-viw_list_record (struct viw *view, const struct viw_replica *replica,
+viw_take_record (struct viw *view, const struct viw_replica *replica,
                  const struct mem_record *record, bool *changed)
 {
   struct viw_member *member = viw_find_member (view, record->instance);
+  bool wanted = viw_wanted (view, record);
+  bool newer = member != NULL && mem_compare (record, &member->record) > 0;
 
-  if (record->state == MEM_GONE)
-    {
-      if (member == NULL)
-        return SR_OK;
-      member->listed &= ~replica->bit;
-      member->recent &= ~replica->bit;
-      return SR_OK;
-    }
+  if (member == NULL && (record->state == MEM_GONE || !wanted))
+    return SR_OK;
   if (member == NULL)
     {
-      member = calloc (1, sizeof *member);
+      member = viw_add (view, record);
       if (member == NULL)
         return SR_ENOMEM;
-      member->record = *record;
-      lst_push_tail (&view->members, &member->node);
-      hsh_add (&view->instances, &member->by_instance,
-               hsh_text (record->instance));
       *changed = true;
     }
-  else if (mem_compare (record, &member->record) > 0)
+  if (record->state == MEM_GONE)
     {
-      member->record = *record;
-      *changed = true;
+      member->listed &= ~replica->bit;
+      member->recent &= ~replica->bit;
+      return SR_OK;
     }
+  *changed = *changed || newer;
+  if (newer && !wanted)
+    {
+      viw_drop (view, member);
+      return SR_OK;
+    }
+  if (newer)
+    member->record = *record;
   member->listed |= replica->bit;
   member->recent |= replica->bit;
   return SR_OK;
 }
 
-static void
-viw_drop (struct viw *view, struct viw_member *member)
-{
-  lst_remove (&member->node);
-  hsh_remove (&view->instances, &member->by_instance);
-  free (member);
-}
-
 /* Replicas that have answered within the time of a lease; *SETTLED are those
    whose epoch is known for longer than that.  */
 static uint32_t
@@ -272,7 +327,7 @@
   lst_each (node, &reply->items)
     {
       const struct mem_item *item = lst_entry (node, struct mem_item, node);
-      int error = viw_list_record (view, replica, &item->record, changed);
+      int error = viw_take_record (view, replica, &item->record, changed);
 
       if (error != SR_OK)
         return error;
--- a/controllers/view.h
+++ b/controllers/view.h
@@ -32,7 +32,7 @@
  * @view: view
  * @replica: its address
  * @reply: reply to a renewal; one that was overtaken by a newer one, or was
- *	asked for before viw_restart(), changes nothing
+ *	asked for before viw_want(), changes nothing
  * @now: time
  *
  * Return: 1 when the set of members changed, 0 when not, SR_ENOMEM; after
@@ -45,9 +45,21 @@
 /* Position to put into the next renewal to REPLICA.  */
 struct mem_position viw_position (const struct viw *view, const char *replica);
 
-/* Asks every replica for its whole table again.  To be called before the
-   first renewal with more wanted services.  */
-void viw_restart (struct viw *view);
+/**
+ * viw_want() - set the services whose members are kept
+ * @view: view; a new one keeps all
+ * @all: keep all services
+ * @services: names, not needed with @all
+ * @count: number of @services
+ *
+ * Drops members of other services, except control replicas, and asks every
+ * replica for its whole table again.  To be called before the first renewal
+ * that names the same services.
+ *
+ * Return: SR_OK, SR_ENOMEM.
+ */
+int viw_want (struct viw *view, bool all, char (*services)[MDL_NAME_BYTES],
+              uint32_t count);
 
 /* Appends copies of the members of SERVICE (all when NULL) to OUT as struct
    mem_item and returns their number.  */
--- /dev/null
+++ b/tests/test_view.c
@@ -0,0 +1,539 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "controllers/mbr.h"
+#include "controllers/view.h"
+#include "core/rng.h"
+#include "sycamorerudder.h"
+#include "tests/suite.h"
+
+#define LEASE clk_s (3)
+
+static struct viw *
+new_view (void)
+{
+  return viw_new (&(struct viw_opts){ .replica_silent = LEASE });
+}
+
+/* Whether VIEW has INSTANCE; its record is copied to FOUND.  */
+static bool
+view_find (const struct viw *view, const char *instance,
+           struct mem_record *found)
+{
+  struct lst items;
+  bool has = false;
+
+  lst_init (&items);
+  viw_list (view, NULL, &items);
+  lst_each (node, &items)
+    {
+      const struct mem_item *item = lst_entry (node, struct mem_item, node);
+
+      if (strcmp (item->record.instance, instance) != 0)
+        continue;
+      CU_ASSERT_FALSE (has);
+      has = true;
+      *found = item->record;
+    }
+  mem_free_items (&items);
+  return has;
+}
+
+/* Sequence of node "a" in VIEW, -1 when it is not there.  */
+static int
+sequence_of_a (const struct viw *view)
+{
+  struct mem_record found;
+
+  return view_find (view, "a", &found) ? (int)found.sequence : -1;
+}
+
+/* Takes a reply of REPLICA that says only "a" with SEQUENCE and STATE, or
+   nothing when SEQUENCE is negative.  */
+static int
+take (struct viw *view, const char *replica, bool whole,
+      struct mem_position since, struct mem_position position, int sequence,
+      enum mem_state state, clk_us now)
+{
+  struct mem_members reply
+      = { .since = since, .position = position, .whole = whole };
+  struct mem_record record = { .instance = "a",
+                               .service = "stock",
+                               .sequence = (uint64_t)sequence,
+                               .state = state };
+  int changed;
+
+  lst_init (&reply.items);
+  if (sequence >= 0)
+    mem_add_item (&reply.items, &record);
+  changed = viw_take (view, replica, &reply, now);
+  mem_free_items (&reply.items);
+  return changed;
+}
+
+#define AT(epoch, change)                                                     \
+  (struct mem_position)                                                       \
+  {                                                                           \
+    epoch, change                                                             \
+  }
+
+/* Guards against a member that is dropped because replicas are silent or have
+   restarted with an empty table, and against one that is never dropped.  */
+static void
+test_union (void)
+{
+  struct viw *view = new_view ();
+  clk_us s = CLK_US_PER_S;
+
+  CU_ASSERT_EQUAL (
+      take (view, "r1", true, AT (0, 0), AT (5, 1), 2, MEM_SERVING, 0), 1);
+  CU_ASSERT_EQUAL (
+      take (view, "r2", true, AT (0, 0), AT (6, 1), 1, MEM_SERVING, 0), 0);
+  CU_ASSERT_EQUAL (sequence_of_a (view), 2);
+  CU_ASSERT_EQUAL (viw_position (view, "r2").epoch, 6);
+  /* r1 lets the lease end, r2 still lists it.  */
+  take (view, "r2", false, AT (6, 1), AT (6, 1), -1, MEM_GONE, 10 * s);
+  take (view, "r1", false, AT (5, 1), AT (5, 2), 2, MEM_GONE, 10 * s);
+  CU_ASSERT_EQUAL (sequence_of_a (view), 2);
+  /* r2 restarts: what it does not list counts after a lease.  */
+  take (view, "r1", false, AT (5, 2), AT (5, 2), -1, MEM_GONE, 11 * s);
+  take (view, "r2", true, AT (6, 1), AT (7, 1), -1, MEM_GONE, 11 * s);
+  take (view, "r2", false, AT (7, 1), AT (7, 1), -1, MEM_GONE, 13 * s);
+  CU_ASSERT_EQUAL (sequence_of_a (view), 2);
+  CU_ASSERT_EQUAL (
+      take (view, "r2", false, AT (7, 1), AT (7, 1), -1, MEM_GONE, 14 * s + 1),
+      1);
+  CU_ASSERT_EQUAL (sequence_of_a (view), -1);
+  viw_free (view);
+}
+
+/* Guards against replies that were overtaken, belong to an earlier epoch or
+   were asked for before the wanted services changed.  */
+static void
+test_late_replies (void)
+{
+  struct viw *view = new_view ();
+
+  take (view, "r1", true, AT (0, 0), AT (5, 1), 1, MEM_SERVING, 0);
+  take (view, "r1", false, AT (5, 1), AT (5, 3), 3, MEM_SERVING, 1);
+  take (view, "r1", false, AT (5, 1), AT (5, 2), 2, MEM_GONE, clk_s (9));
+  CU_ASSERT_EQUAL (sequence_of_a (view), 3);
+  take (view, "r1", true, AT (0, 0), AT (4, 9), -1, MEM_GONE, clk_s (9));
+  CU_ASSERT_EQUAL (viw_position (view, "r1").epoch, 5);
+  viw_want (view, true, NULL, 0);
+  CU_ASSERT_EQUAL (viw_position (view, "r1").epoch, 0);
+  take (view, "r1", false, AT (5, 3), AT (5, 4), -1, MEM_GONE, clk_s (9));
+  take (view, "r1", true, AT (0, 0), AT (5, 4), -1, MEM_GONE, clk_s (9));
+  CU_ASSERT_EQUAL (viw_position (view, "r1").epoch, 0);
+  take (view, "r1", true, viw_position (view, "r1"), AT (5, 4), 3, MEM_SERVING,
+        clk_s (9));
+  CU_ASSERT_EQUAL (viw_position (view, "r1").change, 4);
+  viw_free (view);
+}
+
+/* Simulation of nodes and control replicas in virtual time.  */
+enum
+{
+  NODES = 12,
+  REPLICAS = 3,
+  TICK_US = 10 * 1000,
+  LATE_MS = 1500
+};
+
+/* A view agrees with a change of a running member after this time, the bound
+   for draining in the design.  */
+#define SEEN clk_s (3)
+/* A member that stopped has disappeared after this time: the lease, a late
+   renewal, a renewal interval and one lost reply; one more lease and interval
+   when replicas restart.  */
+#define GONE (LEASE + clk_ms (LATE_MS) + clk_s (2))
+#define GONE_WITH_RESTARTS (GONE + LEASE + clk_s (1))
+
+struct sim_node
+{
+  bool up;
+  bool all_services;
+  uint64_t incarnation;
+  struct mem_record record;
+  struct viw *view;
+  clk_us changed; /* record or up */
+  clk_us started; /* or began to want all services */
+  clk_us next_renewal;
+  clk_us next_step; /* of its life */
+};
+
+struct sim_replica
+{
+  struct mbr *mbr; /* NULL while down */
+  clk_us back;
+};
+
+struct sim_packet
+{
+  struct lst_node node;
+  clk_us due;
+  int from;
+  int replica;
+  uint64_t incarnation;
+  bool is_reply;
+  struct mem_renew renew;
+  struct mem_members reply;
+};
+
+struct sim
+{
+  struct rng rng;
+  clk_us now;
+  bool faults;
+  bool replica_faults;
+  clk_us gone_bound;
+  clk_us replicas_back; /* end of the last loss of all replicas */
+  clk_us next_replica_fault;
+  struct sim_node nodes[NODES];
+  struct sim_replica replicas[REPLICAS];
+  struct lst packets;
+};
+
+static char sim_wanted[][MDL_NAME_BYTES] = { "stock" };
+static const char *const sim_addresses[REPLICAS] = { "r0", "r1", "r2" };
+
+static struct sim_packet *
+sim_copy (const struct sim_packet *packet)
+{
+  struct sim_packet *copy = malloc (sizeof *copy);
+
+  *copy = *packet;
+  lst_init (&copy->reply.items);
+  if (packet->is_reply)
+    lst_each (node, &packet->reply.items)
+      mem_add_item (&copy->reply.items,
+                    &lst_entry (node, struct mem_item, node)->record);
+  return copy;
+}
+
+static void
+sim_free_packet (struct sim_packet *packet)
+{
+  if (packet->is_reply)
+    mem_free_items (&packet->reply.items);
+  free (packet);
+}
+
+/* Sends a copy of PACKET: 2 % are lost, 2 % late, 3 % arrive twice.  */
+static void
+sim_send (struct sim *sim, const struct sim_packet *packet)
+{
+  uint32_t chance = rng_below (&sim->rng, 100);
+  int copies = chance < 2 ? 0 : chance < 5 ? 2 : 1;
+
+  for (; copies > 0; copies--)
+    {
+      struct sim_packet *copy = sim_copy (packet);
+      bool late = rng_below (&sim->rng, 50) == 0;
+
+      copy->due
+          = sim->now + clk_ms (1 + rng_below (&sim->rng, late ? LATE_MS : 20));
+      lst_push_tail (&sim->packets, &copy->node);
+    }
+}
+
+static void
+sim_renew (struct sim *sim, int from)
+{
+  struct sim_node *node = &sim->nodes[from];
+
+  for (int i = 0; i < REPLICAS; i++)
+    {
+      struct sim_packet packet
+          = { .from = from, .replica = i, .incarnation = node->incarnation };
+
+      packet.renew.record = node->record;
+      packet.renew.position = viw_position (node->view, sim_addresses[i]);
+      packet.renew.all_services = node->all_services;
+      packet.renew.services = sim_wanted;
+      packet.renew.service_count = 1;
+      sim_send (sim, &packet);
+    }
+  node->next_renewal = sim->now + clk_s (1);
+}
+
+static void
+sim_deliver (struct sim *sim, struct sim_packet *packet)
+{
+  struct sim_node *node = &sim->nodes[packet->from];
+  struct mbr *mbr = sim->replicas[packet->replica].mbr;
+
+  if (packet->is_reply)
+    {
+      if (node->up && node->incarnation == packet->incarnation)
+        CU_ASSERT (viw_take (node->view, sim_addresses[packet->replica],
+                             &packet->reply, sim->now)
+                   >= 0);
+      return;
+    }
+  if (mbr == NULL)
+    return;
+  CU_ASSERT_EQUAL (mbr_renew (mbr, &packet->renew, &packet->reply, sim->now),
+                   SR_OK);
+  packet->is_reply = true;
+  sim_send (sim, packet);
+}
+
+/* Sets state and service of a running node and announces them at once.  */
+static void
+sim_change (struct sim *sim, int n, enum mem_state state)
+{
+  struct sim_node *node = &sim->nodes[n];
+  const char *service = n % 2 == 0 ? "stock" : "orders";
+
+  if (state == MEM_STARTING)
+    service = "";
+  memset (node->record.service, 0, sizeof node->record.service);
+  strcpy (node->record.service, service);
+  node->record.state = state;
+  node->record.sequence++;
+  node->changed = sim->now;
+  sim_renew (sim, n);
+}
+
+static void
+sim_start (struct sim *sim, int n)
+{
+  struct sim_node *node = &sim->nodes[n];
+
+  node->up = true;
+  node->all_services = n % 3 == 0;
+  node->incarnation++;
+  node->record = (struct mem_record){ .incarnation = node->incarnation,
+                                      .control = n < REPLICAS };
+  snprintf (node->record.instance, MEM_INSTANCE_BYTES, "n%d", n);
+  snprintf (node->record.address, MEM_ADDRESS_BYTES, "127.0.0.1:%d", n);
+  node->view = new_view ();
+  viw_want (node->view, node->all_services, sim_wanted, 1);
+  node->started = sim->now;
+  node->next_step = sim->now + clk_s (1);
+  sim_change (sim, n, MEM_STARTING);
+}
+
+static void
+sim_stop (struct sim *sim, int n)
+{
+  struct sim_node *node = &sim->nodes[n];
+
+  viw_free (node->view);
+  node->up = false;
+  node->changed = sim->now;
+  node->next_step = sim->now + clk_ms (rng_below (&sim->rng, 15000));
+}
+
+/* Next step in the life of a running node that serves.  */
+static void
+sim_serving_step (struct sim *sim, int n)
+{
+  struct sim_node *node = &sim->nodes[n];
+
+  switch (rng_below (&sim->rng, 5))
+    {
+    case 0:
+      sim_stop (sim, n);
+      break;
+    case 1:
+      sim_change (sim, n, MEM_STARTING);
+      node->next_step = sim->now + clk_s (4);
+      break;
+    case 2:
+      node->all_services = true;
+      node->started = sim->now;
+      viw_want (node->view, true, NULL, 0);
+      break;
+    default:
+      sim_change (sim, n, MEM_DRAINING);
+      node->next_step = sim->now + clk_s (4);
+    }
+}
+
+static void
+sim_step_node (struct sim *sim, int n)
+{
+  struct sim_node *node = &sim->nodes[n];
+
+  if (!node->up)
+    {
+      sim_start (sim, n);
+      return;
+    }
+  node->next_step = sim->now + clk_ms (rng_below (&sim->rng, 30000));
+  switch (node->record.state)
+    {
+    case MEM_STARTING:
+      sim_change (sim, n, MEM_SERVING);
+      break;
+    case MEM_SERVING:
+      sim_serving_step (sim, n);
+      break;
+    default:
+      node->record.state = MEM_GONE;
+      sim_renew (sim, n);
+      sim_stop (sim, n);
+    }
+}
+
+static void
+sim_start_replica (struct sim *sim, int i)
+{
+  sim->replicas[i].mbr = mbr_new (
+      &(struct mbr_opts){ .lease = LEASE,
+                          .keep_gone = clk_s (5),
+                          .epoch = 1 + rng_below (&sim->rng, 1u << 30),
+                          .most = NODES });
+}
+
+static void
+sim_stop_replica (struct sim *sim, int i, clk_us back)
+{
+  mbr_free (sim->replicas[i].mbr);
+  sim->replicas[i].mbr = NULL;
+  sim->replicas[i].back = back;
+}
+
+/* Restarts replicas, with the time of a lease and more between the faults, so
+   that two of them are always up and have complete tables.  */
+static void
+sim_step_replicas (struct sim *sim)
+{
+  for (int i = 0; i < REPLICAS; i++)
+    if (sim->replicas[i].mbr == NULL && sim->now >= sim->replicas[i].back)
+      sim_start_replica (sim, i);
+  if (!sim->replica_faults || !sim->faults
+      || sim->now < sim->next_replica_fault)
+    return;
+  sim_stop_replica (sim, (int)rng_below (&sim->rng, REPLICAS),
+                    sim->now + clk_ms (rng_below (&sim->rng, 5000)));
+  sim->next_replica_fault = sim->now + clk_s (10);
+}
+
+/* Compares what the view of V says of M with the truth.  */
+static void
+sim_check_pair (const struct sim *sim, const struct sim_node *v,
+                const struct sim_node *m)
+{
+  struct mem_record found;
+  bool has = view_find (v->view, m->record.instance, &found);
+  clk_us age = sim->now - m->changed;
+  bool wanted = v->all_services || m->record.control
+                || strcmp (m->record.service, "stock") == 0;
+
+  if (sim->now - v->started < LEASE + clk_s (1))
+    return;
+  if (!m->up)
+    {
+      clk_us since
+          = m->changed > sim->replicas_back ? m->changed : sim->replicas_back;
+
+      CU_ASSERT_FALSE (has && sim->now > since + sim->gone_bound);
+      return;
+    }
+  if (wanted && sim->now - m->started >= LEASE + clk_s (1) && age >= SEEN)
+    CU_ASSERT_TRUE (has);
+  if (has && age >= SEEN)
+    CU_ASSERT_EQUAL (mem_compare (&found, &m->record), 0);
+}
+
+static void
+sim_run (struct sim *sim, clk_us time)
+{
+  for (clk_us end = sim->now + time; sim->now < end; sim->now += TICK_US)
+    {
+      sim_step_replicas (sim);
+      for (int i = 0; i < NODES; i++)
+        {
+          if (sim->faults && sim->now >= sim->nodes[i].next_step)
+            sim_step_node (sim, i);
+          if (sim->nodes[i].up && sim->now >= sim->nodes[i].next_renewal)
+            sim_renew (sim, i);
+        }
+      lst_each (node, &sim->packets)
+        {
+          struct sim_packet *packet
+              = lst_entry (node, struct sim_packet, node);
+
+          if (packet->due > sim->now)
+            continue;
+          sim_deliver (sim, packet);
+          lst_remove (&packet->node);
+          sim_free_packet (packet);
+        }
+      if (sim->now % clk_ms (100) != 0)
+        continue;
+      for (int i = 0; i < NODES * NODES; i++)
+        if (sim->nodes[i / NODES].up)
+          sim_check_pair (sim, &sim->nodes[i / NODES], &sim->nodes[i % NODES]);
+    }
+}
+
+/* A minute of faults, then the loss of all replicas, in which one node
+   crashes, and their return with empty tables.  */
+static void
+sim_scenario (uint64_t seed, bool replica_faults)
+{
+  struct sim sim = { .faults = true, .replica_faults = replica_faults };
+  int crashed = -1;
+
+  rng_seed (&sim.rng, seed);
+  lst_init (&sim.packets);
+  sim.gone_bound = replica_faults ? GONE_WITH_RESTARTS : GONE;
+  sim.next_replica_fault = clk_s (5);
+  sim_run (&sim, clk_s (60));
+  sim.faults = false;
+  sim_run (&sim, clk_s (15));
+  sim.replicas_back = sim.now + clk_s (10);
+  sim.gone_bound = GONE_WITH_RESTARTS;
+  for (int i = 0; i < REPLICAS; i++)
+    sim_stop_replica (&sim, i, sim.replicas_back);
+  sim_run (&sim, clk_s (2));
+  for (int i = 0; i < NODES; i++)
+    if (sim.nodes[i].up)
+      crashed = i;
+  if (crashed >= 0)
+    sim_stop (&sim, crashed);
+  sim_run (&sim, clk_s (28));
+  for (int i = 0; i < NODES; i++)
+    if (sim.nodes[i].up)
+      viw_free (sim.nodes[i].view);
+  for (int i = 0; i < REPLICAS; i++)
+    mbr_free (sim.replicas[i].mbr);
+  lst_each (node, &sim.packets)
+    sim_free_packet (lst_entry (node, struct sim_packet, node));
+}
+
+/* Guards against live members that are missing, stopped ones that stay, and
+   changes that views see late, under lost, repeated and reordered messages
+   and restarts.  */
+static void
+test_simulated (void)
+{
+  for (uint64_t seed = 1; seed <= 10; seed++)
+    sim_scenario (seed, false);
+}
+
+/* The same while one replica at a time restarts with an empty table.  */
+static void
+test_simulated_replica_restarts (void)
+{
+  for (uint64_t seed = 101; seed <= 110; seed++)
+    sim_scenario (seed, true);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "union", test_union },
+          { "late replies", test_late_replies },
+          { "simulated", test_simulated },
+          { "simulated, replicas restart", test_simulated_replica_restarts },
+          { NULL, NULL } };
+
+  return suite_run ("view", tests);
+}
