--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	@echo $(SOURCES)
 
 clean:
-	rm -rf build build-sanitize
+	rm -rf build build-sanitize build-fuzz
 
 .PHONY: all tests setup demo check bench soak fuzz lint format clean \
 	print-sources
