--- a/programs/node_settings.c
+++ b/programs/node_settings.c
@@ -167,9 +167,10 @@
     {
       const struct nst_rule *rule = &nst_rules[i];
       char **value = nst_value (settings, rule);
+      const char *variable = getenv (rule->variable);
 
-      if (*value == NULL && getenv (rule->variable) != NULL)
-        *value = strdup (getenv (rule->variable));
+      if (*value == NULL && variable != NULL)
+        *value = strdup (variable);
       if (*value == NULL && rule->required)
         return nst_wrong (rule->flag, "", nst_allowed[rule->form]);
       if (*value != NULL && !nst_matches (*value, rule->form))
--- a/tasks/front_attempt.c
+++ b/tasks/front_attempt.c
@@ -214,7 +214,7 @@
     qrt_add (call->front->state.marks, call->req.fingerprint,
              attempt->server->instance, clk_now ());
   att_end (attempt, att_result (&copy), &copy.trailer);
-  call_attempt_failed (call, was_winner ? attempt : NULL, &copy);
+  call_attempt_failed (call, was_winner, &copy);
 }
 
 /* Fails an attempt whose stream broke a rule or was lost.  */
--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -245,27 +245,38 @@
   lws_rx_flow_control (conn->wsi, 1);
 }
 
-/* Puts the hop into the list members of other vendors, which stay.  */
+/* Appends the members of STATE to OUT, but for the one of this system.  */
+static void
+bck_other_members (const char *state, char *out, size_t size)
+{
+  size_t used = strlen (out);
+
+  while (*state != '\0')
+    {
+      const char *member = state + strspn (state, " ,");
+      size_t len = strcspn (member, ",");
+
+      state = member + len;
+      if (len == 0 || strncmp (member, "rudder=", strlen ("rudder=")) == 0)
+        continue;
+      if (used + len + 2 >= size)
+        return;
+      used += (size_t)snprintf (out + used, size - used, ",%.*s", (int)len,
+                                member);
+    }
+}
+
+/* Puts the hop before the members of other vendors, which stay.  */
 static void
 bck_trace_state (const struct serve *serve, char *out, size_t size)
 {
   const char *state = msg_field_get (&serve->fields, "tracestate");
   size_t len = (size_t)snprintf (out, size, "rudder=");
-  const char *member;
 
   for (int i = 0; i < RNG_ID_BYTES; i++)
     len += (size_t)snprintf (out + len, size - len, "%02x", serve->hop->id[i]);
-  while (state != NULL && *state != '\0')
-    {
-      member = state + strspn (state, " ,");
-      state = member + strcspn (member, ",");
-      if (state == member || strncmp (member, "rudder=", 7) == 0)
-        continue;
-      if (len + (size_t)(state - member) + 2 >= size)
-        return;
-      len += (size_t)snprintf (out + len, size - len, ",%.*s",
-                               (int)(state - member), member);
-    }
+  if (state != NULL)
+    bck_other_members (state, out, size);
 }
 
 /* A new trace for a request that came without one.  */
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -338,14 +338,14 @@
 }
 
 void
-call_attempt_failed (struct call *call, struct attempt *attempt,
+call_attempt_failed (struct call *call, bool winner,
                      const struct msg_refuse *refuse)
 {
   struct flt_failure failure
       = { .reason = refuse->reason, .run = refuse->run };
   struct flt_retry retry;
 
-  if (call->phase == CALL_ANSWERING && attempt != NULL)
+  if (call->phase == CALL_ANSWERING && winner)
     {
       ctr_refused (refuse->reason);
       call->answer.broken = true;
@@ -354,7 +354,7 @@
     }
   if (call->phase != CALL_RUNNING)
     return;
-  if (attempt != NULL)
+  if (winner)
     call_reset_answer (call);
   /* An attempt that may have run decides what the caller is told.  */
   if (call->reason == RSN_NONE || refuse->run == RSN_UNKNOWN
@@ -473,12 +473,36 @@
   return 0;
 }
 
+/* Appends LEN bytes to a buffer that has room for them.  */
+static void
+call_put (unsigned char *buffer, size_t *used, const void *data, size_t len)
+{
+  if (len > 0)
+    memcpy (buffer + *used, data, len);
+  *used += len;
+}
+
+/* Puts LEN bytes in chunked encoding; the last chunk ends the body.  */
+static void
+call_put_chunk (unsigned char *buffer, size_t *used, const void *data,
+                size_t len, bool last)
+{
+  if (len > 0)
+    {
+      *used += (size_t)snprintf ((char *)buffer + *used, CALL_CHUNK_HEAD_BYTES,
+                                 "%zx\r\n", len);
+      call_put (buffer, used, data, len);
+      call_put (buffer, used, "\r\n", strlen ("\r\n"));
+    }
+  if (last)
+    call_put (buffer, used, "0\r\n\r\n", strlen ("0\r\n\r\n"));
+}
+
 /* Writes the next part of the body; sets *LAST after the last one.  */
 static int
 call_write_body (struct call *call, bool *last)
 {
-  unsigned char
-      buffer[LWS_PRE + CALL_CHUNK_HEAD_BYTES + CALL_WRITE_BYTES + 2 + 8];
+  unsigned char buffer[LWS_PRE + CALL_WRITE_BYTES + 2 * CALL_CHUNK_HEAD_BYTES];
   unsigned char *start = buffer + LWS_PRE;
   struct call_answer *answer = &call->answer;
   size_t len;
@@ -488,22 +512,10 @@
   if (len > CALL_WRITE_BYTES)
     len = CALL_WRITE_BYTES;
   *last = answer->whole && answer->written + len == buf_end (&answer->body);
-  if (answer->chunked && len > 0)
-    used = (size_t)snprintf ((char *)start, CALL_CHUNK_HEAD_BYTES, "%zx\r\n",
-                             len);
-  if (len > 0)
-    memcpy (start + used, data, len);
-  used += len;
-  if (answer->chunked && len > 0)
-    {
-      memcpy (start + used, "\r\n", 2);
-      used += 2;
-    }
-  if (answer->chunked && *last)
-    {
-      memcpy (start + used, "0\r\n\r\n", 5);
-      used += 5;
-    }
+  if (answer->chunked)
+    call_put_chunk (start, &used, data, len, *last);
+  else
+    call_put (start, &used, data, len);
   answer->written += len;
   buf_drop (&answer->body, answer->written);
   if (used == 0 && !*last)
--- a/tasks/front_console.c
+++ b/tasks/front_console.c
@@ -96,6 +96,7 @@
       = request->in_force != NULL ? strlen (request->in_force) : 0;
   if (con_page (page, &response) != SR_OK)
     {
+      page->fresh_id = NULL;
       adn_answer_error (request, 500, "out of memory");
       return;
     }
@@ -114,6 +115,7 @@
       break;
     }
   con_response_free (&response);
+  page->fresh_id = NULL;
 }
 
 static void
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -285,7 +285,8 @@
 /* front_call.c */
 int call_callback (struct lws *wsi, enum lws_callback_reasons reason,
                    void *user, void *in, size_t len);
-void call_attempt_failed (struct call *call, struct attempt *attempt,
+/* WINNER: the attempt was the one whose answer was being passed on.  */
+void call_attempt_failed (struct call *call, bool winner,
                           const struct msg_refuse *refuse);
 void call_head (struct call *call, struct attempt *attempt, struct msg *msg);
 void call_body (struct call *call, struct attempt *attempt, struct msg *msg);
--- a/wire/packio.c
+++ b/wire/packio.c
@@ -95,8 +95,10 @@
 
   if (field == NULL)
     return NULL;
+  /* The pointer of an empty text may be NULL.  */
   if (field->via.str.size > most
-      || memchr (field->via.str.ptr, '\0', field->via.str.size) != NULL)
+      || (field->via.str.size > 0
+          && memchr (field->via.str.ptr, '\0', field->via.str.size) != NULL))
     {
       reader->fault = true;
       return NULL;
@@ -112,7 +114,8 @@
   out[0] = '\0';
   if (field == NULL)
     return;
-  memcpy (out, field->via.str.ptr, field->via.str.size);
+  if (field->via.str.size > 0)
+    memcpy (out, field->via.str.ptr, field->via.str.size);
   out[field->via.str.size] = '\0';
 }
 
@@ -124,7 +127,9 @@
 
   if (field == NULL)
     return NULL;
-  text = strndup (field->via.str.ptr, field->via.str.size);
+  text = field->via.str.size > 0
+             ? strndup (field->via.str.ptr, field->via.str.size)
+             : strdup ("");
   if (text == NULL)
     reader->fault = true;
   return text;
