--- a/wire/html.c
+++ b/wire/html.c
@@ -64,14 +64,14 @@
 void
 htm_id (FILE *out, const char *path, const char *suffix)
 {
-  char id[HTM_ID_BYTES];
-  size_t len = 0;
+  char id[HTM_ID_BYTES] = "";
+  size_t len = strnlen (path, sizeof id - 1);
 
-  for (; path[len] != '\0' && len < sizeof id - 1; len++)
+  for (size_t i = 0; i < len; i++)
     {
-      bool plain = isalnum ((unsigned char)path[len]) || path[len] == '_';
+      bool plain = isalnum ((unsigned char)path[i]) || path[i] == '_';
 
-      id[len] = plain ? path[len] : '-';
+      id[i] = plain ? path[i] : '-';
     }
   fwrite (id, 1, len, out);
   fputs (suffix, out);
