--- a/programs/fake_work.c
+++ b/programs/fake_work.c
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include "core/err.h"
+#include "core/slog.h"
 #include "programs/fake_journal.h"
 #include "programs/fake_server.h"
 
@@ -142,6 +143,7 @@
   snprintf (text, sizeof text, "child failed outcome=%d status=%d %s",
             (int)result->outcome, result->answer.status,
             result->answer.proxy_status);
+  slog (SLOG_NOTICE, "%s path=%s", text, request->facts.path);
   fwk_fail (request, FWK_STATUS_CHILD_FAILED, text);
 }
 
--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -160,3 +160,8 @@
   mesh_get "$1" /metrics | awk -v name="$2" \
     '$1 == name || index($1, name "{") == 1 { sum += $2 } END { print sum + 0 }'
 }
+
+# mesh_servers NODE SERVICE COUNT: whether NODE knows that many servers.
+mesh_servers () {
+  [ "$(mesh_get "$1" /v1/members | grep -c "\"service\": \"$2\"")" -ge "$3" ]
+}
