--- a/programs/fake_server.c
+++ b/programs/fake_server.c
@@ -1,5 +1,6 @@
 #include "programs/fake_server.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -50,9 +51,10 @@
   for (size_t i = 0; i < LWS_ARRAY_SIZE (fsv_methods); i++)
     if (lws_hdr_total_length (wsi, fsv_methods[i].token) > 0)
       {
-        strcpy (request->method, fsv_methods[i].name);
+        snprintf (request->method, sizeof request->method, "%s",
+                  fsv_methods[i].name);
         if (lws_hdr_copy (wsi, path, TAN_PATH_BYTES, fsv_methods[i].token) < 0)
-          strcpy (path, "/path-too-long");
+          snprintf (path, TAN_PATH_BYTES, "/path-too-long");
       }
   len = strlen (path);
   if (lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_URI_ARGS) > 0
--- a/programs/load_call.c
+++ b/programs/load_call.c
@@ -18,7 +18,7 @@
   at += sprintf (at, "00-");
   for (size_t i = 0; i < sizeof id; i++)
     at += sprintf (at, i == RNG_ID_BYTES ? "-%02x" : "%02x", id[i]);
-  strcpy (at, "-01");
+  sprintf (at, "-01");
 }
 
 static void
--- a/programs/load_mix.c
+++ b/programs/load_mix.c
@@ -27,7 +27,7 @@
     }
   if (strncmp (word, "label=", 6) == 0 && strlen (word) < 6 + 64)
     {
-      strcpy (kind->label, word + 6);
+      snprintf (kind->label, sizeof kind->label, "%s", word + 6);
       return true;
     }
   if (strncmp (word, "bytes=", 6) != 0)
--- a/programs/tool_opt.c
+++ b/programs/tool_opt.c
@@ -13,7 +13,7 @@
 #define TOP_SPECS_MAX 48
 #define TOP_VERSION (TOP_SPECS_MAX + 1)
 
-_Noreturn void
+void
 top_fail (const char *program, const char *name, const char *value,
           const char *allowed)
 {
--- a/programs/tool_opt.h
+++ b/programs/tool_opt.h
@@ -70,8 +70,8 @@
                 const char **argv);
 
 /* Ends the process because of a wrong setting.  */
-_Noreturn void top_fail (const char *program, const char *name,
-                         const char *value, const char *allowed);
+void top_fail (const char *program, const char *name, const char *value,
+               const char *allowed) __attribute__ ((noreturn));
 
 /* Reads IP:PORT; returns false when TEXT is not in that form.  */
 bool top_read_address (const char *text, struct top_address *address);
