--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -665,6 +665,9 @@
   struct call **slot = user;
   struct front *front = lws_context_user (lws_get_context (wsi));
 
+  /* A connection that ends before its first request has no user data.  */
+  if (slot == NULL)
+    return 0;
   switch (reason)
     {
     case LWS_CALLBACK_HTTP:
--- /dev/null
+++ b/tests/mesh_chain.sh
@@ -0,0 +1,74 @@
+#!/bin/bash
+# Guards against retries that multiply with the depth of a call chain: the
+# deepest service fails every request.  Prints the attempts for one caller's
+# request at several depths; the bound is calls + chain allowance.
+# Usage: mesh_chain.sh [DEPTH...]
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/mesh.sh
+. scripts/mesh_request.sh
+mesh_begin
+allowance=3
+resends=2
+depths=${*:-1 4 12}
+deepest=$(echo "$depths" | tr ' ' '\n' | sort -n | tail -n 1)
+
+# Document with services s1 … sN.
+{
+  echo '{"format": 1, "headers": ["x-caller-id"],'
+  echo ' "callers": {"header": "x-caller-id"},'
+  echo " \"retry\": {\"chain_allowance\": $allowance, \"budget_percent\": 100},"
+  echo ' "services": ['
+  for i in $(seq "$deepest"); do
+    [ "$i" -eq 1 ] || echo ','
+    echo "{\"name\": \"s$i\", \"slots\": 16, \"connections\": 64,
+      \"kinds\": [{\"name\": \"read\", \"method\": \"GET\", \"path\": \"/\",
+      \"importance\": 50, \"idempotent\": true, \"timeout_ms\": 8000,
+      \"retries\": 3}]}"
+  done
+  echo ']}'
+} >"$MESH_DIR/doc.json"
+
+mesh_control n1 n2 n3
+mesh_document n1 "$MESH_DIR/doc.json" n1 n2 n3
+
+# One node and server for each service; the last two have two servers.
+nodes=""
+for i in $(seq "$deepest"); do
+  for copy in a b; do
+    mesh_ports "c$i$copy"
+    mesh_node "c$i$copy" "domain-$copy"
+    next=""
+    [ "$i" -eq "$deepest" ] \
+      || next="--call s$((i + 1))=${MESH_LISTEN[c$i$copy]}"
+    # shellcheck disable=SC2086
+    mesh_fake "f$i$copy" "c$i$copy" "s$i" --slots 16 --service-us 500 \
+      --truncate-path "/fail-at-$i" $next
+    nodes="$nodes c$i$copy"
+  done
+done
+for node in $nodes; do
+  mesh_until 20 mesh_ready "$node" || mesh_fail "$node is not ready"
+done
+for i in $(seq "$deepest"); do
+  mesh_until 20 mesh_serving n1 "s$i" 2 || mesh_fail "s$i is not listed"
+done
+
+for depth in $depths; do
+  first=$((deepest - depth + 1))
+  for try in 0 $(seq "$resends"); do
+    mesh_call n1 "s$first" GET "/fail-at-$deepest/$depth" \
+      -H "Idempotency-Key: chain-$depth" -H "X-Caller-Id: c1"
+    case $REPLY in
+      502*) ;;
+      *) mesh_fail "depth $depth: answer $REPLY" ;;
+    esac
+  done
+  attempts=$(mesh_starts " GET /fail-at-$deepest/$depth ")
+  bound=$((depth * (1 + resends) + allowance))
+  echo "depth $depth attempts $attempts bound $bound" \
+    "(calls $depth, caller's resends $resends, allowance $allowance)"
+  [ "$attempts" -le "$bound" ] || mesh_fail "depth $depth: too many attempts"
+  [ "$attempts" -gt "$depth" ] || mesh_fail "depth $depth: nothing was tried"
+done
+mesh_finish
