--- a/log/sto.h
+++ b/log/sto.h
@@ -11,7 +11,8 @@
  * Files: "log-<number>" with a header and records, and "snapshot-<index>".
  * Numbers are hexadecimal, integers in the files little endian.
  *
- * A last record that is incomplete was never synced and is cut off.  A
+ * A damaged last record is cut off: a crash while it was written leaves it so.
+ * That a synced last record was damaged later cannot be told from that.  A
  * damaged record with an intact one behind it, or in a segment that is not
  * the last, is refused with SR_EDAMAGED.
  *
--- /dev/null
+++ b/tests/test_sto.c
@@ -0,0 +1,376 @@
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "core/err.h"
+#include "log/sto.h"
+#include "tests/suite.h"
+
+#define PATH_BYTES 256
+
+static char folder[PATH_BYTES];
+static char first_log[PATH_BYTES + 32];
+static char error[REP_ERROR_BYTES];
+
+/* What a visit found.  */
+static uint64_t seen_snapshot;
+static uint32_t seen_records;
+static char seen_last[64];
+
+static int
+see_snapshot (void *arg, uint64_t index, const void *data, size_t len)
+{
+  (void)arg;
+  (void)data;
+  (void)len;
+  seen_snapshot = index;
+  return SR_OK;
+}
+
+static int
+see_record (void *arg, const void *data, size_t len, uint64_t *last_index)
+{
+  (void)arg;
+  seen_records++;
+  snprintf (seen_last, sizeof seen_last, "%.*s", (int)len, (const char *)data);
+  *last_index = strtoull (seen_last, NULL, 10);
+  return SR_OK;
+}
+
+static const struct sto_visitor visitor
+    = { .snapshot = see_snapshot, .record = see_record };
+
+static int
+open_folder (struct sto **sto, uint64_t segment_bytes)
+{
+  struct sto_opts opts = { .folder = folder, .segment_bytes = segment_bytes };
+
+  seen_snapshot = 0;
+  seen_records = 0;
+  return sto_open (&opts, &visitor, sto, error);
+}
+
+/* Removes the files of a former test and starts an empty folder.  */
+static struct sto *
+fresh (uint64_t segment_bytes)
+{
+  struct sto *sto = NULL;
+
+  snprintf (folder, sizeof folder, "/tmp/test_sto.XXXXXX");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (mkdtemp (folder));
+  snprintf (first_log, sizeof first_log, "%s/log-0000000000000001", folder);
+  CU_ASSERT_EQUAL_FATAL (open_folder (&sto, segment_bytes), SR_OK);
+  return sto;
+}
+
+static void
+clean (void)
+{
+  char command[PATH_BYTES + 16];
+
+  snprintf (command, sizeof command, "rm -r '%s'", folder);
+  CU_ASSERT_EQUAL (system (command), 0);
+}
+
+/* Appends the numbers FROM … TO as records and syncs them.  */
+static void
+put (struct sto *sto, uint64_t from, uint64_t to)
+{
+  char text[32];
+
+  for (uint64_t i = from; i <= to; i++)
+    {
+      snprintf (text, sizeof text, "%llu", (unsigned long long)i);
+      CU_ASSERT_EQUAL (sto_append (sto, text, strlen (text), i), SR_OK);
+    }
+  CU_ASSERT_EQUAL (sto_sync (sto), SR_OK);
+}
+
+static off_t
+size_of (const char *path)
+{
+  struct stat status;
+
+  return stat (path, &status) == 0 ? status.st_size : -1;
+}
+
+/* Changes one byte of a file.  */
+static void
+flip (const char *path, off_t at)
+{
+  int fd = open (path, O_RDWR);
+  uint8_t byte;
+
+  CU_ASSERT_EQUAL (pread (fd, &byte, 1, at), 1);
+  byte ^= 0x40;
+  CU_ASSERT_EQUAL (pwrite (fd, &byte, 1, at), 1);
+  close (fd);
+}
+
+/* Guards against records that are missing or come twice after a restart over
+   several segments.  */
+static void
+test_reopen (void)
+{
+  struct sto *sto = fresh (200);
+
+  put (sto, 1, 50);
+  sto_close (sto);
+  CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 200), SR_OK);
+  CU_ASSERT_EQUAL (seen_records, 50);
+  CU_ASSERT_STRING_EQUAL (seen_last, "50");
+  put (sto, 51, 51);
+  sto_close (sto);
+  CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 200), SR_OK);
+  CU_ASSERT_EQUAL (seen_records, 51);
+  sto_close (sto);
+  clean ();
+}
+
+/* Replaces a file by the first LEN bytes of DATA.  */
+static void
+write_file (const char *path, const uint8_t *data, size_t len)
+{
+  int fd = open (path, O_WRONLY | O_TRUNC);
+
+  CU_ASSERT_EQUAL (write (fd, data, len), (ssize_t)len);
+  close (fd);
+}
+
+/* Guards against a crash in the middle of a write that makes the folder
+   unreadable, or that brings back half a record, at any length.  */
+static void
+test_torn_tail (void)
+{
+  struct sto *sto = fresh (0);
+  uint8_t whole[1000];
+  off_t before;
+  off_t size;
+  int fd;
+
+  put (sto, 1, 9);
+  before = size_of (first_log);
+  put (sto, 10, 10);
+  size = size_of (first_log);
+  sto_close (sto);
+  fd = open (first_log, O_RDONLY);
+  CU_ASSERT_EQUAL (read (fd, whole, sizeof whole), size);
+  close (fd);
+  for (off_t cut = size - 1; cut >= before; cut--)
+    {
+      write_file (first_log, whole, (size_t)cut);
+      CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 0), SR_OK);
+      CU_ASSERT_EQUAL (seen_records, 9);
+      CU_ASSERT_EQUAL (size_of (first_log), before);
+      put (sto, 10, 10);
+      sto_close (sto);
+      CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 0), SR_OK);
+      CU_ASSERT_EQUAL (seen_records, 10);
+      sto_close (sto);
+    }
+  clean ();
+}
+
+/* Guards against acknowledged records that vanish because damage in front of
+   them is taken for a torn tail.  */
+static void
+test_damage_before_tail (void)
+{
+  struct sto *sto = fresh (0);
+  off_t first_end;
+  off_t size;
+
+  put (sto, 1, 1);
+  first_end = size_of (first_log);
+  put (sto, 2, 5);
+  size = size_of (first_log);
+  sto_close (sto);
+  flip (first_log, first_end - 1);
+  CU_ASSERT_EQUAL (open_folder (&sto, 0), SR_EDAMAGED);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error, first_log));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error, "offset 8:"));
+  CU_ASSERT_EQUAL (size_of (first_log), size);
+  clean ();
+}
+
+/* Guards against a damaged end of a segment that others follow.  */
+static void
+test_damage_in_old_segment (void)
+{
+  struct sto *sto = fresh (100);
+
+  put (sto, 1, 20);
+  sto_close (sto);
+  flip (first_log, size_of (first_log) - 1);
+  CU_ASSERT_EQUAL (open_folder (&sto, 100), SR_EDAMAGED);
+  clean ();
+}
+
+/* Guards against a missing segment that goes unnoticed.  */
+static void
+test_missing_segment (void)
+{
+  char path[PATH_BYTES + 32];
+  struct sto *sto = fresh (100);
+
+  put (sto, 1, 20);
+  sto_close (sto);
+  snprintf (path, sizeof path, "%s/log-0000000000000002", folder);
+  CU_ASSERT_EQUAL (unlink (path), 0);
+  CU_ASSERT_EQUAL (open_folder (&sto, 100), SR_EDAMAGED);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error, path));
+  clean ();
+}
+
+/* Guards against files of a newer program that are read or cut.  */
+static void
+test_unknown_version (void)
+{
+  struct sto *sto = fresh (0);
+
+  put (sto, 1, 1);
+  sto_close (sto);
+  flip (first_log, 7);
+  CU_ASSERT_EQUAL (open_folder (&sto, 0), SR_EVERSION);
+  clean ();
+}
+
+/* Guards against segments that are kept for ever, or removed although the
+   snapshot does not cover them, and against a damaged snapshot in use.  */
+static void
+test_snapshots (void)
+{
+  char path[PATH_BYTES + 32];
+  struct sto *sto = fresh (100);
+
+  put (sto, 1, 20);
+  CU_ASSERT_EQUAL (sto_snapshot (sto, 10, "state", 5), SR_OK);
+  CU_ASSERT_EQUAL (size_of (first_log), -1);
+  put (sto, 21, 30);
+  CU_ASSERT_EQUAL (sto_snapshot (sto, 25, "state", 5), SR_OK);
+  sto_close (sto);
+  snprintf (path, sizeof path, "%s/snapshot-000000000000000a", folder);
+  CU_ASSERT_EQUAL (size_of (path), -1);
+  CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 100), SR_OK);
+  CU_ASSERT_EQUAL (seen_snapshot, 25);
+  CU_ASSERT_TRUE (seen_records >= 5);
+  CU_ASSERT_STRING_EQUAL (seen_last, "30");
+  sto_close (sto);
+  snprintf (path, sizeof path, "%s/snapshot-0000000000000019", folder);
+  flip (path, size_of (path) - 1);
+  CU_ASSERT_EQUAL (open_folder (&sto, 100), SR_EDAMAGED);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error, path));
+  clean ();
+}
+
+static int syncs_left;
+
+/* Fails once when SYNCS_LEFT are used up, then works again.  */
+static int
+sync_fails_once (int fd)
+{
+  return syncs_left-- == 0 ? -1 : fdatasync (fd);
+}
+
+/* Guards against a second sync after a failed one: it would succeed without
+   the data.  */
+static void
+test_failed_sync (void)
+{
+  struct sto_opts opts = { .folder = folder, .sync = sync_fails_once };
+  struct sto *sto = fresh (0);
+
+  put (sto, 1, 1);
+  sto_close (sto);
+  syncs_left = 0;
+  CU_ASSERT_EQUAL (sto_open (&opts, &visitor, &sto, error), SR_EIO);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error, first_log));
+  syncs_left = 1;
+  CU_ASSERT_EQUAL_FATAL (sto_open (&opts, &visitor, &sto, error), SR_OK);
+  CU_ASSERT_EQUAL (sto_append (sto, "2", 1, 2), SR_OK);
+  CU_ASSERT_EQUAL (sto_sync (sto), SR_EIO);
+  CU_ASSERT_EQUAL (sto_sync (sto), SR_EIO);
+  CU_ASSERT_EQUAL (sto_append (sto, "3", 1, 3), SR_EIO);
+  CU_ASSERT_EQUAL (syncs_left, -1);
+  CU_ASSERT_PTR_NOT_NULL (strstr (sto_error (sto), "sync failed"));
+  sto_close (sto);
+  clean ();
+}
+
+/* Guards against a full disk that is reported as success, or that damages
+   what was stored before.  */
+static void
+test_full_disk (void)
+{
+  struct rlimit limit;
+  struct rlimit small;
+  struct sto *sto = fresh (0);
+  char block[3000] = { 'x' };
+
+  put (sto, 1, 1);
+  signal (SIGXFSZ, SIG_IGN);
+  getrlimit (RLIMIT_FSIZE, &limit);
+  small = limit;
+  small.rlim_cur = 2000;
+  setrlimit (RLIMIT_FSIZE, &small);
+  CU_ASSERT_EQUAL (sto_append (sto, block, sizeof block, 2), SR_EFULL);
+  CU_ASSERT_TRUE (strlen (sto_error (sto)) > 0);
+  setrlimit (RLIMIT_FSIZE, &limit);
+  CU_ASSERT_EQUAL (sto_append (sto, "2", 1, 2), SR_EFULL);
+  CU_ASSERT_EQUAL (sto_sync (sto), SR_EFULL);
+  CU_ASSERT_EQUAL (sto_snapshot (sto, 1, "s", 1), SR_EFULL);
+  sto_close (sto);
+  CU_ASSERT_EQUAL_FATAL (open_folder (&sto, 0), SR_OK);
+  CU_ASSERT_EQUAL (seen_records, 1);
+  sto_close (sto);
+  clean ();
+}
+
+/* Guards against a replica that comes back under another id, or that takes a
+   new one because its file is damaged.  */
+static void
+test_identity (void)
+{
+  char path[PATH_BYTES + 8];
+  struct sto *sto = fresh (0);
+  uint64_t first = 0;
+  uint64_t second = 0;
+  int lock;
+
+  sto_close (sto);
+  CU_ASSERT_EQUAL (sto_identity (folder, &first, error), SR_OK);
+  CU_ASSERT_EQUAL (sto_identity (folder, &second, error), SR_OK);
+  CU_ASSERT_TRUE (first != 0 && first == second);
+  snprintf (path, sizeof path, "%s/id", folder);
+  flip (path, size_of (path) - 1);
+  CU_ASSERT_EQUAL (sto_identity (folder, &second, error), SR_EDAMAGED);
+  lock = sto_lock (folder, error);
+  CU_ASSERT_TRUE (lock >= 0);
+  CU_ASSERT_EQUAL (sto_lock (folder, error), SR_EEXIST);
+  close (lock);
+  clean ();
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "reopen", test_reopen },
+          { "torn tail", test_torn_tail },
+          { "damage before tail", test_damage_before_tail },
+          { "damage in old segment", test_damage_in_old_segment },
+          { "missing segment", test_missing_segment },
+          { "unknown version", test_unknown_version },
+          { "snapshots", test_snapshots },
+          { "failed sync", test_failed_sync },
+          { "full disk", test_full_disk },
+          { "identity", test_identity },
+          { NULL, NULL } };
+
+  return suite_run ("sto", tests);
+}
