--- /dev/null
+++ b/tests/test_rep.c
@@ -0,0 +1,443 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "log/rep.h"
+#include "tests/suite.h"
+
+#define OWN 1
+#define MAX_OUT 32
+
+/* One replica with id OWN in a group of ids 1 … 3; the test plays the
+   others.  */
+struct bench
+{
+  struct rep *rep;
+  clk_us now;
+  /* Outputs of the last drain.  */
+  struct rep_out *out[MAX_OUT];
+  uint32_t count;
+};
+
+static void
+drain (struct bench *bench)
+{
+  struct rep_out *out;
+
+  for (uint32_t i = 0; i < bench->count; i++)
+    rep_out_free (bench->out[i]);
+  bench->count = 0;
+  while ((out = rep_next_output (bench->rep)) != NULL)
+    {
+      CU_ASSERT_TRUE_FATAL (bench->count < MAX_OUT);
+      bench->out[bench->count++] = out;
+    }
+}
+
+/* The NTH message of KIND in the last drain, or NULL.  */
+static struct rep_msg *
+sent (struct bench *bench, enum rep_msg_kind kind, uint32_t nth)
+{
+  for (uint32_t i = 0; i < bench->count; i++)
+    if (bench->out[i]->kind == REP_OUT_SEND
+        && bench->out[i]->u.send->kind == kind && nth-- == 0)
+      return bench->out[i]->u.send;
+  return NULL;
+}
+
+/* The only output of KIND in the last drain, or NULL.  */
+static struct rep_out *
+only (struct bench *bench, enum rep_out_kind kind)
+{
+  struct rep_out *found = NULL;
+
+  for (uint32_t i = 0; i < bench->count; i++)
+    if (bench->out[i]->kind == kind)
+      {
+        CU_ASSERT_PTR_NULL (found);
+        found = bench->out[i];
+      }
+  return found;
+}
+
+static void
+synced (struct bench *bench)
+{
+  struct rep_out *write = only (bench, REP_OUT_WRITE);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (write);
+  rep_synced (bench->rep, write->u.write->sequence, bench->now);
+  drain (bench);
+}
+
+static void
+message (struct bench *bench, struct rep_msg *msg)
+{
+  rep_message (bench->rep, msg, bench->now);
+  drain (bench);
+}
+
+static struct rep_msg *
+from (enum rep_msg_kind kind, uint64_t id, uint64_t term)
+{
+  struct rep_msg *msg = rep_msg_new (kind);
+
+  msg->from = id;
+  msg->to = OWN;
+  msg->term = term;
+  return msg;
+}
+
+/* Creates the group in term 1, with COUNT voters and one learner, id 9.  */
+static void
+start (struct bench *bench, uint32_t count)
+{
+  struct rep_opts opts = { .id = OWN };
+  struct rep_members members = { .count = count + 1 };
+  struct sto_loaded loaded;
+
+  rep_opts_default (&opts);
+  sto_loaded_init (&loaded);
+  *bench = (struct bench){ .now = clk_s (100) };
+  bench->rep = rep_new (&opts, &loaded, bench->now);
+  for (uint32_t i = 0; i < count; i++)
+    members.list[i].id = 1 + i;
+  members.list[count].id = 9;
+  members.list[count].learner = true;
+  CU_ASSERT_EQUAL (rep_create (bench->rep, &members, 1, bench->now), SR_OK);
+  drain (bench);
+  synced (bench);
+}
+
+static void
+stop (struct bench *bench)
+{
+  for (uint32_t i = 0; i < bench->count; i++)
+    rep_out_free (bench->out[i]);
+  rep_free (bench->rep);
+}
+
+static struct rep_status
+status (const struct bench *bench)
+{
+  struct rep_status status;
+
+  rep_status (bench->rep, &status);
+  return status;
+}
+
+/* Wins the election of term 2 with the vote of replica 2.  */
+static void
+lead (struct bench *bench)
+{
+  struct rep_msg *reply;
+
+  rep_tick (bench->rep, bench->now);
+  drain (bench);
+  CU_ASSERT_PTR_NOT_NULL (sent (bench, REP_PREVOTE, 0));
+  reply = from (REP_PREVOTE_REPLY, 2, 1);
+  reply->u.vote_reply = (struct rep_vote_reply){ 2, true };
+  message (bench, reply);
+  synced (bench);
+  CU_ASSERT_PTR_NOT_NULL (sent (bench, REP_VOTE, 0));
+  reply = from (REP_VOTE_REPLY, 2, 2);
+  reply->u.vote_reply = (struct rep_vote_reply){ 2, true };
+  message (bench, reply);
+  CU_ASSERT_EQUAL_FATAL (status (bench).role, REP_LEADER);
+}
+
+/* Replica ID acknowledges all up to MATCH and the given round.  */
+static void
+ack (struct bench *bench, uint64_t id, uint64_t match, uint64_t round)
+{
+  struct rep_msg *reply = from (REP_APPEND_REPLY, id, 2);
+
+  reply->u.append_reply.accepted = true;
+  reply->u.append_reply.match = match;
+  reply->u.append_reply.round = round;
+  reply->u.append_reply.sent_us = bench->now;
+  message (bench, reply);
+}
+
+static void
+propose (struct bench *bench, uint64_t request)
+{
+  rep_propose (bench->rep, request, 1000, calloc (1, 8), 8, bench->now);
+}
+
+/* Guards against a vote that is counted or answered before it is synced: after
+   a crash the replica could vote twice in the term.  */
+static void
+test_votes_are_synced (void)
+{
+  struct bench bench;
+  struct rep_msg *vote;
+  struct rep_msg *reply;
+
+  start (&bench, 3);
+  bench.now += clk_s (2);
+  vote = from (REP_VOTE, 2, 5);
+  vote->u.vote = (struct rep_vote){ .last_index = 9, .last_term = 4 };
+  message (&bench, vote);
+  CU_ASSERT_PTR_NULL (sent (&bench, REP_VOTE_REPLY, 0));
+  CU_ASSERT_EQUAL (only (&bench, REP_OUT_WRITE)->u.write->hard.vote, 2);
+  synced (&bench);
+  reply = sent (&bench, REP_VOTE_REPLY, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (reply);
+  CU_ASSERT_TRUE (reply->u.vote_reply.granted);
+  vote = from (REP_VOTE, 3, 5);
+  vote->u.vote = (struct rep_vote){ .last_index = 9, .last_term = 4 };
+  message (&bench, vote);
+  CU_ASSERT_FALSE (sent (&bench, REP_VOTE_REPLY, 0)->u.vote_reply.granted);
+  stop (&bench);
+}
+
+/* Guards against a vote for a log that lacks acknowledged entries.  */
+static void
+test_vote_needs_log (void)
+{
+  struct bench bench;
+  struct rep_msg *vote = from (REP_VOTE, 2, 5);
+
+  start (&bench, 3);
+  bench.now += clk_s (2);
+  message (&bench, vote);
+  CU_ASSERT_FALSE (sent (&bench, REP_VOTE_REPLY, 0)->u.vote_reply.granted);
+  stop (&bench);
+}
+
+/* Guards against a rejoined replica that disturbs a leader which others still
+   hear.  */
+static void
+test_live_leader_keeps_votes (void)
+{
+  struct bench bench;
+  struct rep_msg *vote;
+
+  start (&bench, 3);
+  message (&bench, from (REP_APPEND, 2, 3));
+  vote = from (REP_PREVOTE, 3, 4);
+  vote->u.vote = (struct rep_vote){ .last_index = 9, .last_term = 4 };
+  message (&bench, vote);
+  CU_ASSERT_FALSE (sent (&bench, REP_PREVOTE_REPLY, 0)->u.vote_reply.granted);
+  vote = from (REP_VOTE, 3, 4);
+  vote->u.vote = (struct rep_vote){ .last_index = 9, .last_term = 4 };
+  message (&bench, vote);
+  CU_ASSERT_EQUAL (status (&bench).term, 3);
+  vote = from (REP_VOTE, 3, 4);
+  vote->u.vote = (struct rep_vote){ 9, 4, true };
+  message (&bench, vote);
+  CU_ASSERT_EQUAL (status (&bench).term, 4);
+  stop (&bench);
+}
+
+/* Guards against a follower that acknowledges entries which a crash can still
+   take away.  */
+static void
+test_follower_acks_synced (void)
+{
+  struct bench bench;
+  struct rep_msg *append;
+  struct rep_entry *entry = rep_entry_new (REP_NOOP);
+
+  start (&bench, 3);
+  append = from (REP_APPEND, 2, 3);
+  append->u.append.prev_index = 1;
+  append->u.append.prev_term = 1;
+  entry->term = 3;
+  entry->index = 2;
+  lst_push_tail (&append->u.append.entries, &entry->node);
+  message (&bench, append);
+  CU_ASSERT_PTR_NULL (sent (&bench, REP_APPEND_REPLY, 0));
+  synced (&bench);
+  CU_ASSERT_EQUAL (sent (&bench, REP_APPEND_REPLY, 0)->u.append_reply.match,
+                   2);
+  stop (&bench);
+}
+
+/* Guards against a leader that counts itself before its own write is synced,
+   and against one that counts a learner.  */
+static void
+test_leader_counts_synced (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  CU_ASSERT_PTR_NOT_NULL (only (&bench, REP_OUT_WRITE));
+  ack (&bench, 9, 2, 1);
+  ack (&bench, 2, 2, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 0);
+  rep_synced (bench.rep, 3, bench.now);
+  drain (&bench);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  propose (&bench, 1);
+  drain (&bench);
+  ack (&bench, 9, 3, 1);
+  rep_synced (bench.rep, 4, bench.now);
+  drain (&bench);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  stop (&bench);
+}
+
+/* Guards against one write and one append for each of many proposals, and
+   against answers that reach another request.  */
+static void
+test_group_commit (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  ack (&bench, 2, 2, 1);
+  for (uint64_t i = 0; i < 10; i++)
+    propose (&bench, 500 + i);
+  drain (&bench);
+  CU_ASSERT_PTR_NOT_NULL (only (&bench, REP_OUT_WRITE));
+  CU_ASSERT_PTR_NOT_NULL (sent (&bench, REP_APPEND, 2));
+  CU_ASSERT_PTR_NULL (sent (&bench, REP_APPEND, 3));
+  synced (&bench);
+  ack (&bench, 3, 12, 1);
+  CU_ASSERT_EQUAL (bench.count, 10);
+  for (uint32_t i = 0; i < bench.count; i++)
+    {
+      CU_ASSERT_EQUAL (bench.out[i]->kind, REP_OUT_APPLY);
+      CU_ASSERT_EQUAL (bench.out[i]->u.apply.request, 500 + i);
+    }
+  stop (&bench);
+}
+
+/* Guards against a leader that serves reads or proposals after its lease, as
+   one that was frozen or cut off would.  */
+static void
+test_lease (void)
+{
+  struct bench bench;
+  struct rep_out *refused;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  propose (&bench, 7);
+  drain (&bench);
+  bench.now += clk_ms (400);
+  rep_read (bench.rep, 8, bench.now);
+  drain (&bench);
+  CU_ASSERT_EQUAL (status (&bench).role, REP_FOLLOWER);
+  CU_ASSERT_EQUAL_FATAL (bench.count, 3);
+  CU_ASSERT_EQUAL (bench.out[0]->u.refused.request, 7);
+  CU_ASSERT_EQUAL (bench.out[0]->u.refused.status, SR_EAGAIN);
+  refused = bench.out[2];
+  CU_ASSERT_EQUAL (refused->u.refused.request, 8);
+  CU_ASSERT_EQUAL (refused->u.refused.status, SR_ENOTLEADER);
+  stop (&bench);
+}
+
+/* Guards against a read that is answered from a contact before it was asked,
+   or before the leader knows what is committed.  */
+static void
+test_read_needs_quorum (void)
+{
+  struct bench bench;
+  uint64_t round;
+
+  start (&bench, 3);
+  lead (&bench);
+  round = sent (&bench, REP_APPEND, 0)->u.append.round;
+  synced (&bench);
+  rep_read (bench.rep, 8, bench.now);
+  drain (&bench);
+  CU_ASSERT_EQUAL (sent (&bench, REP_APPEND, 0)->u.append.round, round + 1);
+  ack (&bench, 2, 0, round + 1);
+  CU_ASSERT_PTR_NULL (only (&bench, REP_OUT_READ));
+  ack (&bench, 2, 2, round);
+  CU_ASSERT_PTR_NOT_NULL (only (&bench, REP_OUT_READ));
+  rep_read (bench.rep, 9, bench.now);
+  drain (&bench);
+  ack (&bench, 3, 2, round + 1);
+  CU_ASSERT_PTR_NULL (only (&bench, REP_OUT_READ));
+  ack (&bench, 3, 2, round + 2);
+  CU_ASSERT_EQUAL (only (&bench, REP_OUT_READ)->u.read, 9);
+  stop (&bench);
+}
+
+/* Guards against two membership changes at once, whose quorums may not
+   overlap, and against a leader that removes itself.  */
+static void
+test_one_change_at_a_time (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  CU_ASSERT_EQUAL (rep_remove (bench.rep, 3, bench.now), SR_EAGAIN);
+  synced (&bench);
+  ack (&bench, 2, 2, 1);
+  CU_ASSERT_EQUAL (rep_remove (bench.rep, OWN, bench.now), SR_EINVAL);
+  CU_ASSERT_EQUAL (rep_remove (bench.rep, 77, bench.now), SR_ENOENT);
+  CU_ASSERT_EQUAL (rep_remove (bench.rep, 3, bench.now), SR_OK);
+  CU_ASSERT_EQUAL (rep_remove (bench.rep, 2, bench.now), SR_EAGAIN);
+  stop (&bench);
+}
+
+/* Guards against a replica with a new disk that acts on messages for the id
+   that it lost.  */
+static void
+test_other_id (void)
+{
+  struct bench bench;
+  struct rep_msg *vote = from (REP_VOTE, 2, 5);
+
+  start (&bench, 3);
+  bench.now += clk_s (2);
+  vote->to = 4;
+  vote->u.vote = (struct rep_vote){ .last_index = 9, .last_term = 4 };
+  message (&bench, vote);
+  CU_ASSERT_EQUAL (bench.count, 0);
+  CU_ASSERT_EQUAL (status (&bench).term, 1);
+  stop (&bench);
+}
+
+/* Guards against a hand-over to a voter that lacks entries, and against
+   proposals that are taken meanwhile.  */
+static void
+test_transfer (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  ack (&bench, 2, 2, 1);
+  propose (&bench, 1);
+  CU_ASSERT_EQUAL (rep_transfer (bench.rep, bench.now), SR_OK);
+  propose (&bench, 2);
+  drain (&bench);
+  CU_ASSERT_PTR_NULL (sent (&bench, REP_TIMEOUT_NOW, 0));
+  CU_ASSERT_EQUAL (only (&bench, REP_OUT_REFUSED)->u.refused.status,
+                   SR_EAGAIN);
+  ack (&bench, 2, 3, 1);
+  CU_ASSERT_EQUAL (sent (&bench, REP_TIMEOUT_NOW, 0)->to, 2);
+  stop (&bench);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "votes are synced", test_votes_are_synced },
+          { "vote needs log", test_vote_needs_log },
+          { "live leader keeps votes", test_live_leader_keeps_votes },
+          { "follower acks synced", test_follower_acks_synced },
+          { "leader counts synced", test_leader_counts_synced },
+          { "group commit", test_group_commit },
+          { "lease", test_lease },
+          { "read needs quorum", test_read_needs_quorum },
+          { "one change at a time", test_one_change_at_a_time },
+          { "other id", test_other_id },
+          { "transfer", test_transfer },
+          { NULL, NULL } };
+
+  return suite_run ("rep", tests);
+}
