wire/packscan: refuse counts that the input cannot hold

test_reppack under the address sanitizer stopped at an allocation of 0x2000000008 bytes: msgpack-c reserves memory for as many elements as an array header announces, so five bytes from a peer could ask for 100 GiB.

--- a/tests/test_reppack.c
+++ b/tests/test_reppack.c
@@ -182,6 +182,24 @@
   CU_ASSERT_EQUAL (decode_again (msg), SR_EMALFORMED);
 }
 
+/* Guards against a few bytes that announce millions of elements and make the
+   decoder reserve memory for them.  */
+static void
+test_announced_counts (void)
+{
+  static const uint8_t array[] = { 0xdd, 0xff, 0xff, 0xff, 0xff, 0x01 };
+  static const uint8_t map[] = { 0xdf, 0x7f, 0xff, 0xff, 0xff, 0x01 };
+  static const uint8_t nested[] = { 0x92, 0x01, 0xdc, 0xff, 0xff, 0x01 };
+  static const uint8_t bytes[] = { 0x92, 0x01, 0xc6, 0xff, 0xff, 0xff, 0xff };
+  struct rep_msg *out = NULL;
+
+  CU_ASSERT_EQUAL (rpk_decode_msg (array, sizeof array, &out), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (rpk_decode_msg (map, sizeof map, &out), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (rpk_decode_msg (nested, sizeof nested, &out),
+                   SR_EMALFORMED);
+  CU_ASSERT_EQUAL (rpk_decode_msg (bytes, sizeof bytes, &out), SR_EMALFORMED);
+}
+
 /* Guards against a newer format that is read as if it were this one.  */
 static void
 test_version (void)
@@ -242,6 +260,7 @@
       = { { "messages survive", test_messages_survive },
           { "damaged messages", test_damaged_messages },
           { "inconsistent messages", test_inconsistent_messages },
+          { "announced counts", test_announced_counts },
           { "version", test_version },
           { "records survive", test_records_survive },
           { NULL, NULL } };
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -7,6 +7,7 @@
 #include "controllers/qrt.h"
 #include "core/err.h"
 #include "wire/packio.h"
+#include "wire/packscan.h"
 #include "wire/reppack.h"
 
 #define PCK_PATH_BYTES_MAX (16 * 1024)
@@ -570,8 +571,9 @@
   int error = SR_EMALFORMED;
 
   msgpack_unpacked_init (&unpacked);
-  if (msgpack_unpack_next (&unpacked, head, head_len, &offset)
-          == MSGPACK_UNPACK_SUCCESS
+  if (psc_whole (head, head_len)
+      && msgpack_unpack_next (&unpacked, head, head_len, &offset)
+             == MSGPACK_UNPACK_SUCCESS
       && offset == head_len)
     error = pck_get_message (&unpacked.data, &msg);
   msgpack_unpacked_destroy (&unpacked);
--- a/wire/reppack.c
+++ b/wire/reppack.c
@@ -5,6 +5,7 @@
 
 #include "core/err.h"
 #include "wire/packio.h"
+#include "wire/packscan.h"
 
 static void
 rpk_put_members (msgpack_packer *packer, const struct rep_members *members)
@@ -425,6 +426,8 @@
   msgpack_unpack_return result;
 
   msgpack_unpacked_init (unpacked);
+  if (!psc_whole (data, len))
+    return SR_EMALFORMED;
   result = msgpack_unpack_next (unpacked, data, len, &offset);
   if (result == MSGPACK_UNPACK_NOMEM_ERROR)
     return SR_ENOMEM;
