--- a/log/rep_snap.c
+++ b/log/rep_snap.c
@@ -10,7 +10,8 @@
   struct rep_chunk *chunk;
   struct rep_msg *msg;
 
-  INVARIANT (snapshot != NULL && snapshot->index >= rep->log.base_index);
+  INVARIANT (snapshot != NULL);
+  INVARIANT (snapshot->index >= rep->log.base_index);
   if (peer->chunk_index != snapshot->index)
     {
       peer->chunk_index = snapshot->index;
