tests: slow disks with crashes before a sync; lease and membership checks

Half of the seeds now have slow disks and short crashes, at most one leader is checked outside a hand-over, and a membership change is checked to move one voter.

--- a/log/rep.c
+++ b/log/rep.c
@@ -203,8 +203,8 @@
       rep->hard.term = term;
       rep->hard.vote = 0;
       rep->hard_dirty = true;
-      /* An answer held back for a former term could vouch for entries that
-         this replica has since replaced.  */
+      /* What was equal to a former leader's log may be replaced by this
+         one's, so it must not be acknowledged any more.  */
       rep_out_list_clear (&rep->held);
       rep_incoming_clear (rep);
       rep->ack_index = 0;
--- a/log/rep_member.c
+++ b/log/rep_member.c
@@ -66,6 +66,22 @@
          && rep->members_index <= rep->hard.commit && rep->transfer_to == 0;
 }
 
+/* Voters of A that are no voters of B.  */
+static uint32_t
+rep_voters_without (const struct rep_members *a, const struct rep_members *b)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < a->count; i++)
+    {
+      const struct rep_member *other = rep_members_find (b, a->list[i].id);
+
+      if (!a->list[i].learner && (other == NULL || other->learner))
+        count++;
+    }
+  return count;
+}
+
 static void
 rep_propose_members (struct rep *rep, const struct rep_members *members)
 {
@@ -73,6 +89,9 @@
 
   INVARIANT (rep_change_allowed (rep));
   INVARIANT (rep_members_find (members, rep->opts.id) != NULL);
+  INVARIANT (rep_voters_without (members, &rep->members)
+                 + rep_voters_without (&rep->members, members)
+             <= 1);
   entry->members = rep_alloc (sizeof *entry->members);
   *entry->members = *members;
   rep_append_own (rep, entry);
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -159,6 +159,21 @@
   message (bench, reply);
 }
 
+/* An append of term TERM by replica ID with one entry behind PREV.  */
+static struct rep_msg *
+append_of (uint64_t id, uint64_t term, uint64_t prev, uint64_t prev_term)
+{
+  struct rep_msg *append = from (REP_APPEND, id, term);
+  struct rep_entry *entry = rep_entry_new (REP_NOOP);
+
+  append->u.append.prev_index = prev;
+  append->u.append.prev_term = prev_term;
+  entry->term = term;
+  entry->index = prev + 1;
+  lst_push_tail (&append->u.append.entries, &entry->node);
+  return append;
+}
+
 static void
 propose (struct bench *bench, uint64_t request)
 {
@@ -237,17 +252,9 @@
 test_follower_acks_synced (void)
 {
   struct bench bench;
-  struct rep_msg *append;
-  struct rep_entry *entry = rep_entry_new (REP_NOOP);
 
   start (&bench, 3);
-  append = from (REP_APPEND, 2, 3);
-  append->u.append.prev_index = 1;
-  append->u.append.prev_term = 1;
-  entry->term = 3;
-  entry->index = 2;
-  lst_push_tail (&append->u.append.entries, &entry->node);
-  message (&bench, append);
+  message (&bench, append_of (2, 3, 1, 1));
   CU_ASSERT_PTR_NULL (sent (&bench, REP_APPEND_REPLY, 0));
   synced (&bench);
   CU_ASSERT_EQUAL (sent (&bench, REP_APPEND_REPLY, 0)->u.append_reply.match,
@@ -266,6 +273,8 @@
   lead (&bench);
   CU_ASSERT_PTR_NOT_NULL (only (&bench, REP_OUT_WRITE));
   ack (&bench, 9, 2, 1);
+  ack (&bench, 2, 1, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 0);
   ack (&bench, 2, 2, 1);
   CU_ASSERT_EQUAL (status (&bench).commit, 0);
   rep_synced (bench.rep, 3, bench.now);
@@ -280,6 +289,78 @@
   stop (&bench);
 }
 
+/* Guards against an entry of a former term that counts as committed because a
+   quorum holds it: a leader of a term between may still replace it.  */
+static void
+test_former_term (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  ack (&bench, 2, 1, 1);
+  ack (&bench, 3, 1, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 0);
+  ack (&bench, 3, 2, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  stop (&bench);
+}
+
+/* Guards against an acknowledgement to a new leader that counts entries of
+   the former one, which the new leader may not have.  */
+static void
+test_new_leader_is_not_acked (void)
+{
+  struct bench bench;
+  struct rep_msg *heartbeat = from (REP_APPEND, 3, 4);
+
+  start (&bench, 3);
+  message (&bench, append_of (2, 3, 1, 1));
+  synced (&bench);
+  CU_ASSERT_EQUAL (sent (&bench, REP_APPEND_REPLY, 0)->u.append_reply.match,
+                   2);
+  heartbeat->u.append.prev_index = 1;
+  heartbeat->u.append.prev_term = 1;
+  heartbeat->u.append.commit = 9;
+  message (&bench, heartbeat);
+  CU_ASSERT_EQUAL (sent (&bench, REP_APPEND_REPLY, 0)->u.append_reply.match,
+                   1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 1);
+  stop (&bench);
+}
+
+/* Guards against acknowledged entries behind a snapshot that are dropped when
+   the snapshot arrives late, and against a log that stays although it differs
+   from the snapshot.  */
+static void
+test_snapshot_keeps_equal_log (void)
+{
+  struct bench bench;
+  struct rep_msg *chunk;
+
+  start (&bench, 3);
+  message (&bench, append_of (2, 3, 1, 1));
+  message (&bench, append_of (2, 3, 2, 3));
+  chunk = from (REP_SNAPSHOT, 2, 3);
+  chunk->u.chunk.index = 2;
+  chunk->u.chunk.term = 3;
+  message (&bench, chunk);
+  CU_ASSERT_EQUAL (status (&bench).last_index, 3);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  chunk = from (REP_SNAPSHOT, 3, 4);
+  chunk->u.chunk.index = 3;
+  chunk->u.chunk.term = 4;
+  message (&bench, chunk);
+  CU_ASSERT_EQUAL (status (&bench).commit, 3);
+  CU_ASSERT_PTR_NOT_NULL (only (&bench, REP_OUT_RESTORE));
+  CU_ASSERT_PTR_NULL (sent (&bench, REP_SNAPSHOT_REPLY, 0));
+  synced (&bench);
+  CU_ASSERT_TRUE (
+      sent (&bench, REP_SNAPSHOT_REPLY, 0)->u.chunk_reply.installed);
+  stop (&bench);
+}
+
 /* Guards against one write and one append for each of many proposals, and
    against answers that reach another request.  */
 static void
@@ -431,6 +512,9 @@
           { "live leader keeps votes", test_live_leader_keeps_votes },
           { "follower acks synced", test_follower_acks_synced },
           { "leader counts synced", test_leader_counts_synced },
+          { "former term", test_former_term },
+          { "new leader is not acked", test_new_leader_is_not_acked },
+          { "snapshot keeps equal log", test_snapshot_keeps_equal_log },
           { "group commit", test_group_commit },
           { "lease", test_lease },
           { "read needs quorum", test_read_needs_quorum },
--- a/tests/test_rep_sim.c
+++ b/tests/test_rep_sim.c
@@ -70,9 +70,11 @@
   bool cut[SIM_NODES][SIM_NODES]; /* from, to */
   clk_us cut_until;
   uint32_t loss_percent;
+  clk_us transfer_at; /* of the last planned hand-over */
   struct lst packets; /* by due time */
   uint64_t next_id;
   uint32_t next_command;
+  bool crashy; /* slow disks and many short crashes before a sync */
   bool quiet;  /* no new faults */
   bool silent; /* no new commands */
   /* What must stay true.  */
@@ -345,6 +347,14 @@
   sim->leader_of[status.term] = node->id;
 }
 
+static clk_us
+sim_sync_time (struct sim *sim)
+{
+  if (sim->crashy && rng_below (&sim->rng, 3) == 0)
+    return rng_below (&sim->rng, 150000);
+  return 200 + rng_below (&sim->rng, 4000);
+}
+
 static void
 sim_output (struct sim *sim, uint32_t n, struct rep_out *out)
 {
@@ -359,7 +369,7 @@
       break;
     case REP_OUT_WRITE:
       if (lst_empty (&node->disk.pending))
-        node->disk.sync_at = sim->now + 200 + rng_below (&sim->rng, 4000);
+        node->disk.sync_at = sim->now + sim_sync_time (sim);
       write = msg_new (MSG_STORE_WRITE);
       write->u.store_write = out->u.write;
       out->u.write = NULL;
@@ -612,8 +622,9 @@
           sim_kill (sim, n, clk_ms (rng_below (&sim->rng, 500)));
       break;
     case 6:
-      if (sim_up (sim, n))
-        rep_transfer (sim->node[n].rep, sim->now);
+      if (sim_up (sim, n)
+          && rep_transfer (sim->node[n].rep, sim->now) == SR_OK)
+        sim->transfer_at = sim->now;
       break;
     case 7:
       sim_lose_disk (sim);
@@ -621,6 +632,38 @@
     }
 }
 
+/* Kills a replica that has unsynced writes, often right after it answered. */
+static void
+sim_crash (struct sim *sim)
+{
+  uint32_t n = rng_below (&sim->rng, sim->nodes);
+
+  if (lst_empty (&sim->node[n].disk.pending))
+    return;
+  if (rng_below (&sim->rng, 4) != 0)
+    sim_disk_drop_pending (&sim->node[n].disk);
+  sim_kill (sim, n, clk_ms (rng_below (&sim->rng, 100)));
+}
+
+/* Only a planned hand-over may leave two leaders for a moment; otherwise the
+   old one's lease ends before another is elected.  */
+static void
+sim_check_lease (struct sim *sim)
+{
+  struct rep_status status;
+  uint32_t leaders = 0;
+
+  for (uint32_t n = 0; n < sim->nodes; n++)
+    {
+      if (!sim_up (sim, n))
+        continue;
+      rep_status (sim->node[n].rep, &status);
+      leaders += status.role == REP_LEADER ? 1 : 0;
+    }
+  sim_check (sim, leaders < 2 || sim->transfer_at + clk_s (2) > sim->now,
+             "leader after the end of its lease", leaders);
+}
+
 static void
 sim_step (struct sim *sim)
 {
@@ -629,11 +672,14 @@
     sim_heal (sim);
   if (!sim->quiet && rng_below (&sim->rng, 700) == 0)
     sim_fault (sim);
+  if (sim->crashy && !sim->quiet && rng_below (&sim->rng, 60) == 0)
+    sim_crash (sim);
   if (!sim->silent && rng_below (&sim->rng, 5) == 0)
     sim_clients (sim);
   sim_deliver (sim);
   for (uint32_t n = 0; n < sim->nodes; n++)
     sim_run_node (sim, n);
+  sim_check_lease (sim);
 }
 
 static uint32_t
@@ -697,6 +743,7 @@
   rng_seed (&sim->rng, seed);
   sim->now = clk_s (10);
   sim->nodes = seed % 3 == 0 ? 5 : 3;
+  sim->crashy = seed % 4 >= 2;
   lst_init (&sim->packets);
   for (uint32_t n = 0; n < sim->nodes; n++)
     {
