--- a/core/repmsg.c
+++ b/core/repmsg.c
@@ -126,22 +126,18 @@
 void
 rep_snapshot_free (struct rep_snapshot *snapshot)
 {
-  if (snapshot == NULL)
+  if (snapshot == NULL || atomic_fetch_sub (&snapshot->shares, 1) > 0)
     return;
   free (snapshot->data);
   free (snapshot);
 }
 
 struct rep_snapshot *
-rep_snapshot_copy (const struct rep_snapshot *snapshot)
+rep_snapshot_share (struct rep_snapshot *snapshot)
 {
-  struct rep_snapshot *out;
-
-  if (snapshot == NULL)
-    return NULL;
-  out = repmsg_dup (snapshot, sizeof *snapshot);
-  out->data = repmsg_dup (snapshot->data, snapshot->len);
-  return out;
+  if (snapshot != NULL)
+    atomic_fetch_add (&snapshot->shares, 1);
+  return snapshot;
 }
 
 const struct rep_member *
--- a/core/repmsg.h
+++ b/core/repmsg.h
@@ -9,6 +9,7 @@
  * its disk has a new id.
  */
 
+#include <stdatomic.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -56,9 +57,11 @@
   struct rep_members *members; /* REP_MEMBERSHIP, malloc()ed */
 };
 
-/* A state machine snapshot with the log position that it stands for.  */
+/* A state machine snapshot with the log position that it stands for.  Shared
+   between tasks and never changed: it may be larger than everything else.  */
 struct rep_snapshot
 {
+  _Atomic unsigned shares; /* owners besides the first */
   uint64_t index;
   uint64_t term;
   struct rep_members members; /* in force at @index */
@@ -219,7 +222,8 @@
 void rep_entries_free (struct lst *entries);
 
 void rep_snapshot_free (struct rep_snapshot *snapshot);
-struct rep_snapshot *rep_snapshot_copy (const struct rep_snapshot *snapshot);
+/* One more owner of SNAPSHOT, which may be NULL; each owner frees it.  */
+struct rep_snapshot *rep_snapshot_share (struct rep_snapshot *snapshot);
 
 /* Member with ID, or NULL.  */
 const struct rep_member *rep_members_find (const struct rep_members *members,
--- a/log/rep.c
+++ b/log/rep.c
@@ -234,6 +234,7 @@
 
       peer->next = rep->log.last_index + 1;
       peer->match = 0;
+      peer->unanswered = 0;
       peer->acked_round = 0;
       peer->acked_sent = now;
       peer->heard = now;
@@ -381,7 +382,7 @@
       loaded->snapshot = NULL;
       rep_log_reset (&rep->log, rep->snapshot);
       rep_output (rep, REP_OUT_RESTORE)->u.restore
-          = rep_snapshot_copy (rep->snapshot);
+          = rep_snapshot_share (rep->snapshot);
     }
   while ((node = lst_pop_head (&loaded->entries)) != NULL)
     rep_log_append (&rep->log, lst_entry (node, struct rep_entry, node));
@@ -480,6 +481,13 @@
 rep_tick (struct rep *rep, clk_us now)
 {
   rep_begin (rep, now);
+  /* Lets a restart without a quorum apply nearly everything.  At most one
+     extra sync for each heartbeat.  */
+  if (rep->hard.commit != rep->commit_written && now >= rep->commit_deadline)
+    {
+      rep->hard_dirty = true;
+      rep->commit_deadline = now + rep->opts.heartbeat;
+    }
   if (rep->role == REP_LEADER)
     {
       if (rep->transfer_to != 0 && now >= rep->transfer_deadline)
@@ -492,9 +500,6 @@
         }
       return rep->heartbeat_deadline;
     }
-  /* Lets a restart without a quorum apply nearly everything.  */
-  if (rep->hard.commit != rep->commit_written)
-    rep->hard_dirty = true;
   if (now >= rep->election_deadline)
     {
       if (rep_is_voter (rep, rep->opts.id))
@@ -683,7 +688,7 @@
   snapshot->data = data;
   snapshot->len = len;
   rep_snapshot_free (rep->new_snapshot);
-  rep->new_snapshot = rep_snapshot_copy (snapshot);
+  rep->new_snapshot = rep_snapshot_share (snapshot);
   rep_snapshot_free (rep->snapshot);
   rep->snapshot = snapshot;
   /* Keeps a tail so that a follower that was away briefly needs no
--- a/log/rep_impl.h
+++ b/log/rep_impl.h
@@ -12,8 +12,9 @@
 /* Most command bytes and entries of one append.  */
 #define REP_APPEND_BYTES (64 * 1024)
 #define REP_APPEND_ENTRIES 256
-/* Entries that a leader sends ahead of acknowledgements.  */
-#define REP_WINDOW_ENTRIES 2048
+/* Entry bytes that a leader sends to a peer without an answer: enough for the
+   bandwidth between domains, and what a dead peer can keep queued.  */
+#define REP_WINDOW_BYTES (1024 * 1024)
 /* A learner this close to the end of the log counts as caught up.  */
 #define REP_CAUGHT_UP_ENTRIES 64
 /* A snapshot is taken once the entries since the last one have this part of
@@ -42,6 +43,7 @@
   bool granted;  /* (pre-)vote of the running election */
   uint64_t next; /* index to send next */
   uint64_t match;
+  uint64_t unanswered; /* entry bytes sent since its last answer */
   uint64_t acked_round;
   clk_us acked_sent; /* send time of the newest message answered */
   clk_us heard;
@@ -106,7 +108,8 @@
   uint64_t synced;   /* newest sequence that is durable */
   bool hard_dirty;
   uint64_t commit_written;
-  uint64_t truncate_from;            /* for the next write */
+  clk_us commit_deadline; /* no write only for the commit index before */
+  uint64_t truncate_from; /* for the next write */
   struct rep_snapshot *new_snapshot; /* for the next write */
   struct lst writes;                 /* struct rep_pending_write */
 
--- a/log/rep_lead.c
+++ b/log/rep_lead.c
@@ -128,10 +128,14 @@
 rep_send_append (struct rep *rep, struct rep_peer *peer, uint32_t entries)
 {
   struct rep_msg *msg = rep_append_msg (rep, peer, peer->next - 1, entries);
-  const struct lst_node *last = lst_last (&msg->u.append.entries);
 
-  if (last != NULL)
-    peer->next = lst_entry (last, struct rep_entry, node)->index + 1;
+  lst_each (node, &msg->u.append.entries)
+    {
+      const struct rep_entry *entry = lst_entry (node, struct rep_entry, node);
+
+      peer->next = entry->index + 1;
+      peer->unanswered += entry->len + sizeof *entry;
+    }
   rep_send (rep, msg);
 }
 
@@ -147,7 +151,7 @@
     }
   peer->chunk_index = 0;
   while (peer->next <= rep->log.last_index
-         && peer->next - peer->match <= REP_WINDOW_ENTRIES)
+         && peer->unanswered < REP_WINDOW_BYTES)
     rep_send_append (rep, peer, REP_APPEND_ENTRIES);
 }
 
@@ -181,6 +185,7 @@
 rep_peer_heard (struct rep_peer *peer, uint64_t round, clk_us sent, clk_us now)
 {
   peer->heard = now;
+  peer->unanswered = 0;
   if (round > peer->acked_round)
     peer->acked_round = round;
   if (sent > peer->acked_sent)
--- a/log/rep_snap.c
+++ b/log/rep_snap.c
@@ -114,11 +114,11 @@
   lst_each (node, &rep->writes)
     lst_entry (node, struct rep_pending_write, node)->last_index = 0;
   rep_snapshot_free (rep->new_snapshot);
-  rep->new_snapshot = rep_snapshot_copy (snapshot);
+  rep->new_snapshot = rep_snapshot_share (snapshot);
   rep_snapshot_free (rep->snapshot);
   rep->snapshot = snapshot;
   rep_adopt_members (rep, rep->now);
-  rep_output (rep, REP_OUT_RESTORE)->u.restore = rep_snapshot_copy (snapshot);
+  rep_output (rep, REP_OUT_RESTORE)->u.restore = rep_snapshot_share (snapshot);
 }
 
 /* Takes over a complete snapshot unless the log already agrees with it: what
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -14,6 +14,7 @@
 {
   struct rep *rep;
   clk_us now;
+  uint64_t sequence; /* of the newest write */
   /* Outputs of the last drain.  */
   struct rep_out *out[MAX_OUT];
   uint32_t count;
@@ -31,6 +32,8 @@
     {
       CU_ASSERT_TRUE_FATAL (bench->count < MAX_OUT);
       bench->out[bench->count++] = out;
+      if (out->kind == REP_OUT_WRITE)
+        bench->sequence = out->u.write->sequence;
     }
 }
 
@@ -63,10 +66,7 @@
 static void
 synced (struct bench *bench)
 {
-  struct rep_out *write = only (bench, REP_OUT_WRITE);
-
-  CU_ASSERT_PTR_NOT_NULL_FATAL (write);
-  rep_synced (bench->rep, write->u.write->sequence, bench->now);
+  rep_synced (bench->rep, bench->sequence, bench->now);
   drain (bench);
 }
 
@@ -100,9 +100,11 @@
   sto_loaded_init (&loaded);
   *bench = (struct bench){ .now = clk_s (100) };
   bench->rep = rep_new (&opts, &loaded, bench->now);
-  for (uint32_t i = 0; i < count; i++)
-    members.list[i].id = 1 + i;
-  members.list[count].id = 9;
+  for (uint32_t i = 0; i <= count; i++)
+    {
+      members.list[i].id = i < count ? 1 + i : 9;
+      members.list[i].address[0] = (char)('a' + i);
+    }
   members.list[count].learner = true;
   CU_ASSERT_EQUAL (rep_create (bench->rep, &members, 1, bench->now), SR_OK);
   drain (bench);
@@ -207,6 +209,27 @@
   stop (&bench);
 }
 
+/* Guards against a restarted replica that forgets its vote and gives another
+   one in the same term.  */
+static void
+test_vote_survives_restart (void)
+{
+  struct rep_opts opts = { .id = OWN };
+  struct rep_msg *vote = from (REP_VOTE, 3, 5);
+  struct sto_loaded loaded;
+  struct bench bench = { .now = clk_s (100) };
+
+  rep_opts_default (&opts);
+  sto_loaded_init (&loaded);
+  loaded.hard = (struct rep_hard){ .term = 5, .vote = 2 };
+  bench.rep = rep_new (&opts, &loaded, bench.now);
+  message (&bench, vote);
+  CU_ASSERT_FALSE (sent (&bench, REP_VOTE_REPLY, 0)->u.vote_reply.granted);
+  message (&bench, from (REP_VOTE, 2, 5));
+  CU_ASSERT_TRUE (sent (&bench, REP_VOTE_REPLY, 0)->u.vote_reply.granted);
+  stop (&bench);
+}
+
 /* Guards against a vote for a log that lacks acknowledged entries.  */
 static void
 test_vote_needs_log (void)
@@ -277,14 +300,12 @@
   CU_ASSERT_EQUAL (status (&bench).commit, 0);
   ack (&bench, 2, 2, 1);
   CU_ASSERT_EQUAL (status (&bench).commit, 0);
-  rep_synced (bench.rep, 3, bench.now);
-  drain (&bench);
+  synced (&bench);
   CU_ASSERT_EQUAL (status (&bench).commit, 2);
   propose (&bench, 1);
   drain (&bench);
   ack (&bench, 9, 3, 1);
-  rep_synced (bench.rep, 4, bench.now);
-  drain (&bench);
+  synced (&bench);
   CU_ASSERT_EQUAL (status (&bench).commit, 2);
   stop (&bench);
 }
@@ -462,6 +483,61 @@
   stop (&bench);
 }
 
+/* Whether ID is a voter.  */
+static bool
+votes (const struct bench *bench, uint64_t id)
+{
+  struct rep_status now = status (bench);
+
+  for (uint32_t i = 0; i < now.members.count; i++)
+    if (now.members.list[i].id == id)
+      return !now.members.list[i].learner;
+  return false;
+}
+
+/* Commits all that is in the log with replicas 2 and 9.  */
+static void
+commit_all (struct bench *bench)
+{
+  synced (bench);
+  ack (bench, 2, status (bench).last_index, 1);
+  synced (bench);
+  ack (bench, 9, status (bench).last_index, 1);
+}
+
+/* Guards against a fourth voter, against a learner in the quorum before it
+   has caught up, and against a dead voter that keeps its place while a
+   learner waits.  */
+static void
+test_learner_takes_place (void)
+{
+  struct bench bench;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  ack (&bench, 2, 2, 1);
+  for (int i = 0; i < 700; i++)
+    {
+      CU_ASSERT_TRUE (votes (&bench, 3));
+      CU_ASSERT_FALSE (votes (&bench, 9));
+      bench.now += clk_ms (100);
+      rep_tick (bench.rep, bench.now);
+      drain (&bench);
+      ack (&bench, 2, 2, 1);
+      /* Replica 9 lags until the end, replica 3 is silent for 60 s.  */
+      ack (&bench, 9, i < 690 ? 0 : 2, 1);
+      if (!votes (&bench, 3))
+        break;
+    }
+  CU_ASSERT_FALSE (votes (&bench, 3));
+  for (int i = 0; i < 3; i++)
+    commit_all (&bench);
+  CU_ASSERT_TRUE (votes (&bench, 9));
+  CU_ASSERT_EQUAL (status (&bench).members.count, 3);
+  stop (&bench);
+}
+
 /* Guards against a replica with a new disk that acts on messages for the id
    that it lost.  */
 static void
@@ -508,6 +584,7 @@
 {
   static const struct suite_test tests[]
       = { { "votes are synced", test_votes_are_synced },
+          { "vote survives restart", test_vote_survives_restart },
           { "vote needs log", test_vote_needs_log },
           { "live leader keeps votes", test_live_leader_keeps_votes },
           { "follower acks synced", test_follower_acks_synced },
@@ -519,6 +596,7 @@
           { "lease", test_lease },
           { "read needs quorum", test_read_needs_quorum },
           { "one change at a time", test_one_change_at_a_time },
+          { "learner takes place", test_learner_takes_place },
           { "other id", test_other_id },
           { "transfer", test_transfer },
           { NULL, NULL } };
--- a/tests/test_rep_sim.c
+++ b/tests/test_rep_sim.c
@@ -231,7 +231,7 @@
 {
   sto_loaded_init (to);
   to->hard = from->hard;
-  to->snapshot = rep_snapshot_copy (from->snapshot);
+  to->snapshot = rep_snapshot_share (from->snapshot);
   lst_each (node, &from->entries)
     lst_push_tail (&to->entries, &rep_entry_copy (sim_entry (node))->node);
 }
@@ -582,9 +582,11 @@
       sim->cut[n][i] = ways != 0 && (ways == 2 || rng_below (&sim->rng, 2));
       sim->cut[i][n] = ways != 1 && (ways == 2 || rng_below (&sim->rng, 2));
     }
-  /* Some cuts last much longer than all timeouts.  */
   sim->cut_until
       = sim->now + clk_ms (rng_below (&sim->rng, ways == 2 ? 20000 : 4000));
+  /* Some cuts last for minutes, to the end of the faults.  */
+  if (ways == 2 && rng_below (&sim->rng, 8) == 0)
+    sim->cut_until = sim->now + clk_s (120);
 }
 
 static void
