--- a/log/rep_snap.c
+++ b/log/rep_snap.c
@@ -10,7 +10,8 @@
   struct rep_chunk *chunk;
   struct rep_msg *msg;
 
-  INVARIANT (snapshot != NULL && snapshot->index >= rep->log.base_index);
+  INVARIANT (snapshot != NULL);
+  INVARIANT (snapshot->index >= rep->log.base_index);
   if (peer->chunk_index != snapshot->index)
     {
       peer->chunk_index = snapshot->index;
@@ -113,11 +114,11 @@
   lst_each (node, &rep->writes)
     lst_entry (node, struct rep_pending_write, node)->last_index = 0;
   rep_snapshot_free (rep->new_snapshot);
-  rep->new_snapshot = rep_snapshot_copy (snapshot);
+  rep->new_snapshot = rep_snapshot_share (snapshot);
   rep_snapshot_free (rep->snapshot);
   rep->snapshot = snapshot;
   rep_adopt_members (rep, rep->now);
-  rep_output (rep, REP_OUT_RESTORE)->u.restore = rep_snapshot_copy (snapshot);
+  rep_output (rep, REP_OUT_RESTORE)->u.restore = rep_snapshot_share (snapshot);
 }
 
 /* Takes over a complete snapshot unless the log already agrees with it: what
