--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,8 @@
 TEST_BIN = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 SOURCES = $(wildcard include/*.h core/*.[ch] filters/*.[ch] \
 	controllers/*.[ch] log/*.[ch] wire/*.[ch] tasks/*.[ch] \
-	programs/*.[ch] tests/*.[ch] fuzz/*.[ch])
+	programs/*.[ch] bench/*.[ch] tests/*.[ch] fuzz/*.[ch])
+BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
 
 all: $(LIB) $(PROGRAM_BIN)
 
@@ -37,6 +38,9 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(LIB)
 	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lcunit -o $@
 
+$(BUILD)/rudder-bench: $(BENCH_OBJ) $(LIB)
+	$(CC) $(CFLAGS) $(BENCH_OBJ) $(LIB) $(LIBS) -o $@
+
 tests: $(TEST_BIN)
 
 setup:
--- /dev/null
+++ b/bench/chain.c
@@ -0,0 +1,101 @@
+#include "bench/mea.h"
+
+#include <math.h>
+#include <stdio.h>
+
+/* Default of docs/design.md.  */
+#define CHAIN_ALLOWANCE 3u
+#define CHAIN_FIXED_TRIES 3.0
+
+/* Attempts and calls in a chain of services that call one another.  */
+struct chain
+{
+  uint32_t calls; /* made by the caller and by servers of the chain */
+  uint32_t attempts;
+  uint32_t deepest; /* attempts at the last service */
+};
+
+/* One attempt at a service with LEFT services below it, the last of which
+   always fails.  Returns the allowance that is left.  */
+static uint32_t
+chain_attempt (struct chain *chain, uint32_t left, uint32_t granted)
+{
+  struct rty_allowance own = { .remaining = granted };
+
+  chain->attempts++;
+  if (left == 0)
+    {
+      chain->deepest++;
+      return granted;
+    }
+  chain->calls++;
+  do
+    {
+      uint32_t grant = rty_grant (&own);
+
+      rty_return (&own, grant, chain_attempt (chain, left - 1, grant));
+    }
+  while (rty_take (&own));
+  return own.remaining;
+}
+
+/* The caller's request at the entry.  */
+static struct chain
+chain_call (uint32_t depth)
+{
+  struct chain chain = { .calls = 1 };
+  struct rty_allowance own = { .remaining = CHAIN_ALLOWANCE };
+
+  do
+    {
+      uint32_t grant = rty_grant (&own);
+
+      rty_return (&own, grant, chain_attempt (&chain, depth - 1, grant));
+    }
+  while (rty_take (&own));
+  return chain;
+}
+
+/* Attempts in all when each hop tries TRIES times.  */
+static double
+chain_product (uint32_t depth, double tries)
+{
+  double total = 0;
+
+  for (uint32_t hop = 1; hop <= depth; hop++)
+    total += pow (tries, hop);
+  return total;
+}
+
+void
+mea_chain (struct tab *tab, uint64_t seed)
+{
+  static const uint32_t depths[] = { 1, 4, 12, 29 };
+
+  (void)seed;
+  for (int i = 0; i < 4; i++)
+    {
+      char name[2][48];
+      uint32_t depth = depths[i];
+      struct chain chain = chain_call (depth);
+      struct tab_row attempts = { .measure = name[0], .unit = "" };
+      struct tab_row deepest = { .measure = name[1], .unit = "" };
+
+      snprintf (name[0], sizeof name[0], "attempts in a chain %u deep", depth);
+      snprintf (name[1], sizeof name[1], "of these at the deepest service");
+      attempts.unit = deepest.unit = "per request";
+      attempts.figures[WLD_NONE] = chain_product (depth, 1);
+      attempts.figures[WLD_FIXED] = chain_product (depth, CHAIN_FIXED_TRIES);
+      attempts.figures[WLD_OURS] = chain.attempts;
+      attempts.kind = deepest.kind = TAB_AT_MOST;
+      attempts.bound = chain.calls + CHAIN_ALLOWANCE;
+      attempts.source = "calls + allowance, docs/design.md";
+      deepest.figures[WLD_NONE] = 1;
+      deepest.figures[WLD_FIXED] = pow (CHAIN_FIXED_TRIES, depth);
+      deepest.figures[WLD_OURS] = chain.deepest;
+      deepest.bound = 1 + CHAIN_ALLOWANCE;
+      deepest.source = "1 + allowance: independent of the depth";
+      tab_add (tab, &attempts);
+      tab_add (tab, &deepest);
+    }
+}
--- /dev/null
+++ b/bench/fake.c
@@ -0,0 +1,89 @@
+#include "bench/fake.h"
+
+#include <math.h>
+
+void
+fake_init (struct fake *fake, struct sim *sim, uint32_t capacity)
+{
+  *fake = (struct fake){ .sim = sim, .capacity = capacity, .slow = 1 };
+  fake->complete.kind = SIM_COMPLETE;
+  lst_init (&fake->jobs);
+}
+
+/* Progress of each job in a microsecond.  */
+static double
+fake_rate (const struct fake *fake)
+{
+  double load = (double)fake->running / fake->capacity;
+
+  if (fake->slow <= 0)
+    return 0;
+  return (load > 1 ? pow (load, -1 - FAKE_THRASHING) : 1) / fake->slow;
+}
+
+static void
+fake_advance (struct fake *fake)
+{
+  clk_us now = fake->sim->now;
+
+  fake->progress += (double)(now - fake->progress_at) * fake_rate (fake);
+  fake->progress_at = now;
+}
+
+/* Sets the event for the job that completes first.  */
+static void
+fake_schedule (struct fake *fake)
+{
+  double rate = fake_rate (fake);
+  double left;
+
+  sim_cancel (&fake->complete);
+  if (lst_empty (&fake->jobs) || rate <= 0)
+    return;
+  left = lst_entry (lst_first (&fake->jobs), struct fake_job, node)->end
+         - fake->progress;
+  sim_set (fake->sim, &fake->complete,
+           fake->sim->now + (clk_us)ceil (left > 0 ? left / rate : 0));
+}
+
+void
+fake_start (struct fake *fake, struct fake_job *job, double work)
+{
+  struct lst_node *after = fake->jobs.head.prev;
+
+  fake_advance (fake);
+  job->end = fake->progress + work;
+  while (after != &fake->jobs.head
+         && lst_entry (after, struct fake_job, node)->end > job->end)
+    after = after->prev;
+  lst_insert_before (after->next, &job->node);
+  fake->running++;
+  fake_schedule (fake);
+}
+
+void
+fake_cancel (struct fake *fake, struct fake_job *job)
+{
+  fake_advance (fake);
+  lst_remove (&job->node);
+  fake->running--;
+  fake_schedule (fake);
+}
+
+struct fake_job *
+fake_complete (struct fake *fake)
+{
+  struct fake_job *job
+      = lst_entry (lst_first (&fake->jobs), struct fake_job, node);
+
+  fake_cancel (fake, job);
+  return job;
+}
+
+void
+fake_set_slow (struct fake *fake, double slow)
+{
+  fake_advance (fake);
+  fake->slow = slow;
+  fake_schedule (fake);
+}
--- /dev/null
+++ b/bench/main.c
@@ -0,0 +1,57 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bench/mea.h"
+
+#define MAIN_SEED 1u
+
+struct main_measure
+{
+  const char *name;
+  void (*run) (struct tab *tab, uint64_t seed);
+};
+
+static const struct main_measure measures[] = {
+  { "overload", mea_overload },   { "recovery", mea_recovery },
+  { "swing", mea_swing },         { "blocking", mea_blocking },
+  { "straggler", mea_straggler }, { "chain", mea_chain },
+};
+
+static int
+usage (void)
+{
+  fprintf (stderr, "usage: rudder-bench [--seed N] [--variants] [MEASURE]\n");
+  return 2;
+}
+
+int
+main (int argc, char **argv)
+{
+  const char *only = NULL;
+  uint64_t seed = MAIN_SEED;
+  bool variants = false;
+  struct tab tab = { 0 };
+
+  for (int i = 1; i < argc; i++)
+    if (strcmp (argv[i], "--variants") == 0)
+      variants = true;
+    else if (strcmp (argv[i], "--seed") == 0 && i + 1 < argc)
+      seed = strtoull (argv[++i], NULL, 10);
+    else if (argv[i][0] != '-')
+      only = argv[i];
+    else
+      return usage ();
+  if (variants)
+    {
+      mea_variants (seed);
+      return 0;
+    }
+  printf ("virtual time, seed %llu\n", (unsigned long long)seed);
+  tab_head ();
+  for (size_t i = 0; i < sizeof measures / sizeof *measures; i++)
+    if (only == NULL || strcmp (only, measures[i].name) == 0)
+      measures[i].run (&tab, seed);
+  printf ("%u rows, %u bounds broken\n", tab.rows, tab.misses);
+  return tab.rows > 0 && tab.misses == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/bench/node.c
@@ -0,0 +1,177 @@
+#include "bench/wldi.h"
+
+#include <math.h>
+
+/* Baselines know no deadlines: far enough to never pass.  */
+#define NODE_NO_DEADLINE clk_s (100000)
+
+int
+node_init (struct wld *wld, struct node *node)
+{
+  struct adm_opts opts = wld->opts.admission;
+
+  fake_init (&node->fake, &wld->sim, wld->opts.capacity);
+  node->wakeup.kind = SIM_WAKEUP;
+  if (wld->opts.control == WLD_FIXED)
+    {
+      opts.limit = LIM_FIXED;
+      opts.order = ADM_ORDER_FIFO;
+      opts.evict = ADM_EVICT_NEWEST;
+      opts.long_slots_percent = 100;
+    }
+  node->adm = adm_new (&opts);
+  return node->adm == NULL ? -1 : 0;
+}
+
+/* Sends an answer or a refusal back to the entry.  */
+static void
+attempt_back (struct wld *wld, struct attempt *attempt, bool refused)
+{
+  const struct node *node = &wld->nodes[attempt->server];
+
+  attempt->state = ATTEMPT_BACK;
+  attempt->refused = refused;
+  attempt->level = adm_level (node->adm, wld->sim.now);
+  attempt->event.kind = SIM_ANSWER;
+  sim_set (&wld->sim, &attempt->event, wld->sim.now + wld->opts.hop);
+}
+
+static void
+attempt_run (struct wld *wld, struct attempt *attempt)
+{
+  attempt->state = ATTEMPT_RUNNING;
+  fake_start (&wld->nodes[attempt->server].fake, &attempt->job, attempt->work);
+}
+
+static void
+node_event (struct wld *wld, const struct adm_event *event)
+{
+  struct attempt *attempt = lst_entry (event->ticket, struct attempt, ticket);
+
+  switch (event->kind)
+    {
+    case ADM_RUN:
+      attempt_run (wld, attempt);
+      break;
+    case ADM_REFUSE:
+      attempt_back (wld, attempt, true);
+      break;
+    case ADM_QUEUED:
+      attempt->state = ATTEMPT_QUEUED;
+      break;
+    case ADM_NOTHING:
+      break;
+    }
+}
+
+void
+node_drain (struct wld *wld, struct node *node)
+{
+  struct adm_event event;
+  clk_us wakeup;
+
+  while ((event = adm_next (node->adm, wld->sim.now)).kind != ADM_NOTHING)
+    node_event (wld, &event);
+  wakeup = adm_wakeup (node->adm);
+  if (wakeup == 0)
+    sim_cancel (&node->wakeup);
+  else
+    sim_set (&wld->sim, &node->wakeup,
+             wakeup > wld->sim.now ? wakeup : wld->sim.now + 1);
+}
+
+/* Service time: half of it fixed, half exponential.  */
+static double
+attempt_work (struct wld *wld, const struct wld_kind *kind)
+{
+  return kind->mean_us * (0.5 - 0.5 * log (1 - rng_unit (&wld->rng)));
+}
+
+void
+node_reach (struct wld *wld, struct attempt *attempt)
+{
+  const struct wld_kind *kind = &wld->opts.kind[attempt->kind];
+  struct node *node = &wld->nodes[attempt->server];
+  bool ours = wld->opts.control == WLD_OURS;
+  struct adm_event event;
+
+  if (ours && attempt->call == NULL)
+    {
+      attempt_free (wld, attempt);
+      return;
+    }
+  attempt->work = attempt_work (wld, kind);
+  attempt->reached = wld->sim.now;
+  if (wld->opts.control == WLD_NONE)
+    {
+      if (node->fake.running < wld->opts.connections)
+        attempt_run (wld, attempt);
+      else
+        attempt_back (wld, attempt, true);
+      return;
+    }
+  attempt->ticket = (struct adm_ticket){
+    .importance = ours ? kind->importance : 0,
+    .cost = kind->cost,
+    .kind = attempt->kind,
+    .arrived = wld->sim.now,
+    .deadline
+    = ours ? attempt->call->deadline : wld->sim.now + NODE_NO_DEADLINE,
+  };
+  event = adm_submit (node->adm, &attempt->ticket, wld->sim.now);
+  node_event (wld, &event);
+  node_drain (wld, node);
+}
+
+/* Time at the server beyond the work itself: in the queue, and through
+   contention with other requests.  */
+static void
+wait_record (struct wld *wld, const struct attempt *attempt)
+{
+  double spent = (double)(wld->sim.now - attempt->reached);
+
+  if (attempt->reached < wld->opts.warm)
+    return;
+  sta_add (&wld->result->kind[attempt->kind].wait,
+           spent > attempt->work ? (clk_us)(spent - attempt->work) : 0);
+}
+
+void
+node_complete (struct wld *wld, struct node *node)
+{
+  struct attempt *attempt
+      = lst_entry (fake_complete (&node->fake), struct attempt, job);
+
+  wait_record (wld, attempt);
+  if (wld->opts.control != WLD_NONE)
+    {
+      adm_finish (node->adm, &attempt->ticket, true, wld->sim.now);
+      node_drain (wld, node);
+    }
+  attempt_back (wld, attempt, false);
+}
+
+void
+node_abandon (struct wld *wld, struct attempt *attempt)
+{
+  struct node *node = &wld->nodes[attempt->server];
+
+  attempt->call = NULL;
+  if (wld->opts.control != WLD_OURS)
+    return;
+  switch (attempt->state)
+    {
+    case ATTEMPT_RUNNING:
+      fake_cancel (&node->fake, &attempt->job);
+      adm_withdraw (node->adm, &attempt->ticket, wld->sim.now);
+      break;
+    case ATTEMPT_QUEUED:
+      adm_withdraw (node->adm, &attempt->ticket, wld->sim.now);
+      break;
+    case ATTEMPT_TO_SERVER:
+    case ATTEMPT_BACK:
+      return; /* freed when its event fires */
+    }
+  attempt_free (wld, attempt);
+  node_drain (wld, node);
+}
--- /dev/null
+++ b/bench/setup.c
@@ -0,0 +1,72 @@
+#include "bench/mea.h"
+
+/* The declared slots are a third more than the servers run at full speed:
+   declared slots are rarely measured.  */
+#define SETUP_ORDERS_SLOTS 120u
+#define SETUP_ORDERS_CAPACITY 90u
+#define SETUP_ORDERS_CONNECTIONS 840u
+#define SETUP_SEARCH_SLOTS 35u
+#define SETUP_SEARCH_CAPACITY 26u
+#define SETUP_SEARCH_CONNECTIONS 320u
+#define SETUP_QUEUE_PER_SLOT 2u
+#define SETUP_LONG_PERCENT 25u
+
+static struct wld_opts
+setup_common (enum wld_control control, uint32_t slots, uint64_t seed)
+{
+  return (struct wld_opts){
+    .control = control,
+    .choice = control == WLD_OURS ? WLD_CHOICE_CHS : WLD_CHOICE_RANDOM,
+    .admission = { .slots = slots,
+                   .queue = slots * SETUP_QUEUE_PER_SLOT,
+                   .long_slots_percent = SETUP_LONG_PERCENT },
+    .servers = 4,
+    .hedge = control == WLD_OURS,
+    .seed = seed,
+    .load = 0.5,
+    .warm = clk_s (5),
+    .length = clk_s (15),
+  };
+}
+
+struct wld_opts
+mea_orders (enum wld_control control, uint64_t seed)
+{
+  struct wld_opts opts = setup_common (control, SETUP_ORDERS_SLOTS, seed);
+
+  opts.capacity = SETUP_ORDERS_CAPACITY;
+  opts.connections = SETUP_ORDERS_CONNECTIONS;
+  opts.hop = 1500;
+  opts.kinds = 3;
+  opts.kind[0] = (struct wld_kind){
+    .share = 0.15, .importance = 90, .mean_us = 100000, .timeout = clk_s (1)
+  };
+  opts.kind[1] = (struct wld_kind){ .share = 0.25,
+                                    .importance = 50,
+                                    .mean_us = 100000,
+                                    .timeout = clk_s (1),
+                                    .idempotent = true };
+  opts.kind[2] = (struct wld_kind){ .share = 0.6,
+                                    .importance = 20,
+                                    .mean_us = 100000,
+                                    .timeout = clk_s (1),
+                                    .idempotent = true };
+  return opts;
+}
+
+struct wld_opts
+mea_search (enum wld_control control, uint64_t seed)
+{
+  struct wld_opts opts = setup_common (control, SETUP_SEARCH_SLOTS, seed);
+
+  opts.capacity = SETUP_SEARCH_CAPACITY;
+  opts.connections = SETUP_SEARCH_CONNECTIONS;
+  opts.hop = 1000;
+  opts.kinds = 1;
+  opts.kind[0] = (struct wld_kind){ .share = 1,
+                                    .importance = 50,
+                                    .mean_us = 20000,
+                                    .timeout = clk_s (1),
+                                    .idempotent = true };
+  return opts;
+}
--- /dev/null
+++ b/bench/variants.c
@@ -0,0 +1,7 @@
+#include "bench/mea.h"
+
+void
+mea_variants (uint64_t seed)
+{
+  (void)seed;
+}
--- /dev/null
+++ b/bench/wld.c
@@ -0,0 +1,215 @@
+#include "bench/wldi.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+
+/* Default of docs/design.md: one of four servers may be ejected, and retries
+   are at most a tenth of first attempts.  */
+#define WLD_EJECTED_PERCENT 25u
+#define WLD_BUDGET_PERCENT 10u
+#define WLD_START clk_s (0)
+
+double
+wld_capacity (const struct wld_opts *opts)
+{
+  double mean = 0;
+
+  for (uint32_t i = 0; i < opts->kinds; i++)
+    mean += opts->kind[i].share * opts->kind[i].mean_us;
+  return opts->servers * opts->capacity * (double)CLK_US_PER_S / mean;
+}
+
+/* Load as a multiple of the capacity at the present time.  */
+static double
+wld_load (const struct wld *wld)
+{
+  const struct wld_opts *opts = &wld->opts;
+  double share;
+
+  if (opts->crest <= 0 || wld->sim.now < opts->ramp_at)
+    return opts->load;
+  share = (double)(wld->sim.now - opts->ramp_at) / (double)opts->ramp;
+  return opts->load + (opts->crest - opts->load) * (share < 1 ? share : 1);
+}
+
+/* Sets the next arrival of a Poisson process.  */
+static void
+arrival_schedule (struct wld *wld)
+{
+  double rate = wld_load (wld) * wld->result->capacity / CLK_US_PER_S;
+  double gap = -log (1 - rng_unit (&wld->rng)) / rate;
+
+  sim_set (&wld->sim, &wld->arrival, wld->sim.now + (clk_us)(gap + 0.5));
+}
+
+static void
+fault_apply (struct wld *wld, enum wld_fault fault)
+{
+  double slow = fault == WLD_STALL_BEGINS ? 0 : 1;
+
+  switch (fault)
+    {
+    case WLD_STALL_BEGINS:
+    case WLD_STALL_ENDS:
+      for (uint32_t i = 0; i < wld->opts.servers; i++)
+        fake_set_slow (&wld->nodes[i].fake, slow);
+      break;
+    case WLD_SLOW_BEGINS:
+      fake_set_slow (&wld->nodes[0].fake, wld->opts.slow_factor);
+      break;
+    case WLD_SLOW_ENDS:
+    case WLD_FAULTS:
+      fake_set_slow (&wld->nodes[0].fake, 1);
+      break;
+    }
+}
+
+static void
+faults_schedule (struct wld *wld)
+{
+  const struct wld_opts *opts = &wld->opts;
+  const clk_us at[WLD_FAULTS] = {
+    [WLD_STALL_BEGINS] = opts->stall_at,
+    [WLD_STALL_ENDS] = opts->stall_at + opts->stall,
+    [WLD_SLOW_BEGINS] = opts->slow_at,
+    [WLD_SLOW_ENDS] = opts->slow_at + opts->slow,
+  };
+
+  for (int i = 0; i < WLD_FAULTS; i++)
+    {
+      wld->faults[i].kind = SIM_FAULT;
+      if (at[i] > 0)
+        sim_set (&wld->sim, &wld->faults[i], at[i]);
+    }
+}
+
+static void
+entry_init (struct wld *wld, struct entry *entry, uint32_t number)
+{
+  struct chs_opts opts = { .max_ejected_percent = WLD_EJECTED_PERCENT };
+
+  snprintf (opts.failure_domain, sizeof opts.failure_domain, "d%u", number);
+  entry->chs = chs_new (&opts);
+  INVARIANT (entry->chs != NULL);
+  rty_budget_init (&entry->budget, WLD_BUDGET_PERCENT, WLD_START);
+  for (uint32_t i = 0; i < wld->opts.servers; i++)
+    {
+      struct chs_server seen
+          = { .incarnation = 1, .slots = wld->opts.admission.slots };
+
+      seen.instance[0] = (char)('0' + i);
+      snprintf (seen.failure_domain, sizeof seen.failure_domain, "d%u", i);
+      INVARIANT (chs_update (entry->chs, &seen, WLD_START) == SR_OK);
+    }
+}
+
+static void
+wld_init (struct wld *wld, const struct wld_opts *opts,
+          struct wld_result *result)
+{
+  memset (wld, 0, sizeof *wld);
+  memset (result, 0, sizeof *result);
+  wld->opts = *opts;
+  wld->result = result;
+  result->capacity = wld_capacity (opts);
+  sim_init (&wld->sim);
+  rng_seed (&wld->rng, opts->seed);
+  lst_init (&wld->calls);
+  lst_init (&wld->attempts);
+  lst_init (&wld->free_attempts);
+  for (uint32_t i = 0; i < opts->servers; i++)
+    INVARIANT (node_init (wld, &wld->nodes[i]) == 0);
+  for (uint32_t i = 0; i < WLD_ENTRIES; i++)
+    entry_init (wld, &wld->entries[i], i);
+  wld->arrival.kind = SIM_ARRIVAL;
+  faults_schedule (wld);
+  arrival_schedule (wld);
+}
+
+static void
+wld_fire (struct wld *wld, struct sim_event *event)
+{
+  switch (event->kind)
+    {
+    case SIM_ARRIVAL:
+      call_create (wld);
+      arrival_schedule (wld);
+      break;
+    case SIM_RESEND:
+      call_resend (wld, lst_entry (event, struct call, timer));
+      break;
+    case SIM_DEADLINE:
+      call_deadline (wld, lst_entry (event, struct call, timer));
+      break;
+    case SIM_HEDGE:
+      call_hedge (wld, lst_entry (event, struct call, hedge));
+      break;
+    case SIM_REACH:
+      node_reach (wld, lst_entry (event, struct attempt, event));
+      break;
+    case SIM_ANSWER:
+      call_answer (wld, lst_entry (event, struct attempt, event));
+      break;
+    case SIM_COMPLETE:
+      node_complete (wld, lst_entry (event, struct node, fake.complete));
+      break;
+    case SIM_WAKEUP:
+      node_drain (wld, lst_entry (event, struct node, wakeup));
+      break;
+    case SIM_FAULT:
+      fault_apply (wld, (enum wld_fault) (event - wld->faults));
+      break;
+    }
+}
+
+/* Frees what belongs to a run, with the calls that are still under way.  */
+static void
+wld_free (struct wld *wld)
+{
+  struct lst_node *node;
+
+  while ((node = lst_pop_head (&wld->calls)) != NULL)
+    free (lst_entry (node, struct call, owned));
+  while ((node = lst_pop_head (&wld->attempts)) != NULL)
+    {
+      struct attempt *attempt = lst_entry (node, struct attempt, owned);
+
+      adm_withdraw (wld->nodes[attempt->server].adm, &attempt->ticket,
+                    wld->sim.now);
+      free (attempt);
+    }
+  while ((node = lst_pop_head (&wld->free_attempts)) != NULL)
+    free (lst_entry (node, struct attempt, node));
+  for (uint32_t i = 0; i < WLD_ENTRIES; i++)
+    chs_free (wld->entries[i].chs);
+  for (uint32_t i = 0; i < wld->opts.servers; i++)
+    adm_free (wld->nodes[i].adm);
+}
+
+void
+wld_run (const struct wld_opts *opts, struct wld_result *result)
+{
+  struct wld *wld = malloc (sizeof *wld);
+  struct sim_event *event;
+
+  INVARIANT (wld != NULL);
+  wld_init (wld, opts, result);
+  while ((event = sim_next (&wld->sim, opts->length)) != NULL)
+    wld_fire (wld, event);
+  wld_free (wld);
+  free (wld);
+}
+
+void
+wld_result_free (struct wld_result *result)
+{
+  for (uint32_t i = 0; i < WLD_KINDS; i++)
+    {
+      sta_free (&result->kind[i].latency);
+      sta_free (&result->kind[i].wait);
+    }
+}
--- a/controllers/lim.h
+++ b/controllers/lim.h
@@ -5,11 +5,12 @@
  * DOC: lim - concurrency limit that follows observed latency
  *
  * Compares the service time of each kind of request with its baseline, the
- * service time without contention.  When the server is full and slower than
- * the tolerance, the limit is cut in proportion; otherwise it rises.  A cut
- * that does not make the server faster is taken back, and the baseline is
- * raised: the cause is then a slow dependency, not contention.  From time to
- * time the limit is halved for one window to find a lower baseline.
+ * service time without contention.  While the server is full, the limit moves
+ * towards the value at which service times are a little above the baseline.
+ * A fall to half that does not make the server faster is taken back, and the
+ * baseline is raised: the cause is then a slow dependency, not contention.
+ * From time to time the limit is lowered for one window to measure the
+ * baseline again.
  */
 
 #include <stdbool.h>
@@ -30,6 +31,7 @@
 {
   double mean_us;     /* moving average of all samples, 0 at first */
   double baseline_us; /* without contention, 0 at first */
+  uint32_t evidence;  /* samples behind the baseline, bounded */
   double sum_us;      /* of this window */
   uint32_t count;
 };
@@ -37,8 +39,8 @@
 enum lim_phase
 {
   LIM_STEADY,
-  LIM_CUT,   /* limit was cut; wait to see whether that helps */
-  LIM_PROBE, /* limit is halved for one window to measure the baseline */
+  LIM_FALL,  /* the limit falls; wait to see whether that helps */
+  LIM_PROBE, /* the limit is lowered to measure the baseline */
 };
 
 struct lim
@@ -47,9 +49,9 @@
   enum lim_phase phase;
   double limit;
   double max;
-  double cut_limit; /* before the first of a row of cuts, or the probe */
-  double cut_ratio;
-  clk_us changed_at; /* of the limit */
+  double from_limit; /* before the fall or the probe */
+  double from_ratio;
+  clk_us changed_at; /* last sudden change of the limit */
   clk_us probe_at;
   double ratio_sum;
   uint32_t ratio_count;
