controllers/lim, chs: limit by Little's law; level before load

Change: the ratio is time spent by running requests over baseline work done; the choice compares fresh admission levels before the score; no hedges while requests wait at most servers.

--- a/bench/call.c
+++ b/bench/call.c
@@ -224,8 +224,9 @@
     {
       result->offered++;
       result->good += good;
-      if (good)
-        sta_add (&result->latency, wld->sim.now - call->born);
+      /* A call that failed took longer than any that was answered.  */
+      sta_add (&result->latency, good ? wld->sim.now - call->born
+                                      : wld->opts.kind[call->kind].timeout);
     }
   lst_remove (&call->owned);
   free (call);
--- a/controllers/adm.c
+++ b/controllers/adm.c
@@ -196,6 +196,7 @@
   INVARIANT (slot_free (adm, ticket->cost));
   adm->running++;
   adm->running_long += ticket->cost == MDL_LONG;
+  lim_running (&adm->lim, adm->running, now);
   ticket->state = ADM_RUNNING;
   ticket->started = now;
   level_note (adm, ticket->importance, now);
@@ -366,7 +367,7 @@
 }
 
 static void
-slot_release (struct adm *adm, struct adm_ticket *ticket)
+slot_release (struct adm *adm, struct adm_ticket *ticket, clk_us now)
 {
   INVARIANT (ticket->state == ADM_RUNNING && adm->running > 0);
   adm->running--;
@@ -375,6 +376,7 @@
       INVARIANT (adm->running_long > 0);
       adm->running_long--;
     }
+  lim_running (&adm->lim, adm->running, now);
   ticket->state = ADM_IDLE;
 }
 
@@ -383,12 +385,11 @@
 {
   struct lim_sample sample = {
     .kind = ticket->kind,
-    .started = ticket->started,
     .service = now > ticket->started ? now - ticket->started : 1,
     .full = adm->running >= lim_value (&adm->lim),
   };
 
-  slot_release (adm, ticket);
+  slot_release (adm, ticket, now);
   /* A failure says nothing about the time that an answer takes.  */
   if (!ok)
     return;
@@ -400,13 +401,12 @@
 void
 adm_withdraw (struct adm *adm, struct adm_ticket *ticket, clk_us now)
 {
-  (void)now;
   switch (ticket->state)
     {
     case ADM_IDLE:
       return;
     case ADM_RUNNING:
-      slot_release (adm, ticket);
+      slot_release (adm, ticket, now);
       return;
     case ADM_WAITING:
       if (ticket->reason != RSN_NONE)
--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -317,12 +317,21 @@
   return false;
 }
 
+/* Fresh admission level of a server, 0 when there is none.  */
+static uint8_t
+server_level (const struct chs_server *server, clk_us now)
+{
+  bool fresh
+      = server->level_at != 0 && now <= server->level_at + CHS_LEVEL_FRESH;
+
+  return fresh ? server->level.importance : 0;
+}
+
 /* Whether the server would refuse this importance, as far as is known.  */
 static bool
 server_sheds (const struct chs_server *server, uint8_t importance, clk_us now)
 {
-  return server->level_at != 0 && now <= server->level_at + CHS_LEVEL_FRESH
-         && server->level.importance > importance;
+  return server_level (server, now) > importance;
 }
 
 /* What keeps a server out of the choice, best first.  */
@@ -430,7 +439,9 @@
   return server;
 }
 
-/* Power of two random choices.  */
+/* Power of two random choices.  The admission level goes before the score:
+   an overloaded server refuses at once what is less important, so that fewer
+   requests are in flight there than at a server that lets them wait.  */
 static struct chs_server *
 candidate_choose (const struct chs *chs, const struct candidates *all,
                   enum mdl_cost cost, struct rng *rng, clk_us now)
@@ -445,6 +456,8 @@
     return all->servers[0];
   a = candidate_draw (all, NULL, rng, now);
   b = candidate_draw (all, a, rng, now);
+  if (server_level (a, now) != server_level (b, now))
+    return server_level (a, now) < server_level (b, now) ? a : b;
   usual = spd_usual (&chs->latencies[cost]);
   score_a = server_score (a, cost, usual, now);
   score_b = server_score (b, cost, usual, now);
@@ -571,9 +584,31 @@
   chs_review (chs, now);
 }
 
+/* Whether requests wait at most of the servers.  A second attempt would then
+   take a slot from another request.  */
+static bool
+servers_busy (const struct chs *chs)
+{
+  uint32_t present = 0;
+  uint32_t busy = 0;
+
+  lst_each (node, &chs->servers)
+    {
+      const struct chs_server *server
+          = lst_entry (node, struct chs_server, node);
+
+      present += server_counts (server);
+      busy += server_counts (server) && server->level.wait_us > 0
+              && chs->reviewed_at <= server->level_at + CHS_LEVEL_FRESH;
+    }
+  return busy * 2 > present;
+}
+
 clk_us
 chs_hedge_delay (const struct chs *chs, enum mdl_cost cost)
 {
+  if (servers_busy (chs))
+    return 0;
   return spd_quantile (&chs->latencies[cost], 0.95);
 }
 
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -155,7 +155,8 @@
                const struct adm_level *level, clk_us now);
 
 /* Delay after which an unanswered idempotent attempt may be hedged: the p95
-   of recent answers of this cost; 0 while it is not known.  */
+   of recent answers of this cost; 0 while it is not known, or while requests
+   wait at most of the servers.  */
 clk_us chs_hedge_delay (const struct chs *chs, enum mdl_cost cost);
 
 /* Share of its full load that a server gets while it ramps, 0 … 1.  */
--- a/controllers/lim.c
+++ b/controllers/lim.c
@@ -4,29 +4,34 @@
 
 /* Lowest limit; fewer than this would not measure contention.  */
 #define LIM_MIN 2.0
-/* Samples of a window: the mean of 64 exponential times has a relative
-   standard deviation of 12 %, about the headroom.  */
+/* Answers in a window, or the limit if that is more: the mean of 64
+   exponential times has a relative standard deviation of 12 %.  */
 #define LIM_WINDOW 64u
-/* Ratio of service time to baseline that a full server settles at: enough
+/* Ratio of time spent to baseline that a full server settles at: enough
    requests to use all of its capacity, few enough not to slow it down.  */
 #define LIM_HEADROOM 1.1
-/* Share of the way to the new limit in one window; smooths the noise.  */
-#define LIM_GAIN 0.3
-/* A fall is judged when the limit has reached this share.  */
-#define LIM_JUDGE 0.5
+/* Share of the way to the new limit in one window; smooths the noise.  Up is
+   faster, since a limit that is too low costs throughput at once.  */
+#define LIM_GAIN_UP 0.6
+#define LIM_GAIN_DOWN 0.3
+/* Less work than this share after a fall shows that the limit was needed.  */
+#define LIM_USEFUL 0.85
+/* A ratio below this shows that the baselines are too high.  */
+#define LIM_LOWER 0.85
+/* A window with a higher ratio is ignored when the one before it was not: it
+   contains a stall.  */
+#define LIM_STALL_RATIO 4.0
 #define LIM_PROBE_SHARE 0.7
+#define LIM_PROBE_GAIN 0.7
+#define LIM_PROBE_WINDOW 128u
 #define LIM_PROBE_FIRST clk_s (1)
 #define LIM_PROBE_EVERY clk_s (10)
-/* A probe that finds a baseline lower than this share is soon repeated.  */
+/* A probe that lowers the baselines below this share is soon repeated.  */
 #define LIM_PROBE_LOWER 0.9
-/* A service time in a full window below this share of the baseline shows that
-   the baseline is too high.  */
-#define LIM_LOWER 0.85
-/* One sample counts at most this often, so that a stall of some requests does
-   not decide alone.  */
-#define LIM_RATIO_MAX 8.0
 #define LIM_EVIDENCE_MAX 128u
-#define LIM_KIND_SAMPLES 8u
+/* The first answers of a kind are the fast ones, so these are skipped before
+   as many are averaged.  */
+#define LIM_KIND_SAMPLES 32u
 #define LIM_MEAN_GAIN 0.1
 #define LIM_DOUBT 0.95
 
@@ -37,6 +42,7 @@
   lim->way = way;
   lim->max = max > 0 ? max : 1;
   lim->limit = lim->max;
+  lim->ratio = 1;
 }
 
 static double
@@ -58,40 +64,22 @@
   lim->limit = limit_clamp (lim, at_max ? lim->max : lim->limit);
 }
 
+/* Takes the service times of a window with free slots into the baselines.  */
 static void
-limit_set (struct lim *lim, double limit, clk_us now)
+baselines_learn (struct lim *lim)
 {
-  lim->limit = limit_clamp (lim, limit);
-  lim->changed_at = now;
-}
-
-/* Takes what this window showed into the baselines, or only what lies clearly
-   below them.  Returns the lowest new baseline as a share of the old one.  */
-static double
-baselines_learn (struct lim *lim, bool only_lower)
-{
-  double least = 1;
-
   for (uint32_t i = 0; i < LIM_KINDS; i++)
     {
       struct lim_kind *kind = &lim->kinds[i];
-      double before = kind->baseline_us;
-      double mean;
 
-      if (kind->count == 0 || before <= 0)
-        continue;
-      mean = kind->sum_us / kind->count;
-      if (only_lower
-          && (kind->count < LIM_KIND_SAMPLES || mean > before * LIM_LOWER))
+      if (kind->count == 0 || kind->baseline_us <= 0)
         continue;
       kind->evidence += kind->count;
-      kind->baseline_us += (mean - before) * kind->count / kind->evidence;
+      kind->baseline_us
+          += (kind->sum_us - kind->baseline_us * kind->count) / kind->evidence;
       if (kind->evidence > LIM_EVIDENCE_MAX)
         kind->evidence = LIM_EVIDENCE_MAX;
-      if (kind->baseline_us < before * least)
-        least = kind->baseline_us / before;
     }
-  return least;
 }
 
 static void
@@ -102,10 +90,12 @@
 }
 
 static void
-window_clear (struct lim *lim)
+window_clear (struct lim *lim, clk_us now)
 {
-  lim->ratio_sum = 0;
-  lim->ratio_count = 0;
+  lim->began = now;
+  lim->spent_us = 0;
+  lim->work_us = 0;
+  lim->count = 0;
   lim->full_count = 0;
   for (uint32_t i = 0; i < LIM_KINDS; i++)
     if (lim->kinds[i].baseline_us > 0)
@@ -115,87 +105,97 @@
       }
 }
 
-/* Whether the limit fell far enough to judge and that did not help: with
-   contention the ratio falls with the limit.  */
-static bool
-fall_useless (const struct lim *lim, double ratio)
-{
-  double share = lim->limit / lim->from_limit;
-
-  return lim->phase == LIM_FALL && share <= LIM_JUDGE
-         && ratio > lim->from_ratio * (1 + share) / 2;
-}
-
 /* Starts a probe when the last one is long ago.  */
 static void
 probe_start (struct lim *lim, clk_us now)
 {
   if (lim->probe_at == 0)
     lim->probe_at = now + LIM_PROBE_FIRST;
-  if (now < lim->probe_at || lim->phase != LIM_STEADY)
+  if (now < lim->probe_at)
     return;
-  lim->phase = LIM_PROBE;
+  lim->phase = LIM_SETTLE;
   lim->from_limit = lim->limit;
-  limit_set (lim, lim->limit * LIM_PROBE_SHARE, now);
+  lim->limit = limit_clamp (lim, lim->limit * LIM_PROBE_SHARE);
 }
 
 static void
-probe_end (struct lim *lim, clk_us now)
+probe_end (struct lim *lim, double ratio, clk_us now)
 {
-  bool lower = baselines_learn (lim, false) < LIM_PROBE_LOWER;
+  double factor = 1 + (ratio - 1) * LIM_PROBE_GAIN;
+  bool lower = factor < LIM_PROBE_LOWER;
 
+  baselines_scale (lim, factor);
   lim->probe_at = now + (lower ? LIM_PROBE_FIRST : LIM_PROBE_EVERY);
   lim->phase = LIM_STEADY;
-  limit_set (lim, lim->from_limit, now);
+  lim->limit = lim->from_limit;
 }
 
 /* Moves the limit towards the one at which the ratio is the headroom.  */
 static void
-limit_follow (struct lim *lim, double ratio)
+limit_follow (struct lim *lim, double ratio, double useful)
 {
   double target = lim->limit * LIM_HEADROOM / ratio;
 
-  if (ratio <= LIM_HEADROOM)
+  if (lim->phase == LIM_FALL && lim->limit >= lim->from_limit)
     lim->phase = LIM_STEADY;
-  else if (lim->phase == LIM_STEADY)
+  if (lim->phase == LIM_STEADY && ratio > LIM_HEADROOM)
     {
       lim->phase = LIM_FALL;
       lim->from_limit = lim->limit;
-      lim->from_ratio = ratio;
+      lim->from_useful = useful;
     }
-  lim->limit
-      = limit_clamp (lim, lim->limit + (target - lim->limit) * LIM_GAIN);
+  lim->limit = limit_clamp (
+      lim, lim->limit
+               + (target - lim->limit)
+                     * (target > lim->limit ? LIM_GAIN_UP : LIM_GAIN_DOWN));
 }
 
-/* Ends a window in which the server was full.  */
+/* The limit fell for another reason than contention.  */
 static void
-window_full (struct lim *lim, double ratio, clk_us now)
+fall_undo (struct lim *lim, double ratio)
 {
-  if (lim->phase == LIM_PROBE)
+  baselines_scale (lim, ratio);
+  lim->phase = LIM_STEADY;
+  lim->limit = lim->from_limit;
+}
+
+/* Ends a window in which the server was full.  USEFUL is the work done in
+   it, in slots.  */
+static void
+window_full (struct lim *lim, double ratio, double useful, clk_us now)
+{
+  switch (lim->phase)
     {
-      probe_end (lim, now);
+    case LIM_SETTLE:
+      lim->phase = LIM_PROBE;
       return;
-    }
-  if (fall_useless (lim, ratio))
-    {
-      baselines_scale (lim, ratio);
-      lim->phase = LIM_STEADY;
-      limit_set (lim, lim->from_limit, now);
+    case LIM_PROBE:
+      probe_end (lim, ratio, now);
       return;
+    case LIM_FALL:
+      if (useful < lim->from_useful * LIM_USEFUL && ratio > LIM_HEADROOM)
+        {
+          fall_undo (lim, ratio);
+          return;
+        }
+      break;
+    case LIM_STEADY:
+      break;
     }
-  baselines_learn (lim, true);
-  limit_follow (lim, ratio);
+  if (ratio < LIM_LOWER)
+    baselines_scale (lim, ratio);
+  limit_follow (lim, ratio < LIM_LOWER ? 1 : ratio, useful);
   probe_start (lim, now);
 }
 
 /* Ends a window in which slots were free.  Slowness is then not caused by too
    many requests, and a low limit is not needed.  */
 static void
-window_free (struct lim *lim, clk_us now)
+window_free (struct lim *lim)
 {
-  baselines_learn (lim, false);
+  baselines_learn (lim);
   if (lim->phase != LIM_STEADY)
-    limit_set (lim, lim->from_limit, now);
+    lim->limit = lim->from_limit;
   lim->phase = LIM_STEADY;
   lim->limit = limit_clamp (lim, lim->limit * LIM_HEADROOM);
 }
@@ -203,13 +203,54 @@
 static void
 window_end (struct lim *lim, clk_us now)
 {
-  double ratio = lim->ratio_sum / lim->ratio_count;
+  double elapsed = (double)(now - lim->began);
 
-  if (lim->full_count * 2 >= lim->ratio_count)
-    window_full (lim, ratio, now);
+  if (lim->full_count * 2 < lim->count || lim->work_us <= 0 || elapsed <= 0)
+    window_free (lim);
   else
-    window_free (lim, now);
-  window_clear (lim);
+    {
+      double before = lim->ratio;
+
+      lim->ratio = lim->spent_us / lim->work_us;
+      if (lim->ratio < LIM_STALL_RATIO || before >= LIM_STALL_RATIO)
+        window_full (lim, lim->ratio, lim->work_us / elapsed, now);
+    }
+  window_clear (lim, now);
+}
+
+void
+lim_running (struct lim *lim, uint32_t running, clk_us now)
+{
+  if (now > lim->counted_at)
+    lim->spent_us += (double)(now - lim->counted_at) * lim->running;
+  lim->counted_at = now;
+  lim->running = running;
+}
+
+static bool
+window_complete (const struct lim *lim)
+{
+  uint32_t least = lim->phase == LIM_PROBE ? LIM_PROBE_WINDOW : LIM_WINDOW;
+
+  return lim->count >= least && lim->count >= lim->limit;
+}
+
+/* Measures the first baseline of a kind, without the contention there is
+   now.  */
+static void
+kind_begin (const struct lim *lim, struct lim_kind *kind, double service)
+{
+  kind->count++;
+  if (kind->count <= LIM_KIND_SAMPLES)
+    return;
+  kind->sum_us += service;
+  if (kind->count < 2 * LIM_KIND_SAMPLES)
+    return;
+  kind->evidence = LIM_KIND_SAMPLES;
+  kind->baseline_us
+      = kind->sum_us / kind->evidence / (lim->ratio > 1 ? lim->ratio : 1);
+  kind->sum_us = 0;
+  kind->count = 0;
 }
 
 void
@@ -217,31 +258,26 @@
 {
   struct lim_kind *kind = &lim->kinds[sample->kind % LIM_KINDS];
   double service = (double)sample->service;
-  double ratio;
 
   if (kind->mean_us <= 0)
     kind->mean_us = service;
   kind->mean_us += (service - kind->mean_us) * LIM_MEAN_GAIN;
-  if (lim->way == LIM_FIXED || sample->started < lim->changed_at)
+  if (lim->way == LIM_FIXED)
     return;
-  kind->sum_us += service;
-  kind->count++;
-  if (kind->baseline_us <= 0)
+  if (kind->baseline_us > 0)
     {
-      if (kind->count >= LIM_KIND_SAMPLES)
-        {
-          kind->baseline_us = kind->sum_us / kind->count;
-          kind->evidence = kind->count;
-          kind->sum_us = 0;
-          kind->count = 0;
-        }
-      return;
+      kind->sum_us += service;
+      kind->count++;
+      lim->work_us += kind->baseline_us;
+    }
+  else
+    {
+      kind_begin (lim, kind, service);
+      lim->work_us += service;
     }
-  ratio = service / kind->baseline_us;
-  lim->ratio_sum += ratio < LIM_RATIO_MAX ? ratio : LIM_RATIO_MAX;
-  lim->ratio_count++;
+  lim->count++;
   lim->full_count += sample->full;
-  if (lim->ratio_count >= LIM_WINDOW)
+  if (window_complete (lim))
     window_end (lim, now);
 }
 
--- a/controllers/lim.h
+++ b/controllers/lim.h
@@ -4,13 +4,14 @@
 /**
  * DOC: lim - concurrency limit that follows observed latency
  *
- * Compares the service time of each kind of request with its baseline, the
- * service time without contention.  While the server is full, the limit moves
- * towards the value at which service times are a little above the baseline.
- * A fall to half that does not make the server faster is taken back, and the
- * baseline is raised: the cause is then a slow dependency, not contention.
- * From time to time the limit is lowered for one window to measure the
- * baseline again.
+ * In each window of answers, the time that running requests spent (by Little's
+ * law the product of concurrency and time) is compared with the baseline time
+ * of the work that was done, which is its service time without contention.
+ * While the server is full, the limit moves towards the value at which the
+ * first is a little more than the second.  When a lower limit lowers the work
+ * done, the cause is a slow dependency and not contention: the limit goes back
+ * and the baselines are raised.  From time to time the limit is lowered for a
+ * moment to measure the baselines again.
  */
 
 #include <stdbool.h>
@@ -32,15 +33,16 @@
   double mean_us;     /* moving average of all samples, 0 at first */
   double baseline_us; /* without contention, 0 at first */
   uint32_t evidence;  /* samples behind the baseline, bounded */
-  double sum_us;      /* of this window */
+  double sum_us;      /* of this window, or before there is a baseline */
   uint32_t count;
 };
 
 enum lim_phase
 {
   LIM_STEADY,
-  LIM_FALL,  /* the limit falls; wait to see whether that helps */
-  LIM_PROBE, /* the limit is lowered to measure the baseline */
+  LIM_FALL,   /* the limit fell; wait to see whether work is lost */
+  LIM_SETTLE, /* a probe began; requests from before it still run */
+  LIM_PROBE,  /* the limit is lowered to measure the baselines */
 };
 
 struct lim
@@ -49,28 +51,39 @@
   enum lim_phase phase;
   double limit;
   double max;
-  double from_limit; /* before the fall or the probe */
-  double from_ratio;
-  clk_us changed_at; /* last sudden change of the limit */
+  double from_limit;  /* before the fall or the probe */
+  double from_useful; /* work done then, in slots */
+  double ratio;       /* of the last full window */
   clk_us probe_at;
-  double ratio_sum;
-  uint32_t ratio_count;
+  /* The present window.  */
+  clk_us began;
+  uint32_t running;
+  clk_us counted_at; /* SPENT_US holds the time of running requests until */
+  double spent_us;
+  double work_us; /* baselines of the requests that were answered */
+  uint32_t count;
   uint32_t full_count;
   struct lim_kind kinds[LIM_KINDS];
 };
 
-/* One finished request.  */
+/* One answered request.  */
 struct lim_sample
 {
   uint32_t kind;
-  clk_us started;
   clk_us service;
   bool full; /* whether all slots of the limit were in use */
 };
 
 void lim_init (struct lim *lim, enum lim_way way, uint32_t max);
 void lim_set_max (struct lim *lim, uint32_t max);
+
+/* To be called when the number of running requests changes.  Requests that end
+   without an answer count as time spent without work done.  */
+void lim_running (struct lim *lim, uint32_t running, clk_us now);
+
+/* A request ended with an answer.  */
 void lim_add (struct lim *lim, const struct lim_sample *sample, clk_us now);
+
 uint32_t lim_value (const struct lim *lim);
 
 /* Expected service time of a kind; 0 when not known.  */
