--- a/tests/suite.h
+++ b/tests/suite.h
@@ -5,6 +5,8 @@
  * DOC: suite - runs one CUnit suite as a program
  */
 
+#include <stdio.h>
+
 #include <CUnit/Basic.h>
 
 struct suite_test
@@ -13,6 +15,21 @@
   CU_TestFunc run;
 };
 
+/* Ends the test when COND does not hold in a run with SEED, and prints the
+   seed.  Seeded runs stop at the first failure, since later ones follow from
+   it and CUnit takes quadratic time to list many.  */
+#define SUITE_SEEDED(cond, seed)                                              \
+  do                                                                          \
+    {                                                                         \
+      int suite_holds = (cond) ? 1 : 0;                                       \
+                                                                              \
+      if (!suite_holds)                                                       \
+        printf (" seed=%llu", (unsigned long long)(seed));                    \
+      CU_assertImplementation (suite_holds, __LINE__, #cond, __FILE__, "",    \
+                               CU_TRUE);                                      \
+    }                                                                         \
+  while (0)
+
 /* Runs TESTS, which end with a NULL name; returns the exit status.  */
 static inline int
 suite_run (const char *name, const struct suite_test *tests)
