controllers/view: keep the newest record of a moved member until no replica lists it

The end of a lease seen by a replica now counts before the replica is settled, and a moved member is hidden instead of dropped.

--- a/controllers/view.c
+++ b/controllers/view.c
@@ -25,6 +25,8 @@
   uint32_t listed; /* bits of the replicas that list it, or did so before
                       they restarted and are not yet settled again */
   uint32_t recent; /* bits of the replicas whose present table lists it */
+  uint32_t ended;  /* bits of the replicas whose present table had it and
+                      whose last word is that it is gone or has moved */
   struct mem_record record;
 };
 
@@ -113,6 +115,7 @@
 
       member->listed &= ~replica->bit;
       member->recent &= ~replica->bit;
+      member->ended &= ~replica->bit;
     }
   view->bits &= ~replica->bit;
   lst_remove (&replica->node);
@@ -218,6 +221,22 @@
          && reply->position.change >= held->change;
 }
 
+static void
+viw_mark_listed (struct viw_member *member, const struct viw_replica *replica)
+{
+  member->listed |= replica->bit;
+  member->recent |= replica->bit;
+  member->ended &= ~replica->bit;
+}
+
+static void
+viw_mark_ended (struct viw_member *member, const struct viw_replica *replica)
+{
+  member->listed &= ~replica->bit;
+  member->recent &= ~replica->bit;
+  member->ended |= replica->bit;
+}
+
 static struct viw_member *
 viw_add (struct viw *view, const struct mem_record *record)
 {
@@ -233,17 +252,19 @@
 }
 
 /* Takes one record of a reply; *CHANGED is set when the set of members does.
-   A newer record of a service that is not wanted says that the instance has
-   left a wanted one; later changes to it are not sent.  */
+   A record of a service that is not wanted says that the instance has left a
+   wanted one.  It is kept, but not shown, as long as other replicas list the
+   instance, so that an older record does not come back.  */
 static int
 viw_take_record (struct viw *view, const struct viw_replica *replica,
                  const struct mem_record *record, bool *changed)
 {
   struct viw_member *member = viw_find_member (view, record->instance);
-  bool wanted = viw_wanted (view, record);
-  bool newer = member != NULL && mem_compare (record, &member->record) > 0;
+  bool live = record->state != MEM_GONE;
+  bool shown = live && viw_wanted (view, record);
+  int order;
 
-  if (member == NULL && (record->state == MEM_GONE || !wanted))
+  if (member == NULL && !shown)
     return SR_OK;
   if (member == NULL)
     {
@@ -252,22 +273,16 @@
         return SR_ENOMEM;
       *changed = true;
     }
-  if (record->state == MEM_GONE)
-    {
-      member->listed &= ~replica->bit;
-      member->recent &= ~replica->bit;
-      return SR_OK;
-    }
-  *changed = *changed || newer;
-  if (newer && !wanted)
+  order = mem_compare (record, &member->record);
+  if (order > 0 && live)
     {
-      viw_drop (view, member);
-      return SR_OK;
+      member->record = *record;
+      *changed = true;
     }
-  if (newer)
-    member->record = *record;
-  member->listed |= replica->bit;
-  member->recent |= replica->bit;
+  if (shown)
+    viw_mark_listed (member, replica);
+  else if (!live || order >= 0)
+    viw_mark_ended (member, replica);
   return SR_OK;
 }
 
@@ -295,7 +310,7 @@
 }
 
 /* Drops members that no speaking replica lists, if one of the speaking ones
-   is settled; returns whether there were any.  */
+   is settled or has listed it before; returns whether there were any.  */
 static bool
 viw_sweep (struct viw *view, clk_us now)
 {
@@ -308,7 +323,8 @@
       struct viw_member *member = lst_entry (node, struct viw_member, node);
 
       member->listed &= member->recent | ~settled;
-      if (settled == 0 || (member->listed & speaking) != 0)
+      if ((member->listed & speaking) != 0
+          || ((settled | member->ended) & speaking) == 0)
         continue;
       viw_drop (view, member);
       dropped = true;
@@ -316,14 +332,28 @@
   return dropped;
 }
 
+/* Prepares for the whole table of REPLICA, of a new epoch if RESTARTED.  */
+static void
+viw_begin_whole (struct viw *view, const struct viw_replica *replica,
+                 bool restarted)
+{
+  lst_each (node, &view->members)
+    {
+      struct viw_member *member = lst_entry (node, struct viw_member, node);
+
+      member->recent &= ~replica->bit;
+      if (restarted)
+        member->ended &= ~replica->bit;
+    }
+}
+
 /* Takes the items of a reply that continues what is known.  */
 static int
 viw_take_items (struct viw *view, struct viw_replica *replica,
                 const struct mem_members *reply, bool *changed)
 {
   if (reply->whole)
-    lst_each (node, &view->members)
-      lst_entry (node, struct viw_member, node)->recent &= ~replica->bit;
+    viw_begin_whole (view, replica, reply->position.epoch != replica->epoch);
   lst_each (node, &reply->items)
     {
       const struct mem_item *item = lst_entry (node, struct mem_item, node);
@@ -376,7 +406,8 @@
       const struct mem_record *record
           = &lst_entry (node, struct viw_member, node)->record;
 
-      if (service != NULL && strcmp (record->service, service) != 0)
+      if (!viw_wanted (view, record)
+          || (service != NULL && strcmp (record->service, service) != 0))
         continue;
       if (mem_add_item (out, record) == SR_OK)
         count++;
--- a/controllers/view.h
+++ b/controllers/view.h
@@ -8,7 +8,8 @@
  * dropped when every replica that has answered within the lease no longer
  * lists it; silence of replicas drops nothing.  A replica that has restarted
  * has an empty table at first, so what it does not list counts only once its
- * new epoch is known for the time of a lease.
+ * new epoch is known for the time of a lease, or if it has listed the member
+ * in that epoch and says that the lease has ended.
  */
 
 #include "core/clk.h"
--- a/fuzz/fuzz_state.c
+++ b/fuzz/fuzz_state.c
@@ -159,9 +159,12 @@
   clm_free (clm);
 }
 
+/* The name is set by libFuzzer.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t len);
 
 int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t len)
 {
   struct clm_result result;
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -518,6 +518,8 @@
 {
   for (uint64_t seed = 1; seed <= 10; seed++)
     sim_scenario (seed, false);
+  /* A view that had just started kept a stopped member for 4 s more.  */
+  sim_scenario (1093, false);
 }
 
 /* The same while one replica at a time restarts with an empty table.  */
@@ -526,6 +528,8 @@
 {
   for (uint64_t seed = 101; seed <= 110; seed++)
     sim_scenario (seed, true);
+  /* A repeated reply brought the old record of a moved member back.  */
+  sim_scenario (2280, true);
 }
 
 int
