Versions at a node never go back after a restart

Cause: a restarted replica put in force what its log had applied before it heard a leader, which may be older than what it had in force before (tests/mesh_changes.sh: 9, then 7). Nodes without a replica could not take the newest version of any replica after 5 s without a quorum, because a refused read carried no document. A node that was suspended went on with its old version as confirmed. Change: a replica's own state counts only after a confirmation or after 5 s; a refused read carries the document when the node asks for it; a suspension longer than a lease makes the version unconfirmed; GET /v1/document reads through a quorum; a node renews at once after a new version.

--- a/tasks/control.c
+++ b/tasks/control.c
@@ -97,7 +97,8 @@
   lst_init (&control->pending);
   /* Numbers of an earlier process must not be mistaken for own ones.  */
   rng_id ((uint8_t *)&control->next_request, sizeof control->next_request);
-  control->started = clk_now ();
+  control->unconfirmed_since = clk_now ();
+  control->last_run = clk_now ();
   ctl_read_join (control);
   ctl_new_record (control);
   return control;
@@ -167,7 +168,7 @@
           ctl_take_result (control, &output.u.result.result, now);
           break;
         case RPL_CONFIG_CHANGED:
-          ctl_config_local (control);
+          ctl_config_local (control, now);
           break;
         case RPL_FATAL:
           slog (SLOG_CRIT, "replica stops error=\"%s\"", output.u.fatal);
@@ -270,15 +271,26 @@
 static clk_us
 ctl_wakeup (const struct control *control)
 {
-  clk_us wakeup = control->next_renew;
+  clk_us wakeup = control->stopping ? control->stop_at : control->next_renew;
 
   if (control->replica != NULL && control->next_replica_tick < wakeup)
     wakeup = control->next_replica_tick;
-  if (control->stopping && control->stop_at < wakeup)
-    wakeup = control->stop_at;
   return ctl_pending_wakeup (control, wakeup);
 }
 
+/* Notices that the process did not run for a while.  */
+static void
+ctl_note_run (struct control *control, clk_us now)
+{
+  if (now - control->last_run > CTL_SUSPENDED_US)
+    {
+      slog (SLOG_WARNING, "process was suspended ms=%lld",
+            (long long)((now - control->last_run) / CLK_US_PER_MS));
+      ctl_config_doubt (control, now);
+    }
+  control->last_run = now;
+}
+
 static void *
 ctl_run (void *arg)
 {
@@ -293,6 +305,7 @@
          && !(control->stopping && clk_now () >= control->stop_at))
     {
       inb_wait (control->inbox, ctl_wakeup (control), &messages);
+      ctl_note_run (control, clk_now ());
       while ((node = lst_pop_head (&messages)) != NULL)
         {
           ctl_take (control, lst_entry (node, struct msg, node), clk_now ());
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -8,6 +8,8 @@
 
 /* Longest time that an operator's change waits for its result.  */
 #define CTL_CHANGE_TIMEOUT_MS 5000
+/* Longest time that a read waits for a quorum; an election takes less.  */
+#define CTL_GET_TIMEOUT_MS 3000
 
 /* Answers an operator's request; takes TEXT over.  */
 static void
@@ -110,17 +112,42 @@
                    0);
 }
 
+/* Reads through a quorum: this node may have missed changes.  */
 static void
-ctl_admin_get (struct control *control, const struct msg_admin *admin)
+ctl_admin_get (struct control *control, const struct msg_admin *admin,
+               clk_us now)
 {
-  if (control->document == NULL)
+  struct ctl_origin origin
+      = { .kind = CTL_ORIGIN_GET, .request = admin->request };
+  struct msg_propose propose = { .kind = MSG_PROPOSE_READ,
+                                 .group = MSG_GROUP_CONFIG,
+                                 .timeout_ms = CTL_GET_TIMEOUT_MS };
+
+  ctl_propose (control, &origin, &propose, now);
+}
+
+/* The result of an operator's read.  */
+void
+ctl_get_result (struct control *control, uint64_t request,
+                const struct msg_result *result)
+{
+  char text[128];
+
+  if (result->status != SR_OK)
     {
-      ctl_admin_reply (control, admin->request, 404,
-                       sts_encode_error ("no configuration is in force"), 0);
-      return;
+      snprintf (text, sizeof text,
+                "no quorum confirms the configuration; version %llu is in "
+                "force at this node",
+                (unsigned long long)control->version.number);
+      ctl_admin_reply (control, request, 503, sts_encode_error (text), 0);
     }
-  ctl_admin_reply (control, admin->request, 200, strdup (control->document),
-                   control->version.number);
+  else if (result->len == 0)
+    ctl_admin_reply (control, request, 404,
+                     sts_encode_error ("no configuration is in force"), 0);
+  else
+    ctl_admin_reply (control, request, 200,
+                     strndup ((const char *)result->data, result->len),
+                     result->version.number);
 }
 
 static void
@@ -217,7 +244,7 @@
       ctl_admin_status (control, admin);
       break;
     case MSG_ADMIN_GET:
-      ctl_admin_get (control, admin);
+      ctl_admin_get (control, admin, now);
       break;
     case MSG_ADMIN_APPLY:
       ctl_admin_apply (control, admin, now);
--- a/tasks/control_config.c
+++ b/tasks/control_config.c
@@ -66,17 +66,29 @@
   slog (SLOG_NOTICE, "configuration in force version=%llu confirmed=%d",
         (unsigned long long)version->number, (int)control->confirmed);
   ctl_config_send (control);
+  /* Whoever applied the change waits until all nodes have reported it.  */
+  control->next_renew = 0;
 }
 
-/* Takes over what the own replica has applied.  */
+/* Whether the node still waits for a quorum to confirm its first version. */
+static bool
+ctl_config_waits (const struct control *control, clk_us now)
+{
+  return !control->confirmed
+         && now - control->unconfirmed_since < CTL_CONFIRM_WAIT_US;
+}
+
+/* Takes over what the own replica has applied.  After a restart this may be
+   older than what the node had in force before: the log knows the newest
+   commit index only from a leader.  */
 void
-ctl_config_local (struct control *control)
+ctl_config_local (struct control *control, clk_us now)
 {
   struct mem_version version;
   const char *document;
   size_t len;
 
-  if (control->replica == NULL)
+  if (control->replica == NULL || ctl_config_waits (control, now))
     return;
   rpl_config (control->replica, &version, &document, &len);
   ctl_config_put (control, document, len, &version, false);
@@ -89,7 +101,19 @@
   struct msg_propose propose = { .kind = MSG_PROPOSE_READ,
                                  .group = MSG_GROUP_CONFIG,
                                  .timeout_ms = CTL_READ_TIMEOUT_MS };
+  clk_us waited = now - control->unconfirmed_since;
 
+  if (ctl_config_waits (control, now)
+      && CTL_CONFIRM_WAIT_US - waited < clk_ms (CTL_READ_TIMEOUT_MS))
+    propose.timeout_ms
+        = (uint32_t)((CTL_CONFIRM_WAIT_US - waited) / CLK_US_PER_MS) + 1;
+  /* Any byte asks for an answer without a quorum as well.  */
+  if (!control->confirmed && !ctl_config_waits (control, now))
+    {
+      propose.len = 1;
+      propose.data = calloc (1, propose.len);
+      INVARIANT (propose.data != NULL);
+    }
   control->reading = true;
   ctl_propose (control, &origin, &propose, now);
 }
@@ -101,6 +125,7 @@
 {
   bool newer = false;
 
+  ctl_config_local (control, now);
   if (control->reading)
     return;
   for (uint32_t i = 0; i < control->replica_count; i++)
@@ -119,8 +144,7 @@
 {
   bool confirmed = result->status == SR_OK;
 
-  if (!confirmed && now - control->started < CTL_CONFIRM_WAIT_US
-      && !control->confirmed)
+  if (!confirmed && ctl_config_waits (control, now))
     return;
   /* Nothing has been accepted yet: there is nothing to put in force.  */
   if (confirmed && result->version.number == 0)
@@ -131,3 +155,33 @@
   ctl_config_put (control, (const char *)result->data, result->len,
                   &result->version, confirmed);
 }
+
+/* The version in force may be old: a quorum is asked before it counts as
+   confirmed again.  A result that was under way may be as old.  */
+void
+ctl_config_doubt (struct control *control, clk_us now)
+{
+  control->confirmed = false;
+  control->unconfirmed_since = now;
+  ctl_drop_origin (control, CTL_ORIGIN_CONFIG);
+  ctl_drop_origin (control, CTL_ORIGIN_GET);
+  control->reading = false;
+  ctl_config_send (control);
+}
+
+/* Adds what the own replica has applied to a read that is refused: a node
+   that finds no quorum takes the newest that any replica holds.  */
+void
+ctl_config_fallback (const struct control *control, struct msg_result *result)
+{
+  const char *document;
+  size_t len;
+
+  rpl_config (control->replica, &result->version, &document, &len);
+  if (document == NULL)
+    return;
+  result->data = malloc (len);
+  INVARIANT (result->data != NULL);
+  memcpy (result->data, document, len);
+  result->len = len;
+}
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -21,6 +21,19 @@
     ctl_drop_pending (lst_entry (node, struct ctl_pending, node));
 }
 
+/* Forgets the proposals and reads of one origin; late results find nobody. */
+void
+ctl_drop_origin (struct control *control, enum ctl_origin_kind kind)
+{
+  lst_each (node, &control->pending)
+    {
+      struct ctl_pending *pending = lst_entry (node, struct ctl_pending, node);
+
+      if (pending->origin.kind == kind)
+        ctl_drop_pending (pending);
+    }
+}
+
 /* Whether this node's own replica leads the group.  */
 static bool
 ctl_leads (const struct control *control, enum msg_group group)
@@ -148,9 +161,13 @@
             struct msg_result *result, clk_us now)
 {
   struct ctl_origin origin = pending->origin;
+  bool fallback = origin.kind == CTL_ORIGIN_REMOTE
+                  && pending->kind == MSG_PROPOSE_READ && pending->len > 0;
   struct msg *msg;
 
   ctl_drop_pending (pending);
+  if (fallback && result->status != SR_OK)
+    ctl_config_fallback (control, result);
   switch (origin.kind)
     {
     case CTL_ORIGIN_FRONT:
@@ -171,6 +188,9 @@
       control->reading = false;
       ctl_config_result (control, result, now);
       break;
+    case CTL_ORIGIN_GET:
+      ctl_get_result (control, origin.request, result);
+      break;
     }
 }
 
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -18,6 +18,11 @@
 /* Time between two renewals, and length of a lease.  */
 #define CTL_RENEW_US clk_s (1)
 #define CTL_LEASE_US clk_s (3)
+/* A task that did not run for this long (a stopped process, a suspended
+   machine) may have missed changes: its configuration counts as unconfirmed
+   until a quorum was asked.  As long as a lease, after which others may have
+   acted without this node.  */
+#define CTL_SUSPENDED_US CTL_LEASE_US
 /* Time without a quorum after which a starting node takes the newest
    configuration that any replica holds.  */
 #define CTL_CONFIRM_WAIT_US clk_s (5)
@@ -41,6 +46,7 @@
   CTL_ORIGIN_FRONT,  /* a claim command of the front task */
   CTL_ORIGIN_CHANGE, /* a configuration change of an operator */
   CTL_ORIGIN_CONFIG, /* this task wants the configuration */
+  CTL_ORIGIN_GET,    /* an operator wants the configuration */
   CTL_ORIGIN_REMOTE, /* another node; this one is a replica */
 };
 
@@ -87,7 +93,8 @@
   struct qrt *marks;   /* known crash marks */
   struct lst pending;  /* struct ctl_pending */
   uint64_t next_request;
-  clk_us started;
+  clk_us unconfirmed_since; /* start, or end of a suspension */
+  clk_us last_run;
   clk_us next_renew;
   clk_us next_replica_tick;
   struct mdl *model;
@@ -116,6 +123,7 @@
 void ctl_check_pending (struct control *control, clk_us now);
 clk_us ctl_pending_wakeup (const struct control *control, clk_us latest);
 void ctl_free_pending (struct control *control);
+void ctl_drop_origin (struct control *control, enum ctl_origin_kind kind);
 void ctl_run_replica (struct control *control, clk_us now);
 
 /* control_config.c */
@@ -124,11 +132,16 @@
                         clk_us now);
 void ctl_config_put (struct control *control, const char *document, size_t len,
                      const struct mem_version *version, bool confirmed);
-void ctl_config_local (struct control *control);
+void ctl_config_local (struct control *control, clk_us now);
+void ctl_config_doubt (struct control *control, clk_us now);
+void ctl_config_fallback (const struct control *control,
+                          struct msg_result *result);
 
 /* control_admin.c */
 void ctl_take_admin (struct control *control, struct msg *msg, clk_us now);
 void ctl_change_result (struct control *control, uint64_t request,
                         const struct msg_result *result);
+void ctl_get_result (struct control *control, uint64_t request,
+                     const struct msg_result *result);
 
 #endif
