--- a/scripts/mesh_state.sh
+++ b/scripts/mesh_state.sh
@@ -1,7 +1,7 @@
 # Functions for tests of the shared state, on top of scripts/mesh.sh.
 
 STATE_FAILURES=0
-STATE_DOCUMENT=examples/taquari.json
+STATE_DOCUMENT=
 
 state_fail () {
   STATE_FAILURES=$((STATE_FAILURES + 1))
@@ -23,6 +23,52 @@
   mesh_until "$seconds" "$@" || state_fail "$text (not within $seconds s)"
 }
 
+# state_order NODE KEY: status of a non-idempotent request.
+state_order () {
+  curl -s -m 8 -o /dev/null -w '%{http_code}' -X POST -H 'Host: orders' \
+    -H "Idempotency-Key: $2" -d "order $2" "http://${MESH_LISTEN[$1]}/orders"
+}
+
+state_ordered () {
+  [ "$(state_order "$1" "$2")" = 200 ]
+}
+
+# state_order_until SECONDS NODE PREFIX: sends orders, each under a new key,
+# until one is done.  Its key goes to orders.done.
+state_order_until () {
+  local ends=$((SECONDS + $1)) number=0
+  while [ "$SECONDS" -lt "$ends" ]; do
+    if state_ordered "$2" "$3-$((++number))"; then
+      echo "$3-$number" >>"$MESH_DIR/orders.done"
+      return 0
+    fi
+    sleep 0.05
+  done
+  return 1
+}
+
+# state_orders_end NODE JOURNAL...: resends what was done, and fails when a
+# resend is refused or a key ran more than once.
+state_orders_end () {
+  local node=$1 key twice
+  shift
+  while read -r key; do
+    state_ordered "$node" "$key" || state_fail "resend of $key is refused"
+  done <"$MESH_DIR/orders.done"
+  twice=$(sed -n 's/.* start POST .* \(key=[^ ]*\) .*/\1/p' "$@" | sort | uniq -d)
+  [ -z "$twice" ] || state_fail "keys that ran more than once" "$twice"
+  echo "orders done and resent: $(wc -l <"$MESH_DIR/orders.done"), run:" \
+    "$(cat "$@" | grep -c ' start POST ')"
+}
+
+# state_load NAME NODE FLAG...: idempotent requests in the background.
+state_load () {
+  local name=$1 node=$2
+  shift 2
+  mesh_start "$name" "$MESH_BIN/rudder-load" --target "${MESH_LISTEN[$node]}" \
+    --host orders --request "GET /orders/{n} 1" "$@"
+}
+
 # Ends a test: prints the logs after a failure.
 state_finish () {
   local name
@@ -118,8 +164,23 @@
   [ -n "$REPLY" ]
 }
 
+# A document with one service that has an idempotent and a non-idempotent kind.
+state_write_document () {
+  STATE_DOCUMENT=$MESH_DIR/document.json
+  cat >"$STATE_DOCUMENT" <<'EOF'
+{ "format": 1, "quarantine_s": 300,
+  "services": [ { "name": "orders", "slots": 20, "connections": 100,
+    "kinds": [
+      { "name": "place", "method": "POST", "path": "/orders",
+        "importance": 90, "idempotent": false, "timeout_ms": 5000 },
+      { "name": "show", "method": "GET", "path": "/orders",
+        "importance": 50, "idempotent": true, "timeout_ms": 5000 } ] } ] }
+EOF
+}
+
 # First version, on all nodes.
 state_begin () {
+  state_write_document
   mesh_until 10 state_change "$1" "$STATE_DOCUMENT" 0 first \
     || state_fail "first document is not accepted"
   state_must_in 10 "first version is not in force" state_all_have 1 "$@"
