--- a/programs/fake_announce.c
+++ b/programs/fake_announce.c
@@ -55,7 +55,7 @@
           (int)result->outcome, result->answer.status);
   fake->announce.left = true;
   fake->announce.left_at = clk_now ();
-  fjn_write_left (fake);
+  fjn_write_mark (fake, "left");
   lws_sul_schedule (fake->context, 0, &fake->announce.timer, fan_on_grace,
                     (lws_usec_t)clk_ms (FAN_GRACE_MS));
 }
--- a/programs/fake_journal.c
+++ b/programs/fake_journal.c
@@ -56,13 +56,13 @@
 }
 
 void
-fjn_write_left (const struct fake *fake)
+fjn_write_mark (const struct fake *fake, const char *mark)
 {
   char line[FJN_LINE_BYTES];
   int len;
 
   if (fake->journal_fd < 0)
     return;
-  len = snprintf (line, sizeof line, "%" PRIu64 " left\n", clk_wall_ms ());
+  len = snprintf (line, sizeof line, "%" PRIu64 " %s\n", clk_wall_ms (), mark);
   fjn_put (fake, line, len);
 }
--- a/programs/fake_journal.h
+++ b/programs/fake_journal.h
@@ -18,7 +18,8 @@
 /* EVENT is "start", "end" or "cancelled".  */
 void fjn_write (const struct fake_request *request, const char *event);
 
-/* Notes that the node was told that this server leaves.  */
-void fjn_write_left (const struct fake *fake);
+/* Writes "<wall ms> up" for the start of the process and "<wall ms> left" once
+   the node was told that the server leaves.  */
+void fjn_write_mark (const struct fake *fake, const char *mark);
 
 #endif
--- a/programs/rudder-fake.c
+++ b/programs/rudder-fake.c
@@ -94,6 +94,7 @@
             fake.options.listen.port);
       return 1;
     }
+  fjn_write_mark (&fake, "up");
   fan_start (&fake);
   while (main_goes_on (&fake))
     if (lws_service (fake.context, 0) < 0)
