Backend connection that is opened for one request

Cause: tests/mesh_idle_backend.sh: an order 3 s after the last one got 502 backend-closed unknown. Without LCCSCF_PIPELINE libwebsockets puts a line after Host, so replacing Host failed, and the request counted as handed over although no byte was written. Change: Host is replaced only on connections that are kept; a request counts as handed over after its header is complete.

--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -191,7 +191,7 @@
   info.vhost = conn->vhost;
   info.address = front->backend.host;
   info.port = front->backend.port;
-  info.host = front->backend.host;
+  info.host = conn->kept ? front->backend.host : serve->req.service_name;
   info.path = serve->path;
   info.method = serve->method;
   info.protocol = NULL;
@@ -344,18 +344,14 @@
   return fhttp_add_field (wsi, "content-length", text, p, end);
 }
 
-/* libwebsockets is about to write the request's header.  */
+/* Puts all fields of the request after *P.  */
 static int
-bck_write_head (struct backend_conn *conn, struct lws *wsi, unsigned char **p,
-                size_t len)
+bck_put_fields (struct backend_conn *conn, struct lws *wsi, unsigned char **p,
+                unsigned char *end)
 {
-  unsigned char *end = *p + len;
   struct serve *serve = conn->serve;
 
-  if (serve == NULL)
-    return -1;
-  serve->handed_over = true;
-  if (bck_set_host (serve, p, end) != 0)
+  if (conn->kept && bck_set_host (serve, p, end) != 0)
     return -1;
   lst_each (node, &serve->fields)
     {
@@ -366,8 +362,24 @@
       if (fhttp_add_field (wsi, field->name, field->value, p, end))
         return -1;
     }
-  if (bck_add_own_fields (serve, wsi, p, end))
+  return bck_add_own_fields (serve, wsi, p, end);
+}
+
+/* libwebsockets is about to write the request's header.  */
+static int
+bck_write_head (struct backend_conn *conn, struct lws *wsi, unsigned char **p,
+                size_t len)
+{
+  struct serve *serve = conn->serve;
+
+  if (serve == NULL)
     return -1;
+  if (bck_put_fields (conn, wsi, p, *p + len) != 0)
+    {
+      serve->refusal = RSN_HEADERS_TOO_LARGE;
+      return -1;
+    }
+  serve->handed_over = true;
   if (serve->body_len > 0)
     {
       lws_client_http_body_pending (wsi, 1);
@@ -495,6 +507,11 @@
       bck_probe (serve);
       return;
     }
+  if (serve->refusal != RSN_NONE)
+    {
+      srv_refuse (serve, serve->refusal, RSN_NOT_RUN);
+      return;
+    }
   slog (SLOG_WARNING,
         "cannot connect to the backend server address=%s "
         "error=\"%s\"",
