--- a/scripts/soak-events.sh
+++ b/scripts/soak-events.sh
@@ -32,6 +32,18 @@
   say "normal speed $1"
 }
 
+# Ends what "due" and "down" hold, so that every process runs normally.
+end_faults () {
+  local name
+  for name in "${!down[@]}"; do
+    [ "${down[$name]}" = stopping ] || continue
+    unset "due[stopped:$name]"
+    mesh_until 40 mesh_ended "$name"
+    due_stopped "$name"
+  done
+  run_due all
+}
+
 # A graceful stop must end in time; the process then starts again.
 due_stopped () {
   if mesh_alive "$1" && [ "$(now_ms)" -lt "${stop_limit[$1]}" ]; then
