Claims are asked for while a request waits for its slot

Cause: a slot was held for the claim's round trip to a quorum. Change: a non-idempotent request that is queued asks for its claim at once; a decided claim other than granted needs no slot any more.

--- a/tasks/front_claim.c
+++ b/tasks/front_claim.c
@@ -207,11 +207,20 @@
       return;
     }
   serve->req.claim = srv_claim_state (serve, &result);
-  /* A slot was given up while another attempt held the claim.  */
-  if (serve->req.claim == FLT_CLAIM_GRANTED
-      && serve->req.ticket.state == ADM_IDLE)
-    flt_start (&serve->req, flt_serve_chain);
-  srv_advance (serve);
+  if (serve->req.claim != FLT_CLAIM_GRANTED)
+    {
+      /* What was decided does not need a slot.  */
+      struct flt_result decided = flt_claim (&serve->req);
+
+      srv_handle (serve, &decided);
+    }
+  else
+    {
+      /* A slot was given up while another attempt held the claim.  */
+      if (serve->req.ticket.state == ADM_IDLE)
+        flt_start (&serve->req, flt_serve_chain);
+      srv_advance (serve);
+    }
   srv_run_admission (front);
 }
 
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -151,36 +151,57 @@
     srv_refuse (serve, RSN_CONNECT_FAILED, RSN_NOT_RUN);
 }
 
-void
-srv_advance (struct serve *serve)
+/* The recorded answer does not need a slot.  */
+static void
+srv_replay (struct serve *serve)
 {
-  struct flt_result result
-      = flt_run (&serve->front->state, &serve->req, clk_now ());
+  if (serve->req.ticket.state != ADM_IDLE)
+    adm_withdraw (serve->front->state.admission, &serve->req.ticket,
+                  clk_now ());
+  srv_head (serve, serve->record_status, &serve->record_fields,
+            (int64_t)serve->record.len);
+  srv_data (serve, serve->record.data, serve->record.len);
+  srv_whole (serve);
+}
+
+/* Waits for a slot or for the claim.  The claim is asked for while the request
+   waits for its slot, so that the slot is not held for a round trip.  */
+static void
+srv_wait (struct serve *serve)
+{
+  if (!serve->req.kind->idempotent && serve->req.claim == FLT_CLAIM_NONE)
+    srv_claim (serve);
+}
 
-  switch (result.kind)
+void
+srv_handle (struct serve *serve, const struct flt_result *result)
+{
+  switch (result->kind)
     {
     case FLT_CONTINUE:
       srv_dispatch (serve);
       break;
     case FLT_WAIT:
-      if (result.u.wait == FLT_WAIT_CLAIM)
-        srv_claim (serve);
+      srv_wait (serve);
       break;
     case FLT_REFUSE:
-      srv_refuse (serve, result.u.refuse.reason, result.u.refuse.run);
+      srv_refuse (serve, result->u.refuse.reason, result->u.refuse.run);
       break;
     case FLT_ANSWER:
-      /* The recorded answer does not need the slot.  */
-      adm_withdraw (serve->front->state.admission, &serve->req.ticket,
-                    clk_now ());
-      srv_head (serve, serve->record_status, &serve->record_fields,
-                (int64_t)serve->record.len);
-      srv_data (serve, serve->record.data, serve->record.len);
-      srv_whole (serve);
+      srv_replay (serve);
       break;
     }
 }
 
+void
+srv_advance (struct serve *serve)
+{
+  struct flt_result result
+      = flt_run (&serve->front->state, &serve->req, clk_now ());
+
+  srv_handle (serve, &result);
+}
+
 /* Runs the serve side chain once the body is there as far as it is kept.  */
 static void
 srv_start (struct serve *serve)
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -314,6 +314,7 @@
 void srv_refuse (struct serve *serve, enum rsn_refusal reason,
                  enum rsn_run run);
 void srv_advance (struct serve *serve);
+void srv_handle (struct serve *serve, const struct flt_result *result);
 void srv_timer (lws_sorted_usec_list_t *timer);
 void srv_free (struct serve *serve);
 
