controllers/lim: windows of three service times, balanced baselines

Cause: short windows saw one group of answers or two, and the first probes left baselines 10 % high. Change: a window lasts three service times; the first three probes follow after a second each; kinds are balanced against each other while full.

--- a/controllers/lim.c
+++ b/controllers/lim.c
@@ -4,9 +4,15 @@
 
 /* Lowest limit; fewer than this would not measure contention.  */
 #define LIM_MIN 2.0
-/* Answers in a window, or the limit if that is more: the mean of 64
-   exponential times has a relative standard deviation of 12 %.  */
+/* Least answers in a window: the mean of 64 exponential times has a relative
+   standard deviation of 12 %.  */
 #define LIM_WINDOW 64u
+/* Least length of a window in service times.  Requests that start together
+   and take equally long are answered together; a short window would see one
+   such group or two.  */
+#define LIM_TURNS 3.0
+#define LIM_SETTLE_TURNS 1.5
+#define LIM_PROBE_TURNS 2.0
 /* Ratio of time spent to baseline that a full server settles at: enough
    requests to use all of its capacity, few enough not to slow it down.  */
 #define LIM_HEADROOM 1.1
@@ -22,16 +28,19 @@
    contains a stall.  */
 #define LIM_STALL_RATIO 4.0
 #define LIM_PROBE_SHARE 0.7
-#define LIM_PROBE_GAIN 0.7
-#define LIM_PROBE_WINDOW 128u
+#define LIM_PROBE_GAIN 0.5
 #define LIM_PROBE_FIRST clk_s (1)
+/* One probe has an error of some 6 %; the first few follow soon.  */
+#define LIM_PROBES_FIRST 3u
 #define LIM_PROBE_EVERY clk_s (10)
 /* A probe that lowers the baselines below this share is soon repeated.  */
-#define LIM_PROBE_LOWER 0.9
+#define LIM_PROBE_LOWER 0.95
 #define LIM_EVIDENCE_MAX 128u
 /* The first answers of a kind are the fast ones, so these are skipped before
    as many are averaged.  */
 #define LIM_KIND_SAMPLES 32u
+/* Answers that weigh as much as the baseline when kinds are balanced.  */
+#define LIM_BALANCE 512.0
 #define LIM_MEAN_GAIN 0.1
 #define LIM_DOUBT 0.95
 
@@ -82,6 +91,33 @@
     }
 }
 
+/* Corrects the baselines of the kinds in relation to each other after a full
+   window.  The sum over its answers stays the same.  */
+static void
+baselines_balance (struct lim *lim)
+{
+  double service = 0;
+  double work = 0;
+
+  for (uint32_t i = 0; i < LIM_KINDS; i++)
+    if (lim->kinds[i].baseline_us > 0)
+      {
+        service += lim->kinds[i].sum_us;
+        work += lim->kinds[i].baseline_us * lim->kinds[i].count;
+      }
+  if (service <= 0)
+    return;
+  for (uint32_t i = 0; i < LIM_KINDS; i++)
+    {
+      struct lim_kind *kind = &lim->kinds[i];
+
+      if (kind->baseline_us > 0)
+        kind->baseline_us += (kind->sum_us * work / service
+                              - kind->baseline_us * kind->count)
+                             / (LIM_BALANCE + kind->count);
+    }
+}
+
 static void
 baselines_scale (struct lim *lim, double factor)
 {
@@ -125,7 +161,11 @@
   bool lower = factor < LIM_PROBE_LOWER;
 
   baselines_scale (lim, factor);
-  lim->probe_at = now + (lower ? LIM_PROBE_FIRST : LIM_PROBE_EVERY);
+  lim->probes++;
+  lim->probe_at
+      = now
+        + (lower || lim->probes < LIM_PROBES_FIRST ? LIM_PROBE_FIRST
+                                                   : LIM_PROBE_EVERY);
   lim->phase = LIM_STEADY;
   lim->limit = lim->from_limit;
 }
@@ -182,6 +222,7 @@
     case LIM_STEADY:
       break;
     }
+  baselines_balance (lim);
   if (ratio < LIM_LOWER)
     baselines_scale (lim, ratio);
   limit_follow (lim, ratio < LIM_LOWER ? 1 : ratio, useful);
@@ -227,12 +268,21 @@
   lim->running = running;
 }
 
+/* Whether the window holds enough answers, and enough for each running request
+   that those which began before it or end after it matter little.  */
 static bool
-window_complete (const struct lim *lim)
+window_complete (const struct lim *lim, clk_us now)
 {
-  uint32_t least = lim->phase == LIM_PROBE ? LIM_PROBE_WINDOW : LIM_WINDOW;
+  static const double turns[] = {
+    [LIM_STEADY] = LIM_TURNS,
+    [LIM_FALL] = LIM_TURNS,
+    [LIM_SETTLE] = LIM_SETTLE_TURNS,
+    [LIM_PROBE] = LIM_PROBE_TURNS,
+  };
+  double elapsed = (double)(now - lim->began);
 
-  return lim->count >= least && lim->count >= lim->limit;
+  return lim->count >= LIM_WINDOW
+         && lim->count * elapsed >= turns[lim->phase] * lim->spent_us;
 }
 
 /* Measures the first baseline of a kind, without the contention there is
@@ -277,7 +327,7 @@
     }
   lim->count++;
   lim->full_count += sample->full;
-  if (window_complete (lim))
+  if (window_complete (lim, now))
     window_end (lim, now);
 }
 
--- a/controllers/lim.h
+++ b/controllers/lim.h
@@ -55,6 +55,7 @@
   double from_useful; /* work done then, in slots */
   double ratio;       /* of the last full window */
   clk_us probe_at;
+  uint32_t probes; /* so far */
   /* The present window.  */
   clk_us began;
   uint32_t running;
