--- a/controllers/lim.c
+++ b/controllers/lim.c
@@ -230,11 +230,17 @@
 }
 
 /* Ends a window in which slots were free.  Slowness is then not caused by too
-   many requests, and a low limit is not needed.  */
+   many requests at a time, so that a low limit is not needed.  With as few
+   requests as in a probe, the window serves as one.  */
 static void
-window_free (struct lim *lim)
+window_free (struct lim *lim, double running, clk_us now)
 {
-  baselines_learn (lim);
+  if (running <= lim->limit * LIM_PROBE_SHARE)
+    {
+      baselines_learn (lim);
+      lim->probes = LIM_PROBES_FIRST;
+      lim->probe_at = now + LIM_PROBE_EVERY;
+    }
   if (lim->phase != LIM_STEADY)
     lim->limit = lim->from_limit;
   lim->phase = LIM_STEADY;
@@ -246,8 +252,10 @@
 {
   double elapsed = (double)(now - lim->began);
 
-  if (lim->full_count * 2 < lim->count || lim->work_us <= 0 || elapsed <= 0)
-    window_free (lim);
+  if (elapsed <= 0)
+    return;
+  if (lim->full_count * 2 < lim->count || lim->work_us <= 0)
+    window_free (lim, lim->spent_us / elapsed, now);
   else
     {
       double before = lim->ratio;
