--- a/bench/chain.c
+++ b/bench/chain.c
@@ -6,6 +6,7 @@
 /* Default of docs/design.md.  */
 #define CHAIN_ALLOWANCE 3u
 #define CHAIN_FIXED_TRIES 3.0
+#define CHAIN_REQUESTS 200000u
 
 /* Attempts and calls in a chain of services that call one another.  */
 struct chain
@@ -39,6 +40,67 @@
   return own.remaining;
 }
 
+/* Chain with failures at random, to compare ways to split the allowance.  */
+struct chance
+{
+  struct rng rng;
+  bool whole; /* grant all of the allowance to each child */
+  double fails;
+  double lost; /* answers, with the allowance that they carry */
+  uint64_t attempts;
+};
+
+/* One attempt; returns whether it succeeded, and what is left in LEFT.  */
+static bool
+chance_attempt (struct chance *chance, uint32_t below, uint32_t granted,
+                uint32_t *left)
+{
+  struct rty_allowance own = { .remaining = granted };
+  bool done = below == 0;
+
+  chance->attempts++;
+  *left = granted;
+  if (rng_unit (&chance->rng) < chance->fails)
+    return false;
+  if (below == 0)
+    return true;
+  do
+    {
+      uint32_t grant = chance->whole ? own.remaining : rty_grant (&own);
+      uint32_t unused;
+
+      if (chance->whole)
+        own = (struct rty_allowance){ .granted = grant };
+      done = chance_attempt (chance, below - 1, grant, &unused);
+      if (rng_unit (&chance->rng) < chance->lost)
+        {
+          done = false;
+          unused = 0;
+        }
+      rty_return (&own, grant, unused);
+    }
+  while (!done && rty_take (&own));
+  *left = own.remaining;
+  return done;
+}
+
+double
+mea_chance_run (uint32_t depth, bool whole, double fails, double lost,
+                uint64_t seed)
+{
+  struct chance chance = { .whole = whole, .fails = fails, .lost = lost };
+  uint32_t good = 0;
+
+  rng_seed (&chance.rng, seed);
+  for (uint32_t i = 0; i < CHAIN_REQUESTS; i++)
+    {
+      uint32_t left;
+
+      good += chance_attempt (&chance, depth, CHAIN_ALLOWANCE, &left);
+    }
+  return 100.0 * good / CHAIN_REQUESTS;
+}
+
 /* The caller's request at the entry.  */
 static struct chain
 chain_call (uint32_t depth)
--- a/bench/mea.h
+++ b/bench/mea.h
@@ -45,6 +45,11 @@
 
 struct mea_straggler mea_straggler_run (const struct wld_opts *opts);
 
+/* Answered requests in percent, of a chain whose attempts fail and whose
+   answers are lost at random; WHOLE grants all of the allowance to a child. */
+double mea_chance_run (uint32_t depth, bool whole, double fails, double lost,
+                       uint64_t seed);
+
 void mea_overload (struct tab *tab, uint64_t seed);
 void mea_recovery (struct tab *tab, uint64_t seed);
 void mea_swing (struct tab *tab, uint64_t seed);
--- a/bench/node.c
+++ b/bench/node.c
@@ -43,6 +43,24 @@
   fake_start (&wld->nodes[attempt->server].fake, &attempt->job, attempt->work);
 }
 
+/* Whether a kind holds more than its share while others wait.  */
+static bool
+node_capped (const struct wld *wld, const struct node *node, uint32_t kind)
+{
+  const struct adm_opts *opts = &wld->opts.admission;
+
+  return wld->opts.cap_percent > 0 && adm_waiting (node->adm) > 0
+         && node->held[kind] * 100
+                >= (opts->slots + opts->queue) * wld->opts.cap_percent;
+}
+
+/* Counts what a kind holds; called before and after each change.  */
+static void
+node_hold (struct wld *wld, const struct attempt *attempt, int change)
+{
+  wld->nodes[attempt->server].held[attempt->kind] += (uint32_t)change;
+}
+
 static void
 node_event (struct wld *wld, const struct adm_event *event)
 {
@@ -54,6 +72,7 @@
       attempt_run (wld, attempt);
       break;
     case ADM_REFUSE:
+      node_hold (wld, attempt, -1);
       attempt_back (wld, attempt, true);
       break;
     case ADM_QUEUED:
@@ -110,6 +129,12 @@
         attempt_back (wld, attempt, true);
       return;
     }
+  if (node_capped (wld, node, attempt->kind))
+    {
+      attempt_back (wld, attempt, true);
+      return;
+    }
+  node_hold (wld, attempt, 1);
   attempt->ticket = (struct adm_ticket){
     .importance = ours ? kind->importance : 0,
     .cost = kind->cost,
@@ -145,6 +170,7 @@
   wait_record (wld, attempt);
   if (wld->opts.control != WLD_NONE)
     {
+      node_hold (wld, attempt, -1);
       adm_finish (node->adm, &attempt->ticket, true, wld->sim.now);
       node_drain (wld, node);
     }
@@ -172,6 +198,7 @@
     case ATTEMPT_BACK:
       return; /* freed when its event fires */
     }
+  node_hold (wld, attempt, -1);
   attempt_free (wld, attempt);
   node_drain (wld, node);
 }
--- a/bench/wldi.h
+++ b/bench/wldi.h
@@ -67,6 +67,7 @@
   struct fake fake;
   struct adm *adm;
   struct sim_event wakeup;
+  uint32_t held[WLD_KINDS]; /* waiting and running requests of each kind */
 };
 
 enum wld_fault
