--- a/scripts/mesh_state.sh
+++ b/scripts/mesh_state.sh
@@ -66,7 +66,7 @@
   local name=$1 node=$2
   shift 2
   mesh_start "$name" "$MESH_BIN/rudder-load" --target "${MESH_LISTEN[$node]}" \
-    --host orders --request "GET /orders/{n} 1" "$@"
+    --host orders --request "GET /orders/{n}/bytes/300 1" "$@"
 }
 
 # Ends a test: prints the logs after a failure.
@@ -168,7 +168,7 @@
 state_write_document () {
   STATE_DOCUMENT=$MESH_DIR/document.json
   cat >"$STATE_DOCUMENT" <<'EOF'
-{ "format": 1, "quarantine_s": 300,
+{ "format": 1, "quarantine_s": 300, "headers": ["x-caller-id"],
   "services": [ { "name": "orders", "slots": 20, "connections": 100,
     "kinds": [
       { "name": "place", "method": "POST", "path": "/orders",
