A stopping replica waits until leadership is handed over

Cause: the control task ended 500 ms after a stop began, whether or not another replica had taken over, and with it outcomes of claims that were still to be recorded. Change: it waits for both, at most 1.5 s longer, and logs the handover. tests/mesh_rolling_restart.sh shows it; ports of tests that run at the same time are kept apart.

--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -5,7 +5,8 @@
 declare -A MESH_PID MESH_LISTEN MESH_ADMIN MESH_PEER MESH_BACKEND
 MESH_BIN=${MESH_BIN:-build}
 MESH_DIR=
-MESH_USED=" "
+MESH_PORTS=${TMPDIR:-/tmp}/rudder-mesh-ports
+MESH_USED=
 MESH_JOIN=
 
 # Makes the temporary folder and stops everything when the script ends.
@@ -26,17 +27,24 @@
   else
     rm -rf "$MESH_DIR"
   fi
+  for name in $MESH_USED; do
+    rmdir "$MESH_PORTS/$name" 2>/dev/null
+  done
 }
 
 # Sets REPLY to a port on which nothing listens.  Below 32768, so that no
-# outgoing connection is given the same port.
+# outgoing connection is given the same port.  A folder for each port keeps
+# meshes that run at the same time apart; one that is left over by a killed
+# script counts for ten minutes.
 mesh_port () {
+  mkdir -p "$MESH_PORTS"
+  find "$MESH_PORTS" -mindepth 1 -mmin +10 -exec rmdir {} + 2>/dev/null
   while :; do
     REPLY=$((20000 + RANDOM % 12000))
-    case $MESH_USED in *" $REPLY "*) continue ;; esac
+    mkdir "$MESH_PORTS/$REPLY" 2>/dev/null || continue
+    MESH_USED="$MESH_USED $REPLY"
     (exec 3<>"/dev/tcp/127.0.0.1/$REPLY") 2>/dev/null || break
   done
-  MESH_USED="$MESH_USED$REPLY "
 }
 
 # mesh_until SECONDS COMMAND...: repeats COMMAND until it succeeds.
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -13,8 +13,12 @@
 #define CTL_KEEP_GONE_US clk_s (600)
 #define CTL_MARKS_MAX 4096
 #define CTL_MARKS_KEEP_US clk_s (300)
-/* Time for handing leadership over and for the last renewal to be sent.  */
+/* Time for the last renewal to be sent.  */
 #define CTL_STOP_US clk_ms (500)
+/* Longest time after that for handing leadership over and for recording the
+   last responses.  */
+#define CTL_STOP_LIMIT_US clk_ms (1500)
+#define CTL_STOP_POLL_US clk_ms (20)
 
 /* Splits the replica addresses of the settings.  */
 static void
@@ -180,14 +184,56 @@
   ctl_note_leaders (control);
 }
 
+/* Notes the groups that have a new leader, or may have, since the stop began;
+   returns whether one is still led here.  */
+static bool
+ctl_hand_over (struct control *control, clk_us now)
+{
+  bool leads = false;
+
+  if (control->replica == NULL)
+    return false;
+  rpl_transfer (control->replica, now);
+  for (int i = 0; i < MSG_GROUP_COUNT; i++)
+    {
+      struct rep_status status;
+
+      rpl_status (control->replica, (enum msg_group)i, &status);
+      if (status.role == REP_LEADER)
+        leads = true;
+      else if (control->handing_over[i])
+        slog (SLOG_NOTICE, "leadership handed over group=%d term=%llu", i,
+              (unsigned long long)status.term);
+      control->handing_over[i] = status.role == REP_LEADER;
+    }
+  return leads;
+}
+
+/* Whether the task may end.  */
+static bool
+ctl_stopped (struct control *control, clk_us now)
+{
+  bool busy;
+
+  if (!control->stopping)
+    return false;
+  busy = ctl_hand_over (control, now) || ctl_has_claims (control);
+  if (now >= control->stop_at + CTL_STOP_LIMIT_US)
+    {
+      if (busy)
+        slog (SLOG_WARNING, "stopped as leader or with unrecorded responses");
+      return true;
+    }
+  return now >= control->stop_at && !busy;
+}
+
 /* Graceful stop: leadership first, then the lease.  */
 static void
 ctl_begin_stop (struct control *control, clk_us now)
 {
   control->stopping = true;
   control->stop_at = now + CTL_STOP_US;
-  if (control->replica != NULL)
-    rpl_transfer (control->replica, now);
+  ctl_hand_over (control, now);
   control->record.state = MEM_GONE;
   control->record.sequence++;
   ctl_renew_all (control, now);
@@ -269,10 +315,12 @@
 
 /* Time at which something is due next.  */
 static clk_us
-ctl_wakeup (const struct control *control)
+ctl_wakeup (const struct control *control, clk_us now)
 {
-  clk_us wakeup = control->stopping ? control->stop_at : control->next_renew;
+  clk_us wakeup = control->next_renew;
 
+  if (control->stopping)
+    wakeup = now + CTL_STOP_POLL_US;
   if (control->replica != NULL && control->next_replica_tick < wakeup)
     wakeup = control->next_replica_tick;
   return ctl_pending_wakeup (control, wakeup);
@@ -301,10 +349,9 @@
   if (control->store != NULL)
     ctl_new_replica (control);
   lst_init (&messages);
-  while (!control->failed
-         && !(control->stopping && clk_now () >= control->stop_at))
+  while (!control->failed && !ctl_stopped (control, clk_now ()))
     {
-      inb_wait (control->inbox, ctl_wakeup (control), &messages);
+      inb_wait (control->inbox, ctl_wakeup (control, clk_now ()), &messages);
       ctl_note_run (control, clk_now ());
       while ((node = lst_pop_head (&messages)) != NULL)
         {
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -34,6 +34,17 @@
     }
 }
 
+/* Whether a claim, an outcome or a release waits for its result.  */
+bool
+ctl_has_claims (const struct control *control)
+{
+  lst_each (node, &control->pending)
+    if (lst_entry (node, struct ctl_pending, node)->origin.kind
+        == CTL_ORIGIN_FRONT)
+      return true;
+  return false;
+}
+
 /* Whether this node's own replica leads the group.  */
 static bool
 ctl_leads (const struct control *control, enum msg_group group)
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -82,7 +82,8 @@
   bool stopping;
   bool failed;
   clk_us stop_at;
-  struct mem_record record; /* own */
+  bool handing_over[MSG_GROUP_COUNT]; /* led here when last looked */
+  struct mem_record record;           /* own */
   bool name_taken;
   struct ctl_replica replicas[CTL_REPLICAS_MAX];
   uint32_t replica_count;
@@ -123,6 +124,7 @@
 void ctl_check_pending (struct control *control, clk_us now);
 clk_us ctl_pending_wakeup (const struct control *control, clk_us latest);
 void ctl_free_pending (struct control *control);
+bool ctl_has_claims (const struct control *control);
 void ctl_drop_origin (struct control *control, enum ctl_origin_kind kind);
 void ctl_run_replica (struct control *control, clk_us now);
 
