A request that cannot connect is refused once

A failed connection marked the server as down, which refuses every request that has not reached it, also the one that failed; it was refused a second time after that. Change: the failed request is refused first; a request whose server has gone while it waited is not dispatched any more. rudder-relay added: a TCP relay that can make open connections silent for good.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,8 @@
 	tasks/*.c programs/*_*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libsycamorerudder.a
-PROGRAMS = sycamorerudder-node rudderctl rudder-load rudder-fake
+PROGRAMS = sycamorerudder-node rudderctl rudder-load rudder-fake \
+	rudder-relay
 PROGRAM_BIN = $(patsubst %,$(BUILD)/%,$(filter \
 	$(basename $(notdir $(wildcard programs/*.c))),$(PROGRAMS)))
 TEST_SRC = $(wildcard tests/test_*.c)
--- /dev/null
+++ b/programs/relay_pump.c
@@ -0,0 +1,166 @@
+#include "programs/relay_pump.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/err.h"
+
+#define RLY_CONNECTIONS_MAX 512
+#define RLY_BYTES (64 * 1024)
+#define RLY_BACKLOG 128
+#define RLY_POLL_MS 500
+
+/* One client connection with its connection to the target.  */
+struct rly_connection
+{
+  struct lst_node node;
+  int ends[2]; /* client, target */
+  bool forgotten;
+};
+
+static struct sockaddr_in
+rly_address (const struct top_address *from)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+
+  inet_pton (AF_INET, from->ip, &address.sin_addr);
+  address.sin_port = htons (from->port);
+  return address;
+}
+
+int
+rly_open (struct rly *relay)
+{
+  struct sockaddr_in address = rly_address (&relay->listen);
+  int on = 1;
+
+  lst_init (&relay->connections);
+  relay->listener = socket (AF_INET, SOCK_STREAM, 0);
+  if (relay->listener < 0)
+    return SR_EIO;
+  setsockopt (relay->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (relay->listener, (struct sockaddr *)&address, sizeof address) != 0
+      || listen (relay->listener, RLY_BACKLOG) != 0)
+    return SR_EIO;
+  return SR_OK;
+}
+
+static void
+rly_drop (struct rly_connection *connection)
+{
+  lst_remove (&connection->node);
+  close (connection->ends[0]);
+  close (connection->ends[1]);
+  free (connection);
+}
+
+/* Takes a client; without a target the client is closed, as a target that
+   refuses would do.  */
+static void
+rly_accept (struct rly *relay)
+{
+  struct sockaddr_in target = rly_address (&relay->to);
+  struct rly_connection *connection;
+  int client = accept (relay->listener, NULL, NULL);
+  int server;
+
+  if (client < 0)
+    return;
+  server = socket (AF_INET, SOCK_STREAM, 0);
+  if (server < 0
+      || connect (server, (struct sockaddr *)&target, sizeof target) != 0)
+    {
+      close (client);
+      if (server >= 0)
+        close (server);
+      return;
+    }
+  connection = calloc (1, sizeof *connection);
+  INVARIANT (connection != NULL);
+  connection->ends[0] = client;
+  connection->ends[1] = server;
+  connection->forgotten = relay->cut;
+  lst_push_tail (&relay->connections, &connection->node);
+}
+
+/* Passes on what END has; false when the connection is over.  */
+static bool
+rly_pass (struct rly_connection *connection, int end)
+{
+  char bytes[RLY_BYTES];
+  ssize_t len = read (connection->ends[end], bytes, sizeof bytes);
+  ssize_t done = 0;
+
+  if (len <= 0)
+    return false;
+  while (done < len)
+    {
+      ssize_t put = write (connection->ends[1 - end], bytes + done,
+                           (size_t)(len - done));
+
+      if (put <= 0)
+        return false;
+      done += put;
+    }
+  return true;
+}
+
+void
+rly_turn (struct rly *relay)
+{
+  struct pollfd fds[1 + 2 * RLY_CONNECTIONS_MAX];
+  struct rly_connection *owners[1 + 2 * RLY_CONNECTIONS_MAX];
+  struct rly_connection *gone = NULL;
+  nfds_t count = 1;
+
+  fds[0] = (struct pollfd){ .fd = relay->listener, .events = POLLIN };
+  lst_each (node, &relay->connections)
+    {
+      struct rly_connection *connection
+          = lst_entry (node, struct rly_connection, node);
+
+      if (connection->forgotten || count + 2 > 1 + 2 * RLY_CONNECTIONS_MAX)
+        continue;
+      for (int end = 0; end < 2; end++)
+        {
+          owners[count] = connection;
+          fds[count++] = (struct pollfd){ .fd = connection->ends[end],
+                                          .events = POLLIN };
+        }
+    }
+  if (poll (fds, count, RLY_POLL_MS) <= 0)
+    return;
+  /* Descriptors alternate between client and target from position 1 on.  */
+  for (nfds_t i = 1; i < count; i++)
+    {
+      if (fds[i].revents == 0 || owners[i] == gone)
+        continue;
+      if (rly_pass (owners[i], (int)((i - 1) % 2)))
+        continue;
+      gone = owners[i];
+      rly_drop (gone);
+    }
+  if (fds[0].revents != 0)
+    rly_accept (relay);
+}
+
+void
+rly_forget (struct rly *relay)
+{
+  lst_each (node, &relay->connections)
+    lst_entry (node, struct rly_connection, node)->forgotten = true;
+}
+
+void
+rly_close (struct rly *relay)
+{
+  struct lst_node *node;
+
+  while ((node = lst_first (&relay->connections)) != NULL)
+    rly_drop (lst_entry (node, struct rly_connection, node));
+  close (relay->listener);
+}
--- /dev/null
+++ b/programs/rudder-relay.c
@@ -0,0 +1,82 @@
+#include <signal.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "core/slog.h"
+#include "programs/relay_pump.h"
+
+static volatile sig_atomic_t main_stop;
+static volatile sig_atomic_t main_forget;
+static volatile sig_atomic_t main_cut;
+
+static void
+main_on_signal (int number)
+{
+  switch (number)
+    {
+    case SIGUSR1:
+      main_forget = 1;
+      break;
+    case SIGUSR2:
+      main_cut = !main_cut;
+      main_forget = main_cut;
+      break;
+    default:
+      main_stop = 1;
+    }
+}
+
+static void
+main_catch_signals (void)
+{
+  struct sigaction action = { .sa_handler = main_on_signal };
+
+  sigaction (SIGTERM, &action, NULL);
+  sigaction (SIGINT, &action, NULL);
+  sigaction (SIGUSR1, &action, NULL);
+  sigaction (SIGUSR2, &action, NULL);
+  signal (SIGPIPE, SIG_IGN);
+}
+
+int
+main (int argc, const char **argv)
+{
+  struct rly relay = { 0 };
+  struct top_spec specs[] = {
+    { .name = "listen",
+      .kind = TOP_ADDRESS,
+      .to.address = &relay.listen,
+      .arg = "IP:PORT",
+      .help = "address to serve on" },
+    { .name = "to",
+      .kind = TOP_ADDRESS,
+      .to.address = &relay.to,
+      .arg = "IP:PORT",
+      .help = "target; SIGUSR1 makes all open connections silent for good, "
+              "SIGUSR2 turns a cut on and off" },
+    { .kind = TOP_END },
+  };
+
+  slog_open ("rudder-relay", SLOG_INFO);
+  top_parse ("rudder-relay", specs, argc, argv);
+  if (relay.listen.port == 0 || relay.to.port == 0)
+    top_fail ("rudder-relay", relay.to.port == 0 ? "to" : "listen", "",
+              "IP:PORT");
+  main_catch_signals ();
+  if (rly_open (&relay) != SR_OK)
+    {
+      slog (SLOG_ERR, "cannot listen setting=--listen value=%s:%u",
+            relay.listen.ip, relay.listen.port);
+      return 1;
+    }
+  while (!main_stop)
+    {
+      relay.cut = main_cut;
+      if (main_forget)
+        rly_forget (&relay);
+      main_forget = 0;
+      rly_turn (&relay);
+    }
+  rly_close (&relay);
+  return 0;
+}
--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -516,8 +516,9 @@
         "cannot connect to the backend server address=%s "
         "error=\"%s\"",
         conn->front->backend.address, why);
-  bck_down (conn->front, "connection refused");
+  /* This request first: a server that is down refuses all that wait.  */
   srv_refuse (serve, RSN_CONNECT_FAILED, RSN_NOT_RUN);
+  bck_down (conn->front, "connection refused");
 }
 
 /* Whether WSI carries the current request.  A connection that is reused gets a
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -136,6 +136,14 @@
   struct front *front = serve->front;
 
   INVARIANT (serve->hop == NULL && !serve->handed_over);
+  /* The server may have gone while the request waited.  */
+  if (!front->state.backend_up || front->state.draining)
+    {
+      srv_refuse (serve,
+                  front->state.draining ? RSN_DRAINING : RSN_NO_BACKEND,
+                  RSN_NOT_RUN);
+      return;
+    }
   INVARIANT (serve->req.kind->idempotent
              || serve->req.claim == FLT_CLAIM_GRANTED);
   serve->hop = hop_open (front->state.hops);
