controllers/cap: cap per caller at the serving node

Change: while requests wait, a caller holds at most a share of slots and queue; never refused while a less important request waits (adm_least_waiting()).

--- a/bench/chain.c
+++ b/bench/chain.c
@@ -1,6 +1,7 @@
 #include "bench/mea.h"
 
 #include <math.h>
+#include <stdbool.h>
 #include <stdio.h>
 
 /* Default of docs/design.md.  */
@@ -47,39 +48,47 @@
   bool whole; /* grant all of the allowance to each child */
   double fails;
   double lost; /* answers, with the allowance that they carry */
-  uint64_t attempts;
 };
 
-/* One attempt; returns whether it succeeded, and what is left in LEFT.  */
+static bool chance_attempt (struct chance *chance, uint32_t below,
+                            uint32_t granted, uint32_t *left);
+
+/* One call with its retries; BELOW counts the services below the called one.
+   Returns whether it succeeded.  */
 static bool
-chance_attempt (struct chance *chance, uint32_t below, uint32_t granted,
-                uint32_t *left)
+chance_call (struct chance *chance, uint32_t below, struct rty_allowance *own)
 {
-  struct rty_allowance own = { .remaining = granted };
-  bool done = below == 0;
-
-  chance->attempts++;
-  *left = granted;
-  if (rng_unit (&chance->rng) < chance->fails)
-    return false;
-  if (below == 0)
-    return true;
+  bool done;
+
   do
     {
-      uint32_t grant = chance->whole ? own.remaining : rty_grant (&own);
+      uint32_t grant = chance->whole ? own->remaining : rty_grant (own);
       uint32_t unused;
 
       if (chance->whole)
-        own = (struct rty_allowance){ .granted = grant };
-      done = chance_attempt (chance, below - 1, grant, &unused);
+        *own = (struct rty_allowance){ .granted = grant };
+      done = chance_attempt (chance, below, grant, &unused);
       if (rng_unit (&chance->rng) < chance->lost)
         {
           done = false;
           unused = 0;
         }
-      rty_return (&own, grant, unused);
+      rty_return (own, grant, unused);
     }
-  while (!done && rty_take (&own));
+  while (!done && rty_take (own));
+  return done;
+}
+
+/* One attempt; what is left of its allowance is set in LEFT.  */
+static bool
+chance_attempt (struct chance *chance, uint32_t below, uint32_t granted,
+                uint32_t *left)
+{
+  struct rty_allowance own = { .remaining = granted };
+  bool done = rng_unit (&chance->rng) >= chance->fails;
+
+  if (done && below > 0)
+    done = chance_call (chance, below - 1, &own);
   *left = own.remaining;
   return done;
 }
@@ -94,9 +103,9 @@
   rng_seed (&chance.rng, seed);
   for (uint32_t i = 0; i < CHAIN_REQUESTS; i++)
     {
-      uint32_t left;
+      struct rty_allowance own = { .remaining = CHAIN_ALLOWANCE };
 
-      good += chance_attempt (&chance, depth, CHAIN_ALLOWANCE, &left);
+      good += chance_call (&chance, depth - 1, &own);
     }
   return 100.0 * good / CHAIN_REQUESTS;
 }
--- a/bench/node.c
+++ b/bench/node.c
@@ -9,6 +9,8 @@
 node_init (struct wld *wld, struct node *node)
 {
   struct adm_opts opts = wld->opts.admission;
+  struct cap_opts cap = { .percent = wld->opts.cap_percent,
+                          .places = opts.slots + opts.queue };
 
   fake_init (&node->fake, &wld->sim, wld->opts.capacity);
   node->wakeup.kind = SIM_WAKEUP;
@@ -20,7 +22,15 @@
       opts.long_slots_percent = 100;
     }
   node->adm = adm_new (&opts);
-  return node->adm == NULL ? -1 : 0;
+  node->cap = cap_new (&cap);
+  return node->adm == NULL || node->cap == NULL ? -1 : 0;
+}
+
+void
+node_free (struct node *node)
+{
+  adm_free (node->adm);
+  cap_free (node->cap);
 }
 
 /* Sends an answer or a refusal back to the entry.  */
@@ -43,24 +53,6 @@
   fake_start (&wld->nodes[attempt->server].fake, &attempt->job, attempt->work);
 }
 
-/* Whether a kind holds more than its share while others wait.  */
-static bool
-node_capped (const struct wld *wld, const struct node *node, uint32_t kind)
-{
-  const struct adm_opts *opts = &wld->opts.admission;
-
-  return wld->opts.cap_percent > 0 && adm_waiting (node->adm) > 0
-         && node->held[kind] * 100
-                >= (opts->slots + opts->queue) * wld->opts.cap_percent;
-}
-
-/* Counts what a kind holds; called before and after each change.  */
-static void
-node_hold (struct wld *wld, const struct attempt *attempt, int change)
-{
-  wld->nodes[attempt->server].held[attempt->kind] += (uint32_t)change;
-}
-
 static void
 node_event (struct wld *wld, const struct adm_event *event)
 {
@@ -72,7 +64,7 @@
       attempt_run (wld, attempt);
       break;
     case ADM_REFUSE:
-      node_hold (wld, attempt, -1);
+      cap_put (wld->nodes[attempt->server].cap, attempt->kind);
       attempt_back (wld, attempt, true);
       break;
     case ADM_QUEUED:
@@ -129,12 +121,12 @@
         attempt_back (wld, attempt, true);
       return;
     }
-  if (node_capped (wld, node, attempt->kind))
+  if (!cap_take (node->cap, attempt->kind, kind->importance,
+                 adm_least_waiting (node->adm)))
     {
       attempt_back (wld, attempt, true);
       return;
     }
-  node_hold (wld, attempt, 1);
   attempt->ticket = (struct adm_ticket){
     .importance = ours ? kind->importance : 0,
     .cost = kind->cost,
@@ -170,7 +162,7 @@
   wait_record (wld, attempt);
   if (wld->opts.control != WLD_NONE)
     {
-      node_hold (wld, attempt, -1);
+      cap_put (node->cap, attempt->kind);
       adm_finish (node->adm, &attempt->ticket, true, wld->sim.now);
       node_drain (wld, node);
     }
@@ -198,7 +190,7 @@
     case ATTEMPT_BACK:
       return; /* freed when its event fires */
     }
-  node_hold (wld, attempt, -1);
+  cap_put (node->cap, attempt->kind);
   attempt_free (wld, attempt);
   node_drain (wld, node);
 }
--- a/bench/wld.c
+++ b/bench/wld.c
@@ -187,7 +187,7 @@
   for (uint32_t i = 0; i < WLD_ENTRIES; i++)
     chs_free (wld->entries[i].chs);
   for (uint32_t i = 0; i < wld->opts.servers; i++)
-    adm_free (wld->nodes[i].adm);
+    node_free (&wld->nodes[i]);
 }
 
 void
--- a/bench/wld.h
+++ b/bench/wld.h
@@ -68,9 +68,7 @@
   clk_us slow;
   double slow_factor;
   bool hedge;
-  /* Most requests of one kind at a server while its queue is not empty, in
-     percent of slots and queue; 0 for no cap.  Kinds stand for callers.  */
-  uint32_t cap_percent;
+  uint32_t cap_percent; /* see cap.h; kinds stand for callers */
   uint64_t seed;
   clk_us warm; /* samples and shares count from here */
   clk_us length;
--- a/bench/wldi.h
+++ b/bench/wldi.h
@@ -6,6 +6,7 @@
  */
 
 #include "bench/wld.h"
+#include "controllers/cap.h"
 
 struct call;
 
@@ -67,7 +68,7 @@
   struct fake fake;
   struct adm *adm;
   struct sim_event wakeup;
-  uint32_t held[WLD_KINDS]; /* waiting and running requests of each kind */
+  struct cap *cap; /* kinds stand for callers */
 };
 
 enum wld_fault
@@ -103,6 +104,7 @@
 
 /* node.c: the side of the servers and of the nodes beside them.  */
 int node_init (struct wld *wld, struct node *node);
+void node_free (struct node *node);
 void node_reach (struct wld *wld, struct attempt *attempt);
 void node_complete (struct wld *wld, struct node *node);
 void node_drain (struct wld *wld, struct node *node);
--- a/controllers/adm.c
+++ b/controllers/adm.c
@@ -439,6 +439,14 @@
   return lst_empty (&adm->refused) ? whl_next (&adm->expiry) : 1;
 }
 
+uint32_t
+adm_least_waiting (const struct adm *adm)
+{
+  int lowest = queue_lowest (adm);
+
+  return lowest == WTQ_NONE ? ADM_IMPORTANCE_NONE : (uint32_t)lowest;
+}
+
 uint32_t
 adm_running (const struct adm *adm)
 {
--- a/controllers/adm.h
+++ b/controllers/adm.h
@@ -145,6 +145,9 @@
    in the past, and there may be nothing to report then.  */
 clk_us adm_wakeup (const struct adm *adm);
 
+/* Least importance that waits; more than MDL_IMPORTANCE_MAX when none does. */
+uint32_t adm_least_waiting (const struct adm *adm);
+
 uint32_t adm_running (const struct adm *adm);
 uint32_t adm_waiting (const struct adm *adm);
 uint32_t adm_limit (const struct adm *adm);
