--- a/controllers/view.c
+++ b/controllers/view.c
@@ -22,11 +22,13 @@
 {
   struct hsh_node by_instance;
   struct lst_node node;
-  uint32_t listed; /* bits of the replicas that list it, or did so before
-                      they restarted and are not yet settled again */
-  uint32_t recent; /* bits of the replicas whose present table lists it */
-  uint32_t ended;  /* bits of the replicas whose present table had it and
-                      whose last word is that it is gone or has moved */
+  uint32_t listed;     /* bits of the replicas that list it, or did so before
+                          they restarted and are not yet settled again */
+  uint32_t recent;     /* bits of the replicas whose present table lists it */
+  uint32_t ended;      /* bits of the replicas whose present table had it and
+                          whose last word is that it is gone or has moved */
+  clk_us hidden_until; /* 0: shown; the newest record is of a service that
+                          is not wanted */
   struct mem_record record;
 };
 
@@ -195,6 +197,7 @@
     {
       struct viw_member *member = lst_entry (node, struct viw_member, node);
 
+      member->hidden_until = 0;
       if (!viw_wanted (view, &member->record))
         viw_drop (view, member);
     }
@@ -251,13 +254,25 @@
   return member;
 }
 
+/* Takes RECORD, which is newer than the one held.  A record of a service that
+   is not wanted says that the instance has left a wanted one.  It is hidden,
+   and kept for two leases, so that an older record from a replica that is
+   behind does not come back.  */
+static void
+viw_replace (struct viw *view, struct viw_member *member,
+             const struct mem_record *record, clk_us now)
+{
+  member->record = *record;
+  member->hidden_until = 0;
+  if (!viw_wanted (view, record))
+    member->hidden_until = now + 2 * view->opts.replica_silent;
+}
+
 /* Takes one record of a reply; *CHANGED is set when the set of members does.
-   A record of a service that is not wanted says that the instance has left a
-   wanted one.  It is kept, but not shown, as long as other replicas list the
-   instance, so that an older record does not come back.  */
+ */
 static int
 viw_take_record (struct viw *view, const struct viw_replica *replica,
-                 const struct mem_record *record, bool *changed)
+                 const struct mem_record *record, bool *changed, clk_us now)
 {
   struct viw_member *member = viw_find_member (view, record->instance);
   bool live = record->state != MEM_GONE;
@@ -276,7 +291,7 @@
   order = mem_compare (record, &member->record);
   if (order > 0 && live)
     {
-      member->record = *record;
+      viw_replace (view, member, record, now);
       *changed = true;
     }
   if (shown)
@@ -323,7 +338,7 @@
       struct viw_member *member = lst_entry (node, struct viw_member, node);
 
       member->listed &= member->recent | ~settled;
-      if ((member->listed & speaking) != 0
+      if ((member->listed & speaking) != 0 || now < member->hidden_until
           || ((settled | member->ended) & speaking) == 0)
         continue;
       viw_drop (view, member);
@@ -332,11 +347,15 @@
   return dropped;
 }
 
-/* Prepares for the whole table of REPLICA, of a new epoch if RESTARTED.  */
+/* Prepares for the whole table of REPLICA.  After a restart of the replica its
+   earlier word still counts until it is settled, unless it was silent for so
+   long that it had no say any more.  */
 static void
 viw_begin_whole (struct viw *view, const struct viw_replica *replica,
-                 bool restarted)
+                 bool restarted, clk_us now)
 {
+  bool silent = now - replica->answered > view->opts.replica_silent;
+
   lst_each (node, &view->members)
     {
       struct viw_member *member = lst_entry (node, struct viw_member, node);
@@ -344,20 +363,23 @@
       member->recent &= ~replica->bit;
       if (restarted)
         member->ended &= ~replica->bit;
+      if (restarted && silent)
+        member->listed &= ~replica->bit;
     }
 }
 
 /* Takes the items of a reply that continues what is known.  */
 static int
-viw_take_items (struct viw *view, struct viw_replica *replica,
-                const struct mem_members *reply, bool *changed)
+viw_take_items (struct viw *view, const struct viw_replica *replica,
+                const struct mem_members *reply, bool *changed, clk_us now)
 {
   if (reply->whole)
-    viw_begin_whole (view, replica, reply->position.epoch != replica->epoch);
+    viw_begin_whole (view, replica, reply->position.epoch != replica->epoch,
+                     now);
   lst_each (node, &reply->items)
     {
       const struct mem_item *item = lst_entry (node, struct mem_item, node);
-      int error = viw_take_record (view, replica, &item->record, changed);
+      int error = viw_take_record (view, replica, &item->record, changed, now);
 
       if (error != SR_OK)
         return error;
@@ -380,7 +402,7 @@
     return SR_ENOMEM;
   if (!viw_continues (replica, reply))
     return 0;
-  error = viw_take_items (view, replica, reply, &changed);
+  error = viw_take_items (view, replica, reply, &changed, now);
   if (error != SR_OK)
     return error;
   if (reply->position.epoch != replica->epoch)
@@ -403,10 +425,11 @@
 
   lst_each (node, &view->members)
     {
-      const struct mem_record *record
-          = &lst_entry (node, struct viw_member, node)->record;
+      const struct viw_member *member
+          = lst_entry (node, struct viw_member, node);
+      const struct mem_record *record = &member->record;
 
-      if (!viw_wanted (view, record)
+      if (member->hidden_until != 0
           || (service != NULL && strcmp (record->service, service) != 0))
         continue;
       if (mem_add_item (out, record) == SR_OK)
