--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -130,7 +130,7 @@
 mesh_node () {
   local name=$1 domain=$2
   shift 2
-  mkdir -p "$MESH_DIR/$name.data"
+  mkdir -p "$MESH_DIR/$name.data" 2>/dev/null
   mesh_start "$name" "$MESH_BIN/sycamorerudder-node" \
     --listen "${MESH_LISTEN[$name]}" --admin "${MESH_ADMIN[$name]}" \
     --peer "${MESH_PEER[$name]}" --failure-domain "$domain" \
