GET /v1/behind names the members; claims.keys_max travels with the claim

Cause: the page and rudderctl expect {"behind", "members"}; a replica that has just started knew no members and reported that none was behind; replicas used a bound of 1,000,000 keys whatever the document says. Change: mbr_behind() lists the records; the answer is 503 for a lease after a start; a claim command carries the proposer's keys_max, as it does keep_hours, so that all replicas apply the same bound. tasks/front_claim.c has to set it. Measured: test_clm, test_mbr and mesh_changes.sh pass.

--- a/controllers/clm.c
+++ b/controllers/clm.c
@@ -217,6 +217,16 @@
   store->bytes += (uint64_t)entry->reserved + entry->answer_len;
 }
 
+/* Most keys while COMMAND is applied.  */
+static uint32_t
+clm_keys_max (const struct clm *clm, const struct clm_command *command)
+{
+  uint32_t most = clm->opts.keys_max;
+
+  return command->keys_max > 0 && command->keys_max < most ? command->keys_max
+                                                           : most;
+}
+
 /* Claims a key that is not in the store.  */
 static int
 clm_claim_new (struct clm *clm, const struct clm_command *command,
@@ -228,7 +238,7 @@
   uint64_t needed = command->answer_reserve > 0 ? command->answer_reserve : 1;
   uint64_t keep_ms = (uint64_t)command->keep_hours * CLM_MS_PER_HOUR;
 
-  if (store->keys.items >= clm->opts.keys_max
+  if (store->keys.items >= clm_keys_max (clm, command)
       || store->bytes + needed > clm->opts.bytes_max)
     {
       result->kind = CLM_FULL;
--- a/controllers/clm.h
+++ b/controllers/clm.h
@@ -54,6 +54,9 @@
   uint64_t body_hash;                 /* CLM_CLAIM */
   uint32_t run_ms;                    /* CLM_CLAIM: time to the deadline */
   uint32_t keep_hours;                /* CLM_CLAIM: 0 takes the option */
+  uint32_t keys_max;                  /* CLM_CLAIM: the configuration's bound,
+                                         in the command so that all replicas
+                                         apply the same; 0 for the option's */
   uint32_t answer_reserve;            /* CLM_CLAIM: an answer up to this many
                                          bytes is recorded for certain */
   bool without_answer;                /* CLM_OUTCOME: done, answer too large */
--- a/controllers/clm_code.c
+++ b/controllers/clm_code.c
@@ -31,6 +31,7 @@
       byt_put_u64 (&writer, command->body_hash);
       byt_put_u32 (&writer, command->run_ms);
       byt_put_u32 (&writer, command->keep_hours);
+      byt_put_u32 (&writer, command->keys_max);
       byt_put_u32 (&writer, command->answer_reserve);
       break;
     case CLM_RELEASE:
@@ -49,6 +50,7 @@
   command->body_hash = byt_get_u64 (reader);
   command->run_ms = byt_get_u32 (reader);
   command->keep_hours = byt_get_u32 (reader);
+  command->keys_max = byt_get_u32 (reader);
   command->answer_reserve = byt_get_u32 (reader);
   if (command->run_ms > CLM_RUN_MS_MAX
       || command->keep_hours > CLM_KEEP_HOURS_MAX
--- a/controllers/mbr.c
+++ b/controllers/mbr.c
@@ -362,12 +362,20 @@
 }
 
 uint32_t
-mbr_behind (const struct mbr *mbr, uint64_t number)
+mbr_behind (const struct mbr *mbr, uint64_t number, struct lst *out)
 {
   uint32_t count = 0;
 
   lst_each (node, &mbr->live)
-    if (lst_entry (node, struct mbr_member, by_time)->config_number < number)
+    {
+      const struct mbr_member *member
+          = lst_entry (node, struct mbr_member, by_time);
+
+      if (member->config_number >= number)
+        continue;
+      /* Without memory for the copy it still counts.  */
+      (void)mem_add_item (out, &member->record);
       count++;
+    }
   return count;
 }
--- a/controllers/mbr.h
+++ b/controllers/mbr.h
@@ -53,8 +53,8 @@
    returns their number.  */
 uint32_t mbr_list (const struct mbr *mbr, struct lst *out);
 
-/* How many live members reported a configuration version below NUMBER; used
-   by "apply --wait".  */
-uint32_t mbr_behind (const struct mbr *mbr, uint64_t number);
+/* Appends copies of the live records that reported a configuration version
+   below NUMBER to OUT and returns their number; used by "apply --wait".  */
+uint32_t mbr_behind (const struct mbr *mbr, uint64_t number, struct lst *out);
 
 #endif
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -162,11 +162,14 @@
   mem_free_items (&items);
 }
 
-/* How many members have not put a version in force.  */
+/* Which members have not put a version in force.  A replica knows all of them
+   only a lease after its start.  */
 static void
-ctl_admin_behind (struct control *control, const struct msg_admin *admin)
+ctl_admin_behind (struct control *control, const struct msg_admin *admin,
+                  clk_us now)
 {
-  char text[64];
+  struct lst items;
+  uint32_t behind;
 
   if (control->members == NULL)
     {
@@ -175,9 +178,19 @@
                        0);
       return;
     }
-  snprintf (text, sizeof text, "{\"behind\": %u}\n",
-            mbr_behind (control->members, admin->base));
-  ctl_admin_reply (control, admin->request, 200, strdup (text), 0);
+  if (now - control->unconfirmed_since < CTL_LEASE_US)
+    {
+      ctl_admin_reply (
+          control, admin->request, 503,
+          sts_encode_error ("not all members are known yet after the start"),
+          0);
+      return;
+    }
+  lst_init (&items);
+  behind = mbr_behind (control->members, admin->base, &items);
+  ctl_admin_reply (control, admin->request, 200,
+                   sts_encode_behind (behind, &items), 0);
+  mem_free_items (&items);
 }
 
 static void
@@ -253,7 +266,7 @@
       ctl_admin_members (control, admin);
       break;
     case MSG_ADMIN_BEHIND:
-      ctl_admin_behind (control, admin);
+      ctl_admin_behind (control, admin, now);
       break;
     }
 }
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -60,8 +60,10 @@
   opts->lease = rep.lease;
   opts->replace_after = rep.replace_after;
   opts->config.results_kept = 4096;
-  opts->claims.keep_ms = 24ull * 3600 * 1000;
-  opts->claims.keys_max = 1000000;
+  /* Claims carry the times and the bound of the configuration; these hold for
+     those that do not.  The bound is the largest that a document may set.  */
+  opts->claims.keep_ms = 72ull * 3600 * 1000;
+  opts->claims.keys_max = 10000000;
   opts->claims.bytes_max = 64ull * 1024 * 1024;
 }
 
--- a/tasks/replica.h
+++ b/tasks/replica.h
@@ -79,7 +79,7 @@
 };
 
 /* Default timings and bounds: those of rep_opts_default(), 4096 change ids,
-   keys kept for 24 h.  */
+   keys kept for 72 h.  */
 void rpl_opts_default (struct rpl_opts *opts);
 
 /* Returns NULL when more addresses are listed than a group may have.  */
--- a/tests/mesh_changes.sh
+++ b/tests/mesh_changes.sh
@@ -3,7 +3,8 @@
 # Guards against two changes accepted on one base version, a resent change
 # that applies twice or gets another result (from another node, after the
 # leader is killed, after all nodes are killed), a version that goes back at a
-# node, and "--wait" that returns too early.
+# node, and "--wait" that returns too early or does not name
+# the node that is behind.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 . scripts/mesh.sh
@@ -95,8 +96,21 @@
 state_ms
 waited=$((REPLY - began))
 state_all_have 10 a b c d || state_fail "--wait returned before all nodes had it"
+# A node that does not get the change is named.
+mesh_signal d STOP
+state_document 90 "$MESH_DIR/named.json"
+"$MESH_BIN/rudderctl" --admin "${MESH_ADMIN[a]}" --timeout-ms 1500 apply \
+  "$MESH_DIR/named.json" --base 10 --change-id named --wait --quiet \
+  >"$MESH_DIR/named" 2>&1
+status=$?
+mesh_signal d CONT
+if [ "$status" -ne 1 ] || ! grep -q '"d"' "$MESH_DIR/named"; then
+  state_fail "--wait with a stopped node: status $status" \
+    "$(cat "$MESH_DIR/named")"
+fi
+state_must_in 5 "stopped node is behind" state_all_have 11 d
 worst=0
-for base in 10 11 12 13; do
+for base in 11 12 13 14; do
   state_document $((100 + base)) "$MESH_DIR/time.json"
   state_change c "$MESH_DIR/time.json" "$base" "time-$base" \
     || state_fail "change on $base"
--- a/tests/mesh_torn_files.sh
+++ b/tests/mesh_torn_files.sh
@@ -118,4 +118,7 @@
   state_fail "full disk: the node runs on" "$(cat "$MESH_DIR/a.log")"
 fi
 state_must_in 10 "the others do not go on" state_all_have 11 b c
+state_start a
+state_must_in 10 "replica does not come back on a disk with space" \
+  state_has a 11
 state_finish
--- a/tests/test_clm.c
+++ b/tests/test_clm.c
@@ -95,6 +95,39 @@
   clm_free (clm);
 }
 
+/* Guards against a bound of the configuration without effect, and against one
+   that forgets keys when it is lowered.  */
+static void
+test_keys_max (void)
+{
+  struct clm *clm = new_clm (5, 1000);
+  struct clm_command c;
+
+  for (uint32_t key = 1; key <= 3; key++)
+    {
+      c = command (CLM_CLAIM, key, 1);
+      c.keys_max = 3;
+      CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_GRANTED);
+    }
+  c = command (CLM_CLAIM, 4, 1);
+  c.keys_max = 3;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_FULL);
+  c.keys_max = 2;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_FULL);
+  c = command (CLM_CLAIM, 3, 2);
+  c.keys_max = 2;
+  CU_ASSERT_EQUAL (apply (clm, 0, &c).kind, CLM_IN_PROGRESS);
+  CU_ASSERT_EQUAL (clm_keys (clm), 3);
+  for (uint32_t key = 4; key <= 6; key++)
+    {
+      c = command (CLM_CLAIM, key, 1);
+      c.keys_max = 100;
+      CU_ASSERT_EQUAL (apply (clm, 0, &c).kind,
+                       key < 6 ? CLM_GRANTED : CLM_FULL);
+    }
+  clm_free (clm);
+}
+
 /* Guards against truncated input being taken or changing the state.  */
 static void
 test_truncated (void)
@@ -409,6 +442,7 @@
 {
   static const struct suite_test tests[]
       = { { "full", test_full },
+          { "keys_max of a claim", test_keys_max },
           { "truncated", test_truncated },
           { "random against a model", test_random },
           { NULL, NULL } };
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -173,8 +173,25 @@
   mbr_free (mbr);
 }
 
+/* Checks how many members are behind NUMBER, and the first of them.  */
+static void
+check_behind (const struct mbr *mbr, uint64_t number, uint32_t count,
+              const char *first)
+{
+  struct lst items;
+
+  lst_init (&items);
+  CU_ASSERT_EQUAL (mbr_behind (mbr, number, &items), count);
+  CU_ASSERT_EQUAL (lst_empty (&items), first == NULL);
+  if (first != NULL)
+    CU_ASSERT_STRING_EQUAL (
+        lst_entry (lst_first (&items), struct mem_item, node)->record.instance,
+        first);
+  mem_free_items (&items);
+}
+
 /* Guards against "apply --wait" that returns before all live members have the
-   version.  */
+   version, or names others than those that are behind.  */
 static void
 test_behind (void)
 {
@@ -184,10 +201,10 @@
   renew_at (mbr, renewal (2, "stock", 1), 0, 0);
   renew.config.number = 5;
   renew_at (mbr, renew, 0, 1);
-  CU_ASSERT_EQUAL (mbr_behind (mbr, 5), 1);
-  CU_ASSERT_EQUAL (mbr_behind (mbr, 6), 2);
+  check_behind (mbr, 5, 1, "node2");
+  check_behind (mbr, 6, 2, "node2");
   mbr_expire (mbr, LEASE);
-  CU_ASSERT_EQUAL (mbr_behind (mbr, 5), 0);
+  check_behind (mbr, 5, 0, NULL);
   mbr_free (mbr);
 }
 
--- a/wire/status.c
+++ b/wire/status.c
@@ -106,6 +106,19 @@
   return sts_dump (json_pack ("{s:o}", "members", members));
 }
 
+char *
+sts_encode_behind (uint32_t behind, const struct lst *items)
+{
+  json_t *names = json_array ();
+
+  lst_each (node, items)
+    json_array_append_new (
+        names, json_string (
+                   lst_entry (node, struct mem_item, node)->record.instance));
+  return sts_dump (
+      json_pack ("{s:I,s:o}", "behind", (json_int_t)behind, "members", names));
+}
+
 char *
 sts_encode_front (const struct sts_front *front)
 {
--- a/wire/status.h
+++ b/wire/status.h
@@ -66,6 +66,8 @@
 
 char *sts_encode_status (const struct sts_status *status);
 char *sts_encode_members (const struct lst *items);
+/* How many nodes are behind a version, and their names from ITEMS.  */
+char *sts_encode_behind (uint32_t behind, const struct lst *items);
 char *sts_encode_front (const struct sts_front *front);
 
 /* Result of a change: "accepted", "conflict" or "unavailable".  */
