--- a/scripts/mesh_state.sh
+++ b/scripts/mesh_state.sh
@@ -2,6 +2,7 @@
 
 STATE_FAILURES=0
 STATE_DOCUMENT=
+STATE_FLAGS=() # of all nodes
 
 state_fail () {
   STATE_FAILURES=$((STATE_FAILURES + 1))
@@ -97,7 +98,7 @@
 state_start () {
   local name
   for name in "$@"; do
-    mesh_node "$name" "domain-$name" --control
+    mesh_node "$name" "domain-$name" --control "${STATE_FLAGS[@]}"
   done
 }
 
@@ -105,7 +106,7 @@
 state_start_plain () {
   local name
   for name in "$@"; do
-    mesh_node "$name" "domain-$name"
+    mesh_node "$name" "domain-$name" "${STATE_FLAGS[@]}"
   done
 }
 
