--- a/programs/relay_pump.c
+++ b/programs/relay_pump.c
@@ -1,6 +1,7 @@
 #include "programs/relay_pump.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
@@ -58,6 +59,15 @@
   free (connection);
 }
 
+/* Small parts must not wait for the acknowledgement of the part before.  */
+static void
+rly_send_at_once (int fd)
+{
+  int on = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 /* Takes a client; without a target the client is closed, as a target that
    refuses would do.  */
 static void
@@ -79,6 +89,8 @@
         close (server);
       return;
     }
+  rly_send_at_once (client);
+  rly_send_at_once (server);
   connection = calloc (1, sizeof *connection);
   INVARIANT (connection != NULL);
   connection->ends[0] = client;
