--- a/scripts/soak-events.sh
+++ b/scripts/soak-events.sh
@@ -157,7 +157,7 @@
 # Sends all changes again; each must get its first result.
 resend_changes () {
   local line base id
-  wait_applies
+  wait_others
   cut -d' ' -f1,2 "$MESH_DIR/changes" | sort -u >"$MESH_DIR/sent"
   while read -r base id; do
     draw $controls
@@ -165,8 +165,9 @@
   done <"$MESH_DIR/sent"
 }
 
-# Waits for the operators that are still running.
-wait_applies () {
+# Waits for operators and single requests that are still running; a crashing
+# request that is resent later would be one more fault.
+wait_others () {
   local pid
   for pid in $(jobs -pr); do
     case " ${MESH_PID[*]} " in
