front: large uploads, long header fields, WebSocket upgrades, file limit

A body longer than what is kept stalled when its window was used up, because nobody sent credits after the server had taken a part; a passed field that was too long was left out without a word.

--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "core/err.h"
 #include "core/slog.h"
@@ -15,6 +16,8 @@
 /* Exit statuses.  */
 #define NODE_EXIT_FAILED 1
 #define NODE_EXIT_USAGE 2
+/* Open files: callers, connections to the backend server, peers.  */
+#define NODE_FILES 8192
 
 struct node
 {
@@ -48,6 +51,20 @@
   sigaction (SIGPIPE, &ignore, NULL);
 }
 
+/* Every connection needs a descriptor; the usual soft limit is lower than the
+   connections that a backend server declares.  */
+static void
+node_raise_limits (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max < NODE_FILES ? limit.rlim_max : NODE_FILES;
+  if (setrlimit (RLIMIT_NOFILE, &limit) != 0)
+    slog (SLOG_WARNING, "cannot raise the limit of open files");
+}
+
 /* Opens sockets and files; a fault is logged by who finds it.  */
 static int
 node_open (struct node *node)
@@ -158,6 +175,7 @@
       return NODE_EXIT_USAGE;
     }
   node_catch_signals ();
+  node_raise_limits ();
   if (node_open (&node) == SR_OK && node_open_store (&node) == SR_OK)
     {
       node_front = node.front;
--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -585,9 +585,11 @@
 
   /* A connection that ends before its first request has no user data.  */
   if (slot == NULL)
-    return 0;
+    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
   switch (reason)
     {
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+      return -1; /* no WebSocket upgrades */
     case LWS_CALLBACK_HTTP:
       if (*slot != NULL)
         adn_free (*slot);
--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -416,7 +416,10 @@
     return -1;
   /* A body that is kept whole can be sent again on another connection.  */
   if (serve->body_len > FRONT_BODY_KEEP_BYTES)
-    buf_drop (&serve->body, conn->body_sent);
+    {
+      buf_drop (&serve->body, conn->body_sent);
+      srv_credit_body (serve);
+    }
   if (last)
     lws_client_http_body_pending (wsi, 0);
   else
@@ -440,7 +443,11 @@
   conn->chunked
       = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
   lst_init (&fields);
-  fhttp_answer_fields (wsi, serve->front->state.model, &fields);
+  if (fhttp_answer_fields (wsi, serve->front->state.model, &fields) != SR_OK)
+    slog (SLOG_WARNING,
+          "a field of an answer is too long and left out "
+          "service=%s path=%s",
+          serve->req.service_name, serve->path);
   srv_head (serve, status, &fields, conn->body_len);
   msg_fields_free (&fields);
   return 0;
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -617,21 +617,25 @@
 call_request (struct front *front, struct lws *wsi, struct call **slot)
 {
   struct call *call = call_new (front, wsi);
+  int error;
 
   *slot = call;
   lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
-  fhttp_request_fields (wsi, front->state.model, &call->fields);
+  error = fhttp_request_fields (wsi, front->state.model, &call->fields);
   call_service_name (wsi, call->req.service_name,
                      sizeof call->req.service_name);
   call_read_hop (call);
   call_read_trace (call);
   call_read_caller (call, wsi);
   call_read_key (call);
-  if (fhttp_method (wsi, call->method, sizeof call->method, call->path,
-                    sizeof call->path)
-      != SR_OK)
+  if (error == SR_OK)
+    error = fhttp_method (wsi, call->method, sizeof call->method, call->path,
+                          sizeof call->path);
+  if (error != SR_OK)
     {
-      call_refuse (call, RSN_MALFORMED, RSN_NOT_RUN);
+      call_refuse (call,
+                   error == SR_EFULL ? RSN_HEADERS_TOO_LARGE : RSN_MALFORMED,
+                   RSN_NOT_RUN);
       return 0;
     }
   if (lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0)
@@ -667,9 +671,11 @@
 
   /* A connection that ends before its first request has no user data.  */
   if (slot == NULL)
-    return 0;
+    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
   switch (reason)
     {
+    case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
+      return -1; /* no WebSocket upgrades */
     case LWS_CALLBACK_HTTP:
       if (*slot != NULL)
         call_free (*slot);
--- a/tasks/front_http.c
+++ b/tasks/front_http.c
@@ -60,17 +60,6 @@
     out[0] = '\0';
 }
 
-void
-fhttp_copy_custom (struct lws *wsi, const char *name, char *out, size_t size)
-{
-  char colon[MDL_NAME_BYTES + 1];
-  int len = snprintf (colon, sizeof colon, "%s:", name);
-
-  out[0] = '\0';
-  if (lws_hdr_custom_copy (wsi, out, (int)size, colon, len) < 0)
-    out[0] = '\0';
-}
-
 /* Appends TEXT in percent encoding; libwebsockets has decoded it.  KEEP lists
    characters besides letters and digits that stay as they are.  */
 static size_t
@@ -152,7 +141,7 @@
 }
 
 /* Appends the field with TOKEN when the message has it.  */
-static void
+static int
 fhttp_take_token (struct lws *wsi, enum lws_token_indexes token,
                   struct lst *out)
 {
@@ -161,61 +150,76 @@
   size_t len;
 
   if (lws_hdr_total_length (wsi, token) <= 0)
-    return;
-  fhttp_copy_token (wsi, token, value, sizeof value);
+    return SR_OK;
+  if (lws_hdr_copy (wsi, value, sizeof value, token) < 0)
+    return SR_EFULL;
   snprintf (name, sizeof name, "%s",
             (const char *)lws_token_to_string (token));
   len = strlen (name);
   if (len > 0 && name[len - 1] == ':')
     name[len - 1] = '\0';
-  msg_field_add (out, name, value);
+  return msg_field_add (out, name, value);
 }
 
-static void
+static int
 fhttp_take_custom (struct lws *wsi, const char *name, struct lst *out)
 {
   char value[FRONT_HEADER_BYTES / 2];
+  char colon[MDL_NAME_BYTES + 1];
+  int len = snprintf (colon, sizeof colon, "%s:", name);
 
-  fhttp_copy_custom (wsi, name, value, sizeof value);
-  if (value[0] != '\0' && msg_field_get (out, name) == NULL)
-    msg_field_add (out, name, value);
+  if (lws_hdr_custom_length (wsi, colon, len) <= 0
+      || msg_field_get (out, name) != NULL)
+    return SR_OK;
+  if (lws_hdr_custom_copy (wsi, value, sizeof value, colon, len) < 0)
+    return SR_EFULL;
+  return msg_field_add (out, name, value);
 }
 
 /* Fields that the configuration declares.  */
-static void
+static int
 fhttp_take_declared (struct lws *wsi, const struct mdl *model, struct lst *out)
 {
+  int error = SR_OK;
+
   if (model == NULL)
-    return;
+    return SR_OK;
   if (model->caller_header[0] != '\0')
-    fhttp_take_custom (wsi, model->caller_header, out);
-  for (uint32_t i = 0; i < model->pass_header_count; i++)
-    fhttp_take_custom (wsi, model->pass_headers[i], out);
+    error = fhttp_take_custom (wsi, model->caller_header, out);
+  for (uint32_t i = 0; i < model->pass_header_count && error == SR_OK; i++)
+    error = fhttp_take_custom (wsi, model->pass_headers[i], out);
+  return error;
 }
 
-void
+int
 fhttp_request_fields (struct lws *wsi, const struct mdl *model,
                       struct lst *out)
 {
   size_t count = sizeof fhttp_request_tokens / sizeof fhttp_request_tokens[0];
   size_t customs
       = sizeof fhttp_custom_request / sizeof fhttp_custom_request[0];
-
-  for (size_t i = 0; i < count; i++)
-    fhttp_take_token (wsi, fhttp_request_tokens[i], out);
-  for (size_t i = 0; i < customs; i++)
-    fhttp_take_custom (wsi, fhttp_custom_request[i], out);
-  fhttp_take_declared (wsi, model, out);
+  int error = SR_OK;
+
+  for (size_t i = 0; i < count && error == SR_OK; i++)
+    error = fhttp_take_token (wsi, fhttp_request_tokens[i], out);
+  for (size_t i = 0; i < customs && error == SR_OK; i++)
+    error = fhttp_take_custom (wsi, fhttp_custom_request[i], out);
+  if (error == SR_OK)
+    error = fhttp_take_declared (wsi, model, out);
+  return error;
 }
 
-void
+int
 fhttp_answer_fields (struct lws *wsi, const struct mdl *model, struct lst *out)
 {
   size_t count = sizeof fhttp_answer_tokens / sizeof fhttp_answer_tokens[0];
+  int error = SR_OK;
 
-  for (size_t i = 0; i < count; i++)
-    fhttp_take_token (wsi, fhttp_answer_tokens[i], out);
-  fhttp_take_declared (wsi, model, out);
+  for (size_t i = 0; i < count && error == SR_OK; i++)
+    error = fhttp_take_token (wsi, fhttp_answer_tokens[i], out);
+  if (error == SR_OK)
+    error = fhttp_take_declared (wsi, model, out);
+  return error;
 }
 
 int
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -139,8 +139,7 @@
   /* The server may have gone while the request waited.  */
   if (!front->state.backend_up || front->state.draining)
     {
-      srv_refuse (serve,
-                  front->state.draining ? RSN_DRAINING : RSN_NO_BACKEND,
+      srv_refuse (serve, front->state.draining ? RSN_DRAINING : RSN_NO_BACKEND,
                   RSN_NOT_RUN);
       return;
     }
@@ -298,7 +297,7 @@
 }
 
 /* Credits what has been passed on, so that the next part can come.  */
-static void
+void
 srv_credit_body (struct serve *serve)
 {
   uint64_t done = serve->started ? serve->body.base : buf_end (&serve->body);
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -269,15 +269,14 @@
 /* front_http.c */
 void fhttp_copy_token (struct lws *wsi, enum lws_token_indexes token,
                        char *out, size_t size);
-void fhttp_copy_custom (struct lws *wsi, const char *name, char *out,
-                        size_t size);
 int fhttp_method (struct lws *wsi, char *method, size_t size, char *uri,
                   size_t uri_size);
 int64_t fhttp_content_length (struct lws *wsi);
-void fhttp_request_fields (struct lws *wsi, const struct mdl *model,
-                           struct lst *out);
-void fhttp_answer_fields (struct lws *wsi, const struct mdl *model,
+/* Append the fields that are passed on; SR_EFULL when one is too long.  */
+int fhttp_request_fields (struct lws *wsi, const struct mdl *model,
                           struct lst *out);
+int fhttp_answer_fields (struct lws *wsi, const struct mdl *model,
+                         struct lst *out);
 int fhttp_add_field (struct lws *wsi, const char *name, const char *value,
                      unsigned char **p, unsigned char *end);
 bool fhttp_is_local (struct lws *wsi);
@@ -314,6 +313,7 @@
 void srv_refuse (struct serve *serve, enum rsn_refusal reason,
                  enum rsn_run run);
 void srv_advance (struct serve *serve);
+void srv_credit_body (struct serve *serve);
 void srv_handle (struct serve *serve, const struct flt_result *result);
 void srv_timer (lws_sorted_usec_list_t *timer);
 void srv_free (struct serve *serve);
