controllers/lim: probes follow when the baselines were raised

Cause: after a sudden loss of capacity the limit was taken for harmless and stayed at more than twice the capacity for 10 s (trial). Change: raised baselines are checked by three probes a second apart, and a probe that finds clearly lower ones counts in full.

--- a/controllers/lim.c
+++ b/controllers/lim.c
@@ -28,6 +28,7 @@
    contains a stall.  */
 #define LIM_STALL_RATIO 4.0
 #define LIM_PROBE_SHARE 0.7
+/* Weight of a probe, unless it shows clearly lower baselines.  */
 #define LIM_PROBE_GAIN 0.5
 #define LIM_PROBE_FIRST clk_s (1)
 /* One probe has an error of some 6 %; the first few follow soon.  */
@@ -157,7 +158,8 @@
 static void
 probe_end (struct lim *lim, double ratio, clk_us now)
 {
-  double factor = 1 + (ratio - 1) * LIM_PROBE_GAIN;
+  double gain = ratio < LIM_LOWER ? 1 : LIM_PROBE_GAIN;
+  double factor = 1 + (ratio - 1) * gain;
   bool lower = factor < LIM_PROBE_LOWER;
 
   baselines_scale (lim, factor);
@@ -190,11 +192,14 @@
                      * (target > lim->limit ? LIM_GAIN_UP : LIM_GAIN_DOWN));
 }
 
-/* The limit fell for another reason than contention.  */
+/* The limit fell, but not because of contention as it seems.  Probes follow
+   soon, because a sudden loss of capacity looks the same at first.  */
 static void
-fall_undo (struct lim *lim, double ratio)
+fall_undo (struct lim *lim, double ratio, clk_us now)
 {
   baselines_scale (lim, ratio);
+  lim->probes = 0;
+  lim->probe_at = now + LIM_PROBE_FIRST;
   lim->phase = LIM_STEADY;
   lim->limit = lim->from_limit;
 }
@@ -215,7 +220,7 @@
     case LIM_FALL:
       if (useful < lim->from_useful * LIM_USEFUL && ratio > LIM_HEADROOM)
         {
-          fall_undo (lim, ratio);
+          fall_undo (lim, ratio, now);
           return;
         }
       break;
