--- a/controllers/mbr.c
+++ b/controllers/mbr.c
@@ -22,6 +22,7 @@
   char service_before[MDL_NAME_BYTES];
   uint64_t service_since;
   uint64_t before_since;
+  clk_us moved; /* time of service_since, 0 for a first service */
 };
 
 struct mbr
@@ -190,7 +191,7 @@
 /* Puts RECORD in place of the one held.  */
 static void
 mbr_replace (struct mbr *mbr, struct mbr_member *member,
-             const struct mem_record *record)
+             const struct mem_record *record, clk_us now)
 {
   const struct mem_record *held = &member->record;
   bool unlisted = held->control && !record->control;
@@ -204,6 +205,7 @@
          must hear that it is none any more.  */
       member->before_since = unlisted ? member->change : member->service_since;
       member->service_since = member->change;
+      member->moved = now;
     }
   member->record = *record;
 }
@@ -237,7 +239,7 @@
       if (order < 0 || (order == 0 && member->left))
         return SR_OK;
       if (order > 0 || !mbr_is_live (member))
-        mbr_replace (mbr, member, record);
+        mbr_replace (mbr, member, record, now);
     }
   member->left = false;
   member->since = now;
@@ -264,14 +266,12 @@
          || mbr_service_wanted (renew, member->record.service);
 }
 
-/* Whether the sender, which knows all changes up to POSITION, may hold MEMBER
+/* Whether the sender, which knows all changes up to CHANGE, may hold MEMBER
    under an earlier service that it wants.  */
 static bool
 mbr_wanted_before (const struct mem_renew *renew,
-                   const struct mbr_member *member)
+                   const struct mbr_member *member, uint64_t change)
 {
-  uint64_t change = renew->position.change;
-
   if (change >= member->service_since)
     return false;
   if (change >= member->before_since)
@@ -293,7 +293,8 @@
 
       if (member->change <= renew->position.change)
         break;
-      if (!mbr_wanted (renew, member) && !mbr_wanted_before (renew, member))
+      if (!mbr_wanted (renew, member)
+          && !mbr_wanted_before (renew, member, renew->position.change))
         continue;
       if (mem_add_item (out, &member->record) != SR_OK)
         return SR_ENOMEM;
@@ -301,17 +302,22 @@
   return SR_OK;
 }
 
+/* Appends all live members that the sender wants, and those that have moved
+   lately: it may learn their old record from a replica that is behind.  */
 static int
 mbr_list_whole (const struct mbr *mbr, const struct mem_renew *renew,
-                struct lst *out)
+                struct lst *out, clk_us now)
 {
   lst_each (node, &mbr->live)
     {
       const struct mbr_member *member
           = lst_entry (node, struct mbr_member, by_time);
+      bool lately = now - member->moved < 2 * mbr->opts.lease;
 
-      if (mbr_wanted (renew, member)
-          && mem_add_item (out, &member->record) != SR_OK)
+      if (!mbr_wanted (renew, member)
+          && !(lately && mbr_wanted_before (renew, member, 0)))
+        continue;
+      if (mem_add_item (out, &member->record) != SR_OK)
         return SR_ENOMEM;
     }
   return SR_OK;
@@ -341,7 +347,7 @@
                  || position->change < mbr->lost_change
                  || position->change > mbr->change;
   if (reply->whole)
-    return mbr_list_whole (mbr, renew, &reply->items);
+    return mbr_list_whole (mbr, renew, &reply->items, now);
   return mbr_list_changes (mbr, renew, &reply->items);
 }
 
--- a/controllers/mbr.h
+++ b/controllers/mbr.h
@@ -34,7 +34,8 @@
  *
  * A record that is older than the one held changes nothing, but its sender
  * still gets the changes.  Changes cover the wanted services, all records of
- * control replicas, and members that have left a wanted service.
+ * control replicas, and members that have left a wanted service; the whole
+ * table covers those that left within the last two leases.
  *
  * Return: SR_OK, SR_EEXIST with MEM_NAME_TAKEN in @reply, SR_EFULL, SR_ENOMEM.
  */
--- a/controllers/view.c
+++ b/controllers/view.c
@@ -256,10 +256,9 @@
   return member;
 }
 
-/* Takes RECORD, which is newer than the one held.  A record of a service that
-   is not wanted says that the instance has left a wanted one.  It is hidden,
-   and kept for two leases, so that an older record from a replica that is
-   behind does not come back.  */
+/* Puts RECORD into MEMBER.  A record of a service that is not wanted says that
+   the instance has left a wanted one.  It is hidden, and kept for two leases,
+   so that an older record from a replica that is behind does not come back. */
 static void
 viw_replace (struct viw *view, struct viw_member *member,
              const struct mem_record *record, clk_us now)
@@ -278,25 +277,22 @@
 {
   struct viw_member *member = viw_find_member (view, record->instance);
   bool live = record->state != MEM_GONE;
-  bool shown = live && viw_wanted (view, record);
-  int order;
+  int order = 1;
 
-  if (member == NULL && !shown)
+  if (member == NULL && !live)
     return SR_OK;
   if (member == NULL)
-    {
-      member = viw_add (view, record);
-      if (member == NULL)
-        return SR_ENOMEM;
-      *changed = true;
-    }
-  order = mem_compare (record, &member->record);
+    member = viw_add (view, record);
+  else
+    order = mem_compare (record, &member->record);
+  if (member == NULL)
+    return SR_ENOMEM;
   if (order > 0 && live)
     {
       viw_replace (view, member, record, now);
       *changed = true;
     }
-  if (shown)
+  if (live && viw_wanted (view, record))
     viw_mark_listed (member, replica);
   else if (!live || order >= 0)
     viw_mark_ended (member, replica);
--- a/tests/test_view.c
+++ b/tests/test_view.c
@@ -554,6 +554,9 @@
 {
   for (uint64_t seed = 101; seed <= 110; seed++)
     sim_scenario (seed, true);
+  /* A view that started after a move learned the old record from a replica
+     that was behind and then stopped.  */
+  sim_scenario (3351, true);
 }
 
 int
