--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -136,6 +136,13 @@
   struct front *front = serve->front;
 
   INVARIANT (serve->hop == NULL && !serve->handed_over);
+  /* The server may have gone while the request waited.  */
+  if (!front->state.backend_up || front->state.draining)
+    {
+      srv_refuse (serve, front->state.draining ? RSN_DRAINING : RSN_NO_BACKEND,
+                  RSN_NOT_RUN);
+      return;
+    }
   INVARIANT (serve->req.kind->idempotent
              || serve->req.claim == FLT_CLAIM_GRANTED);
   serve->hop = hop_open (front->state.hops);
@@ -290,7 +297,7 @@
 }
 
 /* Credits what has been passed on, so that the next part can come.  */
-static void
+void
 srv_credit_body (struct serve *serve)
 {
   uint64_t done = serve->started ? serve->body.base : buf_end (&serve->body);
