--- a/core/ctr.h
+++ b/core/ctr.h
@@ -29,6 +29,10 @@
      "Peer messages dropped because they could not be decoded")               \
   X (PEER_SILENT, "rudder_peer_silent_total",                                 \
      "Peer connections replaced after silence")                               \
+  X (PEER_SENT_BYTES, "rudder_peer_sent_bytes_total",                         \
+     "Bytes of the frames of peer messages sent")                             \
+  X (PEER_RECEIVED_BYTES, "rudder_peer_received_bytes_total",                 \
+     "Bytes of the frames of peer messages received")                         \
   X (ALLOWANCE_LOST, "rudder_allowance_lost_total",                           \
      "Retry allowance that did not come back with an answer")                 \
   X (CONFIG_CHANGES, "rudder_config_changes_total",                           \
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -254,6 +254,7 @@
     return SR_EAGAIN;
   if (zmq_send (socket, frames->raw, frames->raw_len, ZMQ_DONTWAIT) < 0)
     return SR_EAGAIN;
+  ctr_add (CTR_PEER_SENT_BYTES, frames->head_len + frames->raw_len);
   return SR_OK;
 }
 
@@ -488,6 +489,8 @@
   struct msg *msg = NULL;
   int error = SR_EMALFORMED;
 
+  for (int i = expected - 2; i < count && i < expected; i++)
+    ctr_add (CTR_PEER_RECEIVED_BYTES, zmq_msg_size (&frames[i]));
   if (count == expected)
     error = pck_decode (zmq_msg_data (&frames[count - 2]),
                         zmq_msg_size (&frames[count - 2]),
