--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -232,7 +232,9 @@
   if (control->replica == NULL)
     snprintf (control->leader[pending->group],
               sizeof control->leader[pending->group], "%s", result->leader);
-  pending->target++;
+  if (result->leader[0] == '\0')
+    pending->target++;
+  pending->answered = true;
   pending->next_try = now + CTL_RETRY_US;
   if (pending->origin.kind == CTL_ORIGIN_CONFIG)
     ctl_config_result (control, result, now);
@@ -253,10 +255,14 @@
         }
       if (now < pending->next_try)
         continue;
-      /* A leader that does not answer may be cut off.  */
-      if (control->replica == NULL)
-        control->leader[pending->group][0] = '\0';
-      pending->target++;
+      if (!pending->answered)
+        {
+          /* A leader that does not answer may be cut off.  */
+          if (control->replica == NULL)
+            control->leader[pending->group][0] = '\0';
+          pending->target++;
+        }
+      pending->answered = false;
       ctl_send (control, pending, now);
     }
 }
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -70,6 +70,7 @@
   clk_us deadline;
   clk_us next_try; /* when it is sent again without a result */
   uint32_t target; /* replica tried last */
+  bool answered;   /* the last try has been answered, by another replica */
 };
 
 struct control
