Crash marks are pushed to all nodes at once

Cause: tests/mesh_crash.sh failed in about one of six runs: a third server ran the crashing request, because its node learned the marks only with its next renewal, up to a second later. Change: a control replica that learns a mark sends it to every node that renews there (MSG_MARKS between nodes).

--- a/core/msg.h
+++ b/core/msg.h
@@ -51,13 +51,13 @@
   MSG_PROPOSE,
   MSG_RESULT,
   MSG_REP,
+  MSG_MARKS,      /* crash marks; also front <-> control of one node */
   MSG_WIRE_COUNT, /* kinds above are encoded between nodes */
   /* inside one process */
   MSG_PEER_LOST, /* peer -> front, control */
   MSG_BACKEND,   /* front -> control: announced, leaving, lost */
   MSG_MODEL,     /* control -> front: configuration in force */
   MSG_VIEW,      /* control -> front: members */
-  MSG_MARKS,     /* front <-> control: crash marks */
   MSG_CLAIM,     /* front -> control; answered by MSG_RESULT */
   MSG_ADMIN,     /* front -> control: an operator's request */
   MSG_ADMIN_REPLY,
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -98,6 +98,8 @@
   control->marks = qrt_new (&marks);
   INVARIANT (control->inbox != NULL && control->view != NULL
              && control->marks != NULL);
+  INVARIANT (hsh_init (&control->node_table) == SR_OK);
+  lst_init (&control->nodes);
   lst_init (&control->pending);
   /* Numbers of an earlier process must not be mistaken for own ones.  */
   rng_id ((uint8_t *)&control->next_request, sizeof control->next_request);
@@ -283,7 +285,10 @@
       ctl_take_backend (control, &msg->u.backend, now);
       break;
     case MSG_MARKS:
-      ctl_take_marks (control, &msg->u.items, now);
+      if (msg->route.u.address[0] == '\0')
+        ctl_own_marks (control, &msg->u.items, now);
+      else
+        ctl_take_marks (control, &msg->u.items, now);
       break;
     case MSG_ADMIN:
       ctl_take_admin (control, msg, now);
@@ -306,6 +311,7 @@
   if (control->members != NULL)
     mbr_expire (control->members, now);
   qrt_expire (control->marks, now);
+  ctl_expire_nodes (control, now);
   if (control->replica != NULL && now >= control->next_replica_tick)
     control->next_replica_tick = rpl_tick (control->replica, now);
   ctl_run_replica (control, now);
@@ -383,6 +389,8 @@
   pthread_join (control->thread, NULL);
   failed = control->failed;
   ctl_free_pending (control);
+  ctl_expire_nodes (control, UINT64_MAX);
+  hsh_fini (&control->node_table);
   rpl_free (control->replica);
   mbr_free (control->members);
   viw_free (control->view);
--- /dev/null
+++ b/tasks/control_marks.c
@@ -0,0 +1,122 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/err.h"
+#include "tasks/control_state.h"
+
+/* Silence after which the way back to a node is forgotten.  */
+#define CTL_NODE_SILENT_US clk_s (10)
+
+static struct ctl_node *
+ctl_find_node (struct control *control, const char *instance)
+{
+  uint64_t hash = hsh_text (instance);
+
+  lst_each (item, hsh_bucket (&control->node_table, hash))
+    {
+      struct hsh_node *hashed = lst_entry (item, struct hsh_node, node);
+      struct ctl_node *node = lst_entry (hashed, struct ctl_node, hash_node);
+
+      if (strcmp (node->instance, instance) == 0)
+        return node;
+    }
+  return NULL;
+}
+
+/* Remembers how a node that renews its lease can be reached.  */
+void
+ctl_note_node (struct control *control, const char *instance,
+               const struct msg_route *route, clk_us now)
+{
+  struct ctl_node *node = ctl_find_node (control, instance);
+
+  if (node == NULL)
+    {
+      node = calloc (1, sizeof *node);
+      INVARIANT (node != NULL);
+      snprintf (node->instance, sizeof node->instance, "%s", instance);
+      hsh_add (&control->node_table, &node->hash_node, hsh_text (instance));
+    }
+  node->route = *route;
+  node->heard = now;
+  lst_remove (&node->node);
+  lst_push_head (&control->nodes, &node->node);
+}
+
+void
+ctl_expire_nodes (struct control *control, clk_us now)
+{
+  struct lst_node *last;
+
+  while ((last = lst_last (&control->nodes)) != NULL)
+    {
+      struct ctl_node *node = lst_entry (last, struct ctl_node, node);
+
+      if (now - node->heard < CTL_NODE_SILENT_US)
+        return;
+      lst_remove (last);
+      hsh_remove (&control->node_table, &node->hash_node);
+      free (node);
+    }
+}
+
+/* Adds marks that are not known yet; returns whether there was one.  */
+static bool
+ctl_import_marks (struct control *control, const struct lst *marks, clk_us now)
+{
+  bool added = false;
+
+  lst_each (node, marks)
+    {
+      const struct qrt_mark *mark = lst_entry (node, struct qrt_mark, node);
+
+      if (qrt_import (control->marks, mark, now) == SR_OK)
+        added = true;
+    }
+  return added;
+}
+
+/* A message with the newest marks.  */
+static struct msg *
+ctl_marks_msg (struct control *control, clk_us now)
+{
+  struct msg *msg = msg_new (MSG_MARKS);
+
+  qrt_export (control->marks, &msg->u.items, MEM_MARKS_MAX, now);
+  return msg;
+}
+
+/* Tells all nodes at once: the caller may resend its request through any of
+   them before their next renewal.  */
+static void
+ctl_push_marks (struct control *control, clk_us now)
+{
+  lst_each (item, &control->nodes)
+    {
+      struct msg *msg = ctl_marks_msg (control, now);
+
+      msg->route = lst_entry (item, struct ctl_node, node)->route;
+      inb_put (control->peer, msg);
+    }
+}
+
+/* Marks from another node.  */
+void
+ctl_take_marks (struct control *control, const struct lst *marks, clk_us now)
+{
+  if (!ctl_import_marks (control, marks, now))
+    return;
+  inb_put (control->opts.front, ctl_marks_msg (control, now));
+  ctl_push_marks (control, now);
+}
+
+/* Marks of the own front task.  */
+void
+ctl_own_marks (struct control *control, const struct lst *marks, clk_us now)
+{
+  if (!ctl_import_marks (control, marks, now))
+    return;
+  ctl_renew_all (control, now);
+  ctl_push_marks (control, now);
+}
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -32,40 +32,6 @@
     ctl_renew (control, &control->replicas[i], now);
 }
 
-/* Adds marks that are not known yet; returns whether there was one.  */
-static bool
-ctl_import_marks (struct control *control, const struct lst *marks, clk_us now)
-{
-  bool added = false;
-
-  lst_each (node, marks)
-    {
-      const struct qrt_mark *mark = lst_entry (node, struct qrt_mark, node);
-
-      if (qrt_import (control->marks, mark, now) == SR_OK)
-        added = true;
-    }
-  return added;
-}
-
-/* Passes all marks on to the front task.  */
-static void
-ctl_send_marks (struct control *control, clk_us now)
-{
-  struct msg *msg = msg_new (MSG_MARKS);
-
-  qrt_export (control->marks, &msg->u.items, MEM_MARKS_MAX, now);
-  inb_put (control->opts.front, msg);
-}
-
-void
-ctl_take_marks (struct control *control, const struct lst *marks, clk_us now)
-{
-  /* A mark has to be known before the request's next attempt.  */
-  if (ctl_import_marks (control, marks, now))
-    ctl_renew_all (control, now);
-}
-
 /* A node renews its lease here.  */
 void
 ctl_take_renew (struct control *control, struct msg *msg, clk_us now)
@@ -87,8 +53,8 @@
       msg_free (reply);
       return;
     }
-  if (ctl_import_marks (control, &msg->u.renew.marks, now))
-    ctl_send_marks (control, now);
+  ctl_note_node (control, msg->u.renew.record.instance, &msg->route, now);
+  ctl_take_marks (control, &msg->u.renew.marks, now);
   members->config = control->version;
   members->config_confirmed = control->confirmed;
   for (int i = 0; i < MSG_GROUP_COUNT; i++)
@@ -148,8 +114,7 @@
               sizeof control->leader[i]);
   if (viw_take (control->view, replica->address, members, now) == 1)
     ctl_send_view (control);
-  if (ctl_import_marks (control, &members->marks, now))
-    ctl_send_marks (control, now);
+  ctl_take_marks (control, &members->marks, now);
   ctl_config_check (control, now);
 }
 
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -11,6 +11,7 @@
 #include "controllers/mbr.h"
 #include "controllers/qrt.h"
 #include "controllers/view.h"
+#include "core/hash.h"
 #include "tasks/control.h"
 #include "tasks/replica.h"
 
@@ -40,6 +41,16 @@
   struct mem_version config; /* newest that it has applied */
 };
 
+/* A node that renews its lease here, and the way back to it.  */
+struct ctl_node
+{
+  struct hsh_node hash_node;
+  struct lst_node node; /* by the time of the last renewal */
+  char instance[MEM_INSTANCE_BYTES];
+  struct msg_route route;
+  clk_us heard;
+};
+
 /* Who waits for the result of a proposal.  */
 enum ctl_origin_kind
 {
@@ -90,10 +101,12 @@
   uint32_t replica_count;
   char leader[MSG_GROUP_COUNT][MSG_ADDRESS_BYTES];
   struct viw *view;
-  struct mbr *members; /* NULL when no replica is held */
-  struct rpl *replica; /* NULL when none is held */
-  struct qrt *marks;   /* known crash marks */
-  struct lst pending;  /* struct ctl_pending */
+  struct mbr *members;   /* NULL when no replica is held */
+  struct rpl *replica;   /* NULL when none is held */
+  struct qrt *marks;     /* known crash marks */
+  struct hsh node_table; /* struct ctl_node, on a control replica */
+  struct lst nodes;      /* struct ctl_node, last heard first */
+  struct lst pending;    /* struct ctl_pending */
   uint64_t next_request;
   clk_us unconfirmed_since; /* start, or end of a suspension */
   clk_us last_run;
@@ -114,8 +127,15 @@
 void ctl_take_members (struct control *control, struct msg *msg, clk_us now);
 void ctl_take_backend (struct control *control, const struct msg_backend *msg,
                        clk_us now);
+
+/* control_marks.c */
+void ctl_note_node (struct control *control, const char *instance,
+                    const struct msg_route *route, clk_us now);
+void ctl_expire_nodes (struct control *control, clk_us now);
 void ctl_take_marks (struct control *control, const struct lst *marks,
                      clk_us now);
+void ctl_own_marks (struct control *control, const struct lst *marks,
+                    clk_us now);
 
 /* control_propose.c */
 void ctl_propose (struct control *control, const struct ctl_origin *origin,
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -414,6 +414,7 @@
     case MSG_PROPOSE:
     case MSG_RESULT:
     case MSG_REP:
+    case MSG_MARKS:
       inb_put (peer->opts.control, msg);
       return;
     case MSG_PING:
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -21,7 +21,7 @@
   [MSG_OPEN] = 13,  [MSG_BODY] = 6,     [MSG_CREDIT] = 1,  [MSG_CANCEL] = 0,
   [MSG_HEAD] = 3,   [MSG_REFUSE] = 6,   [MSG_PING] = 0,    [MSG_PONG] = 0,
   [MSG_RENEW] = 17, [MSG_MEMBERS] = 14, [MSG_PROPOSE] = 3, [MSG_RESULT] = 6,
-  [MSG_REP] = 2,
+  [MSG_REP] = 2,    [MSG_MARKS] = 1,
 };
 
 /* Admission level and unused allowance.  */
@@ -407,6 +407,9 @@
       msgpack_pack_uint32 (packer, msg->u.rep.group);
       pio_put_text (packer, msg->u.rep.from);
       return pck_put_rep (msg->u.rep.msg, frames);
+    case MSG_MARKS:
+      pck_put_marks (packer, &msg->u.items);
+      return SR_OK;
     default:
       return SR_EINVAL;
     }
@@ -528,6 +531,9 @@
       msg->u.rep.group = (enum msg_group)pio_u32 (reader, MSG_GROUP_COUNT - 1);
       pio_text (reader, msg->u.rep.from, sizeof msg->u.rep.from);
       break;
+    case MSG_MARKS:
+      pck_get_marks (reader, &msg->u.items);
+      break;
     default:
       break;
     }
