Suspects run one at a time; share per caller in the serve chain

Cause: tests/mesh_crash.sh: in 2 of 8 runs an innocent request was in flight on both servers that the crashing one took down, and was stopped with it. Change: requests with a mark run one at a time at a server (suspect-running); controllers/share (renamed from cap, whose name libcap has) in the serve chain.

--- a/bench/node.c
+++ b/bench/node.c
@@ -9,7 +9,7 @@
 node_init (struct wld *wld, struct node *node)
 {
   struct adm_opts opts = wld->opts.admission;
-  struct cap_opts cap = { .percent = wld->opts.cap_percent,
+  struct shr_opts cap = { .percent = wld->opts.cap_percent,
                           .places = opts.slots + opts.queue };
 
   fake_init (&node->fake, &wld->sim, wld->opts.capacity);
@@ -22,7 +22,7 @@
       opts.long_slots_percent = 100;
     }
   node->adm = adm_new (&opts);
-  node->cap = cap_new (&cap);
+  node->cap = shr_new (&cap);
   return node->adm == NULL || node->cap == NULL ? -1 : 0;
 }
 
@@ -30,7 +30,7 @@
 node_free (struct node *node)
 {
   adm_free (node->adm);
-  cap_free (node->cap);
+  shr_free (node->cap);
 }
 
 /* Sends an answer or a refusal back to the entry.  */
@@ -64,7 +64,7 @@
       attempt_run (wld, attempt);
       break;
     case ADM_REFUSE:
-      cap_put (wld->nodes[attempt->server].cap, attempt->kind);
+      shr_put (wld->nodes[attempt->server].cap, attempt->kind);
       attempt_back (wld, attempt, true);
       break;
     case ADM_QUEUED:
@@ -121,7 +121,7 @@
         attempt_back (wld, attempt, true);
       return;
     }
-  if (!cap_take (node->cap, attempt->kind, kind->importance,
+  if (!shr_take (node->cap, attempt->kind, kind->importance,
                  adm_least_waiting (node->adm)))
     {
       attempt_back (wld, attempt, true);
@@ -162,7 +162,7 @@
   wait_record (wld, attempt);
   if (wld->opts.control != WLD_NONE)
     {
-      cap_put (node->cap, attempt->kind);
+      shr_put (node->cap, attempt->kind);
       adm_finish (node->adm, &attempt->ticket, true, wld->sim.now);
       node_drain (wld, node);
     }
@@ -190,7 +190,7 @@
     case ATTEMPT_BACK:
       return; /* freed when its event fires */
     }
-  cap_put (node->cap, attempt->kind);
+  shr_put (node->cap, attempt->kind);
   attempt_free (wld, attempt);
   node_drain (wld, node);
 }
--- a/bench/wldi.h
+++ b/bench/wldi.h
@@ -6,7 +6,7 @@
  */
 
 #include "bench/wld.h"
-#include "controllers/cap.h"
+#include "controllers/share.h"
 
 struct call;
 
@@ -68,7 +68,7 @@
   struct fake fake;
   struct adm *adm;
   struct sim_event wakeup;
-  struct cap *cap; /* kinds stand for callers */
+  struct shr *cap; /* kinds stand for callers */
 };
 
 enum wld_fault
--- a/controllers/qrt.c
+++ b/controllers/qrt.c
@@ -227,6 +227,15 @@
   return entry != NULL && now < entry->blocked_until;
 }
 
+bool
+qrt_suspected (struct qrt *qrt, uint64_t fingerprint, clk_us now)
+{
+  const struct qrt_entry *entry = entry_find (qrt, fingerprint);
+
+  return entry != NULL && entry->count > 0
+         && now < entry->changed + qrt->opts.keep;
+}
+
 void
 qrt_expire (struct qrt *qrt, clk_us now)
 {
--- a/controllers/qrt.h
+++ b/controllers/qrt.h
@@ -52,6 +52,10 @@
 /* Whether the fingerprint is in quarantine.  */
 bool qrt_blocked (struct qrt *qrt, uint64_t fingerprint, clk_us now);
 
+/* Whether the fingerprint has a mark that counts: a server was lost while the
+   request was in flight.  */
+bool qrt_suspected (struct qrt *qrt, uint64_t fingerprint, clk_us now);
+
 /* Drops marks older than the keep time.  */
 void qrt_expire (struct qrt *qrt, clk_us now);
 
--- a/core/msg.h
+++ b/core/msg.h
@@ -120,7 +120,8 @@
   uint32_t depth;
   uint32_t allowance;
   uint64_t remaining_us; /* to the deadline */
-  int64_t body_len;      /* or MSG_LENGTH_UNKNOWN */
+  bool suspect;     /* a server was lost while the request was in flight */
+  int64_t body_len; /* or MSG_LENGTH_UNKNOWN */
 };
 
 struct msg_body
--- a/core/reason.h
+++ b/core/reason.h
@@ -32,6 +32,7 @@
   X (DEADLINE_QUEUED, "deadline-queued", 504, "http_response_timeout", 1)     \
   X (DEADLINE_RUNNING, "deadline-running", 504, "http_response_timeout", 1)   \
   X (QUARANTINED, "quarantined", 503, "http_request_denied", 0)               \
+  X (SUSPECT_RUNNING, "suspect-running", 503, "destination_unavailable", 1)   \
   X (CLAIM_UNAVAILABLE, "claim-unavailable", 503, "proxy_internal_error", 1)  \
   X (CLAIM_STORE_FULL, "claim-store-full", 503, "proxy_internal_error", 1)    \
   X (CLAIM_UNKNOWN, "claim-unknown", 502, "proxy_internal_error", 0)          \
--- a/filters/admission.c
+++ b/filters/admission.c
@@ -1,6 +1,19 @@
 #include "core/err.h"
 #include "filters/chain.h"
 
+/* Counts the request for its caller, unless the caller holds its share.  */
+struct flt_result
+flt_caller (struct flt_state *state, struct flt_request *request)
+{
+  if (request->counted)
+    return flt_continue ();
+  request->counted
+      = shr_take (state->callers, flt_caller_hash (request),
+                  request->importance, adm_least_waiting (state->admission));
+  return request->counted ? flt_continue ()
+                          : flt_refuse (RSN_CALLER_SHARE, RSN_NOT_RUN);
+}
+
 /* Waits for a slot.  The front task learns from adm_next() that a waiting
    ticket runs and calls flt_run() again.  */
 struct flt_result
--- a/filters/chain.c
+++ b/filters/chain.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "core/digest.h"
 #include "core/err.h"
 
 const enum flt_id flt_call_chain[]
@@ -12,8 +13,15 @@
     = { FLT_DEADLINE, FLT_QUARANTINE, FLT_CHOOSE, FLT_END };
 
 const enum flt_id flt_serve_chain[]
-    = { FLT_READY,      FLT_IDENTIFY,  FLT_DRAINING, FLT_BACKEND, FLT_DEADLINE,
-        FLT_QUARANTINE, FLT_ADMISSION, FLT_CLAIM,    FLT_END };
+    = { FLT_READY,     FLT_IDENTIFY,   FLT_DRAINING, FLT_BACKEND,
+        FLT_DEADLINE,  FLT_QUARANTINE, FLT_SUSPECT,  FLT_CALLER,
+        FLT_ADMISSION, FLT_CLAIM,      FLT_END };
+
+uint64_t
+flt_caller_hash (const struct flt_request *request)
+{
+  return dig_bytes (request->caller, strlen (request->caller));
+}
 
 struct flt_result
 flt_continue (void)
@@ -67,6 +75,10 @@
       return flt_allowance (state, request, now);
     case FLT_CHOOSE:
       return flt_choose (state, request, now);
+    case FLT_SUSPECT:
+      return flt_suspect (state, request, now);
+    case FLT_CALLER:
+      return flt_caller (state, request);
     case FLT_DRAINING:
       return flt_require (!state->draining, RSN_DRAINING);
     case FLT_BACKEND:
@@ -104,6 +116,18 @@
   return flt_continue ();
 }
 
+/* Ends what FLT_SUSPECT and FLT_CALLER count.  */
+static void
+flt_release_counts (struct flt_state *state, struct flt_request *request)
+{
+  if (request->isolated)
+    state->suspects_running--;
+  request->isolated = false;
+  if (request->counted)
+    shr_put (state->callers, flt_caller_hash (request));
+  request->counted = false;
+}
+
 void
 flt_release (struct flt_state *state, struct flt_request *request, clk_us now)
 {
@@ -116,6 +140,7 @@
   request->allowance = NULL;
   if (request->ticket.state != ADM_IDLE)
     adm_withdraw (state->admission, &request->ticket, now);
+  flt_release_counts (state, request);
   mdl_unref (request->model);
   request->model = NULL;
 }
--- a/filters/chain.h
+++ b/filters/chain.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "controllers/adm.h"
+#include "controllers/share.h"
 #include "controllers/chs.h"
 #include "controllers/hop.h"
 #include "controllers/qrt.h"
@@ -37,6 +38,8 @@
   FLT_QUARANTINE, /* fingerprint not blocked */
   FLT_ALLOWANCE,  /* retry allowance of the chain */
   FLT_CHOOSE,     /* a backend server */
+  FLT_SUSPECT,    /* no other request that may crash the server runs */
+  FLT_CALLER,     /* the caller holds no more than its share */
   FLT_DRAINING,   /* the own server takes new work */
   FLT_BACKEND,    /* the own server is there */
   FLT_ADMISSION,  /* a slot */
@@ -124,6 +127,9 @@
   struct chs_server *server; /* chosen */
   struct adm_ticket ticket;
   enum flt_claim claim;
+  bool suspect;  /* a server was lost while it was in flight */
+  bool isolated; /* counted in suspects_running */
+  bool counted;  /* counted for its caller */
 };
 
 /* Controllers of one service that this node calls.  */
@@ -144,7 +150,9 @@
   struct rty_table *chains;
   struct qrt *marks;
   struct adm *admission;
+  struct shr *callers;
   struct rng rng;
+  uint32_t suspects_running; /* at the own server */
   bool draining;
   bool backend_up;
   char backend_service[MDL_NAME_BYTES]; /* of the own server */
@@ -193,10 +201,16 @@
                                  struct flt_request *request, clk_us now);
 struct flt_result flt_choose (struct flt_state *state,
                               struct flt_request *request, clk_us now);
+struct flt_result flt_suspect (struct flt_state *state,
+                               struct flt_request *request, clk_us now);
+struct flt_result flt_caller (struct flt_state *state,
+                              struct flt_request *request);
 struct flt_result flt_admission (struct flt_state *state,
                                  struct flt_request *request, clk_us now);
 struct flt_result flt_claim (struct flt_request *request);
 
+uint64_t flt_caller_hash (const struct flt_request *request);
+
 /* Fingerprint of a request for quarantine.  */
 uint64_t flt_fingerprint (const struct flt_request *request);
 
--- a/filters/retry.c
+++ b/filters/retry.c
@@ -18,6 +18,7 @@
     case RSN_PEER_LOST:
     case RSN_BACKEND_CLOSED:
     case RSN_BACKEND_CRASHED:
+    case RSN_SUSPECT_RUNNING:
     case RSN_ANSWER_INCOMPLETE:
     case RSN_CONNECTION_SILENT:
       return true;
--- a/tasks/front.c
+++ b/tasks/front.c
@@ -99,6 +99,7 @@
 front_new_state (struct front *front)
 {
   struct adm_opts admission = { .slots = 1, .queue = 1 };
+  struct shr_opts callers = { 0 };
   struct qrt_opts marks
       = { .keep = clk_s (FRONT_QUARANTINE_S), .most = FRONT_MARKS_MAX };
   struct rty_table_opts chains
@@ -109,9 +110,11 @@
   rng_seed (&front->state.rng, seed);
   lst_init (&front->state.services);
   front->state.admission = adm_new (&admission);
+  front->state.callers = shr_new (&callers);
   front->state.marks = qrt_new (&marks);
   front->state.chains = rty_table_new (&chains);
   front->state.hops = hop_table_new ();
+  INVARIANT (front->state.callers != NULL);
   INVARIANT (front->state.admission != NULL && front->state.marks != NULL
              && front->state.chains != NULL && front->state.hops != NULL);
 }
@@ -232,6 +235,7 @@
 {
   const struct mdl_service *service = NULL;
   struct adm_opts opts = { .slots = front->backend.slots };
+  struct shr_opts callers = { 0 };
 
   if (front->state.model != NULL)
     service = mdl_find_service (front->state.model, front->backend.service);
@@ -245,6 +249,10 @@
   if (opts.slots == 0)
     opts.slots = 1;
   adm_configure (front->state.admission, &opts);
+  callers.places = opts.slots + opts.queue;
+  if (front->state.model != NULL)
+    callers.percent = front->state.model->caller_share_percent;
+  shr_configure (front->state.callers, &callers);
 }
 
 /* Creates or updates the record of one service that may be called.  */
@@ -557,6 +565,7 @@
   while ((node = lst_pop_head (&front->local)) != NULL)
     msg_free (lst_entry (node, struct msg, node));
   adm_free (front->state.admission);
+  shr_free (front->state.callers);
   qrt_free (front->state.marks);
   rty_table_free (front->state.chains);
   hop_table_free (front->state.hops);
--- a/tasks/front_attempt.c
+++ b/tasks/front_attempt.c
@@ -63,6 +63,8 @@
   open->depth = call->req.depth;
   open->allowance = attempt->granted;
   open->remaining_us = call->req.deadline > now ? call->req.deadline - now : 0;
+  open->suspect
+      = qrt_suspected (call->front->state.marks, call->req.fingerprint, now);
   open->body_len = call->body_len;
   front_send (call->front, msg);
 }
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -76,6 +76,7 @@
   serve->req.key = serve->key;
   serve->req.trace = "";
   serve->req.importance = open->importance;
+  serve->req.suspect = open->suspect;
   serve->req.depth = open->depth;
   serve->req.arrived = now;
   serve->req.deadline = now + open->remaining_us;
--- a/tests/test_filters.c
+++ b/tests/test_filters.c
@@ -28,6 +28,7 @@
 set_up (struct fixture *fixture, const char *method)
 {
   struct adm_opts admission = { .slots = 2, .queue = 2 };
+  struct shr_opts callers = { 0 };
   struct qrt_opts marks = { .keep = clk_s (60), .most = 16 };
   struct rty_table_opts chains = { .most = 16, .keep = clk_s (60) };
   struct chs_opts servers = { .max_ejected_percent = 34 };
@@ -43,6 +44,7 @@
       SR_OK);
   lst_init (&state->services);
   state->admission = adm_new (&admission);
+  state->callers = shr_new (&callers);
   state->marks = qrt_new (&marks);
   state->chains = rty_table_new (&chains);
   state->hops = hop_table_new ();
@@ -69,6 +71,7 @@
   flt_release (&fixture->state, &fixture->request, 0);
   chs_free (fixture->service.servers);
   adm_free (fixture->state.admission);
+  shr_free (fixture->state.callers);
   qrt_free (fixture->state.marks);
   rty_table_free (fixture->state.chains);
   hop_table_free (fixture->state.hops);
@@ -293,6 +296,32 @@
   tear_down (&fixture);
 }
 
+/* Guards against stopping an innocent request, because it met the one that
+   crashes servers twice.  */
+static void
+test_suspects_run_alone (void)
+{
+  struct fixture fixture;
+
+  set_up (&fixture, "GET");
+  fixture.request.deadline = 1000;
+  fixture.request.suspect = true;
+  fixture.state.suspects_running = 1;
+  flt_start (&fixture.request, flt_serve_chain);
+  CU_ASSERT_EQUAL (
+      flt_run (&fixture.state, &fixture.request, 10).u.refuse.reason,
+      RSN_SUSPECT_RUNNING);
+  fixture.state.suspects_running = 0;
+  flt_start (&fixture.request, flt_serve_chain);
+  CU_ASSERT_EQUAL (flt_run (&fixture.state, &fixture.request, 10).kind,
+                   FLT_CONTINUE);
+  CU_ASSERT_EQUAL (fixture.state.suspects_running, 1);
+  adm_finish (fixture.state.admission, &fixture.request.ticket, true, 20);
+  flt_release (&fixture.state, &fixture.request, 20);
+  CU_ASSERT_EQUAL (fixture.state.suspects_running, 0);
+  tear_down (&fixture);
+}
+
 int
 main (void)
 {
@@ -307,6 +336,7 @@
           { "claim results", test_claim_results },
           { "no work while draining", test_no_work_while_draining },
           { "quarantine", test_quarantine },
+          { "suspects run alone", test_suspects_run_alone },
           { NULL, NULL } };
 
   return suite_run ("filters", tests);
--- a/tests/test_cap.c
+++ b/tests/test_share.c
@@ -1,4 +1,4 @@
-#include "controllers/cap.h"
+#include "controllers/share.h"
 #include "core/model.h"
 #include "core/rng.h"
 #include "tests/suite.h"
@@ -11,8 +11,8 @@
 static void
 test_random (void)
 {
-  struct cap_opts opts = { .percent = 25, .places = 40 };
-  struct cap *cap = cap_new (&opts);
+  struct shr_opts opts = { .percent = 25, .places = 40 };
+  struct shr *cap = shr_new (&opts);
   uint32_t held[CALLERS] = { 0 };
   struct rng rng;
 
@@ -25,18 +25,18 @@
 
       if (rng_below (&rng, 100) < 45 && held[caller] > 0)
         {
-          cap_put (cap, caller);
+          shr_put (cap, caller);
           held[caller]--;
           continue;
         }
-      bool taken = cap_take (cap, caller, importance, least);
+      bool taken = shr_take (cap, caller, importance, least);
       bool may_refuse = least <= MDL_IMPORTANCE_MAX && least >= importance;
 
       CU_ASSERT_EQUAL (taken, !may_refuse || held[caller] < 10);
       held[caller] += taken;
-      CU_ASSERT_EQUAL (cap_held (cap, caller), held[caller]);
+      CU_ASSERT_EQUAL (shr_held (cap, caller), held[caller]);
     }
-  cap_free (cap);
+  shr_free (cap);
 }
 
 int
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -18,7 +18,7 @@
 
 /* Fields of each kind after the head.  */
 static const uint8_t pck_fields[MSG_WIRE_COUNT] = {
-  [MSG_OPEN] = 13,  [MSG_BODY] = 6,     [MSG_CREDIT] = 1,  [MSG_CANCEL] = 0,
+  [MSG_OPEN] = 14,  [MSG_BODY] = 6,     [MSG_CREDIT] = 1,  [MSG_CANCEL] = 0,
   [MSG_HEAD] = 3,   [MSG_REFUSE] = 6,   [MSG_PING] = 0,    [MSG_PONG] = 0,
   [MSG_RENEW] = 17, [MSG_MEMBERS] = 14, [MSG_PROPOSE] = 3, [MSG_RESULT] = 6,
   [MSG_REP] = 2,    [MSG_MARKS] = 1,
@@ -56,6 +56,7 @@
   msgpack_pack_uint32 (packer, open->depth);
   msgpack_pack_uint32 (packer, open->allowance);
   msgpack_pack_uint64 (packer, open->remaining_us);
+  pio_put_bool (packer, open->suspect);
   msgpack_pack_int64 (packer, open->body_len);
 }
 
@@ -74,6 +75,7 @@
   open->depth = pio_u32 (reader, UINT32_MAX);
   open->allowance = pio_u32 (reader, UINT32_MAX);
   open->remaining_us = pio_u64 (reader);
+  open->suspect = pio_bool (reader);
   open->body_len = pio_i64 (reader);
 }
 
