fuzz: decoders of peer messages, log messages and recorded answers

Cause: no fuzz target for what other nodes send. Change: fuzz/fuzz_peer.c; recorded answers are scanned before they are unpacked, as peer messages are.

--- /dev/null
+++ b/fuzz/fuzz_peer.c
@@ -0,0 +1,74 @@
+/* Feeds the decoders of what other nodes send: peer messages, log messages
+   and recorded answers, chosen by the first byte.  */
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "core/err.h"
+#include "core/repmsg.h"
+#include "wire/pack.h"
+#include "wire/record.h"
+#include "wire/reppack.h"
+
+/* The first two bytes after the choice give the length of the header frame. */
+static void
+fuzz_message (const uint8_t *data, size_t size)
+{
+  struct msg *msg = NULL;
+  size_t head;
+
+  if (size < 2)
+    return;
+  head = (size_t)(data[0] << 8 | data[1]);
+  data += 2;
+  size -= 2;
+  if (head > size)
+    head = size;
+  if (pck_decode (data, head, data + head, size - head, &msg) != SR_OK)
+    return;
+  struct pck_frames frames;
+
+  if (pck_encode (msg, &frames) == SR_OK)
+    pck_frames_free (&frames);
+  msg_free (msg);
+}
+
+static void
+fuzz_log_message (const uint8_t *data, size_t size)
+{
+  struct rep_msg *msg = NULL;
+
+  if (rpk_decode_msg (data, size, &msg) == SR_OK)
+    rep_msg_free (msg);
+}
+
+static void
+fuzz_record (const uint8_t *data, size_t size)
+{
+  struct rcd_answer answer;
+
+  if (rcd_decode (data, size, &answer) == SR_OK)
+    rcd_free (&answer);
+}
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  if (size == 0)
+    return 0;
+  switch (data[0] % 3)
+    {
+    case 0:
+      fuzz_message (data + 1, size - 1);
+      break;
+    case 1:
+      fuzz_log_message (data + 1, size - 1);
+      break;
+    default:
+      fuzz_record (data + 1, size - 1);
+      break;
+    }
+  return 0;
+}
--- a/wire/record.c
+++ b/wire/record.c
@@ -5,6 +5,7 @@
 #include "core/err.h"
 #include "core/msg.h"
 #include "wire/packio.h"
+#include "wire/packscan.h"
 
 #define RCD_VERSION 1
 
@@ -60,8 +61,9 @@
   *answer = (struct rcd_answer){ 0 };
   lst_init (&answer->fields);
   msgpack_unpacked_init (&unpacked);
-  ok = msgpack_unpack_next (&unpacked, (const char *)data, len, &offset)
-           == MSGPACK_UNPACK_SUCCESS
+  ok = psc_whole (data, len)
+       && msgpack_unpack_next (&unpacked, (const char *)data, len, &offset)
+              == MSGPACK_UNPACK_SUCCESS
        && offset == len && rcd_read (&unpacked.data, answer);
   msgpack_unpacked_destroy (&unpacked);
   if (ok)
