--- a/scripts/mesh.sh
+++ b/scripts/mesh.sh
@@ -74,6 +74,7 @@
 }
 
 mesh_signal () {
+  [ -n "${MESH_PID[$1]:-}" ] || return 1
   kill "-$2" "${MESH_PID[$1]}" 2>/dev/null
 }
 
@@ -85,7 +86,7 @@
 }
 
 mesh_ended () {
-  ! kill -0 "${MESH_PID[$1]}" 2>/dev/null
+  ! mesh_alive "$1"
 }
 
 # mesh_stop NAME [SECONDS]: SIGTERM; fails when the process does not end in
