--- a/core/digest.c
+++ b/core/digest.c
@@ -50,3 +50,16 @@
 {
   return len > 0 ? XXH3_64bits (data, len) : 0;
 }
+
+void
+dig_text (const uint8_t *bytes, size_t count, char *out)
+{
+  static const char digits[] = "0123456789abcdef";
+
+  for (size_t i = 0; i < count; i++)
+    {
+      *out++ = digits[bytes[i] >> 4];
+      *out++ = digits[bytes[i] & 15];
+    }
+  *out = '\0';
+}
--- a/core/digest.h
+++ b/core/digest.h
@@ -23,6 +23,9 @@
 void dig_128 (const struct dig_part *parts, size_t count,
               uint8_t out[DIG_BYTES]);
 
+/* Writes 2 * COUNT hexadecimal digits and a NUL.  */
+void dig_text (const uint8_t *bytes, size_t count, char *out);
+
 /* Hash of one buffer.  */
 uint64_t dig_bytes (const void *data, size_t len);
 
--- a/filters/key.c
+++ b/filters/key.c
@@ -18,8 +18,7 @@
   uint8_t digest[DIG_BYTES];
 
   dig_128 (parts, sizeof parts / sizeof parts[0], digest);
-  for (size_t i = 0; i < DIG_BYTES; i++)
-    snprintf (request->claim_key + 2 * i, 3, "%02x", digest[i]);
+  dig_text (digest, sizeof digest, request->claim_key);
 }
 
 struct flt_result
--- a/programs/ctl_opts.c
+++ b/programs/ctl_opts.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/digest.h"
 #include "core/rng.h"
 #include "sycamorerudder.h"
 
@@ -127,8 +128,7 @@
   uint8_t id[RNG_ID_BYTES];
 
   rng_id (id, sizeof id);
-  for (size_t i = 0; i < sizeof id; i++)
-    snprintf (apply->change_id + 2 * i, 3, "%02x", id[i]);
+  dig_text (id, sizeof id, apply->change_id);
   apply->change_id_made = true;
 }
 
--- a/programs/rudder-load.c
+++ b/programs/rudder-load.c
@@ -33,8 +33,7 @@
   lst_init (&load->reasons);
   rng_seed (&load->rng, load->options.seed);
   rng_id (id, sizeof id);
-  for (size_t i = 0; i < sizeof id; i++)
-    sprintf (load->run_id + 2 * i, "%02x", id[i]);
+  dig_text (id, sizeof id, load->run_id);
   lpr_init (&load->pairs);
 }
 
--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -271,10 +271,10 @@
 bck_trace_state (const struct serve *serve, char *out, size_t size)
 {
   const char *state = msg_field_get (&serve->fields, "tracestate");
-  size_t len = (size_t)snprintf (out, size, "rudder=");
+  char hop[RNG_ID_DIGITS + 1];
 
-  for (int i = 0; i < RNG_ID_BYTES; i++)
-    len += (size_t)snprintf (out + len, size - len, "%02x", serve->hop->id[i]);
+  dig_text (serve->hop->id, RNG_ID_BYTES, hop);
+  snprintf (out, size, "rudder=%s", hop);
   if (state != NULL)
     bck_other_members (state, out, size);
 }
@@ -283,14 +283,14 @@
 static void
 bck_trace_parent (char *out, size_t size)
 {
-  uint8_t id[24];
-  size_t len = (size_t)snprintf (out, size, "00-");
+  uint8_t id[RNG_ID_BYTES + 8];
+  char trace[RNG_ID_DIGITS + 1];
+  char span[17];
 
   rng_id (id, sizeof id);
-  for (size_t i = 0; i < sizeof id; i++)
-    len += (size_t)snprintf (out + len, size - len, "%s%02x",
-                             i == 16 ? "-" : "", id[i]);
-  snprintf (out + len, size - len, "-00");
+  dig_text (id, RNG_ID_BYTES, trace);
+  dig_text (id + RNG_ID_BYTES, 8, span);
+  snprintf (out, size, "00-%s-%s-00", trace, span);
 }
 
 /* Replaces the Host line, which is the last one before *P.  libwebsockets 4.1
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -8,8 +8,6 @@
 #include "filters/retry.h"
 #include "tasks/front_state.h"
 
-#define CALL_WRITE_BYTES (16 * 1024)
-#define CALL_CHUNK_HEAD_BYTES 16
 /* Share of Retry-After that is random, so that refused callers do not come
    back together.  */
 #define CALL_RETRY_AFTER_S 1
@@ -18,98 +16,6 @@
 static void call_deadline (lws_sorted_usec_list_t *timer);
 static void call_hedge (lws_sorted_usec_list_t *timer);
 
-/* Service name from the Host field: up to the first "." or ":".  */
-static void
-call_service_name (struct lws *wsi, char *out, size_t size)
-{
-  char host[256];
-
-  fhttp_copy_token (wsi, WSI_TOKEN_HOST, host, sizeof host);
-  host[strcspn (host, ".:")] = '\0';
-  snprintf (out, size, "%.*s", (int)size - 1, host);
-}
-
-/* Value of a hexadecimal digit, or -1.  */
-static int
-call_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  return -1;
-}
-
-/* Reads the hop id from the tracestate member "rudder".  */
-static void
-call_read_hop (struct call *call)
-{
-  const char *state = msg_field_get (&call->fields, "tracestate");
-  const char *member = state != NULL ? strstr (state, "rudder=") : NULL;
-
-  if (member == NULL)
-    return;
-  member += strlen ("rudder=");
-  for (int i = 0; i < RNG_ID_BYTES; i++)
-    {
-      int high = call_digit (member[2 * i]);
-      int low = high < 0 ? -1 : call_digit (member[2 * i + 1]);
-
-      if (low < 0)
-        return;
-      call->req.hop_id[i] = (uint8_t)(high << 4 | low);
-    }
-  call->req.has_hop = true;
-}
-
-/* Trace id of a traceparent field "00-<32 digits>-…".  */
-static void
-call_read_trace (struct call *call)
-{
-  const char *parent = msg_field_get (&call->fields, "traceparent");
-
-  if (parent == NULL || strlen (parent) < 35)
-    return;
-  snprintf (call->trace, sizeof call->trace, "%.32s", parent + 3);
-}
-
-static void
-call_read_caller (struct call *call, struct lws *wsi)
-{
-  const struct mdl *model = call->front->state.model;
-  const char *name = NULL;
-
-  if (model != NULL && model->caller_header[0] != '\0')
-    name = msg_field_get (&call->fields, model->caller_header);
-  if (name != NULL)
-    snprintf (call->caller, sizeof call->caller, "%.*s", MSG_CALLER_BYTES - 1,
-              name);
-  else
-    lws_get_peer_simple (wsi, call->caller, sizeof call->caller);
-}
-
-/* A copy of the idempotency key that fits; a longer one is replaced by its
-   hash, so that two long keys do not become equal.  */
-static void
-call_read_key (struct call *call)
-{
-  const char *key = msg_field_get (&call->fields, "idempotency-key");
-
-  if (key == NULL)
-    return;
-  if (strlen (key) < sizeof call->key)
-    {
-      snprintf (call->key, sizeof call->key, "%s", key);
-      return;
-    }
-  struct dig_part part = { key, strlen (key) };
-  uint8_t digest[DIG_BYTES];
-
-  dig_128 (&part, 1, digest);
-  for (size_t i = 0; i < DIG_BYTES; i++)
-    snprintf (call->key + 2 * i, 3, "%02x", digest[i]);
-}
-
 static struct call *
 call_new (struct front *front, struct lws *wsi)
 {
@@ -432,136 +338,6 @@
     call_flush (call);
 }
 
-/* Whether lws_add_http_header_content_length() would add a wrong field.  */
-static bool
-call_has_no_body (int status)
-{
-  return status == 204 || status == 304 || (status >= 100 && status < 200);
-}
-
-/* Writes status line and fields.  */
-static int
-call_write_head (struct call *call)
-{
-  unsigned char buffer[LWS_PRE + 2 * FRONT_HEADER_BYTES];
-  unsigned char *start = buffer + LWS_PRE;
-  unsigned char *p = start;
-  unsigned char *end = buffer + sizeof buffer - 1;
-  struct lws *wsi = call->wsi;
-
-  if (lws_add_http_header_status (wsi, (unsigned)call->answer.status, &p, end))
-    return -1;
-  lst_each (node, &call->answer.fields)
-    {
-      const struct msg_field *field = lst_entry (node, struct msg_field, node);
-
-      if (fhttp_add_field (wsi, field->name, field->value, &p, end))
-        return -1;
-    }
-  if (call->answer.chunked)
-    {
-      if (fhttp_add_field (wsi, "transfer-encoding", "chunked", &p, end))
-        return -1;
-    }
-  else if (!call_has_no_body (call->answer.status)
-           && lws_add_http_header_content_length (
-               wsi, (lws_filepos_t)call->answer.body_len, &p, end))
-    return -1;
-  if (lws_finalize_write_http_header (wsi, start, &p, end))
-    return -1;
-  call->answer.head_written = true;
-  return 0;
-}
-
-/* Appends LEN bytes to a buffer that has room for them.  */
-static void
-call_put (unsigned char *buffer, size_t *used, const void *data, size_t len)
-{
-  if (len > 0)
-    memcpy (buffer + *used, data, len);
-  *used += len;
-}
-
-/* Puts LEN bytes in chunked encoding; the last chunk ends the body.  */
-static void
-call_put_chunk (unsigned char *buffer, size_t *used, const void *data,
-                size_t len, bool last)
-{
-  if (len > 0)
-    {
-      *used += (size_t)snprintf ((char *)buffer + *used, CALL_CHUNK_HEAD_BYTES,
-                                 "%zx\r\n", len);
-      call_put (buffer, used, data, len);
-      call_put (buffer, used, "\r\n", strlen ("\r\n"));
-    }
-  if (last)
-    call_put (buffer, used, "0\r\n\r\n", strlen ("0\r\n\r\n"));
-}
-
-/* Writes the next part of the body; sets *LAST after the last one.  */
-static int
-call_write_body (struct call *call, bool *last)
-{
-  unsigned char buffer[LWS_PRE + CALL_WRITE_BYTES + 2 * CALL_CHUNK_HEAD_BYTES];
-  unsigned char *start = buffer + LWS_PRE;
-  struct call_answer *answer = &call->answer;
-  size_t len;
-  size_t used = 0;
-  const uint8_t *data = buf_from (&answer->body, answer->written, &len);
-
-  if (len > CALL_WRITE_BYTES)
-    len = CALL_WRITE_BYTES;
-  *last = answer->whole && answer->written + len == buf_end (&answer->body);
-  if (answer->chunked)
-    call_put_chunk (start, &used, data, len, *last);
-  else
-    call_put (start, &used, data, len);
-  answer->written += len;
-  buf_drop (&answer->body, answer->written);
-  if (used == 0 && !*last)
-    return 0;
-  if (lws_write (call->wsi, start, used,
-                 *last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
-      < (int)used)
-    return -1;
-  return 0;
-}
-
-/* Writes what is there; returns nonzero to close the connection.  */
-static int
-call_writeable (struct call *call)
-{
-  bool last = false;
-
-  if (call->phase != CALL_ANSWERING)
-    return 0;
-  if (call->answer.broken)
-    return -1;
-  if (!call->answer.head_written)
-    {
-      if (call_write_head (call) != 0)
-        return -1;
-      lws_callback_on_writable (call->wsi);
-      return 0;
-    }
-  if (call_write_body (call, &last) != 0)
-    return -1;
-  if (last)
-    {
-      call->phase = CALL_ENDED;
-      /* What is left of the request's body must not be read as the next
-         request.  */
-      if (buf_end (&call->body) < (uint64_t)call->body_len)
-        return -1;
-      return lws_http_transaction_completed (call->wsi) ? -1 : 0;
-    }
-  if (call->winner != NULL)
-    att_credit (call->winner, call->answer.written);
-  if (call->answer.whole || call->answer.body.len > 0)
-    lws_callback_on_writable (call->wsi);
-  return 0;
-}
-
 /* Offset up to which every attempt has sent the body.  */
 static uint64_t
 call_body_sent (const struct call *call)
@@ -622,12 +398,7 @@
   *slot = call;
   lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
   error = fhttp_request_fields (wsi, front->state.model, &call->fields);
-  call_service_name (wsi, call->req.service_name,
-                     sizeof call->req.service_name);
-  call_read_hop (call);
-  call_read_trace (call);
-  call_read_caller (call, wsi);
-  call_read_key (call);
+  call_read (call, wsi);
   if (error == SR_OK)
     error = fhttp_method (wsi, call->method, sizeof call->method, call->path,
                           sizeof call->path);
--- a/tasks/front_console.c
+++ b/tasks/front_console.c
@@ -11,8 +11,7 @@
   uint8_t id[RNG_ID_BYTES];
 
   rng_id (id, sizeof id);
-  for (int i = 0; i < RNG_ID_BYTES; i++)
-    snprintf (out + 2 * i, 3, "%02x", id[i]);
+  dig_text (id, sizeof id, out);
 }
 
 /* A change needs the token, or a connection from loopback without one.  */
--- /dev/null
+++ b/tasks/front_request.c
@@ -0,0 +1,107 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "tasks/front_state.h"
+
+/* Service name from the Host field: up to the first "." or ":".  */
+static void
+call_service_name (struct lws *wsi, char *out, size_t size)
+{
+  char host[256];
+
+  fhttp_copy_token (wsi, WSI_TOKEN_HOST, host, sizeof host);
+  host[strcspn (host, ".:")] = '\0';
+  snprintf (out, size, "%.*s", (int)size - 1, host);
+}
+
+/* Value of a hexadecimal digit, or -1.  */
+static int
+call_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  return -1;
+}
+
+/* Reads the hop id from the tracestate member "rudder".  */
+static void
+call_read_hop (struct call *call)
+{
+  const char *state = msg_field_get (&call->fields, "tracestate");
+  const char *member = state != NULL ? strstr (state, "rudder=") : NULL;
+
+  if (member == NULL)
+    return;
+  member += strlen ("rudder=");
+  for (int i = 0; i < RNG_ID_BYTES; i++)
+    {
+      int high = call_digit (member[2 * i]);
+      int low = high < 0 ? -1 : call_digit (member[2 * i + 1]);
+
+      if (low < 0)
+        return;
+      call->req.hop_id[i] = (uint8_t)(high << 4 | low);
+    }
+  call->req.has_hop = true;
+}
+
+/* Trace id of a traceparent field "00-<32 digits>-…".  */
+static void
+call_read_trace (struct call *call)
+{
+  const char *parent = msg_field_get (&call->fields, "traceparent");
+
+  if (parent == NULL || strlen (parent) < 35)
+    return;
+  snprintf (call->trace, sizeof call->trace, "%.32s", parent + 3);
+}
+
+static void
+call_read_caller (struct call *call, struct lws *wsi)
+{
+  const struct mdl *model = call->front->state.model;
+  const char *name = NULL;
+
+  if (model != NULL && model->caller_header[0] != '\0')
+    name = msg_field_get (&call->fields, model->caller_header);
+  if (name != NULL)
+    snprintf (call->caller, sizeof call->caller, "%.*s", MSG_CALLER_BYTES - 1,
+              name);
+  else
+    lws_get_peer_simple (wsi, call->caller, sizeof call->caller);
+}
+
+/* A copy of the idempotency key that fits; a longer one is replaced by its
+   hash, so that two long keys do not become equal.  */
+static void
+call_read_key (struct call *call)
+{
+  const char *key = msg_field_get (&call->fields, "idempotency-key");
+
+  if (key == NULL)
+    return;
+  if (strlen (key) < sizeof call->key)
+    {
+      snprintf (call->key, sizeof call->key, "%s", key);
+      return;
+    }
+  struct dig_part part = { key, strlen (key) };
+  uint8_t digest[DIG_BYTES];
+
+  dig_128 (&part, 1, digest);
+  dig_text (digest, sizeof digest, call->key);
+}
+
+/* What identifies the request: service, chain, trace, caller and key.  */
+void
+call_read (struct call *call, struct lws *wsi)
+{
+  call_service_name (wsi, call->req.service_name,
+                     sizeof call->req.service_name);
+  call_read_hop (call);
+  call_read_trace (call);
+  call_read_caller (call, wsi);
+  call_read_key (call);
+}
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -293,6 +293,12 @@
                   enum rsn_run run);
 void call_body_progress (struct call *call);
 
+/* front_request.c */
+void call_read (struct call *call, struct lws *wsi);
+
+/* front_write.c */
+int call_writeable (struct call *call);
+
 /* front_attempt.c */
 void att_start (struct call *call, struct chs_server *server,
                 struct flt_service *service);
--- /dev/null
+++ b/tasks/front_write.c
@@ -0,0 +1,137 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "tasks/front_state.h"
+
+#define CALL_WRITE_BYTES (16 * 1024)
+#define CALL_CHUNK_HEAD_BYTES 16
+
+/* Whether lws_add_http_header_content_length() would add a wrong field.  */
+static bool
+call_has_no_body (int status)
+{
+  return status == 204 || status == 304 || (status >= 100 && status < 200);
+}
+
+/* Writes status line and fields.  */
+static int
+call_write_head (struct call *call)
+{
+  unsigned char buffer[LWS_PRE + 2 * FRONT_HEADER_BYTES];
+  unsigned char *start = buffer + LWS_PRE;
+  unsigned char *p = start;
+  unsigned char *end = buffer + sizeof buffer - 1;
+  struct lws *wsi = call->wsi;
+
+  if (lws_add_http_header_status (wsi, (unsigned)call->answer.status, &p, end))
+    return -1;
+  lst_each (node, &call->answer.fields)
+    {
+      const struct msg_field *field = lst_entry (node, struct msg_field, node);
+
+      if (fhttp_add_field (wsi, field->name, field->value, &p, end))
+        return -1;
+    }
+  if (call->answer.chunked)
+    {
+      if (fhttp_add_field (wsi, "transfer-encoding", "chunked", &p, end))
+        return -1;
+    }
+  else if (!call_has_no_body (call->answer.status)
+           && lws_add_http_header_content_length (
+               wsi, (lws_filepos_t)call->answer.body_len, &p, end))
+    return -1;
+  if (lws_finalize_write_http_header (wsi, start, &p, end))
+    return -1;
+  call->answer.head_written = true;
+  return 0;
+}
+
+/* Appends LEN bytes to a buffer that has room for them.  */
+static void
+call_put (unsigned char *buffer, size_t *used, const void *data, size_t len)
+{
+  if (len > 0)
+    memcpy (buffer + *used, data, len);
+  *used += len;
+}
+
+/* Puts LEN bytes in chunked encoding; the last chunk ends the body.  */
+static void
+call_put_chunk (unsigned char *buffer, size_t *used, const void *data,
+                size_t len, bool last)
+{
+  if (len > 0)
+    {
+      *used += (size_t)snprintf ((char *)buffer + *used, CALL_CHUNK_HEAD_BYTES,
+                                 "%zx\r\n", len);
+      call_put (buffer, used, data, len);
+      call_put (buffer, used, "\r\n", strlen ("\r\n"));
+    }
+  if (last)
+    call_put (buffer, used, "0\r\n\r\n", strlen ("0\r\n\r\n"));
+}
+
+/* Writes the next part of the body; sets *LAST after the last one.  */
+static int
+call_write_body (struct call *call, bool *last)
+{
+  unsigned char buffer[LWS_PRE + CALL_WRITE_BYTES + 2 * CALL_CHUNK_HEAD_BYTES];
+  unsigned char *start = buffer + LWS_PRE;
+  struct call_answer *answer = &call->answer;
+  size_t len;
+  size_t used = 0;
+  const uint8_t *data = buf_from (&answer->body, answer->written, &len);
+
+  if (len > CALL_WRITE_BYTES)
+    len = CALL_WRITE_BYTES;
+  *last = answer->whole && answer->written + len == buf_end (&answer->body);
+  if (answer->chunked)
+    call_put_chunk (start, &used, data, len, *last);
+  else
+    call_put (start, &used, data, len);
+  answer->written += len;
+  buf_drop (&answer->body, answer->written);
+  if (used == 0 && !*last)
+    return 0;
+  if (lws_write (call->wsi, start, used,
+                 *last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
+      < (int)used)
+    return -1;
+  return 0;
+}
+
+/* Writes what is there; returns nonzero to close the connection.  */
+int
+call_writeable (struct call *call)
+{
+  bool last = false;
+
+  if (call->phase != CALL_ANSWERING)
+    return 0;
+  if (call->answer.broken)
+    return -1;
+  if (!call->answer.head_written)
+    {
+      if (call_write_head (call) != 0)
+        return -1;
+      lws_callback_on_writable (call->wsi);
+      return 0;
+    }
+  if (call_write_body (call, &last) != 0)
+    return -1;
+  if (last)
+    {
+      call->phase = CALL_ENDED;
+      /* What is left of the request's body must not be read as the next
+         request.  */
+      if (buf_end (&call->body) < (uint64_t)call->body_len)
+        return -1;
+      return lws_http_transaction_completed (call->wsi) ? -1 : 0;
+    }
+  if (call->winner != NULL)
+    att_credit (call->winner, call->answer.written);
+  if (call->answer.whole || call->answer.body.len > 0)
+    lws_callback_on_writable (call->wsi);
+  return 0;
+}
