--- a/fuzz/fuzz_peer.c
+++ b/fuzz/fuzz_peer.c
@@ -51,9 +51,12 @@
     rcd_free (&answer);
 }
 
+/* The name is set by libFuzzer.  */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
 int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   if (size == 0)
--- a/programs/rudder-load.c
+++ b/programs/rudder-load.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
+#include "core/digest.h"
 #include "core/slog.h"
 #include "programs/load_pair.h"
 #include "programs/load_report.h"
