peer: poll all open connections, keep those to control replicas

Cause: when all of PEER_DIALS_MAX connections have streams, more are opened, but only PEER_DIALS_MAX + 1 were polled, so a response on another one waited for other traffic. A connection to a control replica has no streams and could be evicted while the answer to a proposal was under way. Change: the poll array grows with the connections; connections that carried renewals, proposals or log messages are not evicted.

--- a/scripts/mesh_measure.sh
+++ b/scripts/mesh_measure.sh
@@ -2,10 +2,11 @@
 # Sourced after mesh.sh.
 
 # Processor time in ns of all threads of a process, from the scheduler: the
-# clock ticks of /proc/PID/stat are too coarse for an idle node.
+# clock ticks of /proc/PID/stat are too coarse for an idle node.  "%.0f",
+# as some awks end "%d" at 2^31.
 measure_cpu () {
   cat "/proc/${MESH_PID[$1]}/task"/*/schedstat \
-    | awk '{ sum += $1 } END { printf "%d\n", sum }'
+    | awk '{ sum += $1 } END { printf "%.0f\n", sum }'
 }
 
 # Resident memory in KiB.
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -30,6 +30,7 @@
   char address[MSG_ADDRESS_BYTES];
   void *socket;
   struct plk link;
+  bool control; /* renewals, proposals or log messages were sent on it */
 };
 
 /* A node that connected to this one and has streams open.  */
@@ -51,6 +52,8 @@
   struct lst callers;
   uint32_t dial_count;
   uint32_t caller_count;
+  zmq_pollitem_t *items; /* of peer_wait() */
+  uint32_t item_count;   /* allocated */
   bool stopping;
   pthread_t thread;
 };
@@ -162,7 +165,9 @@
   free (dial);
 }
 
-/* Closes the connection unused for longest that has no open stream.  */
+/* Closes the connection unused for longest that has no open stream.  Those to
+   control replicas stay: closing one loses a renewal that is not yet sent, and
+   there are few.  */
 static void
 peer_evict_dial (struct peer *peer)
 {
@@ -170,7 +175,7 @@
     {
       struct peer_dial *dial = lst_entry (node, struct peer_dial, node);
 
-      if (!lst_empty (&dial->link.streams))
+      if (dial->control || !lst_empty (&dial->link.streams))
         continue;
       peer_close_dial (peer, dial);
       return;
@@ -301,6 +306,9 @@
   lst_remove (&dial->node);
   lst_push_tail (&peer->dials, &dial->node);
   dial->link.sent = now;
+  if (msg->kind == MSG_RENEW || msg->kind == MSG_PROPOSE
+      || msg->kind == MSG_REP)
+    dial->control = true;
   if (msg->kind == MSG_OPEN)
     plk_open (&dial->link, msg->stream, now);
   if (msg->kind == MSG_CANCEL)
@@ -611,27 +619,36 @@
     }
 }
 
+/* Makes room for COUNT poll items.  More connections than PEER_DIALS_MAX are
+   open when all have streams; an answer on one that is not polled would wait
+   for the end of the poll.  */
+static void
+peer_reserve_items (struct peer *peer, uint32_t count)
+{
+  if (count <= peer->item_count)
+    return;
+  peer->item_count = 2 * count;
+  peer->items = realloc (peer->items, peer->item_count * sizeof *peer->items);
+  INVARIANT (peer->items != NULL);
+}
+
 /* Waits for sockets or the inbox.  */
 static void
 peer_wait (struct peer *peer)
 {
-  zmq_pollitem_t items[2 + PEER_DIALS_MAX + 1];
   int count = 0;
 
-  items[count++]
+  peer_reserve_items (peer, 2 + peer->dial_count);
+  peer->items[count++]
       = (zmq_pollitem_t){ .fd = inb_fd (peer->inbox), .events = ZMQ_POLLIN };
-  items[count++]
+  peer->items[count++]
       = (zmq_pollitem_t){ .socket = peer->router, .events = ZMQ_POLLIN };
   lst_each (node, &peer->dials)
-    {
-      if (count == 2 + PEER_DIALS_MAX + 1)
-        break;
-      items[count++] = (zmq_pollitem_t){
-        .socket = lst_entry (node, struct peer_dial, node)->socket,
-        .events = ZMQ_POLLIN,
-      };
-    }
-  zmq_poll (items, count, PEER_POLL_MS);
+    peer->items[count++] = (zmq_pollitem_t){
+      .socket = lst_entry (node, struct peer_dial, node)->socket,
+      .events = ZMQ_POLLIN,
+    };
+  zmq_poll (peer->items, count, PEER_POLL_MS);
 }
 
 static void
@@ -685,5 +702,6 @@
   zmq_close (peer->router);
   zmq_ctx_term (peer->context);
   inb_free (peer->inbox);
+  free (peer->items);
   free (peer);
 }
