Hedges only at another server, and not below 3 ms

Cause: the front task polled without waiting while a hedge timer was due in under 1 ms (67,879 polls for about 4,500 requests, docs/CAPACITY.md); hedges went to the only server of a service, and one that found no server lost its retry from the allowance and replaced the reason of the refusal. Change: a hedge is chosen first, dropped when its server was tried, and only then taken from allowance and budget; its delay is at least 3 ms.

--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -12,6 +12,10 @@
    back together.  */
 #define CALL_RETRY_AFTER_S 1
 #define CALL_RETRY_JITTER_S 3
+/* Shortest delay of a hedge.  libwebsockets rounds the time to a timer down to
+   whole milliseconds and polls without waiting below one; the timers of short
+   calls must not be due within that time.  */
+#define CALL_HEDGE_MIN_US clk_ms (3)
 
 static void call_deadline (lws_sorted_usec_list_t *timer);
 static void call_hedge (lws_sorted_usec_list_t *timer);
@@ -125,26 +129,52 @@
     lws_callback_on_writable (call->wsi);
 }
 
+/* Chooses a server; refuses when there is none.  */
+static struct flt_result
+call_choose (struct call *call)
+{
+  flt_start (&call->req, flt_attempt_chain);
+  return flt_run (&call->front->state, &call->req, clk_now ());
+}
+
+/* Starts an attempt at the chosen server.  */
+static void
+call_attempt (struct call *call)
+{
+  struct chs_query *query = &call->req.query;
+
+  if (query->tried_count < CHS_TRIED_MAX)
+    query->tried[query->tried_count++] = call->req.server;
+  att_start (call, call->req.server,
+             flt_find_service (&call->front->state, call->req.service_name));
+}
+
 /* Chooses a server and starts an attempt; refuses when there is none.  */
 static bool
 call_try (struct call *call)
 {
-  struct flt_state *state = &call->front->state;
-  struct flt_result result;
+  struct flt_result result = call_choose (call);
 
-  flt_start (&call->req, flt_attempt_chain);
-  result = flt_run (state, &call->req, clk_now ());
-  if (result.kind != FLT_CONTINUE)
+  if (result.kind == FLT_CONTINUE)
     {
-      call->reason = result.u.refuse.reason;
-      call->run = result.u.refuse.run;
-      return false;
+      call_attempt (call);
+      return true;
     }
-  if (call->req.query.tried_count < CHS_TRIED_MAX)
-    call->req.query.tried[call->req.query.tried_count++] = call->req.server;
-  att_start (call, call->req.server,
-             flt_find_service (state, call->req.service_name));
-  return true;
+  call->reason = result.u.refuse.reason;
+  call->run = result.u.refuse.run;
+  return false;
+}
+
+/* Whether an attempt at the chosen server has been made before.  */
+static bool
+call_was_tried (const struct call *call)
+{
+  const struct chs_query *query = &call->req.query;
+
+  for (uint32_t i = 0; i < query->tried_count; i++)
+    if (query->tried[i] == call->req.server)
+      return true;
+  return false;
 }
 
 /* Arms the hedge of an idempotent call.  */
@@ -160,6 +190,8 @@
   delay = chs_hedge_delay (service->servers, call->req.kind->cost);
   if (delay == 0)
     return;
+  if (delay < CALL_HEDGE_MIN_US)
+    delay = CALL_HEDGE_MIN_US;
   lws_sul_schedule (call->front->context, 0, &call->hedge_timer, call_hedge,
                     (lws_usec_t)delay);
 }
@@ -227,10 +259,13 @@
 
   if (call->phase != CALL_RUNNING || call->winner != NULL)
     return;
+  /* A second copy at the same server would only add to its load.  */
+  if (call_choose (call).kind != FLT_CONTINUE || call_was_tried (call))
+    return;
   if (!flt_may_hedge (&call->front->state, &call->req, clk_now ()))
     return;
-  if (call_try (call))
-    ctr_retried (RSN_RETRY_HEDGE);
+  ctr_retried (RSN_RETRY_HEDGE);
+  call_attempt (call);
 }
 
 /* Drops what a failed winner has sent so far.  */
