--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -233,6 +233,7 @@
     snprintf (control->leader[pending->group],
               sizeof control->leader[pending->group], "%s", result->leader);
   pending->target++;
+  pending->refused = true;
   pending->next_try = now + CTL_RETRY_US;
   if (pending->origin.kind == CTL_ORIGIN_CONFIG)
     ctl_config_result (control, result, now);
@@ -253,10 +254,14 @@
         }
       if (now < pending->next_try)
         continue;
-      /* A leader that does not answer may be cut off.  */
-      if (control->replica == NULL)
-        control->leader[pending->group][0] = '\0';
-      pending->target++;
+      if (!pending->refused)
+        {
+          /* A leader that does not answer may be cut off.  */
+          if (control->replica == NULL)
+            control->leader[pending->group][0] = '\0';
+          pending->target++;
+        }
+      pending->refused = false;
       ctl_send (control, pending, now);
     }
 }
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -70,6 +70,7 @@
   clk_us deadline;
   clk_us next_try; /* when it is sent again without a result */
   uint32_t target; /* replica tried last */
+  bool refused;    /* with a hint to the leader, or none, since it was sent */
 };
 
 struct control
