--- a/tasks/front_claim.c
+++ b/tasks/front_claim.c
@@ -77,6 +77,7 @@
   command.body_hash = serve->req.body_hash;
   command.run_ms = remaining + SRV_CLAIM_GRACE_MS;
   command.keep_hours = serve->front->state.model->claim_keep_hours;
+  command.keys_max = serve->front->state.model->claim_keys_max;
   command.answer_reserve
       = serve->front->state.model->claim_answer_bytes_max + SRV_RECORD_BYTES;
   serve->req.claim = FLT_CLAIM_ASKED;
--- a/tasks/front_console.c
+++ b/tasks/front_console.c
@@ -141,6 +141,11 @@
       request->in_force_version = reply->version;
       reply->text = NULL;
     }
+  else if (reply->http_status != 404)
+    {
+      adn_answer_error (request, 503, "the version in force is not known");
+      return;
+    }
   if (strcmp (request->method, "POST") == 0)
     {
       page.kind = CON_SUBMIT;
