--- /dev/null
+++ b/tests/test_settings.sh
@@ -0,0 +1,58 @@
+#!/bin/bash
+# Settings of the node.  Guards against a wrong setting that is taken, or
+# refused without saying which one, and a port in use that is not reported.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+. scripts/mesh.sh
+. scripts/mesh_request.sh
+mesh_begin
+node=$MESH_BIN/sycamorerudder-node
+good=(--listen 127.0.0.1:7101 --peer 127.0.0.1:7301 --failure-domain a
+  --instance n1 --join 127.0.0.1:7301)
+
+# wrong SETTING VALUE: one line that names both, status 2.
+wrong () {
+  local output status
+  output=$("$node" "${good[@]}" "$1" "$2" --check-settings 2>&1)
+  status=$?
+  mesh_expect "status of $1 $2" "$status" 2
+  mesh_expect "lines of $1 $2" "$(echo "$output" | wc -l)" 1
+  case $output in
+    *"setting=$1 value=\"$2\" allowed="*) ;;
+    *) mesh_fail "$1 $2: $output" ;;
+  esac
+}
+
+wrong --listen 127.0.0.1:0
+wrong --listen localhost:80
+wrong --peer 127.0.0.1
+wrong --instance UPPER
+wrong --failure-domain ""
+wrong --join 127.0.0.1:7301,
+wrong --drain-limit-ms 0
+wrong --operator-token-file "$MESH_DIR/missing"
+"$node" "${good[@]}" --unknown >/dev/null 2>&1
+mesh_expect "status of an unknown flag" $? 2
+"$node" "${good[@]}" --control --check-settings >/dev/null 2>&1
+mesh_expect "status of a replica without a folder" $? 2
+"$node" "${good[@]}" --check-settings >/dev/null 2>&1
+mesh_expect "status of valid settings" $? 0
+SYCAMORERUDDER_INSTANCE=UPPER "$node" "${good[@]}" --check-settings \
+  >/dev/null 2>&1
+mesh_expect "a flag goes before its variable" $? 0
+SYCAMORERUDDER_DRAIN_LIMIT_MS=0 "$node" "${good[@]}" --check-settings \
+  >/dev/null 2>&1
+mesh_expect "a variable is read" $? 2
+
+mesh_ports n1
+mesh_join n1
+mesh_node n1 a
+mesh_until 5 mesh_listens "${MESH_ADMIN[n1]#*:}" || mesh_fail "n1"
+mesh_port
+"$node" --listen "${MESH_LISTEN[n1]}" --admin "127.0.0.1:$REPLY" \
+  --peer "${MESH_PEER[n1]}" --failure-domain a --instance n2 \
+  --join "$MESH_JOIN" >"$MESH_DIR/second" 2>&1
+mesh_expect "status with a port in use" $? 1
+grep -q 'setting=--listen' "$MESH_DIR/second" \
+  || mesh_fail "port in use: $(cat "$MESH_DIR/second")"
+mesh_finish
