--- a/tasks/front.c
+++ b/tasks/front.c
@@ -289,8 +289,6 @@
   struct qrt_opts marks = { .most = FRONT_MARKS_MAX };
   clk_us now = clk_now ();
 
-  front->version = taken->version;
-  front->confirmed = taken->confirmed;
   if (taken->model == NULL || taken->model == front->state.model)
     return;
   mdl_unref (front->state.model);
@@ -584,6 +582,5 @@
   bck_free (front);
   front_free_state (front);
   inb_free (front->inbox);
-  free (front->document);
   free (front);
 }
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -235,9 +235,6 @@
   struct inb *peer;
   struct inb *control;
   struct flt_state state;
-  struct mem_version version;
-  bool confirmed;
-  char *document; /* text in force, for the console */
   struct backend backend;
   struct lst calls;
   struct lst serves;
