Drop a counter getter that nothing calls and an unused parameter

Cause: last reading of the change: ctr_value() had no caller, since metrics go through ctr_each(), and hop_release() ignored its table. Change: both removed; includes of filters/chain.h in order. Ruled out: one function for the common end of adn_callback() and call_callback(); the cases differ in what they free and when. Result: lint clean, every test program passes plain; mesh_requests, mesh_chain, mesh_crash and mesh_overload pass.

--- a/controllers/hop.c
+++ b/controllers/hop.c
@@ -101,9 +101,8 @@
 }
 
 void
-hop_release (struct hop_table *table, struct hop *hop)
+hop_release (struct hop *hop)
 {
-  (void)table;
   INVARIANT (hop->users > 0);
   hop->users--;
   if (hop->ended)
--- a/controllers/hop.h
+++ b/controllers/hop.h
@@ -53,7 +53,7 @@
 struct hop *hop_find (struct hop_table *table, const uint8_t id[RNG_ID_BYTES]);
 
 void hop_hold (struct hop *hop);
-void hop_release (struct hop_table *table, struct hop *hop);
+void hop_release (struct hop *hop);
 
 /* Forgets hops that ended longer ago than HOP_KEEP_US.  */
 void hop_expire (struct hop_table *table, clk_us now);
--- a/core/ctr.c
+++ b/core/ctr.c
@@ -37,12 +37,6 @@
   atomic_fetch_add_explicit (&ctr_retries[reason], 1, memory_order_relaxed);
 }
 
-uint64_t
-ctr_value (enum ctr_id id)
-{
-  return atomic_load_explicit (&ctr_values[id], memory_order_relaxed);
-}
-
 void
 ctr_each (void (*visit) (void *arg, const char *name, const char *help,
                          const char *label, uint64_t value),
--- a/core/ctr.h
+++ b/core/ctr.h
@@ -49,7 +49,6 @@
 void ctr_add (enum ctr_id id, uint64_t amount);
 void ctr_refused (enum rsn_refusal reason);
 void ctr_retried (enum rsn_retry reason);
-uint64_t ctr_value (enum ctr_id id);
 
 /**
  * ctr_each() - visit all counters
--- a/filters/chain.c
+++ b/filters/chain.c
@@ -132,7 +132,7 @@
 flt_release (struct flt_state *state, struct flt_request *request, clk_us now)
 {
   if (request->parent != NULL)
-    hop_release (state->hops, request->parent);
+    hop_release (request->parent);
   request->parent = NULL;
   if (request->chain_record != NULL)
     rty_chain_put (state->chains, request->chain_record, now);
--- a/filters/chain.h
+++ b/filters/chain.h
@@ -14,11 +14,11 @@
 #include <stdint.h>
 
 #include "controllers/adm.h"
-#include "controllers/share.h"
 #include "controllers/chs.h"
 #include "controllers/hop.h"
 #include "controllers/qrt.h"
 #include "controllers/rty.h"
+#include "controllers/share.h"
 #include "core/clk.h"
 #include "core/model.h"
 #include "core/msg.h"
