A suspect that crashes its server again is quarantined

Marks of one server count once; innocent suspects occupied the other servers, each retry was refused as suspect-running, and the same server ran the request 8 times. Ruled out: lost marks (all eight crashes were at one node). Change: a request that was marked before runs without other suspects, so its next crash counts as a second mark at the same server, too.

--- a/tasks/front_health.c
+++ b/tasks/front_health.c
@@ -18,6 +18,20 @@
     = { { "probe", bck_probe_callback, 0, 64, 0, NULL, 0 },
         { NULL, NULL, 0, 0, 0, NULL, 0 } };
 
+/* Marks a request that was in flight when the server was lost.  Marks of one
+   server count once.  A request that was marked before ran without other
+   suspects, so that its second crash counts even at the same server.  */
+static void
+bck_mark (const struct serve *serve)
+{
+  struct front *front = serve->front;
+  char name[QRT_INSTANCE_BYTES];
+
+  snprintf (name, sizeof name, "%s%.57s", serve->req.isolated ? "again/" : "",
+            front->opts.instance);
+  qrt_add (front->state.marks, serve->req.fingerprint, name, clk_now ());
+}
+
 /* Ends all requests that wait for the probe.  */
 static void
 bck_probed (struct front *front, bool alive)
@@ -32,8 +46,7 @@
       struct serve *serve = lst_entry (node, struct serve, probe_node);
 
       if (!alive && serve->req.fingerprint != 0)
-        qrt_add (front->state.marks, serve->req.fingerprint,
-                 front->opts.instance, clk_now ());
+        bck_mark (serve);
       srv_refuse (serve, alive ? serve->refusal : RSN_BACKEND_CRASHED,
                   RSN_UNKNOWN);
     }
