--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,12 @@
 WARN = -Wall -Wextra -Werror
 OPT = -O2 -g
 CFLAGS = $(CSTD) $(WARN) $(OPT) $(SANITIZE) -pthread -I. -Iinclude
-LIBS = -lwebsockets -lzmq -lmsgpackc -ljansson -lxxhash -lpopt -lm
+LIBS = -lwebsockets -lzmq -lmsgpackc -ljansson -lxxhash -lpopt -lhttp_parser \
+	-lm
 BUILD = build
 
 LIB_SRC = $(wildcard core/*.c filters/*.c controllers/*.c log/*.c wire/*.c \
-	tasks/*.c programs/*_*.c)
+	tasks/*.c platform/*.c programs/*_*.c)
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB = $(BUILD)/libsycamorerudder.a
 PROGRAMS = sycamorerudder-node rudderctl rudder-load rudder-fake \
@@ -18,7 +19,7 @@
 TEST_SRC = $(wildcard tests/test_*.c)
 TEST_BIN = $(TEST_SRC:tests/%.c=$(BUILD)/tests/%)
 SOURCES = $(wildcard include/*.h core/*.[ch] filters/*.[ch] \
-	controllers/*.[ch] log/*.[ch] wire/*.[ch] tasks/*.[ch] \
+	controllers/*.[ch] log/*.[ch] wire/*.[ch] tasks/*.[ch] platform/*.[ch] \
 	programs/*.[ch] bench/*.[ch] tests/*.[ch] fuzz/*.[ch])
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
 
--- a/controllers/cfg.c
+++ b/controllers/cfg.c
@@ -8,10 +8,12 @@
 #include "core/err.h"
 #include "core/list.h"
 
-#define CFG_CHANGE_FORMAT 1u
+/* Changes of the first format have no number.  */
+#define CFG_CHANGE_FORMAT_FIRST 1u
+#define CFG_CHANGE_FORMAT 2u
 #define CFG_SNAPSHOT_FORMAT 1u
 /* Encoded bytes besides change id and document.  */
-#define CFG_CHANGE_OVERHEAD 32u
+#define CFG_CHANGE_OVERHEAD 40u
 #define CFG_RESULT_BYTES 9u
 
 /* Result of one change id, kept for resends.  */
@@ -136,6 +138,13 @@
     }
 }
 
+/* Number of the version that the change makes.  */
+static uint64_t
+cfg_number (const struct cfg_state *state, const struct cfg_change *change)
+{
+  return change->number != 0 ? change->number : state->version.number + 1;
+}
+
 /* Decides on a change whose id is new, and remembers the result.  */
 static int
 cfg_decide (struct cfg *cfg, uint64_t term, uint64_t index,
@@ -144,7 +153,8 @@
   struct cfg_state *state = &cfg->state;
   struct cfg_kept *kept = calloc (1, sizeof *kept);
   char *document = NULL;
-  bool accepted = change->base == state->version.number;
+  bool accepted = change->base == state->version.number
+                  && cfg_number (state, change) > state->version.number;
 
   if (accepted)
     document = cfg_copy (change->document, change->document_len);
@@ -160,7 +170,7 @@
       state->document = document;
       state->document_len = change->document_len;
       state->version = (struct mem_version){
-        .term = term, .index = index, .number = state->version.number + 1
+        .term = term, .index = index, .number = cfg_number (state, change)
       };
     }
   memcpy (kept->change_id, change->change_id, sizeof kept->change_id);
@@ -176,10 +186,14 @@
 {
   struct byt_reader reader;
 
+  uint8_t format;
+
   byt_read_begin (&reader, data, len);
-  if (byt_get_u8 (&reader) != CFG_CHANGE_FORMAT)
+  format = byt_get_u8 (&reader);
+  if (format != CFG_CHANGE_FORMAT && format != CFG_CHANGE_FORMAT_FIRST)
     return len == 0 ? SR_EMALFORMED : SR_EVERSION;
   change->base = byt_get_u64 (&reader);
+  change->number = format == CFG_CHANGE_FORMAT ? byt_get_u64 (&reader) : 0;
   memset (change->change_id, 0, sizeof change->change_id);
   byt_get_text (&reader, change->change_id, sizeof change->change_id);
   change->document = (const char *)byt_get_blob (
@@ -227,6 +241,7 @@
                    id_len + change->document_len + CFG_CHANGE_OVERHEAD);
   byt_put_u8 (&writer, CFG_CHANGE_FORMAT);
   byt_put_u64 (&writer, change->base);
+  byt_put_u64 (&writer, change->number);
   byt_put_blob (&writer, change->change_id, id_len);
   byt_put_blob (&writer, change->document, change->document_len);
   return byt_write_end (&writer, out, len);
--- a/controllers/cfg.h
+++ b/controllers/cfg.h
@@ -27,7 +27,8 @@
 
 struct cfg_change
 {
-  uint64_t base; /* version number that the operator saw; 0 for the first */
+  uint64_t base;   /* version number that the operator saw; 0 for the first */
+  uint64_t number; /* of the new version; 0 for the next one */
   char change_id[CFG_CHANGE_ID_BYTES]; /* not empty */
   const char *document;
   size_t document_len;
@@ -36,7 +37,8 @@
 enum cfg_result_kind
 {
   CFG_ACCEPTED,
-  CFG_CONFLICT, /* base is not the version in force */
+  CFG_CONFLICT, /* base is not the version in force, or the number is not
+                   above it */
 };
 
 struct cfg_result
--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -34,6 +34,12 @@
 #define CHS_REVIEW_US clk_ms (5)
 /* Scores within this factor are equal; the own failure domain decides.  */
 #define CHS_EQUAL 1.2
+/* A report of load counts for this long.  */
+#define CHS_LOAD_FRESH clk_ms (400)
+/* Loads that differ by less are equal.  */
+#define CHS_LOAD_NOISE 0.05
+/* A server of another failure domain has to be loaded less by this.  */
+#define CHS_FAR_LESS 0.2
 /* Draws to find a server that its ramp lets through.  */
 #define CHS_RAMP_DRAWS 4
 
@@ -472,6 +478,61 @@
   return score_a <= score_b ? a : b;
 }
 
+/* Load of a server as last told, with what this node has sent since; an old
+   report counts as an empty server.  */
+static double
+server_load (const struct chs_server *server, clk_us now)
+{
+  double own = (double)server->in_flight / server->slots;
+
+  if (server->load_at == 0 || now > server->load_at + CHS_LOAD_FRESH)
+    return own;
+  return server->load > own ? server->load : own;
+}
+
+/* Whether the domain of SERVER is this node's own.  */
+static bool
+server_near (const struct chs *chs, const struct chs_server *server)
+{
+  return strcmp (server->failure_domain, chs->opts.failure_domain) == 0;
+}
+
+/* The least loaded server, near ones first: one that is far is taken when
+   every near one is loaded and it is clearly less so.  */
+static struct chs_server *
+candidate_near (const struct chs *chs, const struct candidates *all,
+                struct rng *rng, clk_us now)
+{
+  struct chs_server *best[2] = { NULL, NULL };
+  double least[2] = { 0, 0 };
+
+  for (uint32_t i = 0; i < all->count; i++)
+    {
+      struct chs_server *server = all->servers[i];
+      bool near = server_near (chs, server);
+      double load = server_load (server, now) / chs_weight (server, now)
+                    + rng_unit (rng) * CHS_LOAD_NOISE;
+
+      if (best[near] != NULL && load >= least[near])
+        continue;
+      best[near] = server;
+      least[near] = load;
+    }
+  if (best[true] == NULL)
+    return best[false];
+  if (best[false] == NULL || least[true] < chs->opts.near_load
+      || least[true] < least[false] + CHS_FAR_LESS)
+    return best[true];
+  return best[false];
+}
+
+void
+chs_note_load (struct chs_server *server, double load, clk_us now)
+{
+  server->load = load;
+  server->load_at = now;
+}
+
 struct chs_choice
 chs_pick (struct chs *chs, const struct chs_query *query, struct rng *rng,
           clk_us now)
@@ -491,6 +552,8 @@
     }
   choice.kind = CHS_SERVER;
   choice.server = query->tried_count == 0 ? probe_due (chs, query, now) : NULL;
+  if (choice.server == NULL && chs->opts.near_load > 0)
+    choice.server = candidate_near (chs, &all, rng, now);
   if (choice.server == NULL)
     choice.server = candidate_choose (chs, &all, query->cost, rng, now);
   return choice;
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -29,6 +29,9 @@
 {
   uint32_t max_ejected_percent;
   char failure_domain[MDL_NAME_BYTES]; /* own; used for equal choices */
+  /* Servers of the own failure domain go first while their load is below;
+     0: only for equal choices.  */
+  double near_load;
 };
 
 /* Short and long work are measured apart.  */
@@ -63,6 +66,8 @@
   uint32_t users; /* attempts that refer to it */
   struct adm_level level;
   clk_us level_at;
+  double load; /* running and waiting requests, for each slot */
+  clk_us load_at;
   clk_us joined;
   struct chs_speed speed[CHS_COSTS];
   double failures; /* moving share of attempts that the server failed */
@@ -154,6 +159,9 @@
                enum chs_result result, enum mdl_cost cost, clk_us latency,
                const struct adm_level *level, clk_us now);
 
+/* The node beside SERVER told its load.  */
+void chs_note_load (struct chs_server *server, double load, clk_us now);
+
 /* Delay after which an unanswered idempotent attempt may be hedged: the p95
    of recent answers of this cost; 0 while it is not known, or while requests
    wait at most of the servers.  */
--- /dev/null
+++ b/controllers/window.c
@@ -0,0 +1,56 @@
+#include "controllers/window.h"
+
+/* Part of the budget that is used.  The rest covers what differs between the
+   windows of two nodes, and nodes that are not known yet.  */
+#define WIN_USED 0.8
+
+void
+win_init (struct win *win, const struct win_opts *opts, clk_us now)
+{
+  *win = (struct win){ .opts = *opts, .step_from = now };
+}
+
+/* Forgets the steps that have left the window.  */
+static void
+win_advance (struct win *win, clk_us now)
+{
+  clk_us step = win->opts.length / WIN_STEPS + 1;
+
+  for (uint32_t i = 0; i < WIN_STEPS && now >= win->step_from + step; i++)
+    {
+      win->step = (win->step + 1) % WIN_STEPS;
+      win->requests[win->step] = 0;
+      win->repeats[win->step] = 0;
+      win->step_from += step;
+    }
+  if (now >= win->step_from + step)
+    win->step_from = now;
+}
+
+void
+win_request (struct win *win, clk_us now)
+{
+  win_advance (win, now);
+  win->requests[win->step]++;
+}
+
+bool
+win_take (struct win *win, double cost, uint32_t nodes, clk_us now)
+{
+  double requests = 0;
+  double repeats = 0;
+  double most;
+
+  win_advance (win, now);
+  for (uint32_t i = 0; i < WIN_STEPS; i++)
+    {
+      requests += win->requests[i];
+      repeats += win->repeats[i];
+    }
+  most
+      = win->opts.ratio * requests + win->opts.slack / (nodes > 0 ? nodes : 1);
+  if (repeats + cost > most * WIN_USED)
+    return false;
+  win->repeats[win->step] += cost;
+  return true;
+}
--- /dev/null
+++ b/core/hist.h
@@ -0,0 +1,50 @@
+#ifndef CORE_HIST_H
+#define CORE_HIST_H
+
+/**
+ * DOC: hst - latency histograms
+ *
+ * One set for the process; any task may add.  The buckets double from 0.25 ms
+ * on.
+ */
+
+#include <stdint.h>
+
+#include "core/clk.h"
+
+#define HST_BUCKETS 18u
+
+/* X (symbol, metric name, help text) */
+#define HST_TABLE(X)                                                          \
+  X (CALL, "rudder_call_seconds", "Whole requests at the node of arrival")    \
+  X (QUEUE, "rudder_queue_seconds", "Wait for a slot of the backend server")  \
+  X (ATTEMPT, "rudder_attempt_seconds", "Attempts, to the first byte")        \
+  X (RUN, "rudder_run_seconds", "Runs at the own backend server")             \
+  X (COMMIT, "rudder_commit_seconds", "Proposals to the replicated log")      \
+  X (SYNC, "rudder_sync_seconds", "Syncs of the store")
+
+enum hst_id
+{
+#define HST_X(symbol, name, help) HST_##symbol,
+  HST_TABLE (HST_X)
+#undef HST_X
+      HST_COUNT
+};
+
+struct hst_view
+{
+  uint64_t buckets[HST_BUCKETS];
+  uint64_t count;
+  uint64_t sum_us;
+};
+
+void hst_add (enum hst_id id, clk_us took);
+
+/* Upper bound of a bucket.  */
+double hst_bound_us (uint32_t bucket);
+
+void hst_each (void (*visit) (void *arg, const char *name, const char *help,
+                              const struct hst_view *view),
+               void *arg);
+
+#endif
--- a/core/model.c
+++ b/core/model.c
@@ -38,6 +38,7 @@
     return;
   lst_each (node, &model->services)
     mdl_free_service (lst_entry (node, struct mdl_service, node));
+  rte_free (model->routes);
   free (model);
 }
 
--- a/core/model.h
+++ b/core/model.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "core/list.h"
+#include "core/route.h"
 
 #define MDL_NAME_BYTES 64
 #define MDL_PATH_BYTES 128
@@ -68,7 +69,8 @@
   uint32_t pass_header_count;
   char pass_headers[MDL_PASS_HEADERS_MAX][MDL_NAME_BYTES];
   uint32_t service_count;
-  struct lst services; /* struct mdl_service */
+  struct lst services;      /* struct mdl_service */
+  struct rte_table *routes; /* of a document that selects by host and path */
 };
 
 struct mdl *mdl_new (void);
--- a/core/msg.h
+++ b/core/msg.h
@@ -225,6 +225,7 @@
   enum msg_admin_op op;
   uint64_t request;
   uint64_t base;
+  uint64_t number; /* of the new version; 0 for the next one */
   char change_id[64];
   char *text; /* document, malloc()ed */
   size_t len;
--- /dev/null
+++ b/filters/beside.c
@@ -0,0 +1,189 @@
+#include "filters/beside.h"
+
+#include <string.h>
+
+#include "core/err.h"
+
+/* Requests that wait, for each slot.  */
+#define BSD_QUEUE_PER_SLOT 4
+#define BSD_LEAST_US clk_ms (10)
+/* The answer has to come back before the time is over.  */
+#define BSD_MARGIN_US clk_ms (25)
+#define BSD_GAIN 0.1
+/* A measured wait counts for this long.  */
+#define BSD_WAIT_KEEP_US clk_ms (300)
+#define BSD_FADE_US clk_s (1)
+#define BSD_FADE 0.7
+#define BSD_RUNS_LEAST 8
+#define BSD_CALL_IMPORTANCE 95
+#define BSD_RETRY_LEAST_MS 100
+#define BSD_RETRY_MOST_MS 2000
+
+static const enum bsd_filter bsd_chain[] = { BSD_BACKEND, BSD_LEAVING,
+                                             BSD_SERVICE, BSD_DEADLINE,
+                                             BSD_SLOT,    BSD_END };
+
+int
+bsd_init (struct bsd_state *state)
+{
+  struct adm_opts opts = { .slots = 1, .queue = 1, .limit = LIM_FIXED };
+
+  memset (state, 0, sizeof *state);
+  state->slots = adm_new (&opts);
+  if (state->slots == NULL)
+    return SR_ENOMEM;
+  return org_init (&state->origins);
+}
+
+void
+bsd_fini (struct bsd_state *state)
+{
+  adm_free (state->slots);
+  org_fini (&state->origins);
+}
+
+void
+bsd_configure (struct bsd_state *state, uint32_t slots)
+{
+  struct adm_opts opts = { .slots = slots,
+                           .queue = slots * BSD_QUEUE_PER_SLOT,
+                           .long_slots_percent = 100,
+                           .limit = LIM_FIXED };
+
+  adm_configure (state->slots, &opts);
+}
+
+static struct bsd_result
+bsd_refuse (enum rsn_refusal reason)
+{
+  return (struct bsd_result){ .kind = BSD_REFUSE, .reason = reason };
+}
+
+static struct bsd_result
+bsd_slot (struct bsd_state *state, struct bsd_request *request, clk_us now)
+{
+  struct adm_event event;
+
+  memset (&request->ticket, 0, sizeof request->ticket);
+  request->ticket.importance
+      = request->inner ? BSD_CALL_IMPORTANCE : request->importance;
+  request->ticket.cost = MDL_SHORT;
+  request->ticket.arrived = now;
+  request->ticket.deadline = request->deadline - BSD_MARGIN_US;
+  event = adm_submit (state->slots, &request->ticket, now);
+  switch (event.kind)
+    {
+    case ADM_RUN:
+      return (struct bsd_result){ .kind = BSD_RUN };
+    case ADM_REFUSE:
+      return bsd_refuse (event.reason);
+    default:
+      return (struct bsd_result){ .kind = BSD_WAIT };
+    }
+}
+
+static struct bsd_result
+bsd_run (struct bsd_state *state, struct bsd_request *request,
+         enum bsd_filter filter, clk_us now)
+{
+  switch (filter)
+    {
+    case BSD_BACKEND:
+      if (state->backend.state == BKD_ABSENT)
+        return bsd_refuse (RSN_NO_BACKEND);
+      break;
+    case BSD_LEAVING:
+      if (state->backend.state == BKD_LEAVING || state->stopping)
+        return bsd_refuse (RSN_DRAINING);
+      break;
+    case BSD_SERVICE:
+      if (strcmp (state->backend.last.service, request->service) != 0)
+        return bsd_refuse (RSN_NO_BACKEND);
+      break;
+    case BSD_DEADLINE:
+      if (request->deadline < now + BSD_MARGIN_US + BSD_LEAST_US)
+        return bsd_refuse (RSN_DEADLINE_QUEUED);
+      break;
+    case BSD_SLOT:
+      return bsd_slot (state, request, now);
+    case BSD_END:
+      break;
+    }
+  return (struct bsd_result){ .kind = BSD_RUN };
+}
+
+struct bsd_result
+bsd_admit (struct bsd_state *state, struct bsd_request *request, clk_us now)
+{
+  struct bsd_result result = { .kind = BSD_RUN };
+
+  for (const enum bsd_filter *filter = bsd_chain;
+       *filter != BSD_END && result.kind == BSD_RUN; filter++)
+    result = bsd_run (state, request, *filter, now);
+  return result;
+}
+
+static void
+bsd_fade (struct bsd_state *state, clk_us now)
+{
+  if (now - state->faded > 20 * BSD_FADE_US)
+    state->faded = now;
+  for (; now >= state->faded + BSD_FADE_US; state->faded += BSD_FADE_US)
+    {
+      state->calls *= BSD_FADE;
+      state->runs *= BSD_FADE;
+    }
+}
+
+void
+bsd_started (struct bsd_state *state, const struct bsd_request *request,
+             clk_us now)
+{
+  bsd_fade (state, now);
+  state->runs++;
+  if (!request->inner)
+    return;
+  state->call_wait_us
+      += ((double)(now - request->arrived) - state->call_wait_us) * BSD_GAIN;
+  state->call_wait_at = now;
+}
+
+void
+bsd_ended (struct bsd_state *state, clk_us took)
+{
+  state->service_us += ((double)took - state->service_us) * BSD_GAIN;
+}
+
+void
+bsd_called (struct bsd_state *state, double fan_out, clk_us now)
+{
+  bsd_fade (state, now);
+  state->calls += 1 + fan_out;
+}
+
+double
+bsd_fan_out (struct bsd_state *state, clk_us now)
+{
+  bsd_fade (state, now);
+  return state->runs < BSD_RUNS_LEAST ? 0 : state->calls / state->runs;
+}
+
+double
+bsd_call_wait (const struct bsd_state *state, clk_us now)
+{
+  if (state->call_wait_at == 0 || now > state->call_wait_at + BSD_WAIT_KEEP_US)
+    return 0;
+  return state->call_wait_us;
+}
+
+uint32_t
+bsd_retry_after_ms (const struct bsd_state *state)
+{
+  double waiting = adm_waiting (state->slots) + 1;
+  double limit = adm_limit (state->slots) > 0 ? adm_limit (state->slots) : 1;
+  double ms = waiting * state->service_us / limit / CLK_US_PER_MS;
+
+  if (ms < BSD_RETRY_LEAST_MS)
+    return BSD_RETRY_LEAST_MS;
+  return ms > BSD_RETRY_MOST_MS ? BSD_RETRY_MOST_MS : (uint32_t)ms;
+}
--- a/log/boot.c
+++ b/log/boot.c
@@ -158,6 +158,8 @@
 {
   uint32_t listed = 1;
 
+  if (boot->opts.existing)
+    return false;
   lst_each (node, &boot->peers)
     {
       const struct boot_peer *peer = boot_peer (node);
--- a/log/boot.h
+++ b/log/boot.h
@@ -8,7 +8,8 @@
  * one of them belongs to a group, the leader of that group adds it as a
  * learner.  When all of them were reached, are empty and name the same set of
  * addresses, the one with the lowest address creates the group; the others
- * wait for its first message.
+ * wait for its first message.  A replica whose own address is not listed
+ * joins only.
  */
 
 #include <stdbool.h>
@@ -29,6 +30,7 @@
 {
   uint64_t id;
   char address[REP_ADDRESS_BYTES];
+  bool existing;       /* the group exists already and is never created here */
   uint32_t join_count; /* at most REP_MEMBERS_MAX; may contain @address */
   char join[REP_MEMBERS_MAX][REP_ADDRESS_BYTES];
 };
--- a/log/rep.c
+++ b/log/rep.c
@@ -12,6 +12,7 @@
   opts->election_max = clk_ms (1000);
   opts->lease = clk_ms (400);
   opts->replace_after = clk_s (60);
+  opts->voters_most = REP_VOTERS_MAX;
 }
 
 void *
--- a/log/rep.h
+++ b/log/rep.h
@@ -35,6 +35,7 @@
   clk_us election_max;
   clk_us lease;         /* shorter than election_min */
   clk_us replace_after; /* silence after which a learner takes the place */
+  uint32_t voters_most; /* learners beyond stay in reserve */
 };
 
 enum rep_role
--- a/log/rep_member.c
+++ b/log/rep_member.c
@@ -185,7 +185,7 @@
       return true;
     }
   /* An even number of voters tolerates no more failures than one less.  */
-  if (voters % 2 == 0 || (ready >= 2 && voters + 2 <= REP_VOTERS_MAX))
+  if (voters % 2 == 0 || (ready >= 2 && voters + 2 <= rep->opts.voters_most))
     {
       rep_promote (rep, learner->member.id);
       return true;
--- /dev/null
+++ b/programs/node_platform.h
@@ -0,0 +1,14 @@
+#ifndef PROGRAMS_NODE_PLATFORM_H
+#define PROGRAMS_NODE_PLATFORM_H
+
+/**
+ * DOC: npl - a node whose settings come from the users' platform
+ */
+
+/* Reads the settings file and runs until a stop; returns the exit status.  */
+int npl_run (void);
+
+/* Reads and checks the settings file; returns the exit status.  */
+int npl_check (void);
+
+#endif
--- a/programs/node_settings.c
+++ b/programs/node_settings.c
@@ -276,6 +276,8 @@
       "FILE" },
     { "peer-key-file", 0, POPT_ARG_STRING, &settings->curve_file, 0,
       "file with the mesh's secret and public CURVE key", "FILE" },
+    { "platform", 0, POPT_ARG_NONE, &settings->platform, 0,
+      "take all settings from the platform's file", NULL },
     { "check-settings", 0, POPT_ARG_NONE, &settings->check, 0,
       "check the settings and exit", NULL },
     { "version", 0, POPT_ARG_NONE, &version, 0, "print the version and exit",
@@ -302,6 +304,8 @@
       printf ("sycamorerudder-node " SR_VERSION "\n");
       return NST_DONE;
     }
+  if (settings->platform)
+    return NST_RUN;
   result = nst_check (settings);
   if (result == NST_RUN)
     result = nst_read_token (settings);
--- a/programs/node_settings.h
+++ b/programs/node_settings.h
@@ -28,6 +28,7 @@
   char *drain_limit;
   int control;
   int check;
+  int platform; /* settings come from the platform's file */
   uint32_t drain_limit_ms;
   char token[NST_TOKEN_BYTES];
   const char *operator_token; /* NULL without a token file */
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -7,6 +7,7 @@
 
 #include "core/err.h"
 #include "core/slog.h"
+#include "programs/node_platform.h"
 #include "programs/node_settings.h"
 #include "tasks/control.h"
 #include "tasks/front.h"
@@ -174,8 +175,10 @@
       nst_free (&node.settings);
       return NODE_EXIT_USAGE;
     }
-  node_catch_signals ();
   node_raise_limits ();
+  if (node.settings.platform)
+    return node.settings.check ? npl_check () : npl_run ();
+  node_catch_signals ();
   if (node_open (&node) == SR_OK && node_open_store (&node) == SR_OK)
     {
       node_front = node.front;
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -35,6 +35,7 @@
 
       snprintf (replica->address, sizeof replica->address, "%.*s", (int)len,
                 part);
+      replica->listed = true;
       part += len + (part[len] == ',');
     }
 }
@@ -65,6 +66,11 @@
   struct rpl_opts replica;
 
   rpl_opts_default (&replica);
+  replica.existing = control->opts.existing;
+  if (control->opts.voters_most != 0)
+    replica.voters_most = control->opts.voters_most;
+  if (control->opts.replace_after != 0)
+    replica.replace_after = control->opts.replace_after;
   snprintf (replica.address, sizeof replica.address, "%s",
             control->opts.address);
   replica.join_count = control->replica_count;
--- a/tasks/control.h
+++ b/tasks/control.h
@@ -10,10 +10,16 @@
  * the log groups.
  */
 
+#include <stdbool.h>
+
+#include "core/clk.h"
 #include "core/inbox.h"
 #include "tasks/store.h"
 
+#define CTL_FAULT_BYTES 160
+
 struct control;
+struct mdl;
 
 struct control_opts
 {
@@ -22,6 +28,12 @@
   const char *address; /* own peer address */
   const char *join;    /* peer addresses of the replicas, "," between */
   struct inb *front;
+  /* Decodes a document; NULL for the project's own format.  */
+  int (*parse) (const char *document, size_t len, struct mdl **out,
+                char fault[CTL_FAULT_BYTES]);
+  bool existing;        /* the groups exist already */
+  uint32_t voters_most; /* 0 for the default */
+  clk_us replace_after; /* 0 for the default */
 };
 
 struct control *control_new (const struct control_opts *opts);
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -200,6 +200,7 @@
   struct ctl_origin origin
       = { .kind = CTL_ORIGIN_CHANGE, .request = admin->request };
   struct cfg_change change = { .base = admin->base,
+                               .number = admin->number,
                                .document = admin->text,
                                .document_len = admin->len };
   struct msg_propose propose = { .kind = MSG_PROPOSE_COMMAND,
--- a/tasks/control_config.c
+++ b/tasks/control_config.c
@@ -35,12 +35,22 @@
   inb_put (control->opts.front, msg);
 }
 
+static int
+ctl_config_parse (const struct control *control, const char *document,
+                  size_t len, struct mdl **model, char fault[CTL_FAULT_BYTES])
+{
+  if (control->opts.parse != NULL)
+    return control->opts.parse (document, len, model, fault);
+  return doc_parse (document, len, NULL, NULL, model);
+}
+
 /* Puts a newer version in force; an older one changes nothing.  */
 void
 ctl_config_put (struct control *control, const char *document, size_t len,
                 const struct mem_version *version, bool confirmed)
 {
   struct mdl *model = NULL;
+  char fault[CTL_FAULT_BYTES] = "";
   int order = ctl_version_compare (version, &control->version);
 
   if (order == 0 && confirmed && !control->confirmed)
@@ -50,10 +60,12 @@
     }
   if (order <= 0 || document == NULL)
     return;
-  if (doc_parse (document, len, NULL, NULL, &model) != SR_OK)
+  if (ctl_config_parse (control, document, len, &model, fault) != SR_OK)
     {
-      slog (SLOG_ERR, "version cannot be read by this program version=%llu",
-            (unsigned long long)version->number);
+      slog (SLOG_ERR,
+            "version cannot be read by this program version=%llu "
+            "reason=\"%s\"",
+            (unsigned long long)version->number, fault);
       control->next_read = clk_now () + CTL_UNREADABLE_US;
       return;
     }
@@ -70,6 +82,8 @@
   slog (SLOG_NOTICE, "configuration in force version=%llu confirmed=%d",
         (unsigned long long)version->number, (int)control->confirmed);
   ctl_config_send (control);
+  if (control->replica != NULL)
+    ctl_push_config (control);
   /* Whoever applied the change waits until all nodes have reported it.  */
   control->next_renew = 0;
 }
@@ -160,6 +174,18 @@
                   &result->version, confirmed);
 }
 
+/* The leader sent a new version without being asked.  It is committed, but
+   not known to be the newest: a node that waits for a quorum goes on
+   waiting.  */
+void
+ctl_config_pushed (struct control *control, struct msg_result *result,
+                   clk_us now)
+{
+  if (!ctl_config_waits (control, now))
+    ctl_config_put (control, (const char *)result->data, result->len,
+                    &result->version, false);
+}
+
 /* The version in force may be old: a quorum is asked before it counts as
    confirmed again.  A result that was under way may be as old.  */
 void
--- a/tasks/control_marks.c
+++ b/tasks/control_marks.c
@@ -101,6 +101,32 @@
     }
 }
 
+/* Sends a new configuration to all nodes at once; the leader does this, so
+   that it is in force before the next renewal.  */
+void
+ctl_push_config (struct control *control)
+{
+  struct rep_status status;
+
+  rpl_status (control->replica, MSG_GROUP_CONFIG, &status);
+  if (status.role != REP_LEADER || control->document == NULL)
+    return;
+  lst_each (item, &control->nodes)
+    {
+      struct msg *msg = msg_new (MSG_RESULT);
+      struct msg_result *result = &msg->u.result;
+
+      msg->route = lst_entry (item, struct ctl_node, node)->route;
+      result->request = CTL_PUSHED;
+      result->version = control->version;
+      result->data = malloc (control->document_len);
+      INVARIANT (result->data != NULL);
+      memcpy (result->data, control->document, control->document_len);
+      result->len = control->document_len;
+      inb_put (control->peer, msg);
+    }
+}
+
 /* Marks from another node.  */
 void
 ctl_take_marks (struct control *control, const struct lst *marks, clk_us now)
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -82,6 +82,55 @@
   inb_put (control->opts.front, msg);
 }
 
+/* Whether a replica of the settings, or one that is heard, stays known.  */
+static bool
+ctl_replica_stays (const struct ctl_replica *replica, const struct lst *items,
+                   clk_us now)
+{
+  if (replica->listed || now < replica->heard + CTL_FORGET_US)
+    return true;
+  lst_each (node, items)
+    {
+      const struct mem_record *record
+          = &lst_entry (node, struct mem_item, node)->record;
+
+      if (record->control && strcmp (record->address, replica->address) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Replicas come and go as members; the settings name some of them only.  */
+void
+ctl_update_replicas (struct control *control, clk_us now)
+{
+  struct lst items;
+  uint32_t kept = 0;
+
+  lst_init (&items);
+  viw_list (control->view, NULL, &items);
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    if (ctl_replica_stays (&control->replicas[i], &items, now))
+      control->replicas[kept++] = control->replicas[i];
+  control->replica_count = kept;
+  lst_each (node, &items)
+    {
+      const struct mem_record *record
+          = &lst_entry (node, struct mem_item, node)->record;
+
+      if (!record->control
+          || ctl_find_replica (control, record->address) != NULL
+          || control->replica_count == CTL_REPLICAS_MAX)
+        continue;
+      slog (SLOG_NOTICE, "control replica found address=%s instance=%s",
+            record->address, record->instance);
+      control->replicas[control->replica_count] = (struct ctl_replica){ 0 };
+      memcpy (control->replicas[control->replica_count++].address,
+              record->address, sizeof record->address);
+    }
+  mem_free_items (&items);
+}
+
 /* Another instance uses this node's name.  */
 static void
 ctl_note_name (struct control *control, const struct mem_members *members)
@@ -113,7 +162,10 @@
       memcpy (control->leader[i], members->leader[i],
               sizeof control->leader[i]);
   if (viw_take (control->view, replica->address, members, now) == 1)
-    ctl_send_view (control);
+    {
+      ctl_send_view (control);
+      ctl_update_replicas (control, now);
+    }
   ctl_take_marks (control, &members->marks, now);
   ctl_config_check (control, now);
 }
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -221,6 +221,8 @@
 {
   struct ctl_pending *pending = ctl_find_pending (control, result->request);
 
+  if (pending == NULL && result->request == CTL_PUSHED)
+    ctl_config_pushed (control, result, now);
   if (pending == NULL)
     return;
   if (!ctl_may_repeat (pending, result))
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -27,6 +27,10 @@
 /* Time without a quorum after which a starting node takes the newest
    configuration that any replica holds.  */
 #define CTL_CONFIRM_WAIT_US clk_s (5)
+/* Silence after which a replica that is no member any more is forgotten.  */
+#define CTL_FORGET_US clk_s (6)
+/* Request number of a configuration that was not asked for.  */
+#define CTL_PUSHED 0
 /* Longest wait for the answer of one replica to a proposal.  */
 #define CTL_TRY_US clk_ms (400)
 /* Wait before a proposal without an accepted answer is sent again.  */
@@ -36,6 +40,7 @@
 struct ctl_replica
 {
   char address[MSG_ADDRESS_BYTES];
+  bool listed;  /* in the settings; the others are known from the members */
   clk_us heard; /* 0: never */
   clk_us renewed;
   struct mem_version config; /* newest that it has applied */
@@ -128,7 +133,10 @@
 void ctl_take_backend (struct control *control, const struct msg_backend *msg,
                        clk_us now);
 
+void ctl_update_replicas (struct control *control, clk_us now);
+
 /* control_marks.c */
+void ctl_push_config (struct control *control);
 void ctl_note_node (struct control *control, const char *instance,
                     const struct msg_route *route, clk_us now);
 void ctl_expire_nodes (struct control *control, clk_us now);
@@ -152,6 +160,8 @@
 
 /* control_config.c */
 void ctl_config_check (struct control *control, clk_us now);
+void ctl_config_pushed (struct control *control, struct msg_result *result,
+                        clk_us now);
 void ctl_config_result (struct control *control, struct msg_result *result,
                         clk_us now);
 void ctl_config_put (struct control *control, const char *document, size_t len,
--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -7,6 +7,7 @@
 #include "core/slog.h"
 #include "tasks/front_state.h"
 #include "wire/doc.h"
+#include "wire/expo.h"
 #include "wire/status.h"
 
 #define ADN_BODY_BYTES_MAX (2 * 1024 * 1024)
@@ -241,43 +242,14 @@
   inb_put (front->control, msg);
 }
 
-struct adn_text
-{
-  struct buf buf;
-  const char *last;
-};
-
-static void
-adn_metric (void *arg, const char *name, const char *help, const char *label,
-            uint64_t value)
-{
-  struct adn_text *text = arg;
-  char line[512];
-  int len = 0;
-
-  if (text->last == NULL || strcmp (text->last, name) != 0)
-    len = snprintf (line, sizeof line, "# HELP %s %s\n# TYPE %s counter\n",
-                    name, help, name);
-  text->last = name;
-  if (label != NULL)
-    len += snprintf (line + len, sizeof line - (size_t)len,
-                     "%s{reason=\"%s\"} %llu\n", name, label,
-                     (unsigned long long)value);
-  else
-    len += snprintf (line + len, sizeof line - (size_t)len, "%s %llu\n", name,
-                     (unsigned long long)value);
-  buf_append (&text->buf, line, (size_t)len);
-}
-
 static void
 adn_metrics (struct admin_request *request)
 {
-  struct adn_text text = { 0 };
+  struct buf text = { 0 };
 
-  ctr_each (adn_metric, &text);
-  buf_append (&text.buf, "", 1);
-  adn_answer (request, 200, "text/plain; version=0.0.4",
-              (char *)text.buf.data);
+  exp_metrics (&text);
+  buf_append (&text, "", 1);
+  adn_answer (request, 200, "text/plain; version=0.0.4", (char *)text.data);
 }
 
 /* Checks the document in the request's body; answers when it is wrong.  */
--- /dev/null
+++ b/tasks/gate.h
@@ -0,0 +1,59 @@
+#ifndef TASKS_GATE_H
+#define TASKS_GATE_H
+
+/**
+ * DOC: gate - task that carries requests on raw sockets
+ *
+ * Stands in the place of the front task on platforms whose callers are routed
+ * by host and path.  Owns the connections of callers, of other nodes, of the
+ * own backend server and of operators.
+ */
+
+#include "core/api.h"
+#include "core/inbox.h"
+#include "filters/entry.h"
+
+/* Listeners; an empty address is not listened on.  */
+enum gat_port
+{
+  GAT_CALLERS, /* callers, and calls of the own backend server */
+  GAT_NODES,   /* requests that other nodes pass on */
+  GAT_CONTROL, /* heartbeats and operators */
+  GAT_HEALTH,  /* whether this node may be sent requests */
+  GAT_METRICS,
+  GAT_PORT_COUNT
+};
+
+struct gat_opts
+{
+  const char *listen[GAT_PORT_COUNT]; /* IP:PORT, NULL for none */
+  const char *instance;
+  const char *failure_domain;
+  const char *peer;    /* own peer address, which names this node's IP */
+  const char *service; /* of the own backend server; NULL without one */
+  const char *server;  /* its address */
+  const struct api_adapter *adapter;
+  struct win_opts retry_budget;
+  clk_us stop_limit; /* from SIGTERM to the end of the process */
+  clk_us heartbeat;  /* between two heartbeats of the backend server */
+  uint32_t descriptors;
+  bool (*reload) (void *arg, struct gat_opts *opts); /* the settings file */
+  void *reload_arg;
+};
+
+struct gate;
+
+/* NULL after a log line when an address cannot be listened on.  */
+struct gate *gate_new (const struct gat_opts *opts);
+void gate_free (struct gate *gate);
+struct inb *gate_inbox (struct gate *gate);
+void gate_connect (struct gate *gate, struct inb *peer, struct inb *control);
+
+/* Runs until a stop; returns the exit status.  */
+int gate_run (struct gate *gate);
+
+/* To be called from a signal handler.  */
+void gate_shut_down (struct gate *gate);
+void gate_reload (struct gate *gate);
+
+#endif
--- /dev/null
+++ b/tasks/gate_call.c
@@ -0,0 +1,534 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/slog.h"
+#include "tasks/gate_state.h"
+
+static void gat_call_timer (struct lop_timer *timer);
+static void gat_call_try (struct gat_call *call);
+
+static void
+gat_attempt_free (struct gat_attempt *attempt)
+{
+  lst_remove (&attempt->node);
+  hm_head_fini (&attempt->head);
+  buf_free (&attempt->answer);
+  free (attempt);
+}
+
+/* Ends the attempt as far as the choice of server is concerned.  */
+static void
+gat_attempt_done (struct gat_attempt *attempt, enum chs_result result)
+{
+  clk_us now = lop_now (attempt->call->gate->loop);
+  clk_us end = attempt->head_at != 0 ? attempt->head_at : now;
+
+  chs_unwatch (&attempt->watch, now);
+  chs_done (attempt->service->servers, attempt->server, result, MDL_SHORT,
+            end - attempt->started, NULL, now);
+}
+
+/* Nobody waits for the attempt any more.  Its connection is closed, which
+   tells the other node and the server.  */
+static void
+gat_attempt_drop (struct gat_attempt *attempt)
+{
+  if (attempt->out != NULL)
+    gat_out_give (attempt->out, false);
+  gat_attempt_done (attempt, CHS_NO_BLAME);
+  gat_attempt_free (attempt);
+}
+
+static void
+gat_call_free (struct gat_call *call)
+{
+  while (!lst_empty (&call->attempts))
+    gat_attempt_drop (
+        lst_entry (lst_first (&call->attempts), struct gat_attempt, node));
+  lop_cancel (&call->timer);
+  lst_remove (&call->node);
+  free (call);
+}
+
+/* The caller's connection has ended, or its answer is complete.  */
+void
+gat_call_gone (struct gat_call *call)
+{
+  struct gat_request *request = call->request;
+
+  if (!lst_empty (&call->attempts))
+    {
+      ctr_refused (RSN_CANCELLED);
+      slog (
+          SLOG_INFO, "request cancelled id=%s reason=caller-left age_ms=%llu",
+          gat_id (request),
+          (unsigned long long)((lop_now (call->gate->loop) - request->arrived)
+                               / CLK_US_PER_MS));
+    }
+  gat_call_free (call);
+}
+
+/* Status that tells the truth: those of the first group promise that the
+   request has not run.  */
+static int
+gat_status (enum rsn_refusal reason, enum rsn_run run)
+{
+  int status = rsn_http_status (reason);
+
+  if (run == RSN_UNKNOWN)
+    return status == 504 || reason == RSN_DEADLINE_QUEUED ? 504 : 502;
+  switch (status)
+    {
+    case 400:
+    case 404:
+    case 413:
+    case 429:
+    case 431:
+      return status;
+    default:
+      return 503;
+    }
+}
+
+/* Answers with a refusal of this node.  */
+static void
+gat_call_refuse (struct gat_call *call, enum rsn_refusal reason,
+                 enum rsn_run run, uint32_t retry_after_ms)
+{
+  struct gat_request *request = call->request;
+  clk_us now = lop_now (call->gate->loop);
+  int status = gat_status (reason, run);
+  char lines[GAT_TEXT_BYTES];
+  char text[GAT_TEXT_BYTES];
+  int len;
+
+  ctr_refused (reason);
+  slog (SLOG_INFO,
+        "request refused id=%s route=%s service=%s reason=%s run=%s "
+        "status=%d attempts=%u moves=%u age_ms=%llu pressure_ms=%d "
+        "retry_after_ms=%u",
+        gat_id (request),
+        call->ent.route != NULL ? call->ent.route->name : "-",
+        call->ent.service != NULL ? call->ent.service->name : "-",
+        rsn_name (reason), rsn_run_name (run), status, call->attempt_count,
+        call->ent.moves,
+        (unsigned long long)((now - request->arrived) / CLK_US_PER_MS),
+        call->ent.service != NULL
+            ? (int)(ent_pressure (call->ent.service, now) / CLK_US_PER_MS)
+            : 0,
+        retry_after_ms);
+  len = snprintf (lines, sizeof lines,
+                  "Proxy-Status: sycamorerudder; error=%s; details=\"%s; "
+                  "%s\"\r\n",
+                  rsn_proxy_error (reason), rsn_name (reason),
+                  rsn_run_name (run));
+  if (status == 503 && retry_after_ms > 0)
+    snprintf (lines + len, sizeof lines - (size_t)len,
+              "Retry-After: %u.%03u\r\n", retry_after_ms / 1000,
+              retry_after_ms % 1000);
+  len = snprintf (text, sizeof text, "refused: %s (%s)\n", rsn_name (reason),
+                  rsn_run_name (run));
+  request->kind = GAT_KIND_NONE;
+  gat_call_free (call);
+  gat_answer_own (request, status, lines, "text/plain", text, (size_t)len);
+}
+
+static enum rsn_run
+gat_call_run (const struct gat_call *call)
+{
+  return call->may_have_run ? RSN_UNKNOWN : RSN_NOT_RUN;
+}
+
+/* Whether an attempt is out whose request may run by now.  */
+static bool
+gat_call_out (const struct gat_call *call)
+{
+  lst_each (node, &call->attempts)
+    {
+      const struct gat_attempt *attempt
+          = lst_entry (node, struct gat_attempt, node);
+
+      if (attempt->out != NULL && attempt->out->conn.written)
+        return true;
+    }
+  return false;
+}
+
+/* The time of the route or of the caller is over, or a pause is.  */
+static void
+gat_call_timer (struct lop_timer *timer)
+{
+  struct gat_call *call = lst_entry (timer, struct gat_call, timer);
+  clk_us now = lop_now (call->gate->loop);
+
+  if (call->again_at != 0 && now >= call->again_at)
+    {
+      call->again_at = 0;
+      memset (&call->ent.query, 0, sizeof call->ent.query);
+      lop_set (call->gate->loop, &call->timer, call->ent.timeout);
+      gat_call_try (call);
+      return;
+    }
+  if (call->request->head_done)
+    {
+      slog (SLOG_INFO, "answer broken off id=%s reason=timeout route=%s",
+            gat_id (call->request), call->ent.route->name);
+      gat_answer_break (call->request);
+      gat_call_free (call);
+      return;
+    }
+  if (gat_call_out (call))
+    call->may_have_run = true;
+  gat_call_refuse (
+      call, call->may_have_run ? RSN_DEADLINE_RUNNING : RSN_DEADLINE_QUEUED,
+      gat_call_run (call), 0);
+}
+
+/* Writes the request's head to a connection to another node.  */
+static void
+gat_attempt_send (struct gat_attempt *attempt)
+{
+  struct gat_call *call = attempt->call;
+  struct gat_request *request = call->request;
+  const struct hm_names *names = call->gate->opts.adapter->names;
+  clk_us now = lop_now (call->gate->loop);
+  struct nh_request told = { .importance = call->ent.importance,
+                             .route = call->ent.route_id,
+                             .idempotent = call->ent.route->idempotent,
+                             .repeat = call->ent.reached > 0 };
+  struct buf *out = &attempt->out->conn.out;
+  char text[NH_TEXT_BYTES];
+
+  memcpy (told.service, call->ent.service->name, sizeof told.service);
+  told.timeout_ms = (uint32_t)((call->ent.timeout - now) / CLK_US_PER_MS);
+  nh_put_request (&told, text);
+  hm_request_line (out, request->head.method, request->head.target);
+  buf_append (out, request->head.lines.data, request->head.lines.len);
+  hm_add (out, NH_REQUEST_FIELD, text);
+  hm_add (out, names->name[HM_CALLER], call->gate->opts.service);
+  hm_add_number (out, names->name[HM_DEADLINE_MS],
+                 (long long)((call->ent.deadline - now) / CLK_US_PER_MS));
+  if (request->head.body_len != 0 || strcmp (request->head.method, "GET") != 0)
+    hm_end_head (out, request->head.body_len);
+  else
+    buf_append (out, "\r\n", 2);
+  gat_out_body (attempt->out, request, &attempt->body_sent,
+                &attempt->body_done);
+}
+
+static void
+gat_attempt_start (struct gat_call *call)
+{
+  struct gate *gate = call->gate;
+  struct chs_server *server = call->ent.server;
+  clk_us now = lop_now (gate->loop);
+  struct gat_attempt *attempt = calloc (1, sizeof *attempt);
+
+  INVARIANT (attempt != NULL);
+  attempt->call = call;
+  attempt->service = call->ent.service;
+  attempt->server = server;
+  attempt->started = now;
+  chs_start (attempt->service->servers, server, now);
+  chs_watch (server, &attempt->watch, MDL_SHORT, now);
+  lst_push_tail (&call->attempts, &attempt->node);
+  call->attempt_count++;
+  ctr_add (CTR_ATTEMPTS, 1);
+  attempt->out = gat_out_take (gate, server->address, false, false);
+  if (attempt->out == NULL)
+    {
+      gat_attempt_lost (attempt, RSN_CONNECT_FAILED, RSN_NOT_RUN);
+      return;
+    }
+  attempt->out->state = GAT_OUT_ATTEMPT;
+  attempt->out->user.attempt = attempt;
+  gat_attempt_send (attempt);
+}
+
+/* Chooses a server for the next attempt.  */
+static void
+gat_call_try (struct gat_call *call)
+{
+  struct gate *gate = call->gate;
+  clk_us now = lop_now (gate->loop);
+  struct ent_result result = ent_choose (&gate->entry, &call->ent, now);
+
+  if (result.kind == ENT_GO)
+    {
+      gat_attempt_start (call);
+      return;
+    }
+  if (call->reason == RSN_NONE)
+    call->reason = result.reason;
+  gat_call_refuse (call, call->reason, gat_call_run (call),
+                   call->retry_after_ms != 0 ? call->retry_after_ms
+                                             : result.retry_after_ms);
+}
+
+/* An attempt has failed: moves on, waits, or gives up.  */
+static void
+gat_call_failed (struct gat_call *call, const struct ent_failure *failure)
+{
+  struct gate *gate = call->gate;
+  clk_us now = lop_now (gate->loop);
+  struct ent_next next;
+
+  if (failure->run == RSN_UNKNOWN)
+    call->may_have_run = true;
+  if (call->reason == RSN_NONE || failure->run == RSN_UNKNOWN)
+    call->reason = failure->reason;
+  if (failure->retry_after_ms != 0)
+    call->retry_after_ms = failure->retry_after_ms;
+  if (call->request->body.base != 0)
+    next = (struct ent_next){ .kind = ENT_GIVE_UP };
+  else
+    next = ent_after (&gate->entry, &call->ent, failure, now);
+  switch (next.kind)
+    {
+    case ENT_AGAIN:
+      ctr_retried (failure->run == RSN_NOT_RUN ? RSN_RETRY_REFUSED_BELOW
+                                               : RSN_RETRY_BACKEND_CLOSED);
+      slog (SLOG_INFO, "retry id=%s reason=%s run=%s attempt=%u",
+            gat_id (call->request), rsn_name (failure->reason),
+            rsn_run_name (failure->run), call->attempt_count + 1);
+      gat_call_try (call);
+      break;
+    case ENT_LATER:
+      call->again_at = next.at;
+      lop_set (gate->loop, &call->timer, next.at);
+      break;
+    case ENT_GIVE_UP:
+      gat_call_refuse (call, call->reason, gat_call_run (call),
+                       call->retry_after_ms);
+      break;
+    }
+}
+
+void
+gat_attempt_lost (struct gat_attempt *attempt, enum rsn_refusal reason,
+                  enum rsn_run run)
+{
+  struct gat_call *call = attempt->call;
+  struct ent_failure failure = { .reason = reason, .run = run };
+  bool passing = attempt->passing;
+
+  slog (SLOG_INFO, "attempt failed id=%s server=%s reason=%s run=%s",
+        gat_id (call->request), attempt->server->instance, rsn_name (reason),
+        rsn_run_name (run));
+  gat_attempt_done (attempt,
+                    reason == RSN_CONNECT_FAILED ? CHS_FAILED : CHS_NO_BLAME);
+  gat_attempt_free (attempt);
+  if (passing)
+    {
+      gat_answer_break (call->request);
+      gat_call_free (call);
+      return;
+    }
+  gat_call_failed (call, &failure);
+}
+
+int
+gat_attempt_head (struct gat_attempt *attempt, struct hm_head *head)
+{
+  struct gat_call *call = attempt->call;
+  struct gate *gate = call->gate;
+  clk_us now = lop_now (gate->loop);
+  struct ent_told told;
+
+  if (nh_get_answer (head->value[HM_NODE_ANSWER], &attempt->told) != SR_OK)
+    return SR_EMALFORMED;
+  attempt->has_head = true;
+  attempt->head_at = now;
+  attempt->head = *head;
+  memset (head, 0, sizeof *head);
+  told = (struct ent_told){ .wait_us = attempt->told.wait_us,
+                            .pressure_us = attempt->told.pressure_us,
+                            .fan_out = attempt->told.fan_out / 16.0,
+                            .load = attempt->told.load / 100.0,
+                            .inner = attempt->told.inner };
+  ent_learn (&gate->entry, &call->ent, &told, now);
+  if (call->ent.inner)
+    bsd_called (&gate->beside, told.fan_out, now);
+  return SR_OK;
+}
+
+/* Begins to pass the answer on.  */
+static void
+gat_attempt_pass (struct gat_attempt *attempt)
+{
+  struct gat_request *request = attempt->call->request;
+  const struct hm_head *head = &attempt->head;
+
+  attempt->passing = true;
+  gat_answer (request, head->status, head->lines.data, head->lines.len,
+              head->body_len);
+  gat_answer_body (request, attempt->answer.data, attempt->answer.len);
+  buf_free (&attempt->answer);
+}
+
+int
+gat_attempt_body (struct gat_attempt *attempt, const uint8_t *data, size_t len)
+{
+  struct gat_request *request = attempt->call->request;
+
+  if (attempt->told.end != NH_ANSWERED)
+    return SR_OK;
+  if (!attempt->passing)
+    {
+      buf_append (&attempt->answer, data, len);
+      if (attempt->answer.len < GAT_HOLD_BYTES)
+        return SR_OK;
+      gat_attempt_pass (attempt);
+    }
+  else
+    gat_answer_body (request, data, len);
+  if (gat_answer_full (request))
+    lop_pause (&attempt->out->conn.io, true);
+  return SR_OK;
+}
+
+void
+gat_call_room (struct gat_call *call)
+{
+  lst_each (node, &call->attempts)
+    {
+      struct gat_attempt *attempt = lst_entry (node, struct gat_attempt, node);
+
+      if (attempt->out != NULL)
+        lop_pause (&attempt->out->conn.io, false);
+    }
+}
+
+/* The other node refused, or lost the server.  */
+static void
+gat_attempt_refused (struct gat_attempt *attempt)
+{
+  struct gat_call *call = attempt->call;
+  struct ent_failure failure
+      = { .reason = attempt->told.reason,
+          .run = attempt->told.end == NH_NOT_RUN ? RSN_NOT_RUN : RSN_UNKNOWN,
+          .retry_after_ms = attempt->told.retry_after_ms };
+
+  slog (SLOG_INFO,
+        "attempt refused id=%s server=%s reason=%s run=%s load=%u%%",
+        gat_id (call->request), attempt->server->instance,
+        rsn_name (failure.reason), rsn_run_name (failure.run),
+        attempt->told.load);
+  gat_attempt_done (attempt,
+                    failure.run == RSN_NOT_RUN ? CHS_REFUSED : CHS_FAILED);
+  gat_attempt_free (attempt);
+  gat_call_failed (call, &failure);
+}
+
+void
+gat_attempt_whole (struct gat_attempt *attempt)
+{
+  struct gat_call *call = attempt->call;
+  struct gat_request *request = call->request;
+
+  lop_pause (&attempt->out->conn.io, false);
+  gat_out_give (attempt->out, attempt->body_done);
+  attempt->out = NULL;
+  if (attempt->told.end != NH_ANSWERED)
+    {
+      gat_attempt_refused (attempt);
+      return;
+    }
+  if (!attempt->passing)
+    {
+      attempt->head.body_len = (int64_t)attempt->answer.len;
+      gat_attempt_pass (attempt);
+    }
+  gat_attempt_done (attempt, CHS_ANSWERED);
+  gat_attempt_free (attempt);
+  ctr_add (CTR_ANSWERS, 1);
+  request->kind = GAT_KIND_NONE;
+  gat_call_free (call);
+  gat_answer_end (request);
+}
+
+void
+gat_attempt_drained (struct gat_attempt *attempt)
+{
+  gat_call_body (attempt->call);
+}
+
+/* Drops body bytes that every attempt has sent, once they are too many to be
+   kept for another one.  */
+static void
+gat_call_trim (struct gat_call *call)
+{
+  struct gat_request *request = call->request;
+  uint64_t sent = buf_end (&request->body);
+
+  if (request->body.len < GAT_KEEP_BYTES)
+    return;
+  lst_each (node, &call->attempts)
+    {
+      const struct gat_attempt *attempt
+          = lst_entry (node, struct gat_attempt, node);
+
+      if (attempt->body_sent < sent)
+        sent = attempt->body_sent;
+    }
+  if (!lst_empty (&call->attempts))
+    buf_drop (&request->body, sent);
+  gat_body_room (request);
+}
+
+void
+gat_call_body (struct gat_call *call)
+{
+  struct gat_request *request = call->request;
+
+  if (!call->started)
+    {
+      if (request->body_whole || request->body.len >= GAT_START_BYTES)
+        {
+          call->started = true;
+          gat_call_try (call);
+        }
+      return;
+    }
+  lst_each (node, &call->attempts)
+    {
+      struct gat_attempt *attempt = lst_entry (node, struct gat_attempt, node);
+
+      if (attempt->out != NULL)
+        gat_out_body (attempt->out, request, &attempt->body_sent,
+                      &attempt->body_done);
+    }
+  gat_call_trim (call);
+}
+
+void
+gat_call_head (struct gat_request *request)
+{
+  struct gate *gate = request->gate;
+  struct gat_call *call = calloc (1, sizeof *call);
+  struct ent_result result;
+
+  INVARIANT (call != NULL);
+  call->gate = gate;
+  call->request = request;
+  call->timer.fire = gat_call_timer;
+  lst_init (&call->attempts);
+  lst_push_tail (&gate->calls, &call->node);
+  request->kind = GAT_KIND_CALL;
+  request->u.call = call;
+  call->ent.host = request->head.value[HM_HOST];
+  call->ent.path = request->head.target;
+  call->ent.wait_ms = strtoull (request->head.value[HM_DEADLINE_MS], NULL, 10);
+  call->ent.arrived = request->arrived;
+  ctr_add (CTR_CALLS, 1);
+  result = ent_admit (&gate->entry, &call->ent, request->arrived);
+  if (result.kind == ENT_REFUSE)
+    {
+      gat_call_refuse (call, result.reason, RSN_NOT_RUN,
+                       result.retry_after_ms);
+      return;
+    }
+  lop_set (gate->loop, &call->timer, call->ent.timeout);
+}
--- /dev/null
+++ b/tasks/gate_in.c
@@ -0,0 +1,535 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/slog.h"
+#include "tasks/gate_state.h"
+
+/* Header bytes and idle time before a configuration sets them.  */
+#define GAT_HEADER_BYTES (32 * 1024)
+#define GAT_HEADER_MS 5000
+#define GAT_IDLE_MS 60000
+/* Other nodes close idle connections themselves, before this.  */
+#define GAT_NODE_IDLE_MS 60000
+/* Requests of one connection that are served at a time.  */
+#define GAT_PIPELINE_MOST 64
+#define GAT_SILENT_MS 8000
+
+static void gat_request_free (struct gat_request *request);
+
+static const struct rte_limits *
+gat_limits (const struct gate *gate)
+{
+  static const struct rte_limits initial
+      = { GAT_HEADER_BYTES, GAT_KEEP_BYTES, GAT_HEADER_MS, GAT_IDLE_MS };
+
+  if (gate->entry.model == NULL || gate->entry.model->routes == NULL)
+    return &initial;
+  return &gate->entry.model->routes->limits;
+}
+
+const char *
+gat_id (const struct gat_request *request)
+{
+  const char *id = request->head.value[HM_REQUEST_ID];
+
+  return id[0] != '\0' ? id : "-";
+}
+
+/* Sets the timer of a connection that waits for a request, or for the rest of
+   a header.  */
+static void
+gat_in_wait (struct gat_in *in, bool inside)
+{
+  uint32_t ms = inside ? gat_limits (in->gate)->header_timeout_ms
+                       : gat_limits (in->gate)->idle_timeout_ms;
+
+  if (in->port == GAT_NODES)
+    ms = GAT_NODE_IDLE_MS;
+  lop_set (in->gate->loop, &in->timer, lop_now (in->gate->loop) + clk_ms (ms));
+}
+
+static struct gat_request *
+gat_in_last (struct gat_in *in)
+{
+  return lst_entry (lst_last (&in->requests), struct gat_request, node);
+}
+
+/* Removes the requests that are through, and hands the next one's answer to
+   the connection.  */
+static void
+gat_in_advance (struct gat_in *in)
+{
+  struct gat_request *request;
+
+  while (!in->ended && !lst_empty (&in->requests))
+    {
+      request
+          = lst_entry (lst_first (&in->requests), struct gat_request, node);
+      if (request->answer.len > 0)
+        {
+          buf_append (&in->conn.out, request->answer.data,
+                      request->answer.len);
+          buf_free (&request->answer);
+        }
+      if (!request->answer_whole)
+        break;
+      if (request->close_after)
+        {
+          in->ended = true;
+          break;
+        }
+      if (!request->body_whole)
+        break;
+      gat_request_free (request);
+    }
+  if (!in->ended)
+    {
+      hcn_flush (&in->conn);
+      if (lst_empty (&in->requests) && !in->conn.closed)
+        gat_in_wait (in, hm_inside (&in->conn.parser));
+      return;
+    }
+  while (!lst_empty (&in->requests))
+    gat_request_free (
+        lst_entry (lst_first (&in->requests), struct gat_request, node));
+  lop_cancel (&in->timer);
+  hcn_finish (&in->conn);
+}
+
+/* Ends the connection with what it still carries.  */
+static void
+gat_in_end (struct gat_in *in, bool reset)
+{
+  in->ended = true;
+  while (!lst_empty (&in->requests))
+    gat_request_free (
+        lst_entry (lst_first (&in->requests), struct gat_request, node));
+  lop_cancel (&in->timer);
+  hcn_close (&in->conn, reset);
+}
+
+/* The request goes away with or without its answer.  */
+static void
+gat_request_free (struct gat_request *request)
+{
+  lst_remove (&request->node);
+  lst_remove (&request->api_node);
+  request->in = NULL;
+  switch (request->kind)
+    {
+    case GAT_KIND_CALL:
+      gat_call_gone (request->u.call);
+      break;
+    case GAT_KIND_SERVE:
+      gat_serve_gone (request->u.serve);
+      break;
+    case GAT_KIND_API:
+    case GAT_KIND_NONE:
+      break;
+    }
+  hm_head_fini (&request->head);
+  buf_free (&request->body);
+  buf_free (&request->answer);
+  free (request);
+}
+
+/* Where the bytes of the answer go now.  */
+static struct buf *
+gat_answer_to (struct gat_request *request)
+{
+  if (lst_first (&request->in->requests) == &request->node)
+    return &request->in->conn.out;
+  return &request->answer;
+}
+
+void
+gat_answer (struct gat_request *request, int status, const void *lines,
+            size_t lines_len, int64_t body_len)
+{
+  struct gat_in *in = request->in;
+  struct buf *out = gat_answer_to (request);
+
+  request->head_done = true;
+  request->chunked = body_len < 0 && !request->head.http_1_0;
+  request->close_after = request->close_after || !request->head.keep_alive
+                         || (body_len < 0 && request->head.http_1_0)
+                         || (in->gate->stopping && in->port == GAT_CALLERS);
+  if (request->close_after)
+    in->last = true;
+  hm_status_line (out, status);
+  buf_append (out, lines, lines_len);
+  if (request->close_after)
+    hm_add (out, "Connection", "close");
+  if (body_len < 0 && !request->chunked)
+    buf_append (out, "\r\n", 2);
+  else
+    hm_end_head (out, body_len);
+}
+
+void
+gat_answer_body (struct gat_request *request, const uint8_t *data, size_t len)
+{
+  hm_body (gat_answer_to (request), request->chunked, data, len);
+  if (gat_answer_to (request) == &request->in->conn.out)
+    hcn_flush (&request->in->conn);
+}
+
+void
+gat_answer_end (struct gat_request *request)
+{
+  struct gat_in *in = request->in;
+
+  hm_body_end (gat_answer_to (request), request->chunked);
+  request->answer_whole = true;
+  request->kind = GAT_KIND_NONE;
+  /* What is left of the body is read and dropped.  */
+  buf_free (&request->body);
+  gat_body_room (request);
+  gat_in_advance (in);
+}
+
+void
+gat_answer_break (struct gat_request *request)
+{
+  request->kind = GAT_KIND_NONE;
+  gat_in_end (request->in, true);
+}
+
+void
+gat_answer_own (struct gat_request *request, int status, const char *lines,
+                const char *type, const char *text, size_t len)
+{
+  struct buf fields = { 0 };
+
+  buf_append (&fields, lines, strlen (lines));
+  if (len > 0)
+    hm_add (&fields, "Content-Type", type);
+  gat_answer (request, status, fields.data, fields.len, (int64_t)len);
+  buf_free (&fields);
+  if (strcmp (request->head.method, "HEAD") != 0)
+    gat_answer_body (request, (const uint8_t *)text, len);
+  gat_answer_end (request);
+}
+
+bool
+gat_answer_full (const struct gat_request *request)
+{
+  return request->answer.len > HCN_HIGH_BYTES || hcn_full (&request->in->conn);
+}
+
+void
+gat_body_room (struct gat_request *request)
+{
+  struct gat_in *in = request->in;
+
+  if (in == NULL || lst_last (&in->requests) != &request->node)
+    return;
+  lop_pause (&in->conn.io, request->body.len >= GAT_KEEP_BYTES);
+}
+
+/* Answers a request that cannot be read, after those before it.  */
+static void
+gat_in_refuse (struct gat_in *in, int status)
+{
+  struct gat_request *request = calloc (1, sizeof *request);
+
+  INVARIANT (request != NULL);
+  request->gate = in->gate;
+  request->in = in;
+  request->body_whole = true;
+  request->close_after = true;
+  lst_push_tail (&in->requests, &request->node);
+  slog (SLOG_WARNING, "request refused id=- status=%d reason=%s", status,
+        status == 431 ? "headers-too-large" : "malformed");
+  ctr_refused (status == 431 ? RSN_HEADERS_TOO_LARGE : RSN_MALFORMED);
+  gat_answer_own (request, status, "", "text/plain", "refused\n", 8);
+}
+
+static int
+gat_in_head (void *arg, struct hm_head *head)
+{
+  struct gat_in *in = lst_entry ((struct hcn *)arg, struct gat_in, conn);
+  struct gate *gate = in->gate;
+  struct gat_request *request;
+
+  if (in->ended || in->last)
+    return SR_EAGAIN;
+  request = calloc (1, sizeof *request);
+  INVARIANT (request != NULL);
+  request->gate = gate;
+  request->in = in;
+  request->head = *head;
+  memset (head, 0, sizeof *head);
+  request->arrived = lop_now (gate->loop);
+  request->close_after = !request->head.keep_alive;
+  in->last = request->close_after;
+  in->reading_body = true;
+  lop_cancel (&in->timer);
+  lst_push_tail (&in->requests, &request->node);
+  if (request->head.wants_continue
+      && lst_first (&in->requests) == &request->node)
+    buf_append (&in->conn.out, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  if (request->head.body_len > (int64_t)gat_limits (gate)->body_bytes)
+    {
+      request->close_after = true;
+      gat_answer_own (request, 413, "", "text/plain", "refused\n", 8);
+      return SR_EAGAIN;
+    }
+  switch (in->port)
+    {
+    case GAT_CALLERS:
+      gat_call_head (request);
+      break;
+    case GAT_NODES:
+      gat_serve_head (request);
+      break;
+    default:
+      gat_api_head (request);
+      break;
+    }
+  return in->conn.closed || in->ended ? SR_EAGAIN : SR_OK;
+}
+
+/* Tells whoever answers the request that more of its body is there.  */
+static void
+gat_in_body_grew (struct gat_request *request)
+{
+  switch (request->kind)
+    {
+    case GAT_KIND_CALL:
+      gat_call_body (request->u.call);
+      break;
+    case GAT_KIND_SERVE:
+      gat_serve_body (request->u.serve);
+      break;
+    case GAT_KIND_API:
+      if (request->body_whole)
+        gat_api_run (request);
+      break;
+    case GAT_KIND_NONE:
+      break;
+    }
+}
+
+static int
+gat_in_body (void *arg, const uint8_t *data, size_t len)
+{
+  struct gat_in *in = lst_entry ((struct hcn *)arg, struct gat_in, conn);
+  struct gat_request *request;
+
+  if (in->ended || lst_empty (&in->requests))
+    return SR_EAGAIN;
+  request = gat_in_last (in);
+  if (request->kind == GAT_KIND_NONE)
+    return SR_OK;
+  if (buf_end (&request->body) + len > gat_limits (in->gate)->body_bytes)
+    {
+      gat_answer_break (request);
+      return SR_EAGAIN;
+    }
+  buf_append (&request->body, data, len);
+  gat_in_body_grew (request);
+  if (in->ended)
+    return SR_EAGAIN;
+  if (!lst_empty (&in->requests) && gat_in_last (in) == request)
+    gat_body_room (request);
+  return SR_OK;
+}
+
+static int
+gat_in_body_end (void *arg)
+{
+  struct gat_in *in = lst_entry ((struct hcn *)arg, struct gat_in, conn);
+  struct gat_request *request;
+
+  if (in->ended || lst_empty (&in->requests))
+    return SR_EAGAIN;
+  request = gat_in_last (in);
+  request->body_whole = true;
+  in->reading_body = false;
+  if (request->kind == GAT_KIND_NONE)
+    gat_in_advance (in);
+  else
+    gat_in_body_grew (request);
+  return in->ended || in->conn.closed ? SR_EAGAIN : SR_OK;
+}
+
+/* Bytes of answers have left: their sources may go on.  */
+static void
+gat_in_drained (struct hcn *conn)
+{
+  struct gat_in *in = lst_entry (conn, struct gat_in, conn);
+  struct gat_request *request;
+
+  if (lst_empty (&in->requests))
+    return;
+  request = lst_entry (lst_first (&in->requests), struct gat_request, node);
+  if (request->kind == GAT_KIND_CALL)
+    gat_call_room (request->u.call);
+  else if (request->kind == GAT_KIND_SERVE)
+    gat_serve_room (request->u.serve);
+}
+
+static void
+gat_in_ended (struct hcn *conn, enum hcn_end end)
+{
+  struct gat_in *in = lst_entry (conn, struct gat_in, conn);
+
+  if (in->ended)
+    {
+      hcn_finish (conn);
+      return;
+    }
+  switch (end)
+    {
+    case HCN_END_MALFORMED:
+    case HCN_END_TOO_LONG:
+      if (in->last || in->reading_body)
+        break;
+      gat_in_refuse (in, end == HCN_END_TOO_LONG ? 431 : 400);
+      return;
+    default:
+      break;
+    }
+  /* Bytes behind the last request of a connection are not read.  */
+  if (in->last && end == HCN_END_MALFORMED && !lst_empty (&in->requests))
+    {
+      lop_pause (&in->conn.io, true);
+      return;
+    }
+  gat_in_end (in, end != HCN_END_ORDERLY);
+}
+
+static void
+gat_in_release (struct hcn *conn)
+{
+  struct gat_in *in = lst_entry (conn, struct gat_in, conn);
+
+  INVARIANT (lst_empty (&in->requests));
+  lop_cancel (&in->timer);
+  lst_remove (&in->node);
+  free (in);
+}
+
+static void
+gat_in_opened (struct hcn *conn)
+{
+  (void)conn;
+}
+
+static const struct hcn_events gat_in_events
+    = { .sink = { gat_in_head, gat_in_body, gat_in_body_end },
+        .opened = gat_in_opened,
+        .drained = gat_in_drained,
+        .ended = gat_in_ended,
+        .release = gat_in_release };
+
+/* No request came in time, or its header was not whole in time.  */
+static void
+gat_in_timeout (struct lop_timer *timer)
+{
+  struct gat_in *in = lst_entry (timer, struct gat_in, timer);
+
+  if (in->ended || !lst_empty (&in->requests))
+    return;
+  if (hm_inside (&in->conn.parser))
+    gat_in_refuse (in, 408);
+  else
+    gat_in_end (in, false);
+}
+
+static void
+gat_accept (struct lop_io *io)
+{
+  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
+  struct gate *gate = listener->gate;
+  struct hcn_opts opts = { .loop = gate->loop,
+                           .events = &gat_in_events,
+                           .reads = HM_REQUEST,
+                           .names = gate->opts.adapter->names,
+                           .header_bytes = gat_limits (gate)->header_bytes,
+                           .silent_ms = GAT_SILENT_MS };
+  int fd;
+
+  while ((fd = hcn_next (io->fd)) >= 0)
+    {
+      struct gat_in *in = calloc (1, sizeof *in);
+
+      INVARIANT (in != NULL);
+      in->gate = gate;
+      in->port = listener->port;
+      in->timer.fire = gat_in_timeout;
+      lst_init (&in->requests);
+      if (hcn_accept (&in->conn, &opts, fd) != SR_OK)
+        {
+          slog (SLOG_ERR, "connection not accepted reason=descriptors");
+          free (in);
+          continue;
+        }
+      lst_push_tail (&gate->ins, &in->node);
+      gat_in_wait (in, false);
+    }
+}
+
+static void
+gat_listener_failed (struct lop_io *io, int error)
+{
+  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
+
+  listener->open = false;
+  slog (SLOG_ERR, "listener lost port=%d error=%d", (int)listener->port,
+        error);
+}
+
+int
+gat_listen (struct gate *gate)
+{
+  for (int i = 0; i < GAT_PORT_COUNT; i++)
+    {
+      struct gat_listener *listener = &gate->listeners[i];
+      int fd;
+
+      listener->gate = gate;
+      listener->port = (enum gat_port)i;
+      if (gate->opts.listen[i] == NULL || gate->opts.listen[i][0] == '\0')
+        continue;
+      fd = hcn_listen (gate->opts.listen[i]);
+      listener->io.readable = gat_accept;
+      listener->io.writable = gat_accept;
+      listener->io.failed = gat_listener_failed;
+      if (fd < 0 || lop_add (gate->loop, &listener->io, fd) != SR_OK)
+        {
+          slog (SLOG_ERR, "cannot listen address=%s", gate->opts.listen[i]);
+          return SR_EIO;
+        }
+      listener->open = true;
+    }
+  return SR_OK;
+}
+
+void
+gat_close_listeners (struct gate *gate)
+{
+  for (int i = 0; i < GAT_PORT_COUNT; i++)
+    if (gate->listeners[i].open)
+      {
+        gate->listeners[i].open = false;
+        lop_close (&gate->listeners[i].io, false);
+      }
+}
+
+/* Closes idle connections of callers while the node stops.  */
+void
+gat_in_sweep (struct gate *gate)
+{
+  lst_each (node, &gate->ins)
+    {
+      struct gat_in *in = lst_entry (node, struct gat_in, node);
+
+      if (in->port == GAT_CALLERS && !in->ended && lst_empty (&in->requests)
+          && !hm_inside (&in->conn.parser))
+        gat_in_end (in, false);
+    }
+}
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -59,6 +59,8 @@
   opts->election_max = rep.election_max;
   opts->lease = rep.lease;
   opts->replace_after = rep.replace_after;
+  opts->voters_most = rep.voters_most;
+  opts->existing = false;
   opts->config.results_kept = 4096;
   /* Claims carry the times and the bound of the configuration; these hold for
      those that do not.  The bound is the largest that a document may set.  */
@@ -96,7 +98,9 @@
 {
   const struct rpl_opts *from = &rpl->opts;
   struct rpl_group *group = &rpl->groups[number];
-  struct boot_opts boot = { .id = from->id, .join_count = from->join_count };
+  struct boot_opts boot = { .id = from->id,
+                            .existing = from->existing,
+                            .join_count = from->join_count };
   struct rep_opts rep = { .id = from->id,
                           .group = number,
                           .seed = from->seed + number,
@@ -105,7 +109,8 @@
                           .election_min = from->election_min,
                           .election_max = from->election_max,
                           .lease = from->lease,
-                          .replace_after = from->replace_after };
+                          .replace_after = from->replace_after,
+                          .voters_most = from->voters_most };
 
   memcpy (boot.address, from->address, sizeof boot.address);
   memcpy (boot.join, from->join, sizeof boot.join);
--- a/tasks/replica.h
+++ b/tasks/replica.h
@@ -40,6 +40,8 @@
   clk_us election_max;
   clk_us lease;
   clk_us replace_after;
+  uint32_t voters_most;
+  bool existing; /* the groups exist already and are never created here */
   struct cfg_opts config; /* equal on all replicas */
   struct clm_opts claims; /* equal on all replicas */
 };
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,192 @@
+#include <string.h>
+
+#include "core/model.h"
+#include "platform/platform.h"
+#include "sycamorerudder.h"
+#include "tests/suite.h"
+#include "wire/httpmsg.h"
+
+static const char document[]
+    = "{\"version\":\"r7\",\"routes\":{\"columns\":[\"name\",\"hostname\","
+      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
+      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
+      "[[\"r-1\",\"Stock.example\",\"/coils/\",\"idempotent\",1.2,2,2,"
+      "[{\"service\":\"a\",\"weight\":90},{\"service\":\"b\",\"weight\":10}],"
+      "2,null],[\"r-2\",\"orders.example\",\"/new/\",\"non_idempotent\",1.5,2,"
+      "0,null,3,\"b\"]]},\"services\":{\"columns\":[\"name\",\"health_path\","
+      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
+      "316,\"h1\",false],[\"b\",\"/health\",208,\"h1\",false]]},\"limits\":"
+      "{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+      "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
+
+static int
+parse (const char *text, size_t len)
+{
+  struct mdl *model = NULL;
+  char fault[160] = "";
+  int error = plt_parse_document (text, len, &model, fault);
+
+  mdl_unref (model);
+  return error;
+}
+
+/* Guards against routes whose kind, times or services differ from what the
+   operator sent.  */
+static void
+test_document (void)
+{
+  struct mdl *model = NULL;
+  char fault[160] = "";
+  struct rte_route *route;
+
+  CU_ASSERT_EQUAL_FATAL (
+      plt_parse_document (document, strlen (document), &model, fault), SR_OK);
+  route = rte_find (model->routes, "stock.example:80", "/coils/7?x=1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_STRING_EQUAL (route->name, "r-1");
+  CU_ASSERT_TRUE (route->idempotent);
+  CU_ASSERT_EQUAL (route->timeout_ms, 1200);
+  CU_ASSERT_EQUAL (route->weight_sum, 100);
+  CU_ASSERT_EQUAL (route->attempts_max, 2);
+  route = rte_find (model->routes, "orders.example", "/new/1");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_FALSE (route->idempotent);
+  CU_ASSERT_EQUAL (route->priority, 0);
+  CU_ASSERT_PTR_NULL (rte_find (model->routes, "orders.example", "/old/"));
+  CU_ASSERT_EQUAL (model->routes->limits.idle_timeout_ms, 15000);
+  mdl_unref (model);
+}
+
+/* DOCUMENT with the first FROM replaced by TO.  */
+static int
+parse_with (const char *from, const char *to)
+{
+  static char text[4096];
+  const char *at = strstr (document, from);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+  snprintf (text, sizeof text, "%.*s%s%s", (int)(at - document), document, to,
+            at + strlen (from));
+  return parse (text, strlen (text));
+}
+
+/* Guards against an invalid change that is put in force.  */
+static void
+test_invalid_documents (void)
+{
+  CU_ASSERT_EQUAL (parse_with ("r-1", "r-3"), SR_OK);
+  CU_ASSERT_EQUAL (parse (document, strlen (document) / 2), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (parse ("", 0), SR_EMALFORMED);
+  CU_ASSERT_EQUAL (parse_with ("3,\"b\"", "3,\"nobody\""), SR_EINVAL);
+  CU_ASSERT_EQUAL (
+      parse_with ("{\"service\":\"a\",\"weight\":90},{\"service\":\"b\","
+                  "\"weight\":10}",
+                  "{\"service\":\"a\",\"weight\":0}"),
+      SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_with ("1.2", "0"), SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_with ("/coils/", "coils/"), SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_with ("non_idempotent", "sometimes"), SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_with ("\"r7\"", "7"), SR_EINVAL);
+}
+
+static const char settings[]
+    = "{\"node_name\":\"n-1\",\"zone\":\"z\",\"ip\":\"10.1.0.8\","
+      "\"port_range\":[7620,7635],\"seeds\":[\"10.1.0.13:8306\","
+      "\"10.2.0.10:8306\"],\"bootstrap\":true,\"serves\":[\"sidecar\"],"
+      "\"service\":\"a\",\"app_addr\":\"10.1.0.8:8301\",\"bounds\":"
+      "[\"grace_s=6\",\"retry_budget_slack=49\"],\"listen\":{\"inbound\":"
+      "\"10.1.0.8:8300\",\"outbound\":\"10.1.0.8:8304\",\"ready\":"
+      "\"10.1.0.8:8302\",\"control\":\"10.1.0.8:8306\"},\"limits\":"
+      "{\"max_fds\":4100},\"fault_tolerance\":{\"machines\":2},"
+      "\"something_new\":[1]}";
+
+/* Guards against addresses that are mixed up, and a group that would be
+   created a second time.  */
+static void
+test_settings (void)
+{
+  struct plt_settings out;
+  char fault[160] = "";
+
+  CU_ASSERT_EQUAL_FATAL (
+      plt_parse_settings (settings, strlen (settings), &out, fault), SR_OK);
+  CU_ASSERT_STRING_EQUAL (out.peer, "10.1.0.8:7620");
+  CU_ASSERT_STRING_EQUAL (out.join, "10.1.0.13:7620,10.2.0.10:7620");
+  CU_ASSERT_STRING_EQUAL (out.callers, "10.1.0.8:8304");
+  CU_ASSERT_STRING_EQUAL (out.nodes, "10.1.0.8:8300");
+  CU_ASSERT_FALSE (out.control);
+  CU_ASSERT_FALSE (out.group_exists);
+  CU_ASSERT_EQUAL (out.replicas_lost_most, 2);
+  CU_ASSERT_TRUE (out.retry_slack == 49.0);
+  CU_ASSERT_EQUAL (plt_parse_settings ("{", 1, &out, fault), SR_EMALFORMED);
+  CU_ASSERT_STRING_EQUAL (out.peer, "10.1.0.8:7620");
+}
+
+static struct api_call
+decode (const char *method, const char *target, const char *base,
+        const char *body)
+{
+  struct api_call call;
+
+  plt_adapter ()->decode (method, target, base, body, strlen (body), &call);
+  return call;
+}
+
+/* Guards against a report of another writer that names a server to use.  */
+static void
+test_beats (void)
+{
+  static const char good[]
+      = "{\"service\":\"a\",\"address\":\"10.1.0.8:8301\",\"slots\":36,"
+        "\"state\":\"draining\",\"cold_remaining_s\":0.5,\"sequence\":4,"
+        "\"born\":17}";
+  struct api_call call
+      = decode ("POST", "/-/Instances.Heartbeat/i-7", "", good);
+
+  CU_ASSERT_EQUAL (call.kind, API_BEAT);
+  CU_ASSERT_STRING_EQUAL (call.u.beat.id, "i-7");
+  CU_ASSERT_EQUAL (call.u.beat.state, API_SERVER_DRAINING);
+  CU_ASSERT_EQUAL (call.u.beat.cold_ms, 500);
+  CU_ASSERT_EQUAL (call.u.beat.born_ms, 17);
+  call = decode ("POST", "/-/Instances.Heartbeat/i-7", "", "{\"slots\":1}");
+  CU_ASSERT_EQUAL (call.kind, API_MALFORMED);
+  call = decode ("POST", "/-/Instances.Heartbeat/i-7", "", "\xff\x01");
+  CU_ASSERT_EQUAL (call.kind, API_MALFORMED);
+  call = decode ("POST", "/-/Instances.Heartbeat/", "", good);
+  CU_ASSERT_EQUAL (call.kind, API_MALFORMED);
+  call = decode ("POST", "/-/Instances.Deregister/i-7", "", "");
+  CU_ASSERT_EQUAL (call.kind, API_LEAVE);
+  CU_ASSERT_EQUAL (decode ("GET", "/-/other", "", "").kind, API_UNKNOWN);
+}
+
+/* Guards against a change that is taken for another one, or for a new one
+   when it is sent again.  */
+static void
+test_changes (void)
+{
+  struct api_call a = decode ("POST", "/-/Config.Replace", "r5", document);
+  struct api_call b = decode ("POST", "/-/Config.Replace", "r5", document);
+  struct api_call c = decode ("POST", "/-/Config.Replace", "r6", document);
+
+  CU_ASSERT_EQUAL (a.kind, API_APPLY);
+  CU_ASSERT_EQUAL (a.u.apply.base, 5);
+  CU_ASSERT_EQUAL (a.u.apply.number, 7);
+  CU_ASSERT_STRING_EQUAL (a.u.apply.change_id, b.u.apply.change_id);
+  CU_ASSERT_STRING_NOT_EQUAL (a.u.apply.change_id, c.u.apply.change_id);
+  CU_ASSERT_EQUAL (decode ("POST", "/-/Config.Replace", "", document).kind,
+                   API_MALFORMED);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "document", test_document },
+          { "invalid documents", test_invalid_documents },
+          { "settings", test_settings },
+          { "heartbeats", test_beats },
+          { "changes", test_changes },
+          { NULL, NULL } };
+
+  return suite_run ("platform", tests);
+}
--- /dev/null
+++ b/wire/expo.c
@@ -0,0 +1,70 @@
+#include "wire/expo.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "core/ctr.h"
+#include "core/hist.h"
+
+struct exp_text
+{
+  struct buf *out;
+  const char *last; /* metric that has its help text */
+};
+
+static void
+exp_counter (void *arg, const char *name, const char *help, const char *label,
+             uint64_t value)
+{
+  struct exp_text *text = arg;
+  char line[512];
+  int len = 0;
+
+  if (text->last == NULL || strcmp (text->last, name) != 0)
+    len = snprintf (line, sizeof line, "# HELP %s %s\n# TYPE %s counter\n",
+                    name, help, name);
+  text->last = name;
+  if (label != NULL)
+    len += snprintf (line + len, sizeof line - (size_t)len,
+                     "%s{reason=\"%s\"} %llu\n", name, label,
+                     (unsigned long long)value);
+  else
+    len += snprintf (line + len, sizeof line - (size_t)len, "%s %llu\n", name,
+                     (unsigned long long)value);
+  buf_append (text->out, line, (size_t)len);
+}
+
+static void
+exp_histogram (void *arg, const char *name, const char *help,
+               const struct hst_view *view)
+{
+  struct buf *out = arg;
+  char line[512];
+  uint64_t count = 0;
+  int len = snprintf (line, sizeof line, "# HELP %s %s\n# TYPE %s histogram\n",
+                      name, help, name);
+
+  buf_append (out, line, (size_t)len);
+  for (uint32_t i = 0; i < HST_BUCKETS; i++)
+    {
+      count += view->buckets[i];
+      len = snprintf (line, sizeof line, "%s_bucket{le=\"%.6f\"} %llu\n", name,
+                      hst_bound_us (i) / 1e6, (unsigned long long)count);
+      buf_append (out, line, (size_t)len);
+    }
+  len = snprintf (line, sizeof line,
+                  "%s_bucket{le=\"+Inf\"} %llu\n%s_sum %.6f\n%s_count %llu\n",
+                  name, (unsigned long long)view->count, name,
+                  (double)view->sum_us / 1e6, name,
+                  (unsigned long long)view->count);
+  buf_append (out, line, (size_t)len);
+}
+
+void
+exp_metrics (struct buf *out)
+{
+  struct exp_text text = { .out = out };
+
+  ctr_each (exp_counter, &text);
+  hst_each (exp_histogram, out);
+}
--- /dev/null
+++ b/wire/expo.h
@@ -0,0 +1,13 @@
+#ifndef WIRE_EXPO_H
+#define WIRE_EXPO_H
+
+/**
+ * DOC: exp - text exposition of counters and histograms
+ */
+
+#include "core/buf.h"
+
+/* Appends all counters and histograms of this process.  */
+void exp_metrics (struct buf *out);
+
+#endif
