Servers chosen by speed, pace of chains, callers told from calls

Change: a request holds its configuration; the node beside a server limits how many chains of a route run (controllers/pace), and tells the wait and the load with each answer; servers are chosen by expected time, near ones first; a route that some service's nodes never send is one of calls.

--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -36,10 +36,11 @@
 #define CHS_EQUAL 1.2
 /* A report of load counts for this long.  */
 #define CHS_LOAD_FRESH clk_ms (400)
-/* Loads that differ by less are equal.  */
-#define CHS_LOAD_NOISE 0.05
-/* A server of another failure domain has to be loaded less by this.  */
-#define CHS_FAR_LESS 0.2
+/* Load from which on a server slows down.  */
+#define CHS_LOAD_FULL 0.85
+#define CHS_RUN_GAIN 0.1
+/* Random part of an expected time.  */
+#define CHS_NOISE 0.15
 /* Draws to find a server that its ramp lets through.  */
 #define CHS_RAMP_DRAWS 4
 
@@ -109,6 +110,8 @@
 {
   for (int cost = 0; cost < CHS_COSTS; cost++)
     spd_reset (&server->speed[cost], now);
+  memset (server->ran_us, 0, sizeof server->ran_us);
+  server->load_at = 0;
   server->failures = 0;
   server->ejected = false;
   server->level_at = 0;
@@ -490,6 +493,25 @@
   return server->load > own ? server->load : own;
 }
 
+/* Expected time of one more request: its run, which takes longer at a server
+   that is nearly full, and the wait for a slot.  */
+static double
+server_expected (const struct chs_server *server, enum mdl_cost cost,
+                 double usual_us, clk_us now)
+{
+  double load = server_load (server, now);
+  double ran = server->ran_us[cost] > 0 ? server->ran_us[cost] : usual_us;
+  double wait = 0;
+
+  if (load > CHS_LOAD_FULL)
+    ran *= 1 + (load - CHS_LOAD_FULL);
+  if (cost == MDL_SHORT && now <= server->load_at + CHS_LOAD_FRESH)
+    wait = (double)server->wait;
+  else if (load > 1)
+    wait = (load - 1) * ran;
+  return (ran + wait) / chs_weight (server, now);
+}
+
 /* Whether the domain of SERVER is this node's own.  */
 static bool
 server_near (const struct chs *chs, const struct chs_server *server)
@@ -497,42 +519,67 @@
   return strcmp (server->failure_domain, chs->opts.failure_domain) == 0;
 }
 
-/* The least loaded server, near ones first: one that is far is taken when
-   every near one is loaded and it is clearly less so.  */
+/* Mean time of a run over the servers where it is known.  */
+static double
+candidates_usual (const struct candidates *all, enum mdl_cost cost)
+{
+  double sum = 0;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < all->count; i++)
+    if (all->servers[i]->ran_us[cost] > 0)
+      {
+        sum += all->servers[i]->ran_us[cost];
+        count++;
+      }
+  return count > 0 ? sum / count : 0;
+}
+
+/* The server with the least expected time.  Noise keeps nodes that see the
+   same reports from choosing the same one.  */
 static struct chs_server *
-candidate_near (const struct chs *chs, const struct candidates *all,
-                struct rng *rng, clk_us now)
+candidate_fastest (const struct chs *chs, const struct candidates *all,
+                   enum mdl_cost cost, struct rng *rng, clk_us now)
 {
-  struct chs_server *best[2] = { NULL, NULL };
-  double least[2] = { 0, 0 };
+  struct chs_server *best = NULL;
+  double usual = candidates_usual (all, cost);
+  double least = 0;
 
   for (uint32_t i = 0; i < all->count; i++)
     {
       struct chs_server *server = all->servers[i];
-      bool near = server_near (chs, server);
-      double load = server_load (server, now) / chs_weight (server, now)
-                    + rng_unit (rng) * CHS_LOAD_NOISE;
+      double expected = server_expected (server, cost, usual, now) + 1;
 
-      if (best[near] != NULL && load >= least[near])
+      expected *= 1 + rng_unit (rng) * CHS_NOISE;
+      if (!server_near (chs, server))
+        expected *= 1 + chs->opts.near_gain;
+      if (best != NULL && expected >= least)
         continue;
-      best[near] = server;
-      least[near] = load;
+      best = server;
+      least = expected;
     }
-  if (best[true] == NULL)
-    return best[false];
-  if (best[false] == NULL || least[true] < chs->opts.near_load
-      || least[true] < least[false] + CHS_FAR_LESS)
-    return best[true];
-  return best[false];
+  return best;
 }
 
 void
-chs_note_load (struct chs_server *server, double load, clk_us now)
+chs_note_load (struct chs_server *server, double load, clk_us wait, clk_us now)
 {
   server->load = load;
+  server->wait = wait;
   server->load_at = now;
 }
 
+void
+chs_note_run (struct chs_server *server, enum mdl_cost cost, clk_us ran)
+{
+  double *average = &server->ran_us[cost];
+
+  if (*average <= 0)
+    *average = (double)ran;
+  else
+    *average += ((double)ran - *average) * CHS_RUN_GAIN;
+}
+
 struct chs_choice
 chs_pick (struct chs *chs, const struct chs_query *query, struct rng *rng,
           clk_us now)
@@ -552,8 +599,8 @@
     }
   choice.kind = CHS_SERVER;
   choice.server = query->tried_count == 0 ? probe_due (chs, query, now) : NULL;
-  if (choice.server == NULL && chs->opts.near_load > 0)
-    choice.server = candidate_near (chs, &all, rng, now);
+  if (choice.server == NULL && chs->opts.near_gain > 0)
+    choice.server = candidate_fastest (chs, &all, query->cost, rng, now);
   if (choice.server == NULL)
     choice.server = candidate_choose (chs, &all, query->cost, rng, now);
   return choice;
@@ -675,6 +722,16 @@
   return spd_quantile (&chs->latencies[cost], 0.95);
 }
 
+uint32_t
+chs_present (const struct chs *chs)
+{
+  uint32_t present = 0;
+
+  lst_each (node, &chs->servers)
+    present += lst_entry (node, struct chs_server, node)->present;
+  return present;
+}
+
 const struct lst *
 chs_servers (const struct chs *chs)
 {
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -29,9 +29,9 @@
 {
   uint32_t max_ejected_percent;
   char failure_domain[MDL_NAME_BYTES]; /* own; used for equal choices */
-  /* Servers of the own failure domain go first while their load is below;
-     0: only for equal choices.  */
-  double near_load;
+  /* Part of the expected time by which a server of another failure domain has
+     to be faster; 0: choose two at random by what this node sees.  */
+  double near_gain;
 };
 
 /* Short and long work are measured apart.  */
@@ -67,7 +67,9 @@
   struct adm_level level;
   clk_us level_at;
   double load; /* running and waiting requests, for each slot */
+  clk_us wait; /* for a slot, of short work */
   clk_us load_at;
+  double ran_us[CHS_COSTS]; /* smoothed time of a run; 0: not known */
   clk_us joined;
   struct chs_speed speed[CHS_COSTS];
   double failures; /* moving share of attempts that the server failed */
@@ -159,8 +161,12 @@
                enum chs_result result, enum mdl_cost cost, clk_us latency,
                const struct adm_level *level, clk_us now);
 
-/* The node beside SERVER told its load.  */
-void chs_note_load (struct chs_server *server, double load, clk_us now);
+/* The node beside SERVER told its load and the wait of short work.  */
+void chs_note_load (struct chs_server *server, double load, clk_us wait,
+                    clk_us now);
+
+/* An answer took RAN at the server itself.  */
+void chs_note_run (struct chs_server *server, enum mdl_cost cost, clk_us ran);
 
 /* Delay after which an unanswered idempotent attempt may be hedged: the p95
    of recent answers of this cost; 0 while it is not known, or while requests
@@ -170,6 +176,9 @@
 /* Share of its full load that a server gets while it ramps, 0 … 1.  */
 double chs_weight (const struct chs_server *server, clk_us now);
 
+/* Number of servers that membership lists.  */
+uint32_t chs_present (const struct chs *chs);
+
 /* Servers that are listed, for status pages.  */
 const struct lst *chs_servers (const struct chs *chs);
 
--- a/controllers/origin.c
+++ b/controllers/origin.c
@@ -5,17 +5,21 @@
 
 #include "core/err.h"
 
-/* Requests from one service after which the route counts as one of calls.  */
-#define ORG_LEAST 12u
+/* Requests after which a service that did not send any counts: with a part
+   of a fifth of the nodes, one in 600 routes of callers is taken for one of
+   calls until the next request.  */
+#define ORG_LEAST 28u
+/* Services told apart; with more of them the route is one of callers.  */
+#define ORG_SERVICES 16u
 
 struct org_route
 {
   struct hsh_node hash_node;
   struct lst_node node; /* org->all */
   uint64_t route;
-  char service[RTE_NAME_BYTES];
-  uint32_t count; /* requests from @service, bounded by ORG_LEAST */
-  bool mixed;     /* there was another service */
+  uint32_t count;                  /* requests, bounded by ORG_LEAST */
+  uint32_t seen;                   /* services that sent one */
+  uint64_t services[ORG_SERVICES]; /* digests of their names */
 };
 
 int
@@ -66,17 +70,27 @@
   return found;
 }
 
-bool
-org_note (struct org *origins, uint64_t route, const char *service)
+/* Counts SERVICE among those that send the route.  */
+static void
+org_count (struct org_route *entry, uint64_t service)
 {
-  struct org_route *entry = org_find (origins, route);
-
-  if (entry->count == 0)
-    memcpy (entry->service, service,
-            strnlen (service, sizeof entry->service - 1));
-  if (strcmp (entry->service, service) != 0)
-    entry->mixed = true;
   if (entry->count < ORG_LEAST)
     entry->count++;
-  return !entry->mixed && entry->count >= ORG_LEAST;
+  for (uint32_t i = 0; i < entry->seen; i++)
+    if (entry->services[i] == service)
+      return;
+  if (entry->seen < ORG_SERVICES)
+    entry->services[entry->seen++] = service;
+}
+
+enum org_kind
+org_note (struct org *origins, uint64_t route, const char *service,
+          uint32_t services)
+{
+  struct org_route *entry = org_find (origins, route);
+
+  org_count (entry, hsh_text (service));
+  if (entry->seen >= services || entry->seen == ORG_SERVICES)
+    return ORG_CALLERS;
+  return entry->count < ORG_LEAST ? ORG_UNKNOWN : ORG_SERVERS;
 }
--- a/controllers/origin.h
+++ b/controllers/origin.h
@@ -5,8 +5,8 @@
  * DOC: org - which routes are calls of backend servers
  *
  * Callers are beside every server, so their requests for a route come from
- * the nodes of all services.  A route whose requests come from the nodes of
- * one service only is one that the servers of that service call.
+ * the nodes of all services.  A route whose requests do not come from the
+ * nodes of some service is one that the servers of the others call.
  */
 
 #include <stdbool.h>
@@ -27,14 +27,23 @@
 /* Forgets what was learned; a configuration may move routes.  */
 void org_reset (struct org *origins);
 
+enum org_kind
+{
+  ORG_UNKNOWN, /* too few requests so far */
+  ORG_CALLERS, /* callers send it */
+  ORG_SERVERS, /* backend servers only send it */
+};
+
 /**
  * org_note() - a request of ROUTE came from the node of a server of SERVICE
  * @origins: table
  * @route: digest of the route's name
  * @service: service beside which the request arrived
+ * @services: services that have servers
  *
- * Return: whether the route is one of calls.
+ * Return: who sends the route.
  */
-bool org_note (struct org *origins, uint64_t route, const char *service);
+enum org_kind org_note (struct org *origins, uint64_t route,
+                        const char *service, uint32_t services);
 
 #endif
--- a/filters/beside.c
+++ b/filters/beside.c
@@ -16,12 +16,16 @@
 #define BSD_FADE 0.7
 #define BSD_RUNS_LEAST 8
 #define BSD_CALL_IMPORTANCE 95
+/* Importance of the most important routes.  */
+#define BSD_URGENT_IMPORTANCE 80
+/* Calls of one run from which on the services below set the pace.  */
+#define BSD_CALLS_LEAST 0.5
 #define BSD_RETRY_LEAST_MS 100
 #define BSD_RETRY_MOST_MS 2000
 
-static const enum bsd_filter bsd_chain[] = { BSD_BACKEND, BSD_LEAVING,
-                                             BSD_SERVICE, BSD_DEADLINE,
-                                             BSD_SLOT,    BSD_END };
+static const enum bsd_filter bsd_chain[]
+    = { BSD_BACKEND, BSD_LEAVING, BSD_SERVICE, BSD_DEADLINE,
+        BSD_PACE,    BSD_SLOT,    BSD_END };
 
 int
 bsd_init (struct bsd_state *state)
@@ -32,7 +36,9 @@
   state->slots = adm_new (&opts);
   if (state->slots == NULL)
     return SR_ENOMEM;
-  return org_init (&state->origins);
+  if (org_init (&state->origins) != SR_OK)
+    return SR_ENOMEM;
+  return pac_init (&state->pace);
 }
 
 void
@@ -40,6 +46,7 @@
 {
   adm_free (state->slots);
   org_fini (&state->origins);
+  pac_fini (&state->pace);
 }
 
 void
@@ -50,6 +57,7 @@
                            .long_slots_percent = 100,
                            .limit = LIM_FIXED };
 
+  pac_configure (&state->pace, &(struct pac_opts){ .most = slots });
   adm_configure (state->slots, &opts);
 }
 
@@ -104,6 +112,15 @@
       if (request->deadline < now + BSD_MARGIN_US + BSD_LEAST_US)
         return bsd_refuse (RSN_DEADLINE_QUEUED);
       break;
+    case BSD_PACE:
+      if (request->inner || bsd_fan_out (state, now) < BSD_CALLS_LEAST)
+        break;
+      request->pace
+          = pac_take (&state->pace, request->route,
+                      request->importance >= BSD_URGENT_IMPORTANCE, now);
+      if (request->pace == NULL)
+        return bsd_refuse (RSN_UPSTREAM_SHED);
+      break;
     case BSD_SLOT:
       return bsd_slot (state, request, now);
     case BSD_END:
@@ -154,6 +171,16 @@
   state->service_us += ((double)took - state->service_us) * BSD_GAIN;
 }
 
+void
+bsd_release (struct bsd_request *request, enum pac_end end, clk_us now)
+{
+  if (request->pace == NULL)
+    return;
+  pac_put (request->pace, end, now - request->arrived,
+           request->deadline - request->arrived, now);
+  request->pace = NULL;
+}
+
 void
 bsd_called (struct bsd_state *state, double fan_out, clk_us now)
 {
--- a/filters/beside.h
+++ b/filters/beside.h
@@ -14,6 +14,7 @@
 #include "controllers/adm.h"
 #include "controllers/backend.h"
 #include "controllers/origin.h"
+#include "controllers/pace.h"
 #include "core/clk.h"
 #include "core/reason.h"
 
@@ -23,6 +24,7 @@
   BSD_LEAVING,  /* it takes new work */
   BSD_SERVICE,  /* it is of the service that the request is for */
   BSD_DEADLINE, /* the time left is enough */
+  BSD_PACE,     /* the services below can carry one more */
   BSD_SLOT,     /* a slot is free */
   BSD_END,
 };
@@ -33,6 +35,7 @@
   bool stopping; /* this node ends */
   struct adm *slots;
   struct org origins;
+  struct pac pace;
   double service_us;   /* smoothed time of a run */
   double call_wait_us; /* smoothed wait of calls for a slot */
   clk_us call_wait_at;
@@ -46,8 +49,10 @@
   char service[RTE_NAME_BYTES];
   uint8_t importance;
   bool inner;
+  uint64_t route; /* digest of its name */
   clk_us arrived;
   clk_us deadline;
+  struct pac_route *pace; /* held while set */
   struct adm_ticket ticket;
 };
 
@@ -80,6 +85,9 @@
 /* A run has ended after TOOK.  */
 void bsd_ended (struct bsd_state *state, clk_us took);
 
+/* The request is over; END tells whether the services below kept up.  */
+void bsd_release (struct bsd_request *request, enum pac_end end, clk_us now);
+
 /* The server makes a call that leads to FAN_OUT further ones.  */
 void bsd_called (struct bsd_state *state, double fan_out, clk_us now);
 
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -18,6 +18,12 @@
 #define ENT_IMPORTANCE_CALL 95
 /* Attempts without a run after which the request is refused.  */
 #define ENT_MOVES_MOST 4
+/* Servers that are asked while the services below them are overloaded; the
+   others would see the same load.  */
+#define ENT_SHEDS_MOST 2
+/* Pause after which a caller that was refused for that comes back.  */
+#define ENT_SHED_AFTER_MS 700
+#define ENT_SHED_SPREAD_MS 1300
 /* Pause before servers that refused are asked again.  */
 #define ENT_PAUSE_US clk_ms (60)
 /* Reports of pressure lose weight at this rate.  */
@@ -28,8 +34,9 @@
 #define ENT_PRESSURE_LEAST_US 120000.0
 #define ENT_PRESSURE_MOST_US 400000.0
 #define ENT_RETRY_AFTER_MS 300
-/* Load up to which a server of the own failure domain is taken.  */
-#define ENT_NEAR_LOAD 0.85
+/* Traffic between failure domains is paid for: a server of another one has to
+   be faster by this part.  */
+#define ENT_NEAR_GAIN 0.3
 
 static const enum ent_filter ent_chain[]
     = { ENT_READY, ENT_ROUTE, ENT_DEADLINE, ENT_SPLIT, ENT_PRESSURE, ENT_END };
@@ -96,7 +103,7 @@
 ent_service (struct ent_state *state, const char *name, clk_us now)
 {
   struct chs_opts opts
-      = { .max_ejected_percent = 50, .near_load = ENT_NEAR_LOAD };
+      = { .max_ejected_percent = 50, .near_gain = ENT_NEAR_GAIN };
   struct ent_service *service;
 
   lst_each (node, &state->services)
@@ -141,6 +148,12 @@
                               .retry_after_ms = retry_after_ms };
 }
 
+enum mdl_cost
+ent_cost (const struct ent_request *request)
+{
+  return request->inner ? MDL_SHORT : MDL_LONG;
+}
+
 static uint8_t
 ent_importance (const struct ent_request *request)
 {
@@ -158,6 +171,7 @@
 {
   struct ent_learned *learned;
 
+  request->model = mdl_ref (state->model);
   request->route
       = rte_find (state->model->routes, request->host, request->path);
   if (request->route == NULL)
@@ -185,6 +199,14 @@
   return (struct ent_result){ .kind = ENT_GO };
 }
 
+void
+ent_release (struct ent_request *request)
+{
+  mdl_unref (request->model);
+  request->model = NULL;
+  request->route = NULL;
+}
+
 double
 ent_pressure (const struct ent_service *service, clk_us now)
 {
@@ -198,6 +220,12 @@
          / ENT_PRESSURE_FADE_US;
 }
 
+uint32_t
+ent_shed_after_ms (struct ent_state *state)
+{
+  return ENT_SHED_AFTER_MS + rng_below (&state->rng, ENT_SHED_SPREAD_MS);
+}
+
 /* A chain that would wait too long below is refused before it starts; the
    less important ones first, and a growing share of them.  */
 static struct ent_result
@@ -216,9 +244,7 @@
   share = (pressure - least) / least;
   if (rng_unit (&state->rng) >= share)
     return (struct ent_result){ .kind = ENT_GO };
-  return ent_refuse (RSN_UPSTREAM_SHED,
-                     ENT_RETRY_AFTER_MS
-                         + rng_below (&state->rng, 4 * ENT_RETRY_AFTER_MS));
+  return ent_refuse (RSN_UPSTREAM_SHED, ent_shed_after_ms (state));
 }
 
 static struct ent_result
@@ -230,6 +256,8 @@
     case ENT_READY:
       if (state->model == NULL || state->model->routes == NULL)
         return ent_refuse (RSN_NOT_READY, ENT_RETRY_AFTER_MS);
+      if (state->closing)
+        return ent_refuse (RSN_DRAINING, ENT_RETRY_AFTER_MS);
       break;
     case ENT_ROUTE:
       return ent_route (state, request);
@@ -269,7 +297,7 @@
   struct chs_choice choice;
 
   request->query.importance = MDL_IMPORTANCE_MAX;
-  request->query.cost = MDL_SHORT;
+  request->query.cost = ent_cost (request);
   choice = chs_pick (request->service->servers, &request->query, &state->rng,
                      now);
   if (choice.kind != CHS_SERVER)
@@ -298,12 +326,14 @@
 
 /* The request has provably not run.  */
 static struct ent_next
-ent_after_not_run (const struct ent_request *request,
+ent_after_not_run (struct ent_request *request,
                    const struct ent_failure *failure, clk_us now)
 {
   struct ent_next next = { .kind = ENT_AGAIN };
 
-  if (request->moves >= ENT_MOVES_MOST
+  if (failure->reason == RSN_UPSTREAM_SHED)
+    request->sheds++;
+  if (request->moves >= ENT_MOVES_MOST || request->sheds >= ENT_SHEDS_MOST
       || failure->reason == RSN_DEADLINE_QUEUED
       || failure->reason == RSN_QUARANTINED)
     next.kind = ENT_GIVE_UP;
@@ -358,7 +388,9 @@
   service->pressure_at = now;
   service->fan_out += (told->fan_out - service->fan_out) * ENT_GAIN;
   service->load += (told->load - service->load) * ENT_GAIN;
-  chs_note_load (request->server, told->load, now);
+  if (told->answered)
+    chs_note_run (request->server, ent_cost (request), told->ran);
+  chs_note_load (request->server, told->load, told->wait_us, now);
   if (learned == NULL)
     {
       learned = calloc (1, sizeof *learned);
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -69,6 +69,7 @@
   struct spl *split;
   struct rng rng;
   uint32_t nodes; /* that share the retry budget */
+  bool closing;   /* this node ends and takes no new request */
 };
 
 struct ent_request
@@ -79,6 +80,7 @@
   uint64_t wait_ms; /* that the caller waits; 0 when it did not say */
   clk_us arrived;
   /* set by the filters */
+  struct mdl *model; /* held while set: the route is part of it */
   struct rte_route *route;
   uint64_t route_id;
   struct ent_service *service;
@@ -90,6 +92,7 @@
   struct chs_server *server;
   uint32_t reached; /* servers that may have run it */
   uint32_t moves;   /* attempts that ended without a run */
+  uint32_t sheds;   /* of these, for the load of the services below */
 };
 
 enum ent_result_kind
@@ -136,9 +139,15 @@
 struct ent_service *ent_service (struct ent_state *state, const char *name,
                                  clk_us now);
 
+/* Releases what the filters hold for a request that has ended.  */
+void ent_release (struct ent_request *request);
+
 struct ent_result ent_admit (struct ent_state *state,
                              struct ent_request *request, clk_us now);
 
+/* Calls of running requests and new requests are measured apart.  */
+enum mdl_cost ent_cost (const struct ent_request *request);
+
 /* Chooses a server of the request's service.  */
 struct ent_result ent_choose (struct ent_state *state,
                               struct ent_request *request, clk_us now);
@@ -147,14 +156,20 @@
                            struct ent_request *request,
                            const struct ent_failure *failure, clk_us now);
 
+/* Time after which a caller comes back that was refused for the load of the
+   services below; random, so that those refused together do not.  */
+uint32_t ent_shed_after_ms (struct ent_state *state);
+
 /* Takes in what the node beside a server told.  */
 struct ent_told
 {
   uint32_t wait_us;
   uint32_t pressure_us;
+  clk_us ran; /* time at the server, without the wait for a slot */
   double fan_out;
   double load;
   bool inner;
+  bool answered; /* by the server */
 };
 
 void ent_learn (struct ent_state *state, const struct ent_request *request,
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -185,7 +185,6 @@
         node->settings.peer, node->settings.join, (int)node->settings.control,
         (int)node->settings.group_exists);
   status = gate_run (node->gate);
-  inb_put (control_inbox (node->control), msg_new (MSG_STOP));
   if (control_join (node->control) != 0)
     status = NPL_FAILED;
   if (node->store != NULL)
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -264,6 +264,13 @@
   if (gate->stopping && now + GAT_LEAVE_US >= gate->stop_not_before
       && now >= gate->stop_not_before - GAT_LEAVE_US + GAT_SWEEP_US)
     gat_in_sweep (gate);
+  if (gate->stopping && !gate->control_stopped && now >= gate->stop_not_before)
+    {
+      /* The lease ends meanwhile; requests under way need it no longer.  */
+      gate->control_stopped = true;
+      gate->entry.closing = true;
+      inb_put (gate->control, msg_new (MSG_STOP));
+    }
   if (gate->stopping && gat_may_end (gate, now))
     {
       slog (SLOG_NOTICE, "connections closed unfinished=%d",
@@ -271,7 +278,10 @@
       lop_stop (gate->loop);
       return;
     }
-  lop_set (gate->loop, &gate->tick, now + GAT_TICK_US);
+  now += GAT_TICK_US;
+  if (gate->stopping && now > gate->stop_at)
+    now = gate->stop_at;
+  lop_set (gate->loop, &gate->tick, now);
 }
 
 int
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -26,8 +26,8 @@
   clk_us end = attempt->head_at != 0 ? attempt->head_at : now;
 
   chs_unwatch (&attempt->watch, now);
-  chs_done (attempt->service->servers, attempt->server, result, MDL_SHORT,
-            end - attempt->started, NULL, now);
+  chs_done (attempt->service->servers, attempt->server, result,
+            ent_cost (&attempt->call->ent), end - attempt->started, NULL, now);
 }
 
 /* Nobody waits for the attempt any more.  Its connection is closed, which
@@ -49,6 +49,7 @@
         lst_entry (lst_first (&call->attempts), struct gat_attempt, node));
   lop_cancel (&call->timer);
   lst_remove (&call->node);
+  ent_release (&call->ent);
   free (call);
 }
 
@@ -197,7 +198,8 @@
   struct nh_request told = { .importance = call->ent.importance,
                              .route = call->ent.route_id,
                              .idempotent = call->ent.route->idempotent,
-                             .repeat = call->ent.reached > 0 };
+                             .repeat = call->ent.reached > 0,
+                             .inner = call->ent.inner };
   struct buf *out = &attempt->out->conn.out;
   char text[NH_TEXT_BYTES];
 
@@ -232,7 +234,7 @@
   attempt->server = server;
   attempt->started = now;
   chs_start (attempt->service->servers, server, now);
-  chs_watch (server, &attempt->watch, MDL_SHORT, now);
+  chs_watch (server, &attempt->watch, ent_cost (&call->ent), now);
   lst_push_tail (&call->attempts, &attempt->node);
   call->attempt_count++;
   ctr_add (CTR_ATTEMPTS, 1);
@@ -279,7 +281,9 @@
     call->may_have_run = true;
   if (call->reason == RSN_NONE || failure->run == RSN_UNKNOWN)
     call->reason = failure->reason;
-  if (failure->retry_after_ms != 0)
+  if (failure->reason == RSN_UPSTREAM_SHED)
+    call->retry_after_ms = ent_shed_after_ms (&gate->entry);
+  else if (failure->retry_after_ms != 0)
     call->retry_after_ms = failure->retry_after_ms;
   if (call->request->body.base != 0)
     next = (struct ent_next){ .kind = ENT_GIVE_UP };
@@ -347,7 +351,11 @@
                             .pressure_us = attempt->told.pressure_us,
                             .fan_out = attempt->told.fan_out / 16.0,
                             .load = attempt->told.load / 100.0,
-                            .inner = attempt->told.inner };
+                            .inner = attempt->told.inner,
+                            .answered = attempt->told.end == NH_ANSWERED,
+                            .ran = now - attempt->started };
+  if (told.ran > attempt->told.waited_us)
+    told.ran -= attempt->told.waited_us;
   ent_learn (&gate->entry, &call->ent, &told, now);
   if (call->ent.inner)
     bsd_called (&gate->beside, told.fan_out, now);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -6,6 +6,10 @@
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
+/* A caller that leaves this close to the time limit did not change its
+   mind.  */
+#define GAT_NEAR_LIMIT_US clk_ms (60)
+
 static void gat_serve_end (struct gat_serve *serve);
 
 double
@@ -38,6 +42,10 @@
   struct nh_answer answer
       = { .end = end,
           .reason = reason,
+          .waited_us
+          = (uint32_t)(serve->dispatched != 0
+                           ? serve->dispatched - serve->request->arrived
+                           : 0),
           .wait_us = (uint32_t)bsd_call_wait (beside, now),
           .pressure_us = (uint32_t)gat_below_pressure (gate),
           .fan_out = (uint32_t)(bsd_fan_out (beside, now) * 16),
@@ -71,6 +79,7 @@
   serve->out = NULL;
   if (serve->bsd.ticket.state != ADM_IDLE)
     adm_withdraw (gate->beside.slots, &serve->bsd.ticket, now);
+  bsd_release (&serve->bsd, PAC_OTHER, now);
   serve->running = false;
 }
 
@@ -79,6 +88,11 @@
 {
   struct gate *gate = serve->gate;
   bool held = serve->running;
+  clk_us now = lop_now (gate->loop);
+
+  /* A caller that leaves near the time limit has waited in vain.  */
+  if (now + GAT_NEAR_LIMIT_US >= serve->bsd.deadline)
+    bsd_release (&serve->bsd, PAC_TIMED_OUT, now);
 
   if (serve->running && !serve->has_head)
     slog (SLOG_INFO, "run cancelled id=%s reason=caller-left ran_ms=%llu",
@@ -269,6 +283,7 @@
   bool not_run = head->value[HM_NOT_RUN][0] != '\0' || head->status == 421;
 
   serve->has_head = true;
+  serve->status = head->status;
   if (!not_run && !gat_answer_sound (head))
     return SR_EMALFORMED;
   if (not_run)
@@ -326,6 +341,9 @@
     {
       bsd_ended (&gate->beside, now - serve->dispatched);
       adm_finish (gate->beside.slots, &serve->bsd.ticket, true, now);
+      bsd_release (&serve->bsd,
+                   serve->status / 100 == 5 ? PAC_TIMED_OUT : PAC_ANSWERED,
+                   now);
       request->kind = GAT_KIND_NONE;
       gat_serve_free (serve);
       gat_answer_end (request);
@@ -380,6 +398,31 @@
   gat_body_room (request);
 }
 
+/* Whether the route is one of calls; until this node knows, what the other
+   node was told elsewhere counts.  */
+static bool
+gat_serve_inner (const struct gat_serve *serve)
+{
+  struct gate *gate = serve->gate;
+  uint32_t services = 0;
+
+  lst_each (node, &gate->entry.services)
+    services
+        += chs_present (lst_entry (node, struct ent_service, node)->servers)
+           > 0;
+  switch (org_note (&gate->beside.origins, serve->told.route,
+                    serve->request->head.value[HM_CALLER], services))
+    {
+    case ORG_SERVERS:
+      return true;
+    case ORG_CALLERS:
+      return false;
+    case ORG_UNKNOWN:
+      break;
+    }
+  return serve->told.inner;
+}
+
 void
 gat_serve_head (struct gat_request *request)
 {
@@ -402,8 +445,8 @@
     }
   memcpy (serve->bsd.service, serve->told.service, sizeof serve->bsd.service);
   serve->bsd.importance = (uint8_t)serve->told.importance;
-  serve->bsd.inner = org_note (&gate->beside.origins, serve->told.route,
-                               request->head.value[HM_CALLER]);
+  serve->bsd.route = serve->told.route;
+  serve->bsd.inner = gat_serve_inner (serve);
   serve->bsd.arrived = request->arrived;
   if (serve->told.timeout_ms < wait_ms)
     wait_ms = serve->told.timeout_ms;
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -137,6 +137,7 @@
   bool running;  /* holds a slot */
   bool refused;  /* by the server, which has not run it */
   bool has_head;
+  int status; /* of the server's answer */
   clk_us dispatched;
 };
 
@@ -215,6 +216,7 @@
   bool stopping;
   clk_us stop_at;
   clk_us stop_not_before;
+  bool control_stopped;
   clk_us view_at;
   int exit_status;
 };
--- a/wire/nodehdr.h
+++ b/wire/nodehdr.h
@@ -26,6 +26,7 @@
   uint64_t route;      /* digest of the route's name */
   bool idempotent;
   bool repeat; /* an earlier attempt may have run */
+  bool inner;  /* the route is known to be sent by backend servers only */
 };
 
 enum nh_end
@@ -42,6 +43,7 @@
   uint32_t retry_after_ms; /* 0: none */
   uint32_t wait_us;        /* expected wait of a call of a running request */
   uint32_t pressure_us;    /* the longest such wait below the backend server */
+  uint32_t waited_us;      /* by this request, for a slot */
   uint32_t fan_out;        /* calls that one run leads to, times 16 */
   uint32_t load;           /* running and waiting requests, percent of slots */
   bool inner;              /* the route is sent by backend servers only */
