Near servers first while requests have time; retry budget by arrivals

Change: a refusal by the server draws on the retry budget, of which new requests may use half; how much of their time limit requests take (haste) is passed down the chain, and a server of another domain has to be faster by a part that shrinks with it.

--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -539,20 +539,20 @@
    same reports from choosing the same one.  */
 static struct chs_server *
 candidate_fastest (const struct chs *chs, const struct candidates *all,
-                   enum mdl_cost cost, struct rng *rng, clk_us now)
+                   const struct chs_query *query, struct rng *rng, clk_us now)
 {
   struct chs_server *best = NULL;
-  double usual = candidates_usual (all, cost);
+  double usual = candidates_usual (all, query->cost);
   double least = 0;
 
   for (uint32_t i = 0; i < all->count; i++)
     {
       struct chs_server *server = all->servers[i];
-      double expected = server_expected (server, cost, usual, now) + 1;
+      double expected = server_expected (server, query->cost, usual, now) + 1;
 
       expected *= 1 + rng_unit (rng) * CHS_NOISE;
       if (!server_near (chs, server))
-        expected *= 1 + chs->opts.near_gain;
+        expected *= 1 + query->near_gain;
       if (best != NULL && expected >= least)
         continue;
       best = server;
@@ -599,8 +599,8 @@
     }
   choice.kind = CHS_SERVER;
   choice.server = query->tried_count == 0 ? probe_due (chs, query, now) : NULL;
-  if (choice.server == NULL && chs->opts.near_gain > 0)
-    choice.server = candidate_fastest (chs, &all, query->cost, rng, now);
+  if (choice.server == NULL && chs->opts.by_time)
+    choice.server = candidate_fastest (chs, &all, query, rng, now);
   if (choice.server == NULL)
     choice.server = candidate_choose (chs, &all, query->cost, rng, now);
   return choice;
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -29,9 +29,9 @@
 {
   uint32_t max_ejected_percent;
   char failure_domain[MDL_NAME_BYTES]; /* own; used for equal choices */
-  /* Part of the expected time by which a server of another failure domain has
-     to be faster; 0: choose two at random by what this node sees.  */
-  double near_gain;
+  /* Choose by the time that nodes tell, instead of two at random by what this
+     node sees.  */
+  bool by_time;
 };
 
 /* Short and long work are measured apart.  */
@@ -128,6 +128,9 @@
 {
   uint8_t importance;
   enum mdl_cost cost;
+  /* Part of the expected time by which a server of another failure domain has
+     to be faster.  */
+  double near_gain;
   uint32_t tried_count;
   const struct chs_server *tried[CHS_TRIED_MAX];
 };
--- a/controllers/window.c
+++ b/controllers/window.c
@@ -2,7 +2,7 @@
 
 /* Part of the budget that is used.  The rest covers what differs between the
    windows of two nodes, and nodes that are not known yet.  */
-#define WIN_USED 0.8
+#define WIN_USED 0.93
 
 void
 win_init (struct win *win, const struct win_opts *opts, clk_us now)
@@ -35,7 +35,8 @@
 }
 
 bool
-win_take (struct win *win, double cost, uint32_t nodes, clk_us now)
+win_take (struct win *win, double cost, double part, uint32_t nodes,
+          clk_us now)
 {
   double requests = 0;
   double repeats = 0;
@@ -49,7 +50,7 @@
     }
   most
       = win->opts.ratio * requests + win->opts.slack / (nodes > 0 ? nodes : 1);
-  if (repeats + cost > most * WIN_USED)
+  if (repeats + cost > most * part * WIN_USED)
     return false;
   win->repeats[win->step] += cost;
   return true;
--- a/controllers/window.h
+++ b/controllers/window.h
@@ -42,11 +42,13 @@
  * win_take() - take a part of the budget
  * @win: budget
  * @cost: repeats that follow, those of the calls below included
+ * @part: part of the budget that this kind of work may use up
  * @nodes: nodes among which the slack is divided
  * @now: time
  *
  * Return: whether the repeats are within the budget; they are counted then.
  */
-bool win_take (struct win *win, double cost, uint32_t nodes, clk_us now);
+bool win_take (struct win *win, double cost, double part, uint32_t nodes,
+               clk_us now);
 
 #endif
--- a/core/reason.h
+++ b/core/reason.h
@@ -27,6 +27,7 @@
   X (DRAINING, "draining", 503, "destination_unavailable", 1)                 \
   X (UPSTREAM_SHED, "upstream-shed", 503, "connection_limit_reached", 1)      \
   X (QUEUE_FULL, "queue-full", 503, "connection_limit_reached", 1)            \
+  X (SERVER_REFUSED, "server-refused", 503, "connection_limit_reached", 1)    \
   X (EVICTED, "evicted", 503, "connection_limit_reached", 1)                  \
   X (CALLER_SHARE, "caller-share", 429, "connection_limit_reached", 1)        \
   X (DEADLINE_QUEUED, "deadline-queued", 504, "http_response_timeout", 1)     \
--- a/filters/beside.c
+++ b/filters/beside.c
@@ -158,6 +158,7 @@
 {
   bsd_fade (state, now);
   state->runs++;
+  state->haste += (request->haste - state->haste) * BSD_GAIN;
   if (!request->inner)
     return;
   state->call_wait_us
--- a/filters/beside.h
+++ b/filters/beside.h
@@ -39,6 +39,7 @@
   double service_us;   /* smoothed time of a run */
   double call_wait_us; /* smoothed wait of calls for a slot */
   clk_us call_wait_at;
+  double haste; /* part of their time limit that its requests take */
   double calls; /* calls that the server made, fading */
   double runs;  /* requests that it ran, fading */
   clk_us faded;
@@ -50,6 +51,7 @@
   uint8_t importance;
   bool inner;
   uint64_t route; /* digest of its name */
+  double haste;   /* as the other node told */
   clk_us arrived;
   clk_us deadline;
   struct pac_route *pace; /* held while set */
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -34,9 +34,17 @@
 #define ENT_PRESSURE_LEAST_US 120000.0
 #define ENT_PRESSURE_MOST_US 400000.0
 #define ENT_RETRY_AFTER_MS 300
-/* Traffic between failure domains is paid for: a server of another one has to
-   be faster by this part.  */
-#define ENT_NEAR_GAIN 0.3
+/* Part of the retry budget that new requests may use.  */
+#define ENT_BUDGET_NEW 0.5
+/* Traffic between failure domains is paid for.  A server of another one has to
+   be faster by the first part while requests end well within their time
+   limit, by the second when they come close to it.  */
+#define ENT_NEAR_GAIN 1.5
+#define ENT_NEAR_GAIN_HASTE 0.1
+/* Parts of the time limit between which this changes.  */
+#define ENT_HASTE_FROM 0.35
+#define ENT_HASTE_TO 0.6
+#define ENT_HASTE_GAIN 0.05
 
 static const enum ent_filter ent_chain[]
     = { ENT_READY, ENT_ROUTE, ENT_DEADLINE, ENT_SPLIT, ENT_PRESSURE, ENT_END };
@@ -102,8 +110,7 @@
 struct ent_service *
 ent_service (struct ent_state *state, const char *name, clk_us now)
 {
-  struct chs_opts opts
-      = { .max_ejected_percent = 50, .near_gain = ENT_NEAR_GAIN };
+  struct chs_opts opts = { .max_ejected_percent = 50, .by_time = true };
   struct ent_service *service;
 
   lst_each (node, &state->services)
@@ -269,8 +276,7 @@
           now);
       if (request->inner)
         request->service->called_at = now;
-      else
-        win_request (&request->service->budget, now);
+      win_request (&request->service->budget, now);
       break;
     case ENT_PRESSURE:
       return ent_below (state, request, now);
@@ -291,6 +297,30 @@
   return result;
 }
 
+/* How much faster a server of another failure domain has to be.  */
+static double
+ent_near_gain (double haste)
+{
+  double part = (haste - ENT_HASTE_FROM) / (ENT_HASTE_TO - ENT_HASTE_FROM);
+
+  if (part <= 0)
+    return ENT_NEAR_GAIN;
+  if (part >= 1)
+    return ENT_NEAR_GAIN_HASTE;
+  return ENT_NEAR_GAIN + (ENT_NEAR_GAIN_HASTE - ENT_NEAR_GAIN) * part;
+}
+
+void
+ent_ended (struct ent_request *request, clk_us now)
+{
+  double limit = (double)(request->timeout - request->arrived);
+  double part = limit > 0 ? (double)(now - request->arrived) / limit : 1;
+
+  if (request->service == NULL || request->inner)
+    return;
+  request->service->haste += (part - request->service->haste) * ENT_HASTE_GAIN;
+}
+
 struct ent_result
 ent_choose (struct ent_state *state, struct ent_request *request, clk_us now)
 {
@@ -298,6 +328,8 @@
 
   request->query.importance = MDL_IMPORTANCE_MAX;
   request->query.cost = ent_cost (request);
+  request->query.near_gain = ent_near_gain (
+      request->inner ? request->haste : request->service->haste);
   choice = chs_pick (request->service->servers, &request->query, &state->rng,
                      now);
   if (choice.kind != CHS_SERVER)
@@ -349,6 +381,16 @@
   return next;
 }
 
+/* Takes from the retry budget.  Calls of running requests, whose work would be
+   lost, may use all of it.  */
+static bool
+ent_budget (const struct ent_state *state, const struct ent_request *request,
+            double cost, clk_us now)
+{
+  return win_take (&request->service->budget, cost,
+                   request->inner ? 1 : ENT_BUDGET_NEW, state->nodes, now);
+}
+
 struct ent_next
 ent_after (struct ent_state *state, struct ent_request *request,
            const struct ent_failure *failure, clk_us now)
@@ -361,13 +403,17 @@
   if (failure->run == RSN_NOT_RUN)
     {
       request->moves++;
+      /* A server that refuses has been reached, which the budget counts.  */
+      if (failure->reason == RSN_SERVER_REFUSED
+          && !ent_budget (state, request, 1, now))
+        return next;
       return ent_after_not_run (request, failure, now);
     }
   request->reached++;
   if (!request->route->idempotent
       || request->reached >= request->route->attempts_max)
     return next;
-  if (!win_take (&request->service->budget, cost, state->nodes, now))
+  if (!ent_budget (state, request, cost, now))
     return next;
   next.kind = ENT_AGAIN;
   return next;
@@ -387,7 +433,7 @@
   service->pressure_us = before + (pressure - before) * ENT_GAIN;
   service->pressure_at = now;
   service->fan_out += (told->fan_out - service->fan_out) * ENT_GAIN;
-  service->load += (told->load - service->load) * ENT_GAIN;
+
   if (told->answered)
     chs_note_run (request->server, ent_cost (request), told->ran);
   chs_note_load (request->server, told->load, told->wait_us, now);
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -41,7 +41,7 @@
   clk_us pressure_at;
   clk_us called_at; /* when the own server last called it; 0 for never */
   double fan_out;   /* calls that a run leads to */
-  double load;      /* smoothed share of slots in use or waited for */
+  double haste;     /* part of their time limit that requests take */
 };
 
 /* What was learned of a route.  */
@@ -86,6 +86,7 @@
   struct ent_service *service;
   uint8_t importance;
   bool inner;
+  double haste;           /* of the requests that call it */
   clk_us deadline;        /* of the caller */
   clk_us timeout;         /* of the route; not after @deadline */
   struct chs_query query; /* servers that were tried */
@@ -139,6 +140,9 @@
 struct ent_service *ent_service (struct ent_state *state, const char *name,
                                  clk_us now);
 
+/* The request has been answered by a server, or its time is over.  */
+void ent_ended (struct ent_request *request, clk_us now);
+
 /* Releases what the filters hold for a request that has ended.  */
 void ent_release (struct ent_request *request);
 
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -180,6 +180,7 @@
       gat_call_free (call);
       return;
     }
+  ent_ended (&call->ent, now);
   if (gat_call_out (call))
     call->may_have_run = true;
   gat_call_refuse (
@@ -187,6 +188,14 @@
       gat_call_run (call), 0);
 }
 
+/* Part of the time limit that such requests take: of the requests that the
+   own server runs for its calls.  */
+static double
+gat_haste (const struct gat_call *call)
+{
+  return call->ent.inner ? call->gate->beside.haste : call->ent.service->haste;
+}
+
 /* Writes the request's head to a connection to another node.  */
 static void
 gat_attempt_send (struct gat_attempt *attempt)
@@ -199,7 +208,8 @@
                              .route = call->ent.route_id,
                              .idempotent = call->ent.route->idempotent,
                              .repeat = call->ent.reached > 0,
-                             .inner = call->ent.inner };
+                             .inner = call->ent.inner,
+                             .haste = (uint32_t)(100 * gat_haste (call)) };
   struct buf *out = &attempt->out->conn.out;
   char text[NH_TEXT_BYTES];
 
@@ -451,6 +461,7 @@
     }
   gat_attempt_done (attempt, CHS_ANSWERED);
   gat_attempt_free (attempt);
+  ent_ended (&call->ent, lop_now (call->gate->loop));
   ctr_add (CTR_ANSWERS, 1);
   request->kind = GAT_KIND_NONE;
   gat_call_free (call);
@@ -530,6 +541,7 @@
   call->ent.path = request->head.target;
   call->ent.wait_ms = strtoull (request->head.value[HM_DEADLINE_MS], NULL, 10);
   call->ent.arrived = request->arrived;
+  call->ent.haste = gate->beside.haste;
   ctr_add (CTR_CALLS, 1);
   result = ent_admit (&gate->entry, &call->ent, request->arrived);
   if (result.kind == ENT_REFUSE)
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -336,7 +336,7 @@
   gat_out_give (serve->out, serve->body_done);
   serve->out = NULL;
   if (serve->refused)
-    gat_serve_refuse (serve, RSN_QUEUE_FULL, RSN_NOT_RUN);
+    gat_serve_refuse (serve, RSN_SERVER_REFUSED, RSN_NOT_RUN);
   else
     {
       bsd_ended (&gate->beside, now - serve->dispatched);
@@ -446,6 +446,7 @@
   memcpy (serve->bsd.service, serve->told.service, sizeof serve->bsd.service);
   serve->bsd.importance = (uint8_t)serve->told.importance;
   serve->bsd.route = serve->told.route;
+  serve->bsd.haste = serve->told.haste / 100.0;
   serve->bsd.inner = gat_serve_inner (serve);
   serve->bsd.arrived = request->arrived;
   if (serve->told.timeout_ms < wait_ms)
--- a/wire/nodehdr.h
+++ b/wire/nodehdr.h
@@ -23,7 +23,8 @@
   char service[RTE_NAME_BYTES];
   uint32_t importance;
   uint32_t timeout_ms; /* left of the route's timeout */
-  uint64_t route;      /* digest of the route's name */
+  uint32_t haste; /* percent of their time limit that such requests take */
+  uint64_t route; /* digest of the route's name */
   bool idempotent;
   bool repeat; /* an earlier attempt may have run */
   bool inner;  /* the route is known to be sent by backend servers only */
