Slots divided between calls and new requests; callers told from calls by what is expected

Change: calls keep the slots that they use and a part more; a new request that would be answered late is refused at once; a route counts as one of calls when a service that should have sent seven requests of it sent none; the pace of a route follows the part of its runs that is close to the time limit; a stopping node withdraws what still waits at other nodes.

--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -722,16 +722,6 @@
   return spd_quantile (&chs->latencies[cost], 0.95);
 }
 
-uint32_t
-chs_present (const struct chs *chs)
-{
-  uint32_t present = 0;
-
-  lst_each (node, &chs->servers)
-    present += lst_entry (node, struct chs_server, node)->present;
-  return present;
-}
-
 const struct lst *
 chs_servers (const struct chs *chs)
 {
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -179,9 +179,6 @@
 /* Share of its full load that a server gets while it ramps, 0 … 1.  */
 double chs_weight (const struct chs_server *server, clk_us now);
 
-/* Number of servers that membership lists.  */
-uint32_t chs_present (const struct chs *chs);
-
 /* Servers that are listed, for status pages.  */
 const struct lst *chs_servers (const struct chs *chs);
 
--- a/controllers/origin.c
+++ b/controllers/origin.c
@@ -5,49 +5,72 @@
 
 #include "core/err.h"
 
-/* Requests after which a service that did not send any counts: with a part
-   of a fifth of the nodes, one in 600 routes of callers is taken for one of
-   calls until the next request.  */
-#define ORG_LEAST 28u
-/* Services told apart; with more of them the route is one of callers.  */
-#define ORG_SERVICES 16u
+/* Requests that would have come from a service if callers sent the route, from
+   which on it counts that none did: one route of callers in 1,000 then has
+   none.  */
+#define ORG_EXPECTED 7.0
+/* Requests after which a route is told by how many services sent it; before,
+   what another node has found counts.  */
+#define ORG_LEAST 5u
+
+/* A service as the origin of one route.  */
+struct org_origin
+{
+  uint64_t service;
+  double expected; /* requests if callers sent the route */
+  bool seen;
+};
 
 struct org_route
 {
   struct hsh_node hash_node;
   struct lst_node node; /* org->all */
   uint64_t route;
-  uint32_t count;                  /* requests, bounded by ORG_LEAST */
-  uint32_t seen;                   /* services that sent one */
-  uint64_t services[ORG_SERVICES]; /* digests of their names */
+  uint32_t count; /* requests, bounded by ORG_LEAST */
+  uint32_t origin_count;
+  struct org_origin origins[ORG_SERVICES];
 };
 
 int
 org_init (struct org *origins)
 {
+  memset (origins, 0, sizeof *origins);
   lst_init (&origins->all);
   return hsh_init (&origins->routes);
 }
 
 void
-org_reset (struct org *origins)
+org_fini (struct org *origins)
 {
   struct lst_node *node;
 
   while ((node = lst_pop_head (&origins->all)) != NULL)
-    {
-      struct org_route *entry = lst_entry (node, struct org_route, node);
+    free (lst_entry (node, struct org_route, node));
+  hsh_fini (&origins->routes);
+}
 
-      hsh_remove (&origins->routes, &entry->hash_node);
-      free (entry);
-    }
+void
+org_begin (struct org *origins)
+{
+  origins->service_count = 0;
+  origins->nodes = 0;
 }
 
 void
-org_fini (struct org *origins)
+org_add (struct org *origins, const char *service)
 {
-  org_reset (origins);
-  hsh_fini (&origins->routes);
+  uint64_t digest = hsh_text (service);
+
+  origins->nodes++;
+  for (uint32_t i = 0; i < origins->service_count; i++)
+    if (origins->services[i].service == digest)
+      {
+        origins->services[i].nodes++;
+        return;
+      }
+  if (origins->service_count < ORG_SERVICES)
+    origins->services[origins->service_count++]
+        = (struct org_service){ .service = digest, .nodes = 1 };
 }
 
 static struct org_route *
@@ -70,27 +93,58 @@
   return found;
 }
 
-/* Counts SERVICE among those that send the route.  */
+static struct org_origin *
+org_origin (struct org_route *entry, uint64_t service)
+{
+  for (uint32_t i = 0; i < entry->origin_count; i++)
+    if (entry->origins[i].service == service)
+      return &entry->origins[i];
+  if (entry->origin_count == ORG_SERVICES)
+    return NULL;
+  entry->origins[entry->origin_count]
+      = (struct org_origin){ .service = service };
+  return &entry->origins[entry->origin_count++];
+}
+
+/* Counts a request from SERVICE.  */
 static void
-org_count (struct org_route *entry, uint64_t service)
+org_count (const struct org *origins, struct org_route *entry,
+           uint64_t service)
 {
+  struct org_origin *origin = org_origin (entry, service);
+
   if (entry->count < ORG_LEAST)
     entry->count++;
-  for (uint32_t i = 0; i < entry->seen; i++)
-    if (entry->services[i] == service)
-      return;
-  if (entry->seen < ORG_SERVICES)
-    entry->services[entry->seen++] = service;
+  if (origin != NULL)
+    origin->seen = true;
+  for (uint32_t i = 0; i < origins->service_count; i++)
+    {
+      origin = org_origin (entry, origins->services[i].service);
+      if (origin != NULL)
+        origin->expected
+            += (double)origins->services[i].nodes / origins->nodes;
+    }
 }
 
 enum org_kind
 org_note (struct org *origins, uint64_t route, const char *service,
-          uint32_t services)
+          enum org_kind told)
 {
   struct org_route *entry = org_find (origins, route);
+  uint32_t seen = 0;
+  bool missing = false;
 
-  org_count (entry, hsh_text (service));
-  if (entry->seen >= services || entry->seen == ORG_SERVICES)
-    return ORG_CALLERS;
-  return entry->count < ORG_LEAST ? ORG_UNKNOWN : ORG_SERVERS;
+  org_count (origins, entry, hsh_text (service));
+  for (uint32_t i = 0; i < entry->origin_count; i++)
+    {
+      seen += entry->origins[i].seen;
+      missing |= !entry->origins[i].seen
+                 && entry->origins[i].expected >= ORG_EXPECTED;
+    }
+  if (missing)
+    return ORG_SERVERS;
+  if (entry->count < ORG_LEAST)
+    return told;
+  /* Calls come from one or two services, as a rule.  */
+  return seen * 2 <= origins->service_count ? ORG_SERVERS : ORG_CALLERS;
 }
--- a/controllers/origin.h
+++ b/controllers/origin.h
@@ -15,23 +15,36 @@
 #include "core/hash.h"
 #include "core/route.h"
 
+/* Services told apart; a route of more of them is one of callers.  */
+#define ORG_SERVICES 32u
+
+/* Nodes of one service.  */
+struct org_service
+{
+  uint64_t service; /* digest of its name */
+  uint32_t nodes;   /* that are sent requests by callers */
+};
+
 struct org
 {
   struct hsh routes;
   struct lst all; /* of what is in @routes */
+  struct org_service services[ORG_SERVICES];
+  uint32_t service_count;
+  uint32_t nodes;
 };
 
 int org_init (struct org *origins);
 void org_fini (struct org *origins);
 
-/* Forgets what was learned; a configuration may move routes.  */
-void org_reset (struct org *origins);
+/* Tells how many nodes each service has, beginning with org_begin().  */
+void org_begin (struct org *origins);
+void org_add (struct org *origins, const char *service);
 
 enum org_kind
 {
-  ORG_UNKNOWN, /* too few requests so far */
-  ORG_CALLERS, /* callers send it */
-  ORG_SERVERS, /* backend servers only send it */
+  ORG_CALLERS, /* callers send it, or may */
+  ORG_SERVERS, /* backend servers only send it, as far as is known */
 };
 
 /**
@@ -39,11 +52,11 @@
  * @origins: table
  * @route: digest of the route's name
  * @service: service beside which the request arrived
- * @services: services that have servers
+ * @told: what another node has found, for a route that is new here
  *
  * Return: who sends the route.
  */
 enum org_kind org_note (struct org *origins, uint64_t route,
-                        const char *service, uint32_t services);
+                        const char *service, enum org_kind told);
 
 #endif
--- a/controllers/pace.c
+++ b/controllers/pace.c
@@ -6,14 +6,20 @@
 
 /* Share of the slots that a new route begins with.  */
 #define PAC_FIRST 0.6
-#define PAC_LEAST 2.0
-/* Part of the time limit up to which a run leaves room for one more, and from
-   which on there are too many; the important ones give way later.  */
-#define PAC_ROOM 0.70
-#define PAC_CLOSE 0.85
+#define PAC_LEAST 1.0
+/* Part of the time limit from which on a run was close to it.  */
+#define PAC_CLOSE 0.80
 #define PAC_CLOSE_URGENT 0.97
-#define PAC_SHRINK 0.92
-#define PAC_SHRINK_URGENT 0.97
+/* Part of the runs that is close to the limit or misses it, from which on
+   there are too many at once, and up to which there is room for more.  A few
+   are long by themselves.  The important routes give way later.  */
+#define PAC_MANY 0.20
+#define PAC_MANY_URGENT 0.35
+#define PAC_FEW 0.12
+#define PAC_FEW_URGENT 0.25
+#define PAC_GAIN 0.10
+#define PAC_SHRINK 0.90
+#define PAC_SHRINK_URGENT 0.96
 /* The limit shrinks at most once in this time: runs that end together tell
    of the same overload.  */
 #define PAC_SHRINK_EVERY_US clk_ms (100)
@@ -28,6 +34,7 @@
   uint64_t route;
   bool urgent;
   double limit;
+  double close; /* smoothed part of the runs that were close */
   uint32_t running;
   clk_us shrunk;
 };
@@ -114,24 +121,35 @@
     route->limit = route->pace->opts.most;
 }
 
+/* Notes whether a run was close to the time limit, and moves the limit.  */
+static void
+pac_learn (struct pac_route *route, bool close, clk_us now)
+{
+  double many = route->urgent ? PAC_MANY_URGENT : PAC_MANY;
+  double few = route->urgent ? PAC_FEW_URGENT : PAC_FEW;
+
+  route->close += ((close ? 1.0 : 0.0) - route->close) * PAC_GAIN;
+  if (close && route->close > many)
+    pac_shrink (route, now);
+  else if (!close && route->close < few)
+    pac_grow (route);
+}
+
 void
 pac_put (struct pac_route *route, enum pac_end end, clk_us took, clk_us limit,
          clk_us now)
 {
   double part = limit > 0 ? (double)took / (double)limit : 1;
-  double close = route->urgent ? PAC_CLOSE_URGENT : PAC_CLOSE;
+  double most = route->urgent ? PAC_CLOSE_URGENT : PAC_CLOSE;
 
   INVARIANT (route->running > 0);
   switch (end)
     {
     case PAC_ANSWERED:
-      if (part >= close)
-        pac_shrink (route, now);
-      else if (part <= PAC_ROOM)
-        pac_grow (route);
+      pac_learn (route, part >= most, now);
       break;
     case PAC_TIMED_OUT:
-      pac_shrink (route, now);
+      pac_learn (route, true, now);
       break;
     case PAC_OTHER:
       break;
--- a/controllers/pace.h
+++ b/controllers/pace.h
@@ -6,9 +6,9 @@
  *
  * A request that calls other services holds work at each of them.  When one
  * of these is overloaded, more requests only make all of them miss their time
- * limit.  The limit of each route grows by one for each round of runs that end
- * well within the time limit, and shrinks by a factor when runs come close to
- * it or miss it (additive increase, multiplicative decrease).
+ * limit.  The limit of each route grows by one for each round of runs while
+ * few of them come close to the time limit or miss it, and shrinks by a factor
+ * when many do (additive increase, multiplicative decrease).
  */
 
 #include <stdbool.h>
--- a/filters/beside.c
+++ b/filters/beside.c
@@ -6,6 +6,15 @@
 
 /* Requests that wait, for each slot.  */
 #define BSD_QUEUE_PER_SLOT 4
+/* Slots that other requests have beside calls at least, in percent; calls get
+   what they use and this part more.  */
+#define BSD_LONG_LEAST_PERCENT 40
+#define BSD_CALLS_ROOM 1.4
+#define BSD_CALLS_ROOM_SLOTS 1.0
+#define BSD_SAMPLE_GAIN 0.15
+/* A request may wait until its answer would be late by this part of its run.
+ */
+#define BSD_LATE_PART 0.2
 #define BSD_LEAST_US clk_ms (10)
 /* The answer has to come back before the time is over.  */
 #define BSD_MARGIN_US clk_ms (25)
@@ -25,7 +34,7 @@
 
 static const enum bsd_filter bsd_chain[]
     = { BSD_BACKEND, BSD_LEAVING, BSD_SERVICE, BSD_DEADLINE,
-        BSD_PACE,    BSD_SLOT,    BSD_END };
+        BSD_PACE,    BSD_TARGET,  BSD_SLOT,    BSD_END };
 
 int
 bsd_init (struct bsd_state *state)
@@ -49,16 +58,49 @@
   pac_fini (&state->pace);
 }
 
+/* Percent of the slots that requests other than calls may use.  */
+static uint32_t
+bsd_long_percent (const struct bsd_state *state)
+{
+  double room = state->calls_usual * BSD_CALLS_ROOM;
+  double left;
+
+  if (state->calls_usual > 0)
+    room += BSD_CALLS_ROOM_SLOTS;
+  left = 100 * (1 - room / (state->declared > 0 ? state->declared : 1));
+  return left < BSD_LONG_LEAST_PERCENT ? BSD_LONG_LEAST_PERCENT
+                                       : (uint32_t)left;
+}
+
+static void
+bsd_divide (struct bsd_state *state)
+{
+  struct adm_opts opts = { .slots = state->declared,
+                           .queue = state->declared * BSD_QUEUE_PER_SLOT,
+                           .long_slots_percent = bsd_long_percent (state),
+                           .limit = LIM_FIXED,
+                           .order = ADM_ORDER_FIFO };
+
+  adm_configure (state->slots, &opts);
+}
+
 void
-bsd_configure (struct bsd_state *state, uint32_t slots)
+bsd_sample (struct bsd_state *state, clk_us now)
 {
-  struct adm_opts opts = { .slots = slots,
-                           .queue = slots * BSD_QUEUE_PER_SLOT,
-                           .long_slots_percent = 100,
-                           .limit = LIM_FIXED };
+  state->sampled = now;
+  state->calls_usual
+      += (state->calls_open - state->calls_usual) * BSD_SAMPLE_GAIN;
+  if (state->calls_usual < 0.01)
+    state->calls_usual = 0;
+  bsd_divide (state);
+}
 
+void
+bsd_configure (struct bsd_state *state, uint32_t slots)
+{
+  state->declared = slots;
   pac_configure (&state->pace, &(struct pac_opts){ .most = slots });
-  adm_configure (state->slots, &opts);
+  bsd_divide (state);
 }
 
 static struct bsd_result
@@ -67,6 +109,38 @@
   return (struct bsd_result){ .kind = BSD_REFUSE, .reason = reason };
 }
 
+/* Counts a request that runs or waits.  */
+static void
+bsd_count (struct bsd_state *state, struct bsd_request *request)
+{
+  request->counted = true;
+  if (request->inner)
+    state->calls_open++;
+  else
+    state->long_open++;
+}
+
+/* Refuses at once what would wait so long that its answer is late, so that
+   its caller can be served elsewhere or later.  */
+static struct bsd_result
+bsd_target (const struct bsd_state *state, const struct bsd_request *request,
+            clk_us now)
+{
+  double places = state->declared * bsd_long_percent (state) / 100.0;
+  double wait;
+
+  if (request->inner || request->target <= now || state->long_us <= 0)
+    return (struct bsd_result){ .kind = BSD_RUN };
+  if (state->long_open < places)
+    return (struct bsd_result){ .kind = BSD_RUN };
+  wait = (state->long_open + 1 - places) * state->long_us
+         / (places > 1 ? places : 1);
+  if ((double)now + wait + state->long_us * (1 - BSD_LATE_PART)
+      > (double)request->target)
+    return bsd_refuse (RSN_QUEUE_FULL);
+  return (struct bsd_result){ .kind = BSD_RUN };
+}
+
 static struct bsd_result
 bsd_slot (struct bsd_state *state, struct bsd_request *request, clk_us now)
 {
@@ -75,10 +149,12 @@
   memset (&request->ticket, 0, sizeof request->ticket);
   request->ticket.importance
       = request->inner ? BSD_CALL_IMPORTANCE : request->importance;
-  request->ticket.cost = MDL_SHORT;
+  request->ticket.cost = request->inner ? MDL_SHORT : MDL_LONG;
   request->ticket.arrived = now;
   request->ticket.deadline = request->deadline - BSD_MARGIN_US;
   event = adm_submit (state->slots, &request->ticket, now);
+  if (event.kind != ADM_REFUSE)
+    bsd_count (state, request);
   switch (event.kind)
     {
     case ADM_RUN:
@@ -121,6 +197,8 @@
       if (request->pace == NULL)
         return bsd_refuse (RSN_UPSTREAM_SHED);
       break;
+    case BSD_TARGET:
+      return bsd_target (state, request, now);
     case BSD_SLOT:
       return bsd_slot (state, request, now);
     case BSD_END:
@@ -167,14 +245,23 @@
 }
 
 void
-bsd_ended (struct bsd_state *state, clk_us took)
+bsd_ended (struct bsd_state *state, const struct bsd_request *request,
+           clk_us took)
 {
+  if (!request->inner)
+    state->long_us += ((double)took - state->long_us) * BSD_GAIN;
   state->service_us += ((double)took - state->service_us) * BSD_GAIN;
 }
 
 void
-bsd_release (struct bsd_request *request, enum pac_end end, clk_us now)
+bsd_release (struct bsd_state *state, struct bsd_request *request,
+             enum pac_end end, clk_us now)
 {
+  if (request->counted && request->inner)
+    state->calls_open--;
+  else if (request->counted)
+    state->long_open--;
+  request->counted = false;
   if (request->pace == NULL)
     return;
   pac_put (request->pace, end, now - request->arrived,
--- a/filters/beside.h
+++ b/filters/beside.h
@@ -25,6 +25,7 @@
   BSD_SERVICE,  /* it is of the service that the request is for */
   BSD_DEADLINE, /* the time left is enough */
   BSD_PACE,     /* the services below can carry one more */
+  BSD_TARGET,   /* it would begin to run early enough */
   BSD_SLOT,     /* a slot is free */
   BSD_END,
 };
@@ -36,7 +37,13 @@
   struct adm *slots;
   struct org origins;
   struct pac pace;
+  uint32_t declared;   /* slots of the server */
+  uint32_t calls_open; /* calls that run or wait here */
+  double calls_usual;  /* smoothed number of these */
+  uint32_t long_open;  /* other requests that run or wait */
+  clk_us sampled;
   double service_us;   /* smoothed time of a run */
+  double long_us;      /* the same of requests that are no calls */
   double call_wait_us; /* smoothed wait of calls for a slot */
   clk_us call_wait_at;
   double haste; /* part of their time limit that its requests take */
@@ -54,8 +61,10 @@
   double haste;   /* as the other node told */
   clk_us arrived;
   clk_us deadline;
+  clk_us target;          /* when an answer begins to count as late */
   struct pac_route *pace; /* held while set */
   struct adm_ticket ticket;
+  bool counted; /* in calls_open or long_open */
 };
 
 enum bsd_result_kind
@@ -85,10 +94,16 @@
                   clk_us now);
 
 /* A run has ended after TOOK.  */
-void bsd_ended (struct bsd_state *state, clk_us took);
+void bsd_ended (struct bsd_state *state, const struct bsd_request *request,
+                clk_us took);
 
 /* The request is over; END tells whether the services below kept up.  */
-void bsd_release (struct bsd_request *request, enum pac_end end, clk_us now);
+void bsd_release (struct bsd_state *state, struct bsd_request *request,
+                  enum pac_end end, clk_us now);
+
+/* Divides the slots between calls and other requests by what calls use; to be
+   called several times a second.  */
+void bsd_sample (struct bsd_state *state, clk_us now);
 
 /* The server makes a call that leads to FAN_OUT further ones.  */
 void bsd_called (struct bsd_state *state, double fan_out, clk_us now);
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -310,6 +310,15 @@
   return ENT_NEAR_GAIN + (ENT_NEAR_GAIN_HASTE - ENT_NEAR_GAIN) * part;
 }
 
+uint32_t
+ent_target_left_ms (const struct ent_request *request, clk_us now)
+{
+  clk_us target
+      = request->arrived + clk_ms (request->route->target_latency_ms);
+
+  return target > now ? (uint32_t)((target - now) / CLK_US_PER_MS) : 0;
+}
+
 void
 ent_ended (struct ent_request *request, clk_us now)
 {
@@ -398,7 +407,7 @@
   struct ent_next next = { .kind = ENT_GIVE_UP };
   double cost = 1 + request->service->fan_out;
 
-  if (now + ENT_LEAST_US >= request->timeout)
+  if (now + ENT_LEAST_US >= request->timeout || state->closing)
     return next;
   if (failure->run == RSN_NOT_RUN)
     {
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -140,6 +140,10 @@
 struct ent_service *ent_service (struct ent_state *state, const char *name,
                                  clk_us now);
 
+/* Time left until an answer counts as late, in milliseconds; 0 when it is
+   over or the route has no target.  */
+uint32_t ent_target_left_ms (const struct ent_request *request, clk_us now);
+
 /* The request has been answered by a server, or its time is over.  */
 void ent_ended (struct ent_request *request, clk_us now);
 
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -8,12 +8,14 @@
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
-#define GAT_TICK_US clk_ms (250)
+#define GAT_TICK_US clk_ms (125)
 /* A stopping node is still sent work until its callers and the other nodes
    have noticed: two questions about its health a second apart.  */
 #define GAT_LEAVE_US clk_ms (2600)
 /* Idle connections of callers are closed this long after a stop began.  */
 #define GAT_SWEEP_US clk_ms (1200)
+/* What waits at other nodes is withdrawn this long before the end.  */
+#define GAT_WITHDRAW_US clk_ms (400)
 /* A node without callers has nothing to wait for.  */
 #define GAT_LEAVE_CONTROL_US clk_ms (200)
 
@@ -134,6 +136,7 @@
   clk_us now = lop_now (gate->loop);
   uint32_t nodes = 0;
 
+  org_begin (&gate->beside.origins);
   lst_each (node, &gate->entry.services)
     chs_mark (lst_entry (node, struct ent_service, node)->servers);
   lst_each (node, items)
@@ -142,6 +145,8 @@
           = &lst_entry (node, struct mem_item, node)->record;
 
       nodes += !record->control;
+      if (record->service[0] != '\0' && record->state == MEM_SERVING)
+        org_add (&gate->beside.origins, record->service);
       gat_apply_member (gate, record, now);
     }
   lst_each (node, &gate->entry.services)
@@ -261,6 +266,7 @@
         gate->opts.reload (gate->opts.reload_arg, &gate->opts);
     }
   gat_check_backend (gate, now);
+  bsd_sample (&gate->beside, now);
   if (gate->stopping && now + GAT_LEAVE_US >= gate->stop_not_before
       && now >= gate->stop_not_before - GAT_LEAVE_US + GAT_SWEEP_US)
     gat_in_sweep (gate);
@@ -271,6 +277,12 @@
       gate->entry.closing = true;
       inb_put (gate->control, msg_new (MSG_STOP));
     }
+  if (gate->stopping && !gate->withdrawn
+      && now + GAT_WITHDRAW_US >= gate->stop_at)
+    {
+      gate->withdrawn = true;
+      gat_call_withdraw_all (gate);
+    }
   if (gate->stopping && gat_may_end (gate, now))
     {
       slog (SLOG_NOTICE, "connections closed unfinished=%d",
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -136,6 +136,24 @@
   gat_answer_own (request, status, lines, "text/plain", text, (size_t)len);
 }
 
+void
+gat_call_withdraw_all (struct gate *gate)
+{
+  lst_each (node, &gate->calls)
+    {
+      struct gat_call *call = lst_entry (node, struct gat_call, node);
+
+      lst_each (item, &call->attempts)
+        {
+          struct gat_attempt *attempt
+              = lst_entry (item, struct gat_attempt, node);
+
+          if (attempt->out != NULL && !attempt->has_head)
+            hcn_half_close (&attempt->out->conn);
+        }
+    }
+}
+
 static enum rsn_run
 gat_call_run (const struct gat_call *call)
 {
@@ -215,6 +233,7 @@
 
   memcpy (told.service, call->ent.service->name, sizeof told.service);
   told.timeout_ms = (uint32_t)((call->ent.timeout - now) / CLK_US_PER_MS);
+  told.target_ms = ent_target_left_ms (&call->ent, now);
   nh_put_request (&told, text);
   hm_request_line (out, request->head.method, request->head.target);
   buf_append (out, request->head.lines.data, request->head.lines.len);
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -376,6 +376,7 @@
 gat_in_ended (struct hcn *conn, enum hcn_end end)
 {
   struct gat_in *in = lst_entry (conn, struct gat_in, conn);
+  struct gat_request *request;
 
   if (in->ended)
     {
@@ -399,6 +400,18 @@
       lop_pause (&in->conn.io, true);
       return;
     }
+  if (in->port == GAT_NODES && end == HCN_END_ORDERLY
+      && !lst_empty (&in->requests))
+    {
+      /* The other node still reads: it withdraws what does not run yet.  */
+      in->last = true;
+      lop_pause (&in->conn.io, true);
+      request = gat_in_last (in);
+      request->close_after = true;
+      if (request->kind == GAT_KIND_SERVE)
+        gat_serve_withdraw (request->u.serve);
+      return;
+    }
   gat_in_end (in, end != HCN_END_ORDERLY);
 }
 
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -79,7 +79,7 @@
   serve->out = NULL;
   if (serve->bsd.ticket.state != ADM_IDLE)
     adm_withdraw (gate->beside.slots, &serve->bsd.ticket, now);
-  bsd_release (&serve->bsd, PAC_OTHER, now);
+  bsd_release (&gate->beside, &serve->bsd, PAC_OTHER, now);
   serve->running = false;
 }
 
@@ -92,7 +92,7 @@
 
   /* A caller that leaves near the time limit has waited in vain.  */
   if (now + GAT_NEAR_LIMIT_US >= serve->bsd.deadline)
-    bsd_release (&serve->bsd, PAC_TIMED_OUT, now);
+    bsd_release (&gate->beside, &serve->bsd, PAC_TIMED_OUT, now);
 
   if (serve->running && !serve->has_head)
     slog (SLOG_INFO, "run cancelled id=%s reason=caller-left ran_ms=%llu",
@@ -339,9 +339,9 @@
     gat_serve_refuse (serve, RSN_SERVER_REFUSED, RSN_NOT_RUN);
   else
     {
-      bsd_ended (&gate->beside, now - serve->dispatched);
+      bsd_ended (&gate->beside, &serve->bsd, now - serve->dispatched);
       adm_finish (gate->beside.slots, &serve->bsd.ticket, true, now);
-      bsd_release (&serve->bsd,
+      bsd_release (&gate->beside, &serve->bsd,
                    serve->status / 100 == 5 ? PAC_TIMED_OUT : PAC_ANSWERED,
                    now);
       request->kind = GAT_KIND_NONE;
@@ -351,6 +351,18 @@
   gat_serve_run (gate);
 }
 
+/* The other node will not wait for a request that does not run yet.  */
+void
+gat_serve_withdraw (struct gat_serve *serve)
+{
+  struct gate *gate = serve->gate;
+
+  if (serve->running)
+    return;
+  gat_serve_refuse (serve, RSN_CANCELLED, RSN_NOT_RUN);
+  gat_serve_run (gate);
+}
+
 void
 gat_serve_drained (struct gat_serve *serve)
 {
@@ -398,31 +410,6 @@
   gat_body_room (request);
 }
 
-/* Whether the route is one of calls; until this node knows, what the other
-   node was told elsewhere counts.  */
-static bool
-gat_serve_inner (const struct gat_serve *serve)
-{
-  struct gate *gate = serve->gate;
-  uint32_t services = 0;
-
-  lst_each (node, &gate->entry.services)
-    services
-        += chs_present (lst_entry (node, struct ent_service, node)->servers)
-           > 0;
-  switch (org_note (&gate->beside.origins, serve->told.route,
-                    serve->request->head.value[HM_CALLER], services))
-    {
-    case ORG_SERVERS:
-      return true;
-    case ORG_CALLERS:
-      return false;
-    case ORG_UNKNOWN:
-      break;
-    }
-  return serve->told.inner;
-}
-
 void
 gat_serve_head (struct gat_request *request)
 {
@@ -447,9 +434,14 @@
   serve->bsd.importance = (uint8_t)serve->told.importance;
   serve->bsd.route = serve->told.route;
   serve->bsd.haste = serve->told.haste / 100.0;
-  serve->bsd.inner = gat_serve_inner (serve);
+  serve->bsd.inner = org_note (&gate->beside.origins, serve->told.route,
+                               request->head.value[HM_CALLER],
+                               serve->told.inner ? ORG_SERVERS : ORG_CALLERS)
+                     == ORG_SERVERS;
   serve->bsd.arrived = request->arrived;
   if (serve->told.timeout_ms < wait_ms)
     wait_ms = serve->told.timeout_ms;
   serve->bsd.deadline = request->arrived + clk_ms (wait_ms);
+  if (serve->told.target_ms != 0)
+    serve->bsd.target = request->arrived + clk_ms (serve->told.target_ms);
 }
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -217,6 +217,7 @@
   clk_us stop_at;
   clk_us stop_not_before;
   bool control_stopped;
+  bool withdrawn;
   clk_us view_at;
   int exit_status;
 };
@@ -260,6 +261,8 @@
 void gat_call_head (struct gat_request *request);
 void gat_call_body (struct gat_call *call);
 void gat_call_gone (struct gat_call *call);
+/* Asks other nodes to refuse what waits there; what runs goes on.  */
+void gat_call_withdraw_all (struct gate *gate);
 int gat_attempt_head (struct gat_attempt *attempt, struct hm_head *head);
 int gat_attempt_body (struct gat_attempt *attempt, const uint8_t *data,
                       size_t len);
@@ -273,6 +276,7 @@
 void gat_serve_head (struct gat_request *request);
 void gat_serve_body (struct gat_serve *serve);
 void gat_serve_gone (struct gat_serve *serve);
+void gat_serve_withdraw (struct gat_serve *serve);
 int gat_serve_answer_head (struct gat_serve *serve, struct hm_head *head);
 int gat_serve_answer_body (struct gat_serve *serve, const uint8_t *data,
                            size_t len);
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -320,6 +320,13 @@
   hcn_flush (conn);
 }
 
+void
+hcn_half_close (struct hcn *conn)
+{
+  if (!conn->closed && conn->open && conn->out.len == 0)
+    shutdown (conn->io.fd, SHUT_WR);
+}
+
 void
 hcn_close (struct hcn *conn, bool reset)
 {
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -84,6 +84,9 @@
 /* Closes when all that was appended has been written; no event follows.  */
 void hcn_finish (struct hcn *conn);
 
+/* Tells the peer that nothing more will be sent; its answer is still read.  */
+void hcn_half_close (struct hcn *conn);
+
 /* Closes now; @release follows.  RESET shows the peer that it did not end in
    order.  */
 void hcn_close (struct hcn *conn, bool reset);
--- a/wire/nodehdr.c
+++ b/wire/nodehdr.c
@@ -6,16 +6,17 @@
 
 #include "core/err.h"
 
-#define NH_REQUEST_PARTS 8
+#define NH_REQUEST_PARTS 9
 #define NH_ANSWER_PARTS 9
 
 void
 nh_put_request (const struct nh_request *request, char out[NH_TEXT_BYTES])
 {
-  snprintf (out, NH_TEXT_BYTES, "%s %u %u %u %" PRIx64 " %d %d %d",
+  snprintf (out, NH_TEXT_BYTES, "%s %u %u %u %u %" PRIx64 " %d %d %d",
             request->service, request->importance, request->timeout_ms,
-            request->haste, request->route, (int)request->idempotent,
-            (int)request->repeat, (int)request->inner);
+            request->target_ms, request->haste, request->route,
+            (int)request->idempotent, (int)request->repeat,
+            (int)request->inner);
 }
 
 int
@@ -26,9 +27,11 @@
   unsigned inner;
 
   if (sscanf (text,
-              "%63s %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNx64 " %u %u %u",
+              "%63s %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNx64
+              " %u %u %u",
               request->service, &request->importance, &request->timeout_ms,
-              &request->haste, &request->route, &idempotent, &repeat, &inner)
+              &request->target_ms, &request->haste, &request->route,
+              &idempotent, &repeat, &inner)
       != NH_REQUEST_PARTS)
     return SR_EMALFORMED;
   request->idempotent = idempotent != 0;
--- a/wire/nodehdr.h
+++ b/wire/nodehdr.h
@@ -23,6 +23,7 @@
   char service[RTE_NAME_BYTES];
   uint32_t importance;
   uint32_t timeout_ms; /* left of the route's timeout */
+  uint32_t target_ms;  /* left until an answer counts as late */
   uint32_t haste; /* percent of their time limit that such requests take */
   uint64_t route; /* digest of the route's name */
   bool idempotent;
