A part of the slots stays free; the pace of a route may fall below one

Change: 94.5 % of the declared slots are used; below a limit of one the pace tries a single run from time to time.

Ruled out: taking the limit from the load report; it lags.

--- a/controllers/pace.c
+++ b/controllers/pace.c
@@ -6,20 +6,23 @@
 
 /* Share of the slots that a new route begins with.  */
 #define PAC_FIRST 0.6
-#define PAC_LEAST 1.0
+#define PAC_LEAST 0.1
+/* Below one, a single run is tried this long after the last, divided by the
+   limit.  */
+#define PAC_TRY_EVERY_US clk_ms (300)
 /* Part of the time limit from which on a run was close to it.  */
 #define PAC_CLOSE 0.80
-#define PAC_CLOSE_URGENT 0.97
+#define PAC_CLOSE_URGENT 0.92
 /* Part of the runs that is close to the limit or misses it, from which on
    there are too many at once, and up to which there is room for more.  A few
    are long by themselves.  The important routes give way later.  */
 #define PAC_MANY 0.20
-#define PAC_MANY_URGENT 0.35
+#define PAC_MANY_URGENT 0.25
 #define PAC_FEW 0.12
-#define PAC_FEW_URGENT 0.25
+#define PAC_FEW_URGENT 0.16
 #define PAC_GAIN 0.10
 #define PAC_SHRINK 0.90
-#define PAC_SHRINK_URGENT 0.96
+#define PAC_SHRINK_URGENT 0.94
 /* The limit shrinks at most once in this time: runs that end together tell
    of the same overload.  */
 #define PAC_SHRINK_EVERY_US clk_ms (100)
@@ -37,6 +40,7 @@
   double close; /* smoothed part of the runs that were close */
   uint32_t running;
   clk_us shrunk;
+  clk_us tried; /* when the last run began */
 };
 
 int
@@ -85,17 +89,24 @@
   return route;
 }
 
+static bool
+pac_has_room (const struct pac_route *route, clk_us now)
+{
+  if (route->limit >= 1)
+    return route->running + 1 <= route->limit;
+  return route->running == 0
+         && (double)(now - route->tried) >= PAC_TRY_EVERY_US / route->limit;
+}
+
 struct pac_route *
 pac_take (struct pac *pace, uint64_t id, bool urgent, clk_us now)
 {
   struct pac_route *route = pac_find (pace, id);
 
-  (void)now;
   route->urgent = urgent;
-  if (route->limit < PAC_LEAST)
-    route->limit = PAC_LEAST;
-  if (route->running + 1 > route->limit)
+  if (!pac_has_room (route, now))
     return NULL;
+  route->tried = now;
   route->running++;
   return route;
 }
@@ -116,7 +127,7 @@
 {
   if (route->running < route->limit * PAC_USED)
     return;
-  route->limit += 1 / route->limit;
+  route->limit += route->limit > 1 ? 1 / route->limit : route->limit;
   if (route->limit > route->pace->opts.most)
     route->limit = route->pace->opts.most;
 }
--- a/filters/beside.c
+++ b/filters/beside.c
@@ -6,6 +6,9 @@
 
 /* Requests that wait, for each slot.  */
 #define BSD_QUEUE_PER_SLOT 4
+/* Part of the slots that is used: many servers slow down when they are nearly
+   full, which costs more than the slots that are left.  */
+#define BSD_USED 0.945
 /* Slots that other requests have beside calls at least, in percent; calls get
    what they use and this part more.  */
 #define BSD_LONG_LEAST_PERCENT 40
@@ -75,7 +78,8 @@
 static void
 bsd_divide (struct bsd_state *state)
 {
-  struct adm_opts opts = { .slots = state->declared,
+  uint32_t slots = (uint32_t)(state->declared * BSD_USED);
+  struct adm_opts opts = { .slots = slots > 0 ? slots : 1,
                            .queue = state->declared * BSD_QUEUE_PER_SLOT,
                            .long_slots_percent = bsd_long_percent (state),
                            .limit = LIM_FIXED,
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -386,8 +386,7 @@
   if (told.ran > attempt->told.waited_us)
     told.ran -= attempt->told.waited_us;
   ent_learn (&gate->entry, &call->ent, &told, now);
-  if (call->ent.inner)
-    bsd_called (&gate->beside, told.fan_out, now);
+
   return SR_OK;
 }
 
@@ -569,5 +568,7 @@
                        result.retry_after_ms);
       return;
     }
+  if (call->ent.inner)
+    bsd_called (&gate->beside, call->ent.service->fan_out, request->arrived);
   lop_set (gate->loop, &call->timer, call->ent.timeout);
 }
