--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,501 @@
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/clk.h"
+#include "platform/platform.h"
+#include "sycamorerudder.h"
+#include "tasks/gate.h"
+#include "tests/suite.h"
+
+#define TEXT_BYTES 65536
+
+static const char document[]
+    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
+      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
+      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
+      "[[\"r\",\"h\",\"/r/\",\"idempotent\",2,2,2,null,2,\"a\"],"
+      "[\"o\",\"h\",\"/o/\",\"non_idempotent\",2,2,0,null,2,\"a\"],"
+      "[\"t\",\"h\",\"/t/\",\"idempotent\",0.3,0.2,2,null,2,\"a\"]]},"
+      "\"services\":{\"columns\":[\"name\",\"health_path\","
+      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
+      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
+      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
+      "\"idle_timeout_s\":15}}";
+
+/* The backend server: answers by the last part of the path.  */
+static int server_listener;
+static char server_address[32];
+static atomic_int server_requests;
+static atomic_int server_gone; /* requests whose connection ended meanwhile */
+static char server_last[TEXT_BYTES];
+static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
+
+static struct gate *gate;
+static struct inb *control;
+static pthread_t gate_thread;
+static char addresses[GAT_PORT_COUNT][32];
+
+static int
+listen_any (char address[32])
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t len = sizeof name;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&name, len), 0);
+  getsockname (fd, (struct sockaddr *)&name, &len);
+  snprintf (address, 32, "127.0.0.1:%u", ntohs (name.sin_port));
+  return fd;
+}
+
+static int
+dial (const char *address)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  struct timeval wait = { .tv_sec = 4 };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  name.sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1));
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait);
+  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&name, sizeof name),
+                         0);
+  return fd;
+}
+
+static void
+put (int fd, const char *text)
+{
+  (void)!write (fd, text, strlen (text));
+}
+
+/* Reads a request with its body; false when the connection has ended.  */
+static bool
+server_read (int fd, char *text, size_t size)
+{
+  size_t len = 0;
+
+  for (;;)
+    {
+      char *end = memmem (text, len, "\r\n\r\n", 4);
+      char *length = memmem (text, len, "Content-Length: ", 16);
+      ssize_t got;
+
+      if (end != NULL)
+        {
+          size_t head = (size_t)(end - text) + 4;
+          size_t body = length != NULL && length < end
+                            ? strtoul (length + 16, NULL, 10)
+                            : 0;
+
+          if (memmem (text, head, "chunked", 7) != NULL)
+            body = memmem (end, len - (size_t)(end - text), "0\r\n\r\n", 5)
+                           != NULL
+                       ? 0
+                       : SIZE_MAX / 2;
+          if (len >= head + body)
+            {
+              text[len] = '\0';
+              return true;
+            }
+        }
+      got = read (fd, text + len, size - 1 - len);
+      if (got <= 0)
+        return false;
+      len += (size_t)got;
+    }
+}
+
+static void
+server_answer (int fd, const char *text, const char *id)
+{
+  char out[1024];
+  const char *framing = "Content-Length: 5";
+  const char *seal = "X-Sycamorerudder-Response-Seal: s\r\n";
+
+  if (strstr (text, "/stray ") != NULL)
+    put (fd, "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: other\r\n"
+             "Content-Length: 3\r\n\r\nbad");
+  if (strstr (text, "/shed ") != NULL)
+    {
+      snprintf (
+          out, sizeof out,
+          "HTTP/1.1 503 Busy\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+          "X-Sycamorerudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+          id);
+      put (fd, out);
+      return;
+    }
+  if (strstr (text, "/noseal ") != NULL)
+    seal = "";
+  if (strstr (text, "/cut ") != NULL)
+    framing = "Content-Length: 50";
+  if (strstr (text, "/open ") != NULL)
+    framing = "X-Open: 1";
+  snprintf (out, sizeof out,
+            "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n%sX-Odd: "
+            "%.20s\r\n%s\r\n\r\nhello",
+            id, seal, id, framing);
+  put (fd, out);
+}
+
+static void *
+server_connection (void *arg)
+{
+  int fd = (int)(intptr_t)arg;
+  char *text = malloc (TEXT_BYTES);
+
+  while (server_read (fd, text, TEXT_BYTES))
+    {
+      char id[64] = "";
+      char *at = strstr (text, "X-Sycamorerudder-Request-Id: ");
+
+      if (at != NULL)
+        sscanf (at, "X-Sycamorerudder-Request-Id: %63s", id);
+      pthread_mutex_lock (&server_lock);
+      snprintf (server_last, sizeof server_last, "%s", text);
+      pthread_mutex_unlock (&server_lock);
+      server_requests++;
+      if (strstr (text, "/slow ") != NULL)
+        usleep (300000);
+      if (strstr (text, "/hang ") != NULL)
+        {
+          char byte;
+
+          if (read (fd, &byte, 1) <= 0)
+            server_gone++;
+          break;
+        }
+      server_answer (fd, text, id);
+      if (strstr (text, "/open ") != NULL || strstr (text, "/cut ") != NULL)
+        break;
+    }
+  close (fd);
+  free (text);
+  return NULL;
+}
+
+static void *
+server_run (void *arg)
+{
+  (void)arg;
+  for (;;)
+    {
+      int fd = accept (server_listener, NULL, NULL);
+      pthread_t thread;
+
+      if (fd < 0)
+        return NULL;
+      pthread_create (&thread, NULL, server_connection, (void *)(intptr_t)fd);
+      pthread_detach (thread);
+    }
+}
+
+static void *
+run_gate (void *arg)
+{
+  (void)arg;
+  gate_run (gate);
+  return NULL;
+}
+
+/* Sends TEXT to a port and reads until the connection ends.  */
+static char *
+ask (enum gat_port port, const char *text)
+{
+  static char answer[TEXT_BYTES];
+  size_t len = 0;
+  ssize_t got;
+  int fd = dial (addresses[port]);
+
+  put (fd, text);
+  while ((got = read (fd, answer + len, sizeof answer - 1 - len)) > 0)
+    len += (size_t)got;
+  answer[len] = '\0';
+  close (fd);
+  return answer;
+}
+
+/* A request of a caller with PATH and KIND of answer expected.  */
+static char *
+get (const char *path)
+{
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            "X-Sycamorerudder-Request-Id: q7\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 3000\r\n\r\n",
+            path);
+  return ask (GAT_CALLERS, text);
+}
+
+static void
+beat (int sequence, const char *state)
+{
+  char body[256];
+  char text[512];
+
+  snprintf (body, sizeof body,
+            "{\"service\":\"a\",\"address\":\"%s\",\"slots\":4,\"state\":"
+            "\"%s\",\"sequence\":%d}",
+            server_address, state, sequence);
+  snprintf (text, sizeof text,
+            "POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: n\r\n"
+            "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
+            strlen (body), body);
+  CU_ASSERT_PTR_NOT_NULL (strstr (ask (GAT_CONTROL, text), " 200 "));
+}
+
+/* A gate whose only server is beside it.  */
+static void
+begin (void)
+{
+  static struct gat_opts opts;
+  struct inb_opts inbox = { .wake = INB_WAKE_CONDITION };
+  struct msg *model = msg_new (MSG_MODEL);
+  struct msg *view = msg_new (MSG_VIEW);
+  struct mem_record record = { .instance = "n-1",
+                               .service = "a",
+                               .failure_domain = "d",
+                               .slots = 4,
+                               .state = MEM_SERVING,
+                               .incarnation = 1 };
+  char fault[160];
+  pthread_t thread;
+
+  server_listener = listen_any (server_address);
+  listen (server_listener, 64);
+  pthread_create (&thread, NULL, server_run, NULL);
+  for (int i = 0; i < GAT_PORT_COUNT; i++)
+    {
+      close (listen_any (addresses[i]));
+      opts.listen[i] = addresses[i];
+    }
+  opts.instance = "n-1";
+  opts.failure_domain = "d";
+  opts.peer = "127.0.0.1:1";
+  opts.service = "a";
+  opts.adapter = plt_adapter ();
+  opts.retry_budget
+      = (struct win_opts){ .ratio = 1, .slack = 100, .length = clk_s (10) };
+  opts.stop_limit = clk_s (3);
+  opts.heartbeat = clk_s (60);
+  opts.descriptors = 512;
+  gate = gate_new (&opts);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (gate);
+  control = inb_new (&inbox);
+  gate_connect (gate, control, control);
+  CU_ASSERT_EQUAL_FATAL (plt_parse_document (document, strlen (document),
+                                             &model->u.model.model, fault),
+                         SR_OK);
+  model->u.model.confirmed = true;
+  snprintf (record.address, sizeof record.address, "127.0.0.1:1");
+  mem_add_item (&view->u.items, &record);
+  inb_put (gate_inbox (gate), model);
+  inb_put (gate_inbox (gate), view);
+  pthread_create (&gate_thread, NULL, run_gate, NULL);
+  beat (1, "ready");
+}
+
+static bool
+server_saw (const char *text)
+{
+  bool found;
+
+  pthread_mutex_lock (&server_lock);
+  found = strstr (server_last, text) != NULL;
+  pthread_mutex_unlock (&server_lock);
+  return found;
+}
+
+/* Guards against requests and answers that change on the way, and a caller
+   that names its own service.  */
+static void
+test_bytes (void)
+{
+  char *answer = ask (
+      GAT_CALLERS,
+      "POST /r/a%2Fb;c=%41//d?x=%2f&&y HTTP/1.1\r\nHost: h\r\nX-Odd: 1\r\n"
+      "X-Sycamorerudder-Request-Id: q1\r\nConnection: close\r\n"
+      "X-Sycamorerudder-Caller-Service: forged\r\n"
+      "X-Sycamorerudder-Deadline-Ms: 3000\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 200 OK\r\n", 17), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "X-Odd: q1\r\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "\r\n\r\nhello"));
+  CU_ASSERT_PTR_NULL (strstr (answer, "Rudder-"));
+  CU_ASSERT_TRUE (server_saw ("POST /r/a%2Fb;c=%41//d?x=%2f&&y HTTP/1.1\r\n"));
+  CU_ASSERT_TRUE (server_saw ("X-Odd: 1\r\n"));
+  CU_ASSERT_TRUE (server_saw ("X-Sycamorerudder-Caller-Service: a\r\n"));
+  CU_ASSERT_TRUE (server_saw ("X-Sycamorerudder-Expect-Instance: i-1\r\n"));
+  CU_ASSERT_FALSE (server_saw ("forged"));
+  CU_ASSERT_FALSE (server_saw ("Rudder-"));
+  CU_ASSERT_TRUE (server_saw ("3\r\nabc\r\n0\r\n\r\n"));
+}
+
+/* Guards against pipelined requests that wait for each other, and answers out
+   of order.  */
+static void
+test_pipeline (void)
+{
+  clk_us from = clk_now ();
+  char *answer = ask (GAT_CALLERS,
+                      "GET /r/slow HTTP/1.1\r\nHost: h\r\n"
+                      "X-Sycamorerudder-Request-Id: first\r\n\r\n"
+                      "GET /r/slow HTTP/1.1\r\nHost: h\r\n"
+                      "X-Sycamorerudder-Request-Id: second\r\n\r\n"
+                      "GET /r/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                      "X-Sycamorerudder-Request-Id: third\r\n\r\n");
+  char *first = strstr (answer, "first");
+  char *second = strstr (answer, "second");
+  char *third = strstr (answer, "third");
+
+  CU_ASSERT_TRUE (clk_now () - from < clk_ms (550));
+  CU_ASSERT_TRUE (first != NULL && second > first && third > second);
+}
+
+/* Guards against broken answers that reach a caller as whole ones.  */
+static void
+test_broken_answers (void)
+{
+  char *answer = get ("/r/stray");
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "\r\n\r\nhello"));
+  CU_ASSERT_PTR_NULL (strstr (answer, "bad"));
+  CU_ASSERT_EQUAL (strncmp (get ("/r/cut"), "HTTP/1.1 502 ", 13), 0);
+  CU_ASSERT_EQUAL (strncmp (get ("/r/noseal"), "HTTP/1.1 502 ", 13), 0);
+  answer = get ("/r/open");
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 200 ", 13), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "hello"));
+  answer = get ("/o/shed");
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "not-run"));
+}
+
+/* Guards against a second run of a request that must run once.  */
+static void
+test_runs_once (void)
+{
+  int before = server_requests;
+
+  CU_ASSERT_EQUAL (strncmp (get ("/o/cut"), "HTTP/1.1 502 ", 13), 0);
+  CU_ASSERT_EQUAL (server_requests - before, 1);
+}
+
+/* Guards against input that is not HTTP, or without a bound.  */
+static void
+test_bad_input (void)
+{
+  static char text[8192] = "GET /r/ HTTP/1.1\r\nHost: h\r\nX: ";
+  size_t len = strlen (text);
+
+  memset (text + len, 'a', 6000);
+  CU_ASSERT_EQUAL (strncmp (ask (GAT_CALLERS, text), "HTTP/1.1 431 ", 13), 0);
+  CU_ASSERT_EQUAL (
+      strncmp (ask (GAT_CALLERS, "hello\r\n\r\n"), "HTTP/1.1 400 ", 13), 0);
+  CU_ASSERT_EQUAL (
+      strncmp (ask (GAT_CALLERS, "POST /r/ HTTP/1.1\r\nHost: h\r\n"
+                                 "Content-Length: 2000000\r\n\r\n"),
+               "HTTP/1.1 413 ", 13),
+      0);
+  CU_ASSERT_EQUAL (strncmp (get ("/none/"), "HTTP/1.1 404 ", 13), 0);
+}
+
+/* Guards against a caller that waits past the route's time, and work for one
+   that has left.  */
+static void
+test_time (void)
+{
+  clk_us from = clk_now ();
+  int gone = server_gone;
+  int fd;
+
+  CU_ASSERT_EQUAL (strncmp (get ("/t/hang"), "HTTP/1.1 504 ", 13), 0);
+  CU_ASSERT_TRUE (clk_now () - from < clk_ms (500));
+  fd = dial (addresses[GAT_CALLERS]);
+  put (fd, "GET /r/hang HTTP/1.1\r\nHost: h\r\n"
+           "X-Sycamorerudder-Request-Id: leaves\r\n\r\n");
+  usleep (150000);
+  close (fd);
+  usleep (300000);
+  CU_ASSERT_EQUAL (server_gone - gone, 2);
+}
+
+/* Guards against work that reaches a server after its node acknowledged that
+   it leaves.  */
+static void
+test_leaving (void)
+{
+  int before;
+  char *answer;
+
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (ask (GAT_HEALTH, "GET /-/readiness HTTP/1.1\r\nHost: n\r\n"
+                               "Connection: close\r\n\r\n"),
+              " 200 "));
+  beat (2, "draining");
+  before = server_requests;
+  answer = get ("/r/ok");
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "not-run"));
+  CU_ASSERT_EQUAL (server_requests, before);
+}
+
+/* Guards against a stop that cuts off a request.  */
+static void
+test_stop (void)
+{
+  char answer[4096];
+  size_t len = 0;
+  ssize_t got;
+  int fd;
+
+  beat (3, "ready"); /* of the start that leaves: stays out */
+  CU_ASSERT_EQUAL (strncmp (get ("/r/ok"), "HTTP/1.1 503 ", 13), 0);
+  fd = dial (addresses[GAT_CALLERS]);
+  put (fd, "POST /r/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+           "X-Sycamorerudder-Request-Id: late\r\n\r\na");
+  usleep (100000);
+  gate_shut_down (gate);
+  usleep (400000);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (ask (GAT_HEALTH, "GET /-/readiness HTTP/1.1\r\nHost: n\r\n"
+                               "Connection: close\r\n\r\n"),
+              " 503 "));
+  put (fd, "b");
+  while ((got = read (fd, answer + len, sizeof answer - 1 - len)) > 0)
+    len += (size_t)got;
+  answer[len] = '\0';
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Connection: close"));
+  close (fd);
+  pthread_join (gate_thread, NULL);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "begin", begin },
+          { "bytes", test_bytes },
+          { "pipeline", test_pipeline },
+          { "broken answers", test_broken_answers },
+          { "runs once", test_runs_once },
+          { "bad input", test_bad_input },
+          { "time", test_time },
+          { "leaving", test_leaving },
+          { "stop", test_stop },
+          { NULL, NULL } };
+
+  return suite_run ("gate", tests);
+}
