--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CC = gcc
 PKGS = libwebsockets libzmq msgpack jansson popt libxxhash
-CSTD = -std=c11 -D_POSIX_C_SOURCE=200809L -D_DEFAULT_SOURCE
+CSTD = -std=c11 -D_POSIX_C_SOURCE=200809L -D_GNU_SOURCE
 WARN = -Wall -Wextra -Werror
 OPT = -O2 -g
 CFLAGS = $(CSTD) $(WARN) $(OPT) $(SANITIZE) -pthread -I. -Iinclude
--- a/controllers/split.c
+++ b/controllers/split.c
@@ -113,7 +113,8 @@
 struct rte_service *
 spl_pick (struct spl *split, struct rte_route *route, struct rng *rng)
 {
-  uint64_t hash = hsh_bytes (&route, sizeof route);
+  uintptr_t key = (uintptr_t)route;
+  uint64_t hash = hsh_bytes (&key, sizeof key);
   struct rte_target *best = NULL;
   struct spl_credit *best_credit = NULL;
   struct spl_route *position;
--- a/core/slog.c
+++ b/core/slog.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE
 #include "core/slog.h"
 
 #include <poll.h>
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE
 #include "tasks/hconn.h"
 
 #include <arpa/inet.h>
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE
 #include <arpa/inet.h>
 #include <errno.h>
 #include <pthread.h>
--- a/tests/test_slog.c
+++ b/tests/test_slog.c
@@ -1,4 +1,3 @@
-#define _GNU_SOURCE
 #include <fcntl.h>
 #include <string.h>
 #include <unistd.h>
