rudderctl explain; members told at once; a stopping node serves on for a moment

The leader tells all nodes when members change, so that they renew at once. A stopping node runs requests for its server until the others have noticed. Histograms are filled.

--- a/core/slog.c
+++ b/core/slog.c
@@ -30,6 +30,7 @@
 
 static const char *slog_program = "sycamorerudder";
 static enum slog_severity slog_most = SLOG_INFO;
+static char slog_node[64] = "-";
 static int slog_fd = STDOUT_FILENO;
 static pthread_mutex_t slog_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct slog_kind slog_kinds[SLOG_KINDS];
@@ -48,6 +49,12 @@
   slog_most = most;
 }
 
+void
+slog_name (const char *node)
+{
+  snprintf (slog_node, sizeof slog_node, "%s", node);
+}
+
 void
 slog_to (int fd)
 {
@@ -115,11 +122,11 @@
   int len;
 
   clock_gettime (CLOCK_REALTIME, &now);
-  len = snprintf (line, sizeof line,
-                  "time=%lld.%03ld severity=%s program=%s msg=\"%.*s\"%s\n",
-                  (long long)now.tv_sec, now.tv_nsec / 1000000,
-                  slog_names[severity], slog_program, (int)message, text,
-                  text + message);
+  len = snprintf (
+      line, sizeof line,
+      "time=%lld.%03ld severity=%s program=%s node=%s msg=\"%.*s\"%s\n",
+      (long long)now.tv_sec, now.tv_nsec / 1000000, slog_names[severity],
+      slog_program, slog_node, (int)message, text, text + message);
   if (len >= (int)sizeof line)
     {
       len = sizeof line - 1;
--- a/core/slog.h
+++ b/core/slog.h
@@ -5,7 +5,8 @@
  * DOC: slog - structured log lines on standard output
  *
  * A line is a record of key=value pairs: time (seconds since the epoch),
- * severity (the names of syslog), program, msg, and the pairs of the caller.
+ * severity (the names of syslog), program, node, msg, and the pairs of the
+ * caller.
  * Values with spaces are in quotes.
  *
  * Logging never waits.  A line that standard output does not take at once is
@@ -29,6 +30,9 @@
 /* Names the program and sets the highest severity number that is written. */
 void slog_open (const char *program, enum slog_severity most);
 
+/* Names the node in every line.  */
+void slog_name (const char *node);
+
 /* Writes to another descriptor, for tests; 1 at first.  */
 void slog_to (int fd);
 
--- /dev/null
+++ b/fuzz/fuzz_http.c
@@ -0,0 +1,58 @@
+/* HTTP messages, in pieces: the first byte chooses the role, the second the
+   length of the pieces.  */
+#include <string.h>
+
+#include "wire/httpmsg.h"
+
+static int
+on_head (void *arg, struct hm_head *head)
+{
+  (void)arg;
+  (void)head;
+  return 0;
+}
+
+static int
+on_body (void *arg, const uint8_t *data, size_t len)
+{
+  (void)arg;
+  (void)data;
+  (void)len;
+  return 0;
+}
+
+static int
+on_end (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  static const struct hm_sink sink = { on_head, on_body, on_end };
+  static const struct hm_names names = { .name = { [HM_HOST] = "Host" } };
+  struct hm_opts opts
+      = { .names = &names, .sink = &sink, .header_bytes = 512 };
+  struct hm_parser parser;
+  size_t step;
+  uint8_t piece[256];
+
+  if (size < 2)
+    return 0;
+  opts.role = data[0] % 2 ? HM_ANSWER : HM_REQUEST;
+  step = (size_t)data[1] + 1;
+  hm_init (&parser, &opts);
+  for (size_t at = 2; at < size; at += step)
+    {
+      size_t len = size - at < step ? size - at : step;
+
+      memcpy (piece, data + at, len);
+      if (hm_feed (&parser, piece, len) != 0)
+        break;
+    }
+  hm_feed_end (&parser);
+  hm_fini (&parser);
+  return 0;
+}
--- /dev/null
+++ b/programs/ctl_explain.h
@@ -0,0 +1,23 @@
+#ifndef PROGRAMS_CTL_EXPLAIN_H
+#define PROGRAMS_CTL_EXPLAIN_H
+
+/**
+ * DOC: cte - rudderctl explain: the story of one request from log lines
+ *
+ * Reads the log lines of any number of nodes, in any order, and shows those of
+ * one request and of the calls whose ids begin with its id, by time, with what
+ * each node knew, and the cause that the last of them names.
+ */
+
+#include <stdio.h>
+
+#include "programs/ctl_opts.h"
+
+/* CTO_REFUSED when no line mentions the request.  */
+enum cto_exit cte_explain (const struct cto_options *options, FILE *out,
+                           FILE *err);
+
+/* Reads lines from IN; the part of cte_explain() without files.  */
+enum cto_exit cte_read (FILE *in, const char *id, FILE *out, FILE *err);
+
+#endif
--- a/programs/ctl_opts.c
+++ b/programs/ctl_opts.c
@@ -41,7 +41,8 @@
 static const struct cto_row cto_rows[] = {
   { "validate", CTO_VALIDATE, true }, { "apply", CTO_APPLY, true },
   { "get", CTO_GET, false },          { "status", CTO_STATUS, false },
-  { "drain", CTO_DRAIN, false },      { "members", CTO_MEMBERS, false },
+  { "drain", CTO_DRAIN, false },      { "explain", CTO_EXPLAIN, false },
+  { "members", CTO_MEMBERS, false },
 };
 
 /* Command called NAME, or NULL.  */
@@ -157,6 +158,22 @@
   return SR_OK;
 }
 
+/* Reads the id of a request, and the file with log lines if one is named.  */
+static int
+cto_read_explain (poptContext popt, struct cto_command *command, FILE *err)
+{
+  const char *id = poptGetArg (popt);
+  const char *file = poptGetArg (popt);
+
+  if (id == NULL || strlen (id) >= sizeof command->u.request_id)
+    return cto_refuse (err, "ID", id == NULL ? "" : id,
+                       "the id of a request, up to 255 characters");
+  snprintf (command->u.request_id, sizeof command->u.request_id, "%s", id);
+  if (file != NULL)
+    snprintf (command->file, sizeof command->file, "%s", file);
+  return SR_OK;
+}
+
 /* Reads the command and its file.  */
 static int
 cto_read_command (poptContext popt, const struct cto_raw *raw,
@@ -168,7 +185,8 @@
 
   if (row == NULL)
     return cto_refuse (err, "command", name == NULL ? "" : name,
-                       "validate, apply, get, status, drain or members");
+                       "validate, apply, get, status, drain, members or "
+                       "explain");
   command->kind = row->kind;
   if (row->takes_file)
     {
@@ -178,6 +196,9 @@
                            "the path of a configuration document");
       snprintf (command->file, sizeof command->file, "%s", file);
     }
+  if (row->kind == CTO_EXPLAIN
+      && cto_read_explain (popt, command, err) != SR_OK)
+    return SR_EINVAL;
   if (poptPeekArg (popt) != NULL)
     return cto_refuse (err, "argument", poptPeekArg (popt), "no further one");
   if (row->kind == CTO_APPLY)
@@ -276,7 +297,8 @@
 
   poptSetOtherOptionHelp (popt,
                           "validate FILE | apply FILE --base VERSION | get | "
-                          "status | drain | members  [OPTION...]");
+                          "status | drain | members | explain ID [FILE]  "
+                          "[OPTION...]");
   cto_read (popt, &raw, err, result);
   poptFreeContext (popt);
   free (raw.admin);
--- a/programs/ctl_opts.h
+++ b/programs/ctl_opts.h
@@ -13,6 +13,7 @@
 #define CTO_TOKEN_BYTES 512
 #define CTO_CHANGE_ID_BYTES 64
 #define CTO_FILE_BYTES 4096
+#define CTO_REQUEST_ID_BYTES 256
 
 /* Exit statuses of rudderctl.  */
 enum cto_exit
@@ -30,6 +31,7 @@
   CTO_STATUS,
   CTO_DRAIN,
   CTO_MEMBERS,
+  CTO_EXPLAIN, /* from log lines; asks no node */
 };
 
 struct cto_apply
@@ -43,10 +45,11 @@
 struct cto_command
 {
   enum cto_command_kind kind;
-  char file[CTO_FILE_BYTES]; /* of validate and apply */
+  char file[CTO_FILE_BYTES]; /* of validate, apply and explain */
   union
   {
     struct cto_apply apply;
+    char request_id[CTO_REQUEST_ID_BYTES];
   } u;
 };
 
--- a/programs/ctl_run.c
+++ b/programs/ctl_run.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "programs/ctl_apply.h"
+#include "programs/ctl_explain.h"
 #include "programs/ctl_http.h"
 #include "programs/ctl_show.h"
 #include "wire/doc.h"
@@ -69,6 +70,7 @@
       return;
     case CTO_VALIDATE:
     case CTO_APPLY:
+    case CTO_EXPLAIN:
       return; /* these have their own output */
     }
 }
@@ -135,6 +137,8 @@
       return ctl_ask (options, "GET", "/v1/members", out, err);
     case CTO_DRAIN:
       return ctl_ask (options, "POST", "/v1/drain", out, err);
+    case CTO_EXPLAIN:
+      return cte_explain (options, out, err);
     }
   return CTO_USAGE;
 }
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -202,6 +202,7 @@
 
   if (npl_read (&node.settings) != SR_OK)
     return NPL_USAGE;
+  slog_name (node.settings.instance);
   npl_catch_signals ();
   if (npl_open (&node) != SR_OK || npl_open_store (&node) != SR_OK)
     return NPL_FAILED;
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -178,6 +178,7 @@
   node_raise_limits ();
   if (node.settings.platform)
     return node.settings.check ? npl_check () : npl_run ();
+  slog_name (node.settings.instance);
   node_catch_signals ();
   if (node_open (&node) == SR_OK && node_open_store (&node) == SR_OK)
     {
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -293,6 +293,8 @@
     case MSG_MARKS:
       if (msg->route.u.address[0] == '\0')
         ctl_own_marks (control, &msg->u.items, now);
+      else if (lst_empty (&msg->u.items))
+        ctl_renew_told (control, msg->route.u.address, now);
       else
         ctl_take_marks (control, &msg->u.items, now);
       break;
@@ -318,6 +320,7 @@
     mbr_expire (control->members, now);
   qrt_expire (control->marks, now);
   ctl_expire_nodes (control, now);
+  ctl_tell_members (control, now);
   if (control->replica != NULL && now >= control->next_replica_tick)
     control->next_replica_tick = rpl_tick (control->replica, now);
   ctl_run_replica (control, now);
--- a/tasks/control_marks.c
+++ b/tasks/control_marks.c
@@ -101,15 +101,22 @@
     }
 }
 
+/* Whether this node's replica leads the configuration group.  */
+static bool
+ctl_is_leader (struct control *control)
+{
+  struct rep_status status;
+
+  rpl_status (control->replica, MSG_GROUP_CONFIG, &status);
+  return status.role == REP_LEADER;
+}
+
 /* Sends a new configuration to all nodes at once; the leader does this, so
    that it is in force before the next renewal.  */
 void
 ctl_push_config (struct control *control)
 {
-  struct rep_status status;
-
-  rpl_status (control->replica, MSG_GROUP_CONFIG, &status);
-  if (status.role != REP_LEADER || control->document == NULL)
+  if (!ctl_is_leader (control) || control->document == NULL)
     return;
   lst_each (item, &control->nodes)
     {
@@ -127,6 +134,27 @@
     }
 }
 
+/* Asks all nodes to renew at once when members have changed, so that they need
+   not find out by themselves; the leader does this.  The notice is a message
+   with no marks.  */
+void
+ctl_tell_members (struct control *control, clk_us now)
+{
+  if (control->replica == NULL || now < control->next_tell
+      || control->members_change == control->members_told
+      || !ctl_is_leader (control))
+    return;
+  control->members_told = control->members_change;
+  control->next_tell = now + CTL_TELL_US;
+  lst_each (item, &control->nodes)
+    {
+      struct msg *msg = msg_new (MSG_MARKS);
+
+      msg->route = lst_entry (item, struct ctl_node, node)->route;
+      inb_put (control->peer, msg);
+    }
+}
+
 /* Marks from another node.  */
 void
 ctl_take_marks (struct control *control, const struct lst *marks, clk_us now)
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -24,6 +24,25 @@
   inb_put (control->peer, msg);
 }
 
+static struct ctl_replica *
+ctl_find_replica (struct control *control, const char *address)
+{
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    if (strcmp (control->replicas[i].address, address) == 0)
+      return &control->replicas[i];
+  return NULL;
+}
+
+/* A replica tells that its members have changed.  */
+void
+ctl_renew_told (struct control *control, const char *address, clk_us now)
+{
+  struct ctl_replica *replica = ctl_find_replica (control, address);
+
+  if (replica != NULL && now >= replica->renewed + CTL_TELL_US / 2)
+    ctl_renew (control, replica, now);
+}
+
 void
 ctl_renew_all (struct control *control, clk_us now)
 {
@@ -53,6 +72,8 @@
       msg_free (reply);
       return;
     }
+  if (members->position.change > control->members_change)
+    control->members_change = members->position.change;
   ctl_note_node (control, msg->u.renew.record.instance, &msg->route, now);
   ctl_take_marks (control, &msg->u.renew.marks, now);
   members->config = control->version;
@@ -63,15 +84,6 @@
   inb_put (control->peer, reply);
 }
 
-static struct ctl_replica *
-ctl_find_replica (struct control *control, const char *address)
-{
-  for (uint32_t i = 0; i < control->replica_count; i++)
-    if (strcmp (control->replicas[i].address, address) == 0)
-      return &control->replicas[i];
-  return NULL;
-}
-
 /* Passes the members on to the front task.  */
 static void
 ctl_send_view (struct control *control)
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/err.h"
+#include "core/hist.h"
 #include "core/slog.h"
 #include "tasks/control_state.h"
 
@@ -116,6 +117,7 @@
   pending->len = propose->len;
   propose->data = NULL;
   propose->len = 0;
+  pending->began = now;
   pending->deadline = now + clk_ms (propose->timeout_ms);
   lst_push_tail (&control->pending, &pending->node);
   return pending;
@@ -176,6 +178,8 @@
                   && pending->kind == MSG_PROPOSE_READ && pending->len > 0;
   struct msg *msg;
 
+  if (pending->kind == MSG_PROPOSE_COMMAND && result->status == SR_OK)
+    hst_add (HST_COMMIT, now - pending->began);
   ctl_drop_pending (pending);
   if (fallback && result->status != SR_OK)
     ctl_config_fallback (control, result);
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -29,6 +29,8 @@
 #define CTL_CONFIRM_WAIT_US clk_s (5)
 /* Silence after which a replica that is no member any more is forgotten.  */
 #define CTL_FORGET_US clk_s (6)
+/* Time between two notices of changed members.  */
+#define CTL_TELL_US clk_ms (150)
 /* Request number of a configuration that was not asked for.  */
 #define CTL_PUSHED 0
 /* Longest wait for the answer of one replica to a proposal.  */
@@ -83,6 +85,7 @@
   enum msg_group group;
   uint8_t *data;
   size_t len;
+  clk_us began;
   clk_us deadline;
   clk_us next_try; /* when it is sent again without a result */
   uint32_t target; /* replica tried last */
@@ -115,6 +118,9 @@
   uint64_t next_request;
   clk_us unconfirmed_since; /* start, or end of a suspension */
   clk_us last_run;
+  uint64_t members_change; /* newest change of the own member table */
+  uint64_t members_told;   /* of these, told to all nodes */
+  clk_us next_tell;
   clk_us next_renew;
   clk_us next_replica_tick;
   struct mdl *model;
@@ -128,6 +134,7 @@
 
 /* control_member.c */
 void ctl_renew_all (struct control *control, clk_us now);
+void ctl_renew_told (struct control *control, const char *address, clk_us now);
 void ctl_take_renew (struct control *control, struct msg *msg, clk_us now);
 void ctl_take_members (struct control *control, struct msg *msg, clk_us now);
 void ctl_take_backend (struct control *control, const struct msg_backend *msg,
@@ -137,6 +144,7 @@
 
 /* control_marks.c */
 void ctl_push_config (struct control *control);
+void ctl_tell_members (struct control *control, clk_us now);
 void ctl_note_node (struct control *control, const char *instance,
                     const struct msg_route *route, clk_us now);
 void ctl_expire_nodes (struct control *control, clk_us now);
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -13,6 +13,9 @@
 /* A stopping node is still sent work until its callers and the other nodes
    have noticed: two questions about its health a second apart.  */
 #define GAT_LEAVE_US clk_ms (2600)
+/* The other nodes have noticed by then, and send nothing more for the own
+   server.  */
+#define GAT_SERVE_US clk_ms (1200)
 /* Idle connections of callers are closed this long after a stop began.  */
 #define GAT_SWEEP_US clk_ms (1200)
 /* What waits at other nodes is withdrawn this long before the end.  */
@@ -226,12 +229,11 @@
   slog (SLOG_NOTICE, "stopping limit_ms=%llu",
         (unsigned long long)(gate->opts.stop_limit / CLK_US_PER_MS));
   gate->stopping = true;
-  gate->beside.stopping = true;
   gate->stop_at = now + gate->opts.stop_limit;
   gate->stop_not_before
       = now + (carries ? GAT_LEAVE_US : GAT_LEAVE_CONTROL_US);
+  gate->serve_until = now + GAT_SERVE_US;
   gat_report_backend (gate);
-  gat_serve_refuse_waiting (gate, RSN_DRAINING);
 }
 
 /* Whether the process may end.  */
@@ -299,6 +301,11 @@
   if (gate->stopping && now + GAT_LEAVE_US >= gate->stop_not_before
       && now >= gate->stop_not_before - GAT_LEAVE_US + GAT_SWEEP_US)
     gat_in_sweep (gate);
+  if (gate->stopping && !gate->beside.stopping && now >= gate->serve_until)
+    {
+      gate->beside.stopping = true;
+      gat_serve_refuse_waiting (gate, RSN_DRAINING);
+    }
   if (gate->stopping && !gate->control_stopped && now >= gate->stop_not_before)
     {
       /* The lease ends meanwhile; requests under way need it no longer.  */
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/ctr.h"
+#include "core/hist.h"
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
@@ -398,6 +399,7 @@
     return SR_EMALFORMED;
   attempt->has_head = true;
   attempt->head_at = now;
+  hst_add (HST_ATTEMPT, now - attempt->started);
   attempt->head = *head;
   memset (head, 0, sizeof *head);
   told = (struct ent_told){ .wait_us = attempt->told.wait_us,
@@ -506,6 +508,7 @@
   gat_attempt_free (attempt);
   ent_ended (&call->ent, lop_now (call->gate->loop));
   ctr_add (CTR_ANSWERS, 1);
+  hst_add (HST_CALL, lop_now (call->gate->loop) - request->arrived);
   request->kind = GAT_KIND_NONE;
   gat_call_free (call);
   gat_answer_end (request);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/ctr.h"
+#include "core/hist.h"
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
@@ -174,6 +175,7 @@
     }
   serve->running = true;
   serve->dispatched = now;
+  hst_add (HST_QUEUE, now - serve->request->arrived);
   bsd_started (&gate->beside, &serve->bsd, now);
   ctr_add (CTR_DISPATCHED, 1);
   serve->out = gat_out_take (gate, gate->beside.backend.last.address, true,
@@ -340,6 +342,7 @@
     gat_serve_refuse (serve, RSN_SERVER_REFUSED, RSN_NOT_RUN);
   else
     {
+      hst_add (HST_RUN, now - serve->dispatched);
       bsd_ended (&gate->beside, &serve->bsd, now - serve->dispatched);
       adm_finish (gate->beside.slots, &serve->bsd.ticket, true, now);
       bsd_release (&gate->beside, &serve->bsd,
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -217,6 +217,7 @@
   volatile sig_atomic_t reload_asked;
   bool stopping;
   clk_us stop_at;
+  clk_us serve_until;
   clk_us stop_not_before;
   bool control_stopped;
   bool withdrawn;
--- a/tasks/store.c
+++ b/tasks/store.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "core/err.h"
+#include "core/hist.h"
 #include "core/slog.h"
 #include "log/sto.h"
 #include "wire/reppack.h"
@@ -266,7 +267,12 @@
       if (group->sequence == 0)
         continue;
       if (store->status == SR_OK)
-        store_check (store, group, sto_sync (group->sto));
+        {
+          clk_us began = clk_now ();
+
+          store_check (store, group, sto_sync (group->sto));
+          hst_add (HST_SYNC, clk_now () - began);
+        }
       msg = msg_new (MSG_STORE_DONE);
       msg->u.store_done = sto_done_new (i, group->sequence, store->status);
       memcpy (msg->u.store_done->error, store->error, sizeof store->error);
--- /dev/null
+++ b/tests/test_explain.c
@@ -0,0 +1,77 @@
+#include <string.h>
+
+#include "programs/ctl_explain.h"
+#include "tests/suite.h"
+
+static char shown[8192];
+
+static enum cto_exit
+explain (const char *lines, const char *id)
+{
+  FILE *in = fmemopen ((void *)(uintptr_t)lines, strlen (lines), "r");
+  FILE *out = fmemopen (shown, sizeof shown, "w");
+  enum cto_exit status = cte_read (in, id, out, stdout);
+
+  fclose (out);
+  fclose (in);
+  return status;
+}
+
+/* Guards against a story that mixes requests, or tells it out of order.  */
+static void
+test_overload (void)
+{
+  static const char lines[]
+      = "time=10.020 severity=info program=p node=n-1 msg=\"request refused\" "
+        "id=q7 reason=upstream-shed pressure_ms=90\n"
+        "time=10.011 severity=info program=p node=n-2 msg=\"run refused\" "
+        "id=q7 reason=upstream-shed running=4\n"
+        "time=10.005 severity=info program=p node=n-1 msg=\"request refused\" "
+        "id=q77 reason=malformed\n"
+        "time=10.001 severity=info program=p node=n-3 msg=\"run cancelled\" "
+        "id=q7.4.2 reason=caller-left\n";
+  char *first;
+  char *second;
+
+  CU_ASSERT_EQUAL (explain (lines, "q7"), CTO_DONE);
+  CU_ASSERT_PTR_NULL (strstr (shown, "malformed"));
+  first = strstr (shown, "n-3");
+  second = strstr (shown, "n-2");
+  CU_ASSERT_TRUE (first != NULL && second != NULL && first < second);
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "+0.010 s  n-2"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (shown, "cause: upstream-shed: the services below"));
+}
+
+/* Guards against a cause that is taken from another line than the last of the
+   request itself: a lost server, and a missing route.  */
+static void
+test_causes (void)
+{
+  CU_ASSERT_EQUAL (explain ("time=1.000 node=a msg=\"attempt failed\" id=x "
+                            "reason=peer-lost run=unknown\n"
+                            "time=1.100 node=a msg=\"request refused\" id=x "
+                            "reason=deadline-running\n"
+                            "time=1.200 node=b msg=\"run cancelled\" id=x "
+                            "reason=caller-left\n",
+                            "x"),
+                   CTO_DONE);
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "cause: deadline-running:"));
+  CU_ASSERT_EQUAL (explain ("time=1.0 node=a msg=\"request refused\" id=y "
+                            "reason=unknown-service status=404\n",
+                            "y"),
+                   CTO_DONE);
+  CU_ASSERT_PTR_NOT_NULL (strstr (shown, "cause: unknown-service: no route"));
+  CU_ASSERT_EQUAL (explain ("time=1.0 node=a msg=\"started\"\n", "y"),
+                   CTO_REFUSED);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[] = { { "overload", test_overload },
+                                             { "causes", test_causes },
+                                             { NULL, NULL } };
+
+  return suite_run ("explain", tests);
+}
--- a/tests/test_slog.c
+++ b/tests/test_slog.c
@@ -33,9 +33,10 @@
   slog (SLOG_WARNING, "request refused id=%s reason=%s", "a.b", "draining");
   slog (SLOG_INFO, "words only");
   read_all (ends[0]);
-  CU_ASSERT_PTR_NOT_NULL (strstr (
-      text, " severity=warning program=sycamorerudder msg=\"request refused\" "
-            "id=a.b reason=draining\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (text, " severity=warning program=sycamorerudder node=- "
+                    "msg=\"request refused\" "
+                    "id=a.b reason=draining\n"));
   CU_ASSERT_PTR_NOT_NULL (strstr (text, "msg=\"words only\"\n"));
   CU_ASSERT_EQUAL (strncmp (text, "time=", 5), 0);
   close (ends[0]);
