The choice of server counts all messages between failure domains that it costs

Change: nodes tell how many calls between domains a run at their server makes, and a server is chosen by the messages that its choice costs, large bodies counting more. A node that starts asks its server for its health once; a stop is announced 1.1 s after it began.

--- a/filters/entry.c
+++ b/filters/entry.c
@@ -45,6 +45,10 @@
 #define ENT_HASTE_FROM 0.35
 #define ENT_HASTE_TO 0.6
 #define ENT_HASTE_GAIN 0.05
+/* Body bytes that cost as much as a message without a body, and the most that
+   a body counts for.  */
+#define ENT_MESSAGE_BYTES 8192
+#define ENT_WEIGHT_MOST 6
 
 static const enum ent_filter ent_chain[]
     = { ENT_READY, ENT_ROUTE, ENT_DEADLINE, ENT_SPLIT, ENT_PRESSURE, ENT_END };
@@ -319,6 +323,15 @@
   return target > now ? (uint32_t)((target - now) / CLK_US_PER_MS) : 0;
 }
 
+/* Messages of usual size that the request counts for.  */
+static double
+ent_weight (const struct ent_request *request)
+{
+  double weight = 1 + (double)request->bytes / ENT_MESSAGE_BYTES;
+
+  return weight < ENT_WEIGHT_MOST ? weight : ENT_WEIGHT_MOST;
+}
+
 void
 ent_ended (struct ent_request *request, clk_us now)
 {
@@ -337,8 +350,10 @@
 
   request->query.importance = MDL_IMPORTANCE_MAX;
   request->query.cost = ent_cost (request);
-  request->query.near_gain = ent_near_gain (
-      request->inner ? request->haste : request->service->haste);
+  request->query.near_gain
+      = ent_near_gain (request->inner ? request->haste
+                                      : request->service->haste)
+        * ent_weight (request);
   choice = chs_pick (request->service->servers, &request->query, &state->rng,
                      now);
   if (choice.kind != CHS_SERVER)
@@ -444,7 +459,10 @@
   service->fan_out += (told->fan_out - service->fan_out) * ENT_GAIN;
 
   if (told->answered)
-    chs_note_run (request->server, ent_cost (request), told->ran);
+    {
+      chs_note_run (request->server, ent_cost (request), told->ran);
+      chs_note_far (request->server, told->far_out);
+    }
   chs_note_load (request->server, told->load, told->wait_us, now);
   if (learned == NULL)
     {
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -87,6 +87,7 @@
   uint8_t importance;
   bool inner;
   double haste;           /* of the requests that call it */
+  uint64_t bytes;         /* of its body, as far as known */
   clk_us deadline;        /* of the caller */
   clk_us timeout;         /* of the route; not after @deadline */
   struct chs_query query; /* servers that were tried */
@@ -175,6 +176,7 @@
   uint32_t pressure_us;
   clk_us ran; /* time at the server, without the wait for a slot */
   double fan_out;
+  double far_out; /* of these, between failure domains */
   double load;
   bool inner;
   bool answered; /* by the server */
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -13,9 +13,11 @@
 /* A stopping node is still sent work until its callers and the other nodes
    have noticed: two questions about its health a second apart.  */
 #define GAT_LEAVE_US clk_ms (2600)
-/* The other nodes have noticed by then, and send nothing more for the own
-   server.  */
-#define GAT_SERVE_US clk_ms (1200)
+/* Requests for the own server are taken for this long after a stop began; what
+   they run still ends before the process does.  */
+#define GAT_SERVE_US clk_ms (1500)
+/* The other nodes are told this much earlier.  */
+#define GAT_NOTICE_US clk_ms (400)
 /* Idle connections of callers are closed this long after a stop began.  */
 #define GAT_SWEEP_US clk_ms (1200)
 /* What waits at other nodes is withdrawn this long before the end.  */
@@ -178,6 +180,7 @@
         (int)regained);
   ctr_add (CTR_CONFIG_CHANGES, 1);
   ent_configure (&gate->entry, mdl_ref (taken->model));
+  gat_probe_start (gate);
 }
 
 static void
@@ -233,7 +236,6 @@
   gate->stop_not_before
       = now + (carries ? GAT_LEAVE_US : GAT_LEAVE_CONTROL_US);
   gate->serve_until = now + GAT_SERVE_US;
-  gat_report_backend (gate);
 }
 
 /* Whether the process may end.  */
@@ -301,6 +303,12 @@
   if (gate->stopping && now + GAT_LEAVE_US >= gate->stop_not_before
       && now >= gate->stop_not_before - GAT_LEAVE_US + GAT_SWEEP_US)
     gat_in_sweep (gate);
+  if (gate->stopping && !gate->announced
+      && now + GAT_NOTICE_US >= gate->serve_until)
+    {
+      gate->announced = true;
+      gat_report_backend (gate);
+    }
   if (gate->stopping && !gate->beside.stopping && now >= gate->serve_until)
     {
       gate->beside.stopping = true;
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -405,6 +405,7 @@
   told = (struct ent_told){ .wait_us = attempt->told.wait_us,
                             .pressure_us = attempt->told.pressure_us,
                             .fan_out = attempt->told.fan_out / 16.0,
+                            .far_out = attempt->told.far_out / 16.0,
                             .load = attempt->told.load / 100.0,
                             .inner = attempt->told.inner,
                             .answered = attempt->told.end == NH_ANSWERED,
@@ -412,6 +413,8 @@
   if (told.ran > attempt->told.waited_us)
     told.ran -= attempt->told.waited_us;
   ent_learn (&gate->entry, &call->ent, &told, now);
+  if (call->ent.inner)
+    bsd_called_far (&gate->beside, told.far_out + attempt->far, now);
 
   return SR_OK;
 }
@@ -587,6 +590,8 @@
   call->ent.path = request->head.target;
   call->ent.wait_ms = strtoull (request->head.value[HM_DEADLINE_MS], NULL, 10);
   call->ent.arrived = request->arrived;
+  if (request->head.body_len > 0)
+    call->ent.bytes = (uint64_t)request->head.body_len;
   call->ent.haste = gate->beside.haste;
   ctr_add (CTR_CALLS, 1);
   result = ent_admit (&gate->entry, &call->ent, request->arrived);
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -40,6 +40,9 @@
       out->user.serve->out = NULL;
       gat_serve_lost (out->user.serve, reason, run);
       break;
+    case GAT_OUT_PROBE:
+      out->gate->probe = NULL;
+      break;
     case GAT_OUT_IDLE:
       break;
     }
@@ -73,6 +76,8 @@
 
   if (out->state == GAT_OUT_IDLE || out->answered)
     return SR_EMALFORMED;
+  if (out->state == GAT_OUT_PROBE)
+    return gat_probe_head (out->gate, head);
   out->stray = !gat_out_matches (out, head);
   if (out->stray)
     {
@@ -100,7 +105,7 @@
 {
   struct gat_out *out = lst_entry ((struct hcn *)arg, struct gat_out, conn);
 
-  if (out->stray)
+  if (out->stray || out->state == GAT_OUT_PROBE)
     return SR_OK;
   if (out->state == GAT_OUT_ATTEMPT)
     return gat_attempt_body (out->user.attempt, data, len);
@@ -122,7 +127,9 @@
   if (out->state == GAT_OUT_IDLE)
     return SR_EMALFORMED;
   out->answered = true;
-  if (out->state == GAT_OUT_ATTEMPT)
+  if (out->state == GAT_OUT_PROBE)
+    gat_probe_over (out->gate);
+  else if (out->state == GAT_OUT_ATTEMPT)
     gat_attempt_whole (out->user.attempt);
   else
     gat_serve_answer_whole (out->user.serve);
--- /dev/null
+++ b/tasks/gate_probe.c
@@ -0,0 +1,81 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "core/slog.h"
+#include "tasks/gate_state.h"
+
+/* A node that starts beside a server that runs already asks it once for its
+   health, so that it need not wait for the next heartbeat.  */
+
+void
+gat_probe_start (struct gate *gate)
+{
+  const struct mdl *model = gate->entry.model;
+  const struct rte_service *service;
+  struct buf *out;
+
+  if (gate->probed || model == NULL || model->routes == NULL
+      || gate->opts.server == NULL || gate->opts.server[0] == '\0')
+    return;
+  service = rte_find_service (model->routes, gate->opts.service);
+  if (service == NULL || service->health_path[0] != '/')
+    return;
+  gate->probed = true;
+  if (gate->beside.backend.heard != 0)
+    return;
+  gate->probe = gat_out_take (gate, gate->opts.server, true, true);
+  if (gate->probe == NULL)
+    return;
+  gate->probe->state = GAT_OUT_PROBE;
+  out = &gate->probe->conn.out;
+  hm_request_line (out, "GET", service->health_path);
+  hm_add (out, "Host", gate->opts.server);
+  hm_add (out, "Connection", "close");
+  buf_append (out, "\r\n", 2);
+  hcn_flush (&gate->probe->conn);
+}
+
+/* Slots in a load report: running, waiting, slots and further figures.  */
+static uint32_t
+gat_probe_slots (const char *load)
+{
+  unsigned running;
+  unsigned waiting;
+  unsigned slots;
+
+  return sscanf (load, "%u,%u,%u", &running, &waiting, &slots) == 3 ? slots
+                                                                    : 0;
+}
+
+int
+gat_probe_head (struct gate *gate, struct hm_head *head)
+{
+  struct api_beat beat = { .state = API_SERVER_READY,
+                           .slots = gat_probe_slots (head->value[HM_LOAD]) };
+  const char *id = head->value[HM_SERVER];
+
+  slog (SLOG_INFO, "health of the own server asked status=%d id=%s slots=%u",
+        head->status, id, beat.slots);
+  if (head->status != 200 || id[0] == '\0' || strlen (id) >= sizeof beat.id
+      || beat.slots == 0 || gate->beside.backend.heard != 0)
+    return SR_OK;
+  memcpy (beat.id, id, strlen (id) + 1);
+  memcpy (beat.service, gate->opts.service,
+          strnlen (gate->opts.service, sizeof beat.service - 1));
+  memcpy (beat.address, gate->opts.server,
+          strnlen (gate->opts.server, sizeof beat.address - 1));
+  gat_backend_changed (
+      gate, bkd_beat (&gate->beside.backend, &beat, lop_now (gate->loop)));
+  return SR_OK;
+}
+
+void
+gat_probe_over (struct gate *gate)
+{
+  struct gat_out *out = gate->probe;
+
+  gate->probe = NULL;
+  if (out != NULL)
+    gat_out_give (out, false);
+}
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -148,6 +148,7 @@
   GAT_OUT_IDLE,
   GAT_OUT_ATTEMPT,
   GAT_OUT_SERVE,
+  GAT_OUT_PROBE, /* asks the own server for its health */
 };
 
 /* Connections to one address.  */
@@ -208,6 +209,8 @@
   struct lst apis;   /* struct gat_request that wait for the control task */
   uint64_t next_api;
   bool confirmed; /* the configuration, by a quorum */
+  bool probed;    /* the own server was asked, or need not be */
+  struct gat_out *probe;
   char own_ip[MEM_ADDRESS_BYTES];
   char request_port[16]; /* of other nodes; equal on all */
   struct lop_timer tick;
@@ -218,6 +221,7 @@
   bool stopping;
   clk_us stop_at;
   clk_us serve_until;
+  bool announced; /* that this node stops */
   clk_us stop_not_before;
   bool control_stopped;
   bool withdrawn;
@@ -306,6 +310,11 @@
 void gat_backend_lost (struct gate *gate, const char *why);
 void gat_report_backend (struct gate *gate);
 
+/* gate_probe.c */
+void gat_probe_start (struct gate *gate);
+int gat_probe_head (struct gate *gate, struct hm_head *head);
+void gat_probe_over (struct gate *gate);
+
 /* gate.c */
 void gat_begin_stop (struct gate *gate);
 bool gat_ready (const struct gate *gate);
