--- a/controllers/chs.c
+++ b/controllers/chs.c
@@ -112,7 +112,7 @@
     spd_reset (&server->speed[cost], now);
   memset (server->ran_us, 0, sizeof server->ran_us);
   server->load_at = 0;
-  server->far_out = 0;
+
   server->failures = 0;
   server->ejected = false;
   server->level_at = 0;
@@ -552,9 +552,8 @@
       double expected = server_expected (server, query->cost, usual, now) + 1;
 
       expected *= 1 + rng_unit (rng) * CHS_NOISE;
-      expected *= 1
-                  + query->near_gain
-                        * (server->far_out + !server_near (chs, server));
+      if (!server_near (chs, server))
+        expected *= 1 + query->near_gain;
       if (best != NULL && expected >= least)
         continue;
       best = server;
@@ -571,12 +570,6 @@
   server->load_at = now;
 }
 
-void
-chs_note_far (struct chs_server *server, double far_out)
-{
-  server->far_out += (far_out - server->far_out) * CHS_RUN_GAIN;
-}
-
 void
 chs_note_run (struct chs_server *server, enum mdl_cost cost, clk_us ran)
 {
--- a/controllers/chs.h
+++ b/controllers/chs.h
@@ -69,7 +69,7 @@
   double load; /* running and waiting requests, for each slot */
   clk_us wait; /* for a slot, of short work */
   clk_us load_at;
-  double far_out; /* calls between failure domains that a run there makes */
+
   double ran_us[CHS_COSTS]; /* smoothed time of a run; 0: not known */
   clk_us joined;
   struct chs_speed speed[CHS_COSTS];
@@ -129,8 +129,8 @@
 {
   uint8_t importance;
   enum mdl_cost cost;
-  /* Part of the expected time by which a server has to be faster for each
-     message between failure domains that it costs.  */
+  /* Part of the expected time by which a server of another failure domain has
+     to be faster.  */
   double near_gain;
   uint32_t tried_count;
   const struct chs_server *tried[CHS_TRIED_MAX];
@@ -172,9 +172,6 @@
 /* An answer took RAN at the server itself.  */
 void chs_note_run (struct chs_server *server, enum mdl_cost cost, clk_us ran);
 
-/* A run at SERVER leads to FAR_OUT calls between failure domains.  */
-void chs_note_far (struct chs_server *server, double far_out);
-
 /* Delay after which an unanswered idempotent attempt may be hedged: the p95
    of recent answers of this cost; 0 while it is not known, or while requests
    wait at most of the servers.  */
--- a/filters/beside.c
+++ b/filters/beside.c
@@ -230,7 +230,7 @@
   for (; now >= state->faded + BSD_FADE_US; state->faded += BSD_FADE_US)
     {
       state->calls *= BSD_FADE;
-      state->far *= BSD_FADE;
+
       state->runs *= BSD_FADE;
     }
 }
@@ -281,20 +281,6 @@
   state->calls += 1 + fan_out;
 }
 
-void
-bsd_called_far (struct bsd_state *state, double far, clk_us now)
-{
-  bsd_fade (state, now);
-  state->far += far;
-}
-
-double
-bsd_far_out (struct bsd_state *state, clk_us now)
-{
-  bsd_fade (state, now);
-  return state->runs < BSD_RUNS_LEAST ? 0 : state->far / state->runs;
-}
-
 double
 bsd_fan_out (struct bsd_state *state, clk_us now)
 {
--- a/filters/beside.h
+++ b/filters/beside.h
@@ -48,8 +48,8 @@
   clk_us call_wait_at;
   double haste; /* part of their time limit that its requests take */
   double calls; /* calls that the server made, fading */
-  double far;   /* calls between failure domains, fading */
-  double runs;  /* requests that it ran, fading */
+
+  double runs; /* requests that it ran, fading */
   clk_us faded;
 };
 
@@ -110,13 +110,6 @@
 /* The server makes a call that leads to FAN_OUT further ones.  */
 void bsd_called (struct bsd_state *state, double fan_out, clk_us now);
 
-/* A call of the server, with those that it led to, crossed failure domains
-   FAR times.  */
-void bsd_called_far (struct bsd_state *state, double far, clk_us now);
-
-/* Calls between failure domains that one run leads to.  */
-double bsd_far_out (struct bsd_state *state, clk_us now);
-
 /* Calls that one run leads to.  */
 double bsd_fan_out (struct bsd_state *state, clk_us now);
 
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -459,10 +459,7 @@
   service->fan_out += (told->fan_out - service->fan_out) * ENT_GAIN;
 
   if (told->answered)
-    {
-      chs_note_run (request->server, ent_cost (request), told->ran);
-      chs_note_far (request->server, told->far_out);
-    }
+    chs_note_run (request->server, ent_cost (request), told->ran);
   chs_note_load (request->server, told->load, told->wait_us, now);
   if (learned == NULL)
     {
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -176,7 +176,7 @@
   uint32_t pressure_us;
   clk_us ran; /* time at the server, without the wait for a slot */
   double fan_out;
-  double far_out; /* of these, between failure domains */
+
   double load;
   bool inner;
   bool answered; /* by the server */
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -405,7 +405,7 @@
   told = (struct ent_told){ .wait_us = attempt->told.wait_us,
                             .pressure_us = attempt->told.pressure_us,
                             .fan_out = attempt->told.fan_out / 16.0,
-                            .far_out = attempt->told.far_out / 16.0,
+
                             .load = attempt->told.load / 100.0,
                             .inner = attempt->told.inner,
                             .answered = attempt->told.end == NH_ANSWERED,
@@ -413,8 +413,6 @@
   if (told.ran > attempt->told.waited_us)
     told.ran -= attempt->told.waited_us;
   ent_learn (&gate->entry, &call->ent, &told, now);
-  if (call->ent.inner)
-    bsd_called_far (&gate->beside, told.far_out + attempt->far, now);
 
   return SR_OK;
 }
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -50,7 +50,7 @@
           .wait_us = (uint32_t)bsd_call_wait (beside, now),
           .pressure_us = (uint32_t)gat_below_pressure (gate),
           .fan_out = (uint32_t)(bsd_fan_out (beside, now) * 16),
-          .far_out = (uint32_t)(bsd_far_out (beside, now) * 16),
+
           .inner = serve->bsd.inner };
 
   if (end == NH_NOT_RUN)
--- a/wire/nodehdr.c
+++ b/wire/nodehdr.c
@@ -7,7 +7,7 @@
 #include "core/err.h"
 
 #define NH_REQUEST_PARTS 9
-#define NH_ANSWER_PARTS 10
+#define NH_ANSWER_PARTS 9
 
 void
 nh_put_request (const struct nh_request *request, char out[NH_TEXT_BYTES])
@@ -43,11 +43,10 @@
 void
 nh_put_answer (const struct nh_answer *answer, char out[NH_TEXT_BYTES])
 {
-  snprintf (out, NH_TEXT_BYTES, "%d %d %u %u %u %u %u %u %u %d",
-            (int)answer->end, (int)answer->reason, answer->retry_after_ms,
-            answer->wait_us, answer->pressure_us, answer->waited_us,
-            answer->fan_out, answer->far_out, answer->load,
-            (int)answer->inner);
+  snprintf (out, NH_TEXT_BYTES, "%d %d %u %u %u %u %u %u %d", (int)answer->end,
+            (int)answer->reason, answer->retry_after_ms, answer->wait_us,
+            answer->pressure_us, answer->waited_us, answer->fan_out,
+            answer->load, (int)answer->inner);
 }
 
 int
@@ -59,10 +58,10 @@
 
   if (sscanf (text,
               "%u %u %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32 " %" SCNu32
-              " %" SCNu32 " %" SCNu32 " %u",
+              " %" SCNu32 " %u",
               &end, &reason, &answer->retry_after_ms, &answer->wait_us,
               &answer->pressure_us, &answer->waited_us, &answer->fan_out,
-              &answer->far_out, &answer->load, &inner)
+              &answer->load, &inner)
           != NH_ANSWER_PARTS
       || end > NH_UNKNOWN || reason >= RSN_COUNT)
     return SR_EMALFORMED;
--- a/wire/nodehdr.h
+++ b/wire/nodehdr.h
@@ -47,9 +47,9 @@
   uint32_t pressure_us;    /* the longest such wait below the backend server */
   uint32_t waited_us;      /* by this request, for a slot */
   uint32_t fan_out;        /* calls that one run leads to, times 16 */
-  uint32_t far_out;        /* of these, between failure domains, times 16 */
-  uint32_t load;           /* running and waiting requests, percent of slots */
-  bool inner;              /* the route is sent by backend servers only */
+
+  uint32_t load; /* running and waiting requests, percent of slots */
+  bool inner;    /* the route is sent by backend servers only */
 };
 
 void nh_put_request (const struct nh_request *request,
