--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -8,10 +8,8 @@
 #include "core/err.h"
 #include "core/slog.h"
 #include "platform/platform.h"
-#include "tasks/control.h"
+#include "programs/node_tasks.h"
 #include "tasks/gate.h"
-#include "tasks/peer.h"
-#include "tasks/store.h"
 
 /* Exit statuses.  */
 #define NPL_FAILED 1
@@ -24,9 +22,7 @@
 {
   struct plt_settings settings;
   struct gate *gate;
-  struct control *control;
-  struct peer *peer;
-  struct store *store;
+  struct ntk tasks;
 };
 
 /* For the signal handlers only.  */
@@ -131,52 +127,24 @@
   if (node->gate == NULL)
     return SR_EIO;
   control.front = gate_inbox (node->gate);
-  node->control = control_new (&control);
+  node->tasks.control = control_new (&control);
   peer.front = control.front;
-  peer.control = control_inbox (node->control);
-  node->peer = peer_new (&peer);
-  if (node->peer == NULL)
+  peer.control = control_inbox (node->tasks.control);
+  node->tasks.peer = peer_new (&peer);
+  if (node->tasks.peer == NULL)
     return SR_EIO;
-  gate_connect (node->gate, peer_inbox (node->peer), peer.control);
+  gate_connect (node->gate, peer_inbox (node->tasks.peer), peer.control);
   return SR_OK;
 }
 
-/* Opens the data folder of a control replica.  */
-static int
-npl_open_store (struct npl *node)
-{
-  struct store_opts opts = { .data_dir = node->settings.data_dir,
-                             .control = control_inbox (node->control) };
-  char fault[REP_ERROR_BYTES] = "";
-  int error;
-
-  if (!node->settings.control)
-    return SR_OK;
-  error = store_new (&opts, &node->store, fault);
-  if (error != SR_OK)
-    {
-      slog (SLOG_ERR,
-            "cannot use the data folder value=%s error=\"%s\" "
-            "detail=\"%s\"",
-            node->settings.data_dir, sr_strerror (error), fault);
-      return error;
-    }
-  return store_start (node->store);
-}
-
 /* Runs all tasks until the gate task ends.  */
 static int
 npl_run_tasks (struct npl *node)
 {
   int status;
 
-  control_attach (node->control, peer_inbox (node->peer), node->store);
-  if (peer_start (node->peer) != SR_OK
-      || control_start (node->control) != SR_OK)
-    {
-      slog (SLOG_ERR, "cannot start a thread");
-      return NPL_FAILED;
-    }
+  if (ntk_start (&node->tasks) != SR_OK)
+    return NPL_FAILED;
   slog (SLOG_NOTICE,
         "started version=" SR_VERSION
         " instance=%s failure_domain=%s peer=%s join=%s control=%d "
@@ -185,12 +153,8 @@
         node->settings.peer, node->settings.join, (int)node->settings.control,
         (int)node->settings.group_exists);
   status = gate_run (node->gate);
-  if (control_join (node->control) != 0)
+  if (ntk_end (&node->tasks) != 0)
     status = NPL_FAILED;
-  if (node->store != NULL)
-    store_stop (node->store);
-  inb_put (peer_inbox (node->peer), msg_new (MSG_STOP));
-  peer_join (node->peer);
   slog (SLOG_NOTICE, "stopped status=%d", status);
   return status;
 }
@@ -204,7 +168,11 @@
     return NPL_USAGE;
   slog_name (node.settings.instance);
   npl_catch_signals ();
-  if (npl_open (&node) != SR_OK || npl_open_store (&node) != SR_OK)
+  if (npl_open (&node) != SR_OK)
+    return NPL_FAILED;
+  if (node.settings.control
+      && ntk_open_store (&node.tasks, "data_dir", node.settings.data_dir)
+             != SR_OK)
     return NPL_FAILED;
   npl_gate = node.gate;
   return npl_run_tasks (&node);
--- /dev/null
+++ b/programs/node_tasks.c
@@ -0,0 +1,46 @@
+#include "programs/node_tasks.h"
+
+#include "core/err.h"
+#include "core/slog.h"
+
+int
+ntk_open_store (struct ntk *tasks, const char *setting, const char *data_dir)
+{
+  struct store_opts opts
+      = { .data_dir = data_dir, .control = control_inbox (tasks->control) };
+  char fault[REP_ERROR_BYTES] = "";
+  int error = store_new (&opts, &tasks->store, fault);
+
+  if (error != SR_OK)
+    {
+      slog (SLOG_ERR,
+            "cannot use the data folder setting=%s "
+            "value=%s error=\"%s\" detail=\"%s\"",
+            setting, data_dir, sr_strerror (error), fault);
+      return error;
+    }
+  return store_start (tasks->store);
+}
+
+int
+ntk_start (struct ntk *tasks)
+{
+  control_attach (tasks->control, peer_inbox (tasks->peer), tasks->store);
+  if (peer_start (tasks->peer) == SR_OK
+      && control_start (tasks->control) == SR_OK)
+    return SR_OK;
+  slog (SLOG_ERR, "cannot start a thread");
+  return SR_EIO;
+}
+
+int
+ntk_end (struct ntk *tasks)
+{
+  int failed = control_join (tasks->control);
+
+  if (tasks->store != NULL)
+    store_stop (tasks->store);
+  inb_put (peer_inbox (tasks->peer), msg_new (MSG_STOP));
+  peer_join (tasks->peer);
+  return failed;
+}
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -9,10 +9,8 @@
 #include "core/slog.h"
 #include "programs/node_platform.h"
 #include "programs/node_settings.h"
-#include "tasks/control.h"
+#include "programs/node_tasks.h"
 #include "tasks/front.h"
-#include "tasks/peer.h"
-#include "tasks/store.h"
 
 /* Exit statuses.  */
 #define NODE_EXIT_FAILED 1
@@ -23,10 +21,8 @@
 struct node
 {
   struct nst settings;
-  struct store *store;
   struct front *front;
-  struct control *control;
-  struct peer *peer;
+  struct ntk tasks;
 };
 
 /* For the signal handler only.  */
@@ -91,68 +87,36 @@
   if (node->front == NULL)
     return SR_EIO;
   control.front = front_inbox (node->front);
-  node->control = control_new (&control);
+  node->tasks.control = control_new (&control);
   peer.front = control.front;
-  peer.control = control_inbox (node->control);
-  node->peer = peer_new (&peer);
-  if (node->peer == NULL)
+  peer.control = control_inbox (node->tasks.control);
+  node->tasks.peer = peer_new (&peer);
+  if (node->tasks.peer == NULL)
     return SR_EIO;
-  front_connect (node->front, peer_inbox (node->peer), peer.control);
+  front_connect (node->front, peer_inbox (node->tasks.peer), peer.control);
   return SR_OK;
 }
 
-/* Opens the data folder of a control replica.  */
-static int
-node_open_store (struct node *node)
-{
-  struct store_opts opts = { .data_dir = node->settings.data_dir,
-                             .control = control_inbox (node->control) };
-  char fault[REP_ERROR_BYTES] = "";
-  int error;
-
-  if (!node->settings.control)
-    return SR_OK;
-  error = store_new (&opts, &node->store, fault);
-  if (error != SR_OK)
-    {
-      slog (SLOG_ERR,
-            "cannot use the data folder setting=--data-dir "
-            "value=%s error=\"%s\" detail=\"%s\"",
-            node->settings.data_dir, sr_strerror (error), fault);
-      return error;
-    }
-  return store_start (node->store);
-}
-
 /* Runs all tasks until the front task has shut down.  */
 static int
 node_run (struct node *node)
 {
   int status;
 
-  control_attach (node->control, peer_inbox (node->peer), node->store);
-  if (peer_start (node->peer) != SR_OK
-      || control_start (node->control) != SR_OK)
-    {
-      slog (SLOG_ERR, "cannot start a thread");
-      return NODE_EXIT_FAILED;
-    }
+  if (ntk_start (&node->tasks) != SR_OK)
+    return NODE_EXIT_FAILED;
   slog (SLOG_NOTICE,
         "started version=" SR_VERSION
         " instance=%s listen=%s admin=%s peer=%s control=%d",
         node->settings.instance, node->settings.listen, node->settings.admin,
         node->settings.peer, (int)node->settings.control);
   status = front_run (node->front);
-  inb_put (control_inbox (node->control), msg_new (MSG_STOP));
-  if (control_join (node->control) != 0)
+  inb_put (control_inbox (node->tasks.control), msg_new (MSG_STOP));
+  if (ntk_end (&node->tasks) != 0)
     status = NODE_EXIT_FAILED;
-  if (node->store != NULL)
-    store_stop (node->store);
-  inb_put (peer_inbox (node->peer), msg_new (MSG_STOP));
-  peer_join (node->peer);
   front_free (node->front);
-  if (node->store != NULL)
-    store_free (node->store);
+  if (node->tasks.store != NULL)
+    store_free (node->tasks.store);
   slog (SLOG_NOTICE, "stopped status=%d", status);
   return status;
 }
@@ -180,7 +144,10 @@
     return node.settings.check ? npl_check () : npl_run ();
   slog_name (node.settings.instance);
   node_catch_signals ();
-  if (node_open (&node) == SR_OK && node_open_store (&node) == SR_OK)
+  if (node_open (&node) == SR_OK
+      && (!node.settings.control
+          || ntk_open_store (&node.tasks, "--data-dir", node.settings.data_dir)
+                 == SR_OK))
     {
       node_front = node.front;
       status = node_run (&node);
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -454,84 +454,30 @@
     gat_in_end (in, false);
 }
 
-static void
-gat_accept (struct lop_io *io)
+void
+gat_in_open (struct gate *gate, enum gat_port port, int fd)
 {
-  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
-  struct gate *gate = listener->gate;
   struct hcn_opts opts = { .loop = gate->loop,
                            .events = &gat_in_events,
                            .reads = HM_REQUEST,
                            .names = gate->opts.adapter->names,
                            .header_bytes = gat_limits (gate)->header_bytes,
                            .silent_ms = GAT_SILENT_MS };
-  int fd;
-
-  while ((fd = hcn_next (io->fd)) >= 0)
+  struct gat_in *in = calloc (1, sizeof *in);
+
+  INVARIANT (in != NULL);
+  in->gate = gate;
+  in->port = port;
+  in->timer.fire = gat_in_timeout;
+  lst_init (&in->requests);
+  if (hcn_accept (&in->conn, &opts, fd) != SR_OK)
     {
-      struct gat_in *in = calloc (1, sizeof *in);
-
-      INVARIANT (in != NULL);
-      in->gate = gate;
-      in->port = listener->port;
-      in->timer.fire = gat_in_timeout;
-      lst_init (&in->requests);
-      if (hcn_accept (&in->conn, &opts, fd) != SR_OK)
-        {
-          slog (SLOG_ERR, "connection not accepted reason=descriptors");
-          free (in);
-          continue;
-        }
-      lst_push_tail (&gate->ins, &in->node);
-      gat_in_wait (in, false);
-    }
-}
-
-static void
-gat_listener_failed (struct lop_io *io, int error)
-{
-  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
-
-  listener->open = false;
-  slog (SLOG_ERR, "listener lost port=%d error=%d", (int)listener->port,
-        error);
-}
-
-int
-gat_listen (struct gate *gate)
-{
-  for (int i = 0; i < GAT_PORT_COUNT; i++)
-    {
-      struct gat_listener *listener = &gate->listeners[i];
-      int fd;
-
-      listener->gate = gate;
-      listener->port = (enum gat_port)i;
-      if (gate->opts.listen[i] == NULL || gate->opts.listen[i][0] == '\0')
-        continue;
-      fd = hcn_listen (gate->opts.listen[i]);
-      listener->io.readable = gat_accept;
-      listener->io.writable = gat_accept;
-      listener->io.failed = gat_listener_failed;
-      if (fd < 0 || lop_add (gate->loop, &listener->io, fd) != SR_OK)
-        {
-          slog (SLOG_ERR, "cannot listen address=%s", gate->opts.listen[i]);
-          return SR_EIO;
-        }
-      listener->open = true;
+      slog (SLOG_ERR, "connection not accepted reason=descriptors");
+      free (in);
+      return;
     }
-  return SR_OK;
-}
-
-void
-gat_close_listeners (struct gate *gate)
-{
-  for (int i = 0; i < GAT_PORT_COUNT; i++)
-    if (gate->listeners[i].open)
-      {
-        gate->listeners[i].open = false;
-        lop_close (&gate->listeners[i].io, false);
-      }
+  lst_push_tail (&gate->ins, &in->node);
+  gat_in_wait (in, false);
 }
 
 /* Closes idle connections of callers while the node stops.  */
--- /dev/null
+++ b/tasks/gate_listen.c
@@ -0,0 +1,59 @@
+#include "core/slog.h"
+#include "tasks/gate_state.h"
+
+static void
+gat_accept (struct lop_io *io)
+{
+  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
+  int fd;
+
+  while ((fd = hcn_next (io->fd)) >= 0)
+    gat_in_open (listener->gate, listener->port, fd);
+}
+
+static void
+gat_listener_failed (struct lop_io *io, int error)
+{
+  struct gat_listener *listener = lst_entry (io, struct gat_listener, io);
+
+  listener->open = false;
+  slog (SLOG_ERR, "listener lost port=%d error=%d", (int)listener->port,
+        error);
+}
+
+int
+gat_listen (struct gate *gate)
+{
+  for (int i = 0; i < GAT_PORT_COUNT; i++)
+    {
+      struct gat_listener *listener = &gate->listeners[i];
+      int fd;
+
+      listener->gate = gate;
+      listener->port = (enum gat_port)i;
+      if (gate->opts.listen[i] == NULL || gate->opts.listen[i][0] == '\0')
+        continue;
+      fd = hcn_listen (gate->opts.listen[i]);
+      listener->io.readable = gat_accept;
+      listener->io.writable = gat_accept;
+      listener->io.failed = gat_listener_failed;
+      if (fd < 0 || lop_add (gate->loop, &listener->io, fd) != SR_OK)
+        {
+          slog (SLOG_ERR, "cannot listen address=%s", gate->opts.listen[i]);
+          return SR_EIO;
+        }
+      listener->open = true;
+    }
+  return SR_OK;
+}
+
+void
+gat_close_listeners (struct gate *gate)
+{
+  for (int i = 0; i < GAT_PORT_COUNT; i++)
+    if (gate->listeners[i].open)
+      {
+        gate->listeners[i].open = false;
+        lop_close (&gate->listeners[i].io, false);
+      }
+}
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -231,9 +231,13 @@
   int exit_status;
 };
 
-/* gate_in.c */
+/* gate_listen.c */
 int gat_listen (struct gate *gate);
 void gat_close_listeners (struct gate *gate);
+
+/* gate_in.c */
+/* Takes over an accepted socket.  */
+void gat_in_open (struct gate *gate, enum gat_port port, int fd);
 /* Begins an answer; LINES are fields that end with "\r\n" each.  */
 void gat_answer (struct gat_request *request, int status, const void *lines,
                  size_t lines_len, int64_t body_len);
@@ -267,6 +271,10 @@
 void gat_out_free (struct gate *gate);
 
 /* gate_call.c */
+void gat_call_free (struct gat_call *call);
+/* An attempt has failed: moves on, waits, or gives up.  */
+void gat_call_failed (struct gat_call *call,
+                      const struct ent_failure *failure);
 void gat_call_head (struct gat_request *request);
 void gat_call_body (struct gat_call *call);
 void gat_call_gone (struct gat_call *call);
@@ -275,6 +283,13 @@
 /* Answers all that is unfinished, so that the answers behind it on the same
    connections get out.  */
 void gat_call_give_up_all (struct gate *gate);
+void gat_call_room (struct gat_call *call);
+
+/* gate_attempt.c */
+/* Tries the server that was chosen.  */
+void gat_attempt_start (struct gat_call *call);
+/* Nobody waits for the attempt any more.  */
+void gat_attempt_drop (struct gat_attempt *attempt);
 int gat_attempt_head (struct gat_attempt *attempt, struct hm_head *head);
 int gat_attempt_body (struct gat_attempt *attempt, const uint8_t *data,
                       size_t len);
@@ -282,7 +297,6 @@
 void gat_attempt_drained (struct gat_attempt *attempt);
 void gat_attempt_lost (struct gat_attempt *attempt, enum rsn_refusal reason,
                        enum rsn_run run);
-void gat_call_room (struct gat_call *call);
 
 /* gate_serve.c */
 void gat_serve_head (struct gat_request *request);
