--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -8,25 +8,11 @@
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
+/* Time between two looks at what is due; short against every bound of a stop.
+ */
 #define GAT_TICK_US clk_ms (125)
+/* Time between two lines that sum up the traffic.  */
 #define GAT_SUM_EVERY_US clk_s (5)
-/* A stopping node is still sent work until its callers and the other nodes
-   have noticed: two questions about its health a second apart.  */
-#define GAT_LEAVE_US clk_ms (2600)
-/* Requests for the own server are taken for this long after a stop began; what
-   they run still ends before the process does.  */
-#define GAT_SERVE_US clk_ms (1500)
-/* The other nodes are told this much earlier.  */
-#define GAT_NOTICE_US clk_ms (400)
-/* Idle connections of callers are closed this long after a stop began.  */
-#define GAT_SWEEP_US clk_ms (1200)
-/* What waits at other nodes is withdrawn this long before the end.  */
-#define GAT_WITHDRAW_US clk_ms (400)
-/* What is unfinished is given up this long before the end.  */
-#define GAT_GIVE_UP_US clk_ms (150)
-/* A node without callers has nothing to wait for.  */
-#define GAT_LEAVE_CONTROL_US clk_ms (200)
-
 static void gat_tick (struct lop_timer *timer);
 static void gat_woken (void *arg);
 
@@ -222,35 +208,6 @@
     gat_take (gate, lst_entry (node, struct msg, node));
 }
 
-void
-gat_begin_stop (struct gate *gate)
-{
-  clk_us now = lop_now (gate->loop);
-  bool carries = gate->opts.listen[GAT_CALLERS] != NULL
-                 && gate->opts.listen[GAT_CALLERS][0] != '\0';
-
-  slog (SLOG_NOTICE, "stopping limit_ms=%llu",
-        (unsigned long long)(gate->opts.stop_limit / CLK_US_PER_MS));
-  gate->stopping = true;
-  gate->stop_at = now + gate->opts.stop_limit;
-  gate->stop_not_before
-      = now + (carries ? GAT_LEAVE_US : GAT_LEAVE_CONTROL_US);
-  gate->serve_until = now + GAT_SERVE_US;
-}
-
-/* Whether the process may end.  */
-static bool
-gat_may_end (const struct gate *gate, clk_us now)
-{
-  if (now >= gate->stop_at)
-    return true;
-  /* The last answers take some time to be written.  */
-  if (gate->given_up)
-    return false;
-  return now >= gate->stop_not_before && lst_empty (&gate->calls)
-         && lst_empty (&gate->serves) && lst_empty (&gate->apis);
-}
-
 static void
 gat_check_backend (struct gate *gate, clk_us now)
 {
@@ -290,7 +247,7 @@
   clk_us now = lop_now (gate->loop);
 
   if (gate->stop_asked != 0 && !gate->stopping)
-    gat_begin_stop (gate);
+    gat_stop_begin (gate);
   if (gate->reload_asked != 0)
     {
       gate->reload_asked = 0;
@@ -300,50 +257,14 @@
   gat_check_backend (gate, now);
   gat_log_traffic (gate, now);
   bsd_sample (&gate->beside, now);
-  if (gate->stopping && now + GAT_LEAVE_US >= gate->stop_not_before
-      && now >= gate->stop_not_before - GAT_LEAVE_US + GAT_SWEEP_US)
-    gat_in_sweep (gate);
-  if (gate->stopping && !gate->announced
-      && now + GAT_NOTICE_US >= gate->serve_until)
-    {
-      gate->announced = true;
-      gat_report_backend (gate);
-    }
-  if (gate->stopping && !gate->beside.stopping && now >= gate->serve_until)
-    {
-      gate->beside.stopping = true;
-      gat_serve_refuse_waiting (gate, RSN_DRAINING);
-    }
-  if (gate->stopping && !gate->control_stopped && now >= gate->stop_not_before)
-    {
-      /* The lease ends meanwhile; requests under way need it no longer.  */
-      gate->control_stopped = true;
-      gate->entry.closing = true;
-      inb_put (gate->control, msg_new (MSG_STOP));
-    }
-  if (gate->stopping && !gate->withdrawn
-      && now + GAT_WITHDRAW_US >= gate->stop_at)
-    {
-      gate->withdrawn = true;
-      gat_call_withdraw_all (gate);
-    }
-  if (gate->stopping && !gate->given_up
-      && now + GAT_GIVE_UP_US >= gate->stop_at)
-    {
-      gate->given_up = true;
-      gat_call_give_up_all (gate);
-    }
-  if (gate->stopping && gat_may_end (gate, now))
+  if (gate->stopping && gat_stop_run (gate, now))
     {
       slog (SLOG_NOTICE, "connections closed unfinished=%d",
             (int)(!lst_empty (&gate->calls)));
       lop_stop (gate->loop);
       return;
     }
-  now += GAT_TICK_US;
-  if (gate->stopping && now > gate->stop_at)
-    now = gate->stop_at;
-  lop_set (gate->loop, &gate->tick, now);
+  lop_set (gate->loop, &gate->tick, now + GAT_TICK_US);
 }
 
 int
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -23,7 +23,7 @@
   const struct bkd *backend = &gate->beside.backend;
   struct msg *msg = msg_new (MSG_BACKEND);
 
-  if (gate->announced || backend->state == BKD_LEAVING)
+  if (gat_stop_done (gate, GAT_STOP_ANNOUNCE) || backend->state == BKD_LEAVING)
     msg->u.backend.state = MSG_BACKEND_DRAINING;
   else
     msg->u.backend.state
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -192,6 +192,25 @@
   bool open;
 };
 
+/* Steps of a stop, in their order.  */
+enum gat_stop_step
+{
+  GAT_STOP_ANNOUNCE, /* other nodes are told */
+  GAT_STOP_REFUSE,   /* nothing more is run at the own server */
+  GAT_STOP_CLOSE,    /* no new request is taken */
+  GAT_STOP_WITHDRAW, /* what waits at other nodes is withdrawn */
+  GAT_STOP_GIVE_UP,  /* what is unfinished is given up */
+  GAT_STOP_END,
+  GAT_STOP_STEPS
+};
+
+struct gat_stop
+{
+  clk_us due[GAT_STOP_STEPS];
+  clk_us sweep_from;
+  enum gat_stop_step done; /* the next step */
+};
+
 struct gate
 {
   struct gat_opts opts;
@@ -219,13 +238,7 @@
   volatile sig_atomic_t stop_asked;
   volatile sig_atomic_t reload_asked;
   bool stopping;
-  clk_us stop_at;
-  clk_us serve_until;
-  bool announced; /* that this node stops */
-  clk_us stop_not_before;
-  bool control_stopped;
-  bool withdrawn;
-  bool given_up;
+  struct gat_stop stop;
   clk_us view_at;
   clk_us summed_at; /* when the counters were last logged */
   int exit_status;
@@ -329,8 +342,13 @@
 int gat_probe_head (struct gate *gate, struct hm_head *head);
 void gat_probe_over (struct gate *gate);
 
+/* gate_stop.c */
+void gat_stop_begin (struct gate *gate);
+/* Carries out the steps that are due; returns whether the process may end.  */
+bool gat_stop_run (struct gate *gate, clk_us now);
+bool gat_stop_done (const struct gate *gate, enum gat_stop_step step);
+
 /* gate.c */
-void gat_begin_stop (struct gate *gate);
 bool gat_ready (const struct gate *gate);
 
 #endif
