No spin without descriptors; short idle time between nodes

Change: connections between nodes are kept 1.5 s; a listener that finds no descriptor pauses for 0.1 s and says so.

Test: test_gate (descriptors) fails with the former listener and passes.

--- a/tasks/gate_listen.c
+++ b/tasks/gate_listen.c
@@ -1,6 +1,21 @@
+#include <errno.h>
+
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
+/* Pause after which a listener without descriptors tries again.  */
+#define GAT_ACCEPT_PAUSE_US clk_ms (100)
+
+static void
+gat_accept_again (struct lop_timer *timer)
+{
+  struct gat_listener *listener
+      = lst_entry (timer, struct gat_listener, timer);
+
+  if (listener->open)
+    lop_pause (&listener->io, false);
+}
+
 static void
 gat_accept (struct lop_io *io)
 {
@@ -9,6 +24,16 @@
 
   while ((fd = hcn_next (io->fd)) >= 0)
     gat_in_open (listener->gate, listener->port, fd);
+  if (errno == EAGAIN || errno == EINTR || errno == ECONNABORTED)
+    return;
+  /* The connection stays in the queue, and the descriptor readable.  */
+  slog (SLOG_ERR,
+        "connection not accepted port=%d error=%d reason=descriptors",
+        (int)listener->port, errno);
+  lop_pause (io, true);
+  listener->timer.fire = gat_accept_again;
+  lop_set (listener->gate->loop, &listener->timer,
+           lop_now (listener->gate->loop) + GAT_ACCEPT_PAUSE_US);
 }
 
 static void
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -11,6 +11,9 @@
 /* Idle time after which a connection is not used again, without a Keep-Alive
    field; and how much earlier than the peer it is given up.  */
 #define GAT_IDLE_US clk_s (5)
+/* The same between nodes: a new connection costs no one but the nodes, and a
+   node may call hundreds of others.  */
+#define GAT_IDLE_NODE_US clk_ms (1500)
 #define GAT_IDLE_MARGIN_US clk_ms (700)
 /* An idle connection that is younger is taken to be alive, so that a request
    that must not run twice is sent on it.  */
@@ -90,7 +93,7 @@
                  : SR_EMALFORMED;
     }
   out->keep = head->keep_alive;
-  out->idle_most = GAT_IDLE_US;
+  out->idle_most = out->pool->to_server ? GAT_IDLE_US : GAT_IDLE_NODE_US;
   if (head->idle_known)
     out->idle_most = clk_s (head->idle_s) > GAT_IDLE_MARGIN_US
                          ? clk_s (head->idle_s) - GAT_IDLE_MARGIN_US
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -187,6 +187,7 @@
 struct gat_listener
 {
   struct lop_io io;
+  struct lop_timer timer;
   struct gate *gate;
   enum gat_port port;
   bool open;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -4,7 +4,9 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "core/clk.h"
@@ -455,6 +457,40 @@
   CU_ASSERT_EQUAL (server_gone - gone, 2);
 }
 
+/* Guards against a loop that spins, or a connection that is lost, while there
+   are no descriptors left.  */
+static void
+test_descriptors (void)
+{
+  struct rlimit before;
+  struct rlimit few;
+  char answer[4096];
+  size_t len = 0;
+  ssize_t got;
+  clock_t spent;
+  int next = dup (0);
+  int fd;
+
+  getrlimit (RLIMIT_NOFILE, &before);
+  few = before;
+  few.rlim_cur = (rlim_t)next + 1;
+  close (next);
+  setrlimit (RLIMIT_NOFILE, &few);
+  fd = dial (addresses[GAT_CALLERS]); /* the last one */
+  spent = clock ();
+  usleep (400000);
+  spent = clock () - spent;
+  setrlimit (RLIMIT_NOFILE, &before);
+  CU_ASSERT_TRUE (spent < CLOCKS_PER_SEC / 10);
+  put (fd, "GET /r/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+           "X-Sycamorerudder-Request-Id: waits\r\n\r\n");
+  while ((got = read (fd, answer + len, sizeof answer - 1 - len)) > 0)
+    len += (size_t)got;
+  answer[len] = '\0';
+  close (fd);
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 200 ", 13), 0);
+}
+
 /* Guards against work that reaches a server after its node acknowledged that
    it leaves.  */
 static void
@@ -541,6 +577,7 @@
           { "runs once", test_runs_once },
           { "bad input", test_bad_input },
           { "time", test_time },
+          { "descriptors", test_descriptors },
           { "leaving", test_leaving },
           { "stop", test_stop },
           { NULL, NULL } };
