--- a/filters/entry.c
+++ b/filters/entry.c
@@ -33,6 +33,9 @@
    important priority are refused.  */
 #define ENT_PRESSURE_LEAST_US 120000.0
 #define ENT_PRESSURE_MOST_US 400000.0
+/* Calls of one run from which on a request is a chain.  */
+#define ENT_CALLS_LEAST 0.5
+/* Pause of a caller that no server could be found for.  */
 #define ENT_RETRY_AFTER_MS 300
 /* Part of the retry budget that new requests may use.  */
 #define ENT_BUDGET_NEW 0.5
@@ -246,7 +249,7 @@
   double least = ENT_PRESSURE_LEAST_US;
   double share;
 
-  if (request->inner || request->service->fan_out < 0.5)
+  if (request->inner || request->service->fan_out < ENT_CALLS_LEAST)
     return (struct ent_result){ .kind = ENT_GO };
   if (request->route->priority == 0)
     least = ENT_PRESSURE_MOST_US;
--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -28,7 +28,11 @@
   return 0;
 }
 
+/* libFuzzer fixes the name.  NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
 int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   static const struct hm_sink sink = { on_head, on_body, on_end };
