--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,6 +1,10 @@
+#include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <time.h>
+#include <unistd.h>
 
 #include <zmq.h>
 
@@ -10,7 +14,6 @@
 #include "tasks/peer.h"
 #include "tests/suite.h"
 
-#define ADDRESS "127.0.0.1:7651"
 /* Two heartbeats of the nodes' sockets and a margin: the first finds the
    connection broken.  */
 #define HEARTBEATS_MS 5000
@@ -24,14 +27,33 @@
   nanosleep (&span, NULL);
 }
 
+/* Address with a free port.  */
+static char address[32];
+
+static void
+choose_address (void)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t len = sizeof name;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&name, len), 0);
+  getsockname (fd, (struct sockaddr *)&name, &len);
+  snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (name.sin_port));
+  close (fd);
+}
+
 static void *
 dial (void *context, const char *identity)
 {
+  char endpoint[sizeof address + 8];
   void *socket = zmq_socket (context, ZMQ_DEALER);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (socket);
   zmq_setsockopt (socket, ZMQ_ROUTING_ID, identity, strlen (identity));
-  CU_ASSERT_EQUAL_FATAL (zmq_connect (socket, "tcp://" ADDRESS), 0);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
+  CU_ASSERT_EQUAL_FATAL (zmq_connect (socket, endpoint), 0);
   zmq_send (socket, "x", 1, 0);
   pause_ms (CONNECT_MS);
   return socket;
@@ -47,12 +69,14 @@
   struct inb *front = inb_new (&inbox);
   struct inb *control = inb_new (&inbox);
   struct peer_opts opts
-      = { .address = ADDRESS, .front = front, .control = control };
-  struct peer *peer = peer_new (&opts);
+      = { .address = address, .front = front, .control = control };
+  struct peer *peer;
   void *context = zmq_ctx_new ();
   void *former;
   void *newer;
 
+  choose_address ();
+  peer = peer_new (&opts);
   CU_ASSERT_PTR_NOT_NULL_FATAL (peer);
   CU_ASSERT_EQUAL_FATAL (peer_start (peer), SR_OK);
   former = dial (context, "same");
