A leader sends again what a member acknowledged and lost

The status of a failed run: leader at index 12, the member with the torn tail at 9, 1.8 MB of appends to it in 15 s, each refused. The leader ignored a refusal at or before the index that the member had acknowledged, and never went back. It failed when the torn record held an entry, and passed when the commit index had been written behind it in the meantime. Change: a refusal of an append that was sent after the acknowledgement came is a loss: the member counts for no commit until it acknowledges again, is sent from its end on, and a line tells. Before: test_rep "lost tail" fails.

--- a/log/rep.c
+++ b/log/rep.c
@@ -57,6 +57,7 @@
     case REP_OUT_READ:
     case REP_OUT_ROLE:
     case REP_OUT_SNAPSHOT_WANTED:
+    case REP_OUT_ENTRIES_LOST:
       break;
     }
   free (out);
@@ -235,6 +236,7 @@
 
       peer->next = rep->log.last_index + 1;
       peer->match = 0;
+      peer->matched_at = now;
       peer->unanswered = 0;
       peer->acked_round = 0;
       peer->acked_sent = now;
--- a/log/rep.h
+++ b/log/rep.h
@@ -56,6 +56,7 @@
   REP_OUT_READ,            /* a read is confirmed */
   REP_OUT_ROLE,            /* role, term or leader changed */
   REP_OUT_SNAPSHOT_WANTED, /* answer with rep_snapshot_taken() */
+  REP_OUT_ENTRIES_LOST,    /* a member lost what it had acknowledged */
 };
 
 struct rep_out_apply
@@ -72,6 +73,13 @@
   char leader[REP_ADDRESS_BYTES]; /* hint, may be empty */
 };
 
+struct rep_out_lost
+{
+  char address[REP_ADDRESS_BYTES]; /* of the member */
+  uint64_t acknowledged;           /* last index */
+  uint64_t next;                   /* index that it is sent next */
+};
+
 struct rep_out
 {
   struct lst_node node;
@@ -86,6 +94,7 @@
     struct rep_out_refused refused;
     uint64_t read;           /* request */
     uint64_t snapshot_index; /* last index applied */
+    struct rep_out_lost lost;
   } u;
 };
 
--- a/log/rep_impl.h
+++ b/log/rep_impl.h
@@ -43,6 +43,7 @@
   bool granted;  /* (pre-)vote of the running election */
   uint64_t next; /* index to send next */
   uint64_t match;
+  clk_us matched_at;   /* when @match was last raised */
   uint64_t unanswered; /* entry bytes sent since its last answer */
   uint64_t acked_round;
   clk_us acked_sent; /* send time of the newest message answered */
@@ -188,6 +189,9 @@
 void rep_confirm_reads (struct rep *rep);
 void rep_peer_heard (struct rep_peer *peer, uint64_t round, clk_us sent,
                      clk_us now);
+/* PEER says that it has all up to INDEX.  Returns whether that is new.  */
+bool rep_peer_has (struct rep *rep, struct rep_peer *peer, uint64_t index,
+                   clk_us now);
 
 /* rep_snap.c */
 void rep_send_chunk (struct rep *rep, struct rep_peer *peer, clk_us now);
--- a/log/rep_lead.c
+++ b/log/rep_lead.c
@@ -1,6 +1,7 @@
 #include "log/rep_impl.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 enum rep_measure
 {
@@ -192,7 +193,34 @@
     peer->acked_sent = sent;
 }
 
-/* The follower's log differs before what was sent to it.  */
+bool
+rep_peer_has (struct rep *rep, struct rep_peer *peer, uint64_t index,
+              clk_us now)
+{
+  if (index <= peer->match || index > rep->log.last_index)
+    return false;
+  peer->match = index;
+  peer->matched_at = now;
+  if (peer->next <= index)
+    peer->next = index + 1;
+  return true;
+}
+
+/* The follower lost entries that it had acknowledged: none of them counts
+   for a commit until it acknowledges them again.  */
+static void
+rep_forget_match (struct rep *rep, struct rep_peer *peer, uint64_t next)
+{
+  struct rep_out_lost *lost = &rep_output (rep, REP_OUT_ENTRIES_LOST)->u.lost;
+
+  memcpy (lost->address, peer->member.address, sizeof lost->address);
+  lost->acknowledged = peer->match;
+  lost->next = next;
+  peer->match = 0;
+}
+
+/* The follower's log differs before what was sent to it.  A refusal of what
+   it has acknowledged is old, unless the append was sent later than that.  */
 static void
 rep_step_back (struct rep *rep, struct rep_peer *peer,
                const struct rep_append_reply *reply)
@@ -200,7 +228,11 @@
   uint64_t next = reply->hint;
 
   if (reply->prev <= peer->match)
-    return;
+    {
+      if (reply->sent_us <= peer->matched_at)
+        return;
+      rep_forget_match (rep, peer, next);
+    }
   if (next <= peer->match)
     next = peer->match + 1;
   if (next > rep->log.last_index + 1)
@@ -220,14 +252,9 @@
   rep_peer_heard (peer, reply->round, reply->sent_us, now);
   if (!reply->accepted)
     rep_step_back (rep, peer, reply);
-  else if (reply->match > peer->match && reply->match <= rep->log.last_index)
-    {
-      peer->match = reply->match;
-      if (peer->next <= peer->match)
-        peer->next = peer->match + 1;
-      if (rep->transfer_to == peer->member.id
-          && peer->match == rep->log.last_index)
-        rep_send (rep, rep_msg_to (rep, REP_TIMEOUT_NOW, peer->member.id));
-    }
+  else if (rep_peer_has (rep, peer, reply->match, now)
+           && rep->transfer_to == peer->member.id
+           && peer->match == rep->log.last_index)
+    rep_send (rep, rep_msg_to (rep, REP_TIMEOUT_NOW, peer->member.id));
   rep_leader_commit (rep, now);
 }
--- a/log/rep_snap.c
+++ b/log/rep_snap.c
@@ -50,12 +50,7 @@
     return;
   rep_peer_heard (peer, reply->round, reply->sent_us, now);
   if (reply->installed)
-    {
-      if (reply->index > peer->match && reply->index <= rep->log.last_index)
-        peer->match = reply->index;
-      if (peer->next <= peer->match)
-        peer->next = peer->match + 1;
-    }
+    rep_peer_has (rep, peer, reply->index, now);
   else if (rep->snapshot != NULL && reply->index == peer->chunk_index
            && reply->index == rep->snapshot->index
            && reply->next <= rep->snapshot->len
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -537,6 +537,13 @@
     case REP_OUT_SNAPSHOT_WANTED:
       rpl_take_snapshot (rpl, group, out->u.snapshot_index);
       break;
+    case REP_OUT_ENTRIES_LOST:
+      slog (SLOG_WARNING,
+            "member lost acknowledged entries group=%u member=%s"
+            " acknowledged=%" PRIu64 " next=%" PRIu64,
+            group, out->u.lost.address, out->u.lost.acknowledged,
+            out->u.lost.next);
+      break;
     }
   rep_out_free (out);
 }
--- a/tests/test_rep.c
+++ b/tests/test_rep.c
@@ -579,6 +579,57 @@
   stop (&bench);
 }
 
+/* Replica 2 rejects an append behind PREV that was sent at SENT.  */
+static void
+reject (struct bench *bench, uint64_t prev, uint64_t hint, clk_us sent)
+{
+  struct rep_msg *reply = from (REP_APPEND_REPLY, 2, 2);
+
+  reply->u.append_reply.prev = prev;
+  reply->u.append_reply.hint = hint;
+  reply->u.append_reply.sent_us = sent;
+  message (bench, reply);
+}
+
+/* Guards against a leader that never again sends what a replica acknowledged
+   and lost with the end of its file, and that goes on counting it.  */
+static void
+test_lost_tail (void)
+{
+  struct bench bench;
+  struct rep_msg *append;
+  struct rep_out *lost;
+
+  start (&bench, 3);
+  lead (&bench);
+  synced (&bench);
+  ack (&bench, 2, 2, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  /* Sent before the acknowledgement was there.  */
+  reject (&bench, 1, 1, bench.now);
+  CU_ASSERT_PTR_NULL (only (&bench, REP_OUT_ENTRIES_LOST));
+  bench.now += clk_ms (100);
+  rep_tick (bench.rep, bench.now);
+  drain (&bench);
+  reject (&bench, 2, 2, bench.now);
+  lost = only (&bench, REP_OUT_ENTRIES_LOST);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (lost);
+  CU_ASSERT_EQUAL (lost->u.lost.acknowledged, 2);
+  CU_ASSERT_EQUAL (lost->u.lost.next, 2);
+  append = sent (&bench, REP_APPEND, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (append);
+  CU_ASSERT_EQUAL (append->to, 2);
+  CU_ASSERT_EQUAL (append->u.append.prev_index, 1);
+  CU_ASSERT_FALSE (lst_empty (&append->u.append.entries));
+  propose (&bench, 1);
+  drain (&bench);
+  synced (&bench);
+  CU_ASSERT_EQUAL (status (&bench).commit, 2);
+  ack (&bench, 2, 3, 1);
+  CU_ASSERT_EQUAL (status (&bench).commit, 3);
+  stop (&bench);
+}
+
 int
 main (void)
 {
@@ -599,6 +650,7 @@
           { "learner takes place", test_learner_takes_place },
           { "other id", test_other_id },
           { "transfer", test_transfer },
+          { "lost tail", test_lost_tail },
           { NULL, NULL } };
 
   return suite_run ("rep", tests);
--- a/tests/test_rep_sim.c
+++ b/tests/test_rep_sim.c
@@ -395,6 +395,10 @@
       break;
     case REP_OUT_REFUSED:
       break;
+    case REP_OUT_ENTRIES_LOST:
+      sim_check (sim, false, "a disk that keeps what it synced was blamed",
+                 out->u.lost.acknowledged);
+      break;
     }
   rep_out_free (out);
 }
