--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -20,12 +20,21 @@
 #define PEER_BURST 256
 #define PEER_POLL_MS 250
 #define PEER_HWM 8192
-/* Received messages have no high-water mark: libzmq 4.3.4 stops the process
-   (assertion !_io_error) when a connection fails whose input it had stopped
-   at the mark.  The task takes messages as they come.  */
+/* Received messages have no high-water mark: the task takes them as they
+   come, and libzmq ends the process as below when a connection fails whose
+   input it had stopped at the mark.  */
 #define PEER_RECEIVE_HWM 0
+/* Of DEALER sockets only.  After a handover a ROUTER socket of libzmq 4.3.4
+   keeps the former connection with its input stopped; once that one fails,
+   its next heartbeat ends the process (assertion !_io_error).  The time to
+   live in the DEALER's heartbeats ends silent connections on both sides.  */
 #define PEER_HEARTBEAT_MS 2000
 #define PEER_HEARTBEAT_TIMEOUT_MS 6000
+/* Probes of the kernel end accepted connections that fail before their first
+   heartbeat, in the same time.  */
+#define PEER_KEEPALIVE_IDLE_S 2
+#define PEER_KEEPALIVE_GAP_S 2
+#define PEER_KEEPALIVE_COUNT 2
 
 /* A node that this one connects to.  */
 struct peer_dial
@@ -77,9 +86,6 @@
   peer_set_int (socket, ZMQ_LINGER, 0);
   peer_set_int (socket, ZMQ_SNDHWM, PEER_HWM);
   peer_set_int (socket, ZMQ_RCVHWM, PEER_RECEIVE_HWM);
-  peer_set_int (socket, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
-  peer_set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, PEER_HEARTBEAT_TIMEOUT_MS);
-  peer_set_int (socket, ZMQ_HEARTBEAT_TTL, PEER_HEARTBEAT_TIMEOUT_MS);
   peer_set_int (socket, ZMQ_TCP_MAXRT, PEER_HEARTBEAT_TIMEOUT_MS);
   zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &frame_max, sizeof frame_max);
   if (peer->opts.curve_secret == NULL)
@@ -102,6 +108,10 @@
   peer_configure (peer, peer->router);
   peer_set_int (peer->router, ZMQ_ROUTER_MANDATORY, 1);
   peer_set_int (peer->router, ZMQ_ROUTER_HANDOVER, 1);
+  peer_set_int (peer->router, ZMQ_TCP_KEEPALIVE, 1);
+  peer_set_int (peer->router, ZMQ_TCP_KEEPALIVE_IDLE, PEER_KEEPALIVE_IDLE_S);
+  peer_set_int (peer->router, ZMQ_TCP_KEEPALIVE_INTVL, PEER_KEEPALIVE_GAP_S);
+  peer_set_int (peer->router, ZMQ_TCP_KEEPALIVE_CNT, PEER_KEEPALIVE_COUNT);
   if (peer->opts.curve_secret != NULL)
     peer_set_int (peer->router, ZMQ_CURVE_SERVER, 1);
   snprintf (endpoint, sizeof endpoint, "tcp://%s", peer->address);
@@ -201,6 +211,10 @@
   dial->socket = zmq_socket (peer->context, ZMQ_DEALER);
   INVARIANT (dial->socket != NULL);
   peer_configure (peer, dial->socket);
+  peer_set_int (dial->socket, ZMQ_HEARTBEAT_IVL, PEER_HEARTBEAT_MS);
+  peer_set_int (dial->socket, ZMQ_HEARTBEAT_TIMEOUT,
+                PEER_HEARTBEAT_TIMEOUT_MS);
+  peer_set_int (dial->socket, ZMQ_HEARTBEAT_TTL, PEER_HEARTBEAT_TIMEOUT_MS);
   rng_id (identity + 1, RNG_ID_BYTES);
   zmq_setsockopt (dial->socket, ZMQ_ROUTING_ID, identity, sizeof identity);
   if (peer->opts.curve_public != NULL)
