Wiring and signals of a node in one place for both front ends

Cause: programs/node_platform.c and programs/sycamorerudder-node.c opened the control and peer tasks with the same lines, and four programs set the same signal handlers. Ruled out: one npl/node struct for both; their settings and front tasks differ. Change: ntk_open() and tsg_catch().

--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -9,6 +9,7 @@
 #include "core/slog.h"
 #include "platform/platform.h"
 #include "programs/node_tasks.h"
+#include "programs/tool_signal.h"
 #include "tasks/gate.h"
 
 /* Exit statuses.  */
@@ -25,6 +26,7 @@
   struct ntk tasks;
 };
 
+static const int npl_signals[] = { SIGTERM, SIGINT, SIGHUP };
 /* For the signal handlers only.  */
 static struct gate *npl_gate;
 
@@ -39,19 +41,6 @@
     gate_shut_down (npl_gate);
 }
 
-static void
-npl_catch_signals (void)
-{
-  struct sigaction action = { .sa_handler = npl_signal };
-  struct sigaction ignore = { .sa_handler = SIG_IGN };
-
-  sigemptyset (&action.sa_mask);
-  sigaction (SIGTERM, &action, NULL);
-  sigaction (SIGINT, &action, NULL);
-  sigaction (SIGHUP, &action, NULL);
-  sigaction (SIGPIPE, &ignore, NULL);
-}
-
 /* Reads the settings; an unreadable file is one clear line.  */
 static int
 npl_read (struct plt_settings *settings)
@@ -126,14 +115,11 @@
   node->gate = gate_new (&gate);
   if (node->gate == NULL)
     return SR_EIO;
-  control.front = gate_inbox (node->gate);
-  node->tasks.control = control_new (&control);
-  peer.front = control.front;
-  peer.control = control_inbox (node->tasks.control);
-  node->tasks.peer = peer_new (&peer);
-  if (node->tasks.peer == NULL)
+  if (ntk_open (&node->tasks, gate_inbox (node->gate), &control, &peer)
+      != SR_OK)
     return SR_EIO;
-  gate_connect (node->gate, peer_inbox (node->tasks.peer), peer.control);
+  gate_connect (node->gate, peer_inbox (node->tasks.peer),
+                control_inbox (node->tasks.control));
   return SR_OK;
 }
 
@@ -167,7 +153,8 @@
   if (npl_read (&node.settings) != SR_OK)
     return NPL_USAGE;
   slog_name (node.settings.instance);
-  npl_catch_signals ();
+  tsg_catch (npl_signal, npl_signals,
+             sizeof npl_signals / sizeof npl_signals[0]);
   if (npl_open (&node) != SR_OK)
     return NPL_FAILED;
   if (node.settings.control
--- a/programs/node_tasks.c
+++ b/programs/node_tasks.c
@@ -3,6 +3,18 @@
 #include "core/err.h"
 #include "core/slog.h"
 
+int
+ntk_open (struct ntk *tasks, struct inb *front, struct control_opts *control,
+          struct peer_opts *peer)
+{
+  control->front = front;
+  tasks->control = control_new (control);
+  peer->front = front;
+  peer->control = control_inbox (tasks->control);
+  tasks->peer = peer_new (peer);
+  return tasks->peer != NULL ? SR_OK : SR_EIO;
+}
+
 int
 ntk_open_store (struct ntk *tasks, const char *setting, const char *data_dir)
 {
--- a/programs/node_tasks.h
+++ b/programs/node_tasks.h
@@ -16,6 +16,11 @@
   struct store *store; /* NULL without a control replica */
 };
 
+/* Opens the control and peer tasks, which send to FRONT; the peer task logs a
+   fault.  */
+int ntk_open (struct ntk *tasks, struct inb *front,
+              struct control_opts *control, struct peer_opts *peer);
+
 /* Opens and starts the store of a control replica; logs a fault, naming
    SETTING.  */
 int ntk_open_store (struct ntk *tasks, const char *setting,
--- a/programs/rudder-fake.c
+++ b/programs/rudder-fake.c
@@ -10,8 +10,10 @@
 #include "programs/fake_options.h"
 #include "programs/fake_report.h"
 #include "programs/fake_server.h"
+#include "programs/tool_signal.h"
 
 static struct lws_context *main_context;
+static const int main_signals[] = { SIGTERM, SIGINT, SIGUSR1, SIGUSR2 };
 static volatile sig_atomic_t main_stops;
 static volatile sig_atomic_t main_slow;
 
@@ -28,18 +30,6 @@
   lws_cancel_service (main_context);
 }
 
-static void
-main_catch_signals (void)
-{
-  struct sigaction action = { .sa_handler = main_on_signal };
-
-  sigaction (SIGTERM, &action, NULL);
-  sigaction (SIGINT, &action, NULL);
-  sigaction (SIGUSR1, &action, NULL);
-  sigaction (SIGUSR2, &action, NULL);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 static int
 main_open (struct fake *fake)
 {
@@ -89,7 +79,8 @@
             fake.options.journal);
       return 1;
     }
-  main_catch_signals ();
+  tsg_catch (main_on_signal, main_signals,
+             sizeof main_signals / sizeof main_signals[0]);
   if (fsv_open (&fake) != SR_OK)
     {
       slog (SLOG_ERR, "cannot listen address=%s:%u", fake.options.listen.ip,
--- a/programs/rudder-relay.c
+++ b/programs/rudder-relay.c
@@ -5,7 +5,9 @@
 #include "core/err.h"
 #include "core/slog.h"
 #include "programs/relay_pump.h"
+#include "programs/tool_signal.h"
 
+static const int main_signals[] = { SIGTERM, SIGINT, SIGUSR1, SIGUSR2 };
 static volatile sig_atomic_t main_stop;
 static volatile sig_atomic_t main_forget;
 static volatile sig_atomic_t main_cut;
@@ -27,18 +29,6 @@
     }
 }
 
-static void
-main_catch_signals (void)
-{
-  struct sigaction action = { .sa_handler = main_on_signal };
-
-  sigaction (SIGTERM, &action, NULL);
-  sigaction (SIGINT, &action, NULL);
-  sigaction (SIGUSR1, &action, NULL);
-  sigaction (SIGUSR2, &action, NULL);
-  signal (SIGPIPE, SIG_IGN);
-}
-
 int
 main (int argc, const char **argv)
 {
@@ -64,7 +54,8 @@
   if (relay.listen.port == 0 || relay.to.port == 0)
     top_fail ("rudder-relay", relay.to.port == 0 ? "to" : "listen", "",
               "IP:PORT");
-  main_catch_signals ();
+  tsg_catch (main_on_signal, main_signals,
+             sizeof main_signals / sizeof main_signals[0]);
   if (rly_open (&relay) != SR_OK)
     {
       slog (SLOG_ERR, "cannot listen setting=--listen value=%s:%u",
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -10,6 +10,7 @@
 #include "programs/node_platform.h"
 #include "programs/node_settings.h"
 #include "programs/node_tasks.h"
+#include "programs/tool_signal.h"
 #include "tasks/front.h"
 
 /* Exit statuses.  */
@@ -25,6 +26,7 @@
   struct ntk tasks;
 };
 
+static const int node_signals[] = { SIGTERM, SIGINT };
 /* For the signal handler only.  */
 static struct front *node_front;
 
@@ -36,18 +38,6 @@
     front_shut_down (node_front);
 }
 
-static void
-node_catch_signals (void)
-{
-  struct sigaction action = { .sa_handler = node_signal };
-  struct sigaction ignore = { .sa_handler = SIG_IGN };
-
-  sigemptyset (&action.sa_mask);
-  sigaction (SIGTERM, &action, NULL);
-  sigaction (SIGINT, &action, NULL);
-  sigaction (SIGPIPE, &ignore, NULL);
-}
-
 /* Every connection needs a descriptor; the usual soft limit is lower than the
    connections that a backend server declares.  */
 static void
@@ -86,14 +76,11 @@
   node->front = front_new (&front);
   if (node->front == NULL)
     return SR_EIO;
-  control.front = front_inbox (node->front);
-  node->tasks.control = control_new (&control);
-  peer.front = control.front;
-  peer.control = control_inbox (node->tasks.control);
-  node->tasks.peer = peer_new (&peer);
-  if (node->tasks.peer == NULL)
+  if (ntk_open (&node->tasks, front_inbox (node->front), &control, &peer)
+      != SR_OK)
     return SR_EIO;
-  front_connect (node->front, peer_inbox (node->tasks.peer), peer.control);
+  front_connect (node->front, peer_inbox (node->tasks.peer),
+                 control_inbox (node->tasks.control));
   return SR_OK;
 }
 
@@ -143,7 +130,8 @@
   if (node.settings.platform)
     return node.settings.check ? npl_check () : npl_run ();
   slog_name (node.settings.instance);
-  node_catch_signals ();
+  tsg_catch (node_signal, node_signals,
+             sizeof node_signals / sizeof node_signals[0]);
   if (node_open (&node) == SR_OK
       && (!node.settings.control
           || ntk_open_store (&node.tasks, "--data-dir", node.settings.data_dir)
