One place that writes the head of a request that goes on

Cause: gate_attempt and gate_serve each wrote the same head with one other field; three places broke off an answer and freed its call; units of the fields between nodes were bare numbers on both sides; some fields, an enum and functions were read by nothing (found by listing each name and its uses), and GAT_BEATS_MISSED stood beside a bare 4. Ruled out: dropping nh_request.repeat, which nothing reads either: it is on the wire between nodes. Change: gat_out_request(), gat_call_break(), NH_*_UNIT, dead names removed, gate_free() frees the state beside the server. No change of behaviour: test_gate, test_beside, test_httpmsg, test_slog, test_entry, test_platform and mesh_platform pass.

--- a/filters/beside.c
+++ b/filters/beside.c
@@ -89,9 +89,8 @@
 }
 
 void
-bsd_sample (struct bsd_state *state, clk_us now)
+bsd_sample (struct bsd_state *state)
 {
-  state->sampled = now;
   state->calls_usual
       += (state->calls_open - state->calls_usual) * BSD_SAMPLE_GAIN;
   if (state->calls_usual < 0.01)
@@ -230,7 +229,6 @@
   for (; now >= state->faded + BSD_FADE_US; state->faded += BSD_FADE_US)
     {
       state->calls *= BSD_FADE;
-
       state->runs *= BSD_FADE;
     }
 }
--- a/filters/beside.h
+++ b/filters/beside.h
@@ -41,7 +41,6 @@
   uint32_t calls_open; /* calls that run or wait here */
   double calls_usual;  /* smoothed number of these */
   uint32_t long_open;  /* other requests that run or wait */
-  clk_us sampled;
   double service_us;   /* smoothed time of a run */
   double long_us;      /* the same of requests that are no calls */
   double call_wait_us; /* smoothed wait of calls for a slot */
@@ -105,7 +104,7 @@
 
 /* Divides the slots between calls and other requests by what calls use; to be
    called several times a second.  */
-void bsd_sample (struct bsd_state *state, clk_us now);
+void bsd_sample (struct bsd_state *state);
 
 /* The server makes a call that leads to FAN_OUT further ones.  */
 void bsd_called (struct bsd_state *state, double fan_out, clk_us now);
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -13,6 +13,9 @@
 #define GAT_TICK_US clk_ms (125)
 /* Time between two lines that sum up the traffic.  */
 #define GAT_SUM_EVERY_US clk_s (5)
+/* Heartbeats that may be missed before the server counts as lost.  */
+#define GAT_BEATS_MISSED 4
+
 static void gat_tick (struct lop_timer *timer);
 static void gat_woken (void *arg);
 
@@ -76,6 +79,7 @@
   inb_free (gate->inbox);
   gat_out_free (gate);
   ent_fini (&gate->entry);
+  bsd_fini (&gate->beside);
   free (gate);
 }
 
@@ -146,7 +150,6 @@
   lst_each (node, &gate->entry.services)
     chs_sweep (lst_entry (node, struct ent_service, node)->servers);
   gate->entry.nodes = nodes > 0 ? nodes : 1;
-  gate->view_at = now;
   slog (SLOG_INFO, "members changed nodes=%u", nodes);
 }
 
@@ -211,7 +214,7 @@
 static void
 gat_check_backend (struct gate *gate, clk_us now)
 {
-  clk_us silent = 4 * gate->opts.heartbeat;
+  clk_us silent = GAT_BEATS_MISSED * gate->opts.heartbeat;
 
   if (gate->beside.backend.state == BKD_UP && silent != 0
       && now > gate->beside.backend.heard + silent)
@@ -256,7 +259,7 @@
     }
   gat_check_backend (gate, now);
   gat_log_traffic (gate, now);
-  bsd_sample (&gate->beside, now);
+  bsd_sample (&gate->beside);
   if (gate->stopping && gat_stop_run (gate, now))
     {
       slog (SLOG_NOTICE, "connections closed unfinished=%d",
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -7,9 +7,6 @@
 #include "tasks/gate_state.h"
 #include "wire/expo.h"
 
-/* Heartbeats that may be missed before the server counts as lost.  */
-#define GAT_BEATS_MISSED 4
-
 static void
 gat_api_answer (struct gat_request *request, int status, const char *text)
 {
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -55,31 +55,25 @@
 {
   struct gat_call *call = attempt->call;
   struct gat_request *request = call->request;
-  const struct hm_names *names = call->gate->opts.adapter->names;
   clk_us now = lop_now (call->gate->loop);
-  struct nh_request told = { .importance = call->ent.importance,
-                             .route = call->ent.route_id,
-                             .idempotent = call->ent.route->idempotent,
-                             .repeat = call->ent.reached > 0,
-                             .inner = call->ent.inner,
-                             .haste = (uint32_t)(100 * gat_haste (call)) };
-  struct buf *out = &attempt->out->conn.out;
+  struct nh_request told
+      = { .importance = call->ent.importance,
+          .route = call->ent.route_id,
+          .idempotent = call->ent.route->idempotent,
+          .repeat = call->ent.reached > 0,
+          .inner = call->ent.inner,
+          .haste = (uint32_t)(gat_haste (call) * NH_HASTE_UNIT) };
   char text[NH_TEXT_BYTES];
+  struct gat_fields fields = { .caller = call->gate->opts.service,
+                               .wait = call->ent.deadline - now,
+                               .name = NH_REQUEST_FIELD,
+                               .value = text };
 
   memcpy (told.service, call->ent.service->name, sizeof told.service);
   told.timeout_ms = (uint32_t)((call->ent.timeout - now) / CLK_US_PER_MS);
   told.target_ms = ent_target_left_ms (&call->ent, now);
   nh_put_request (&told, text);
-  hm_request_line (out, request->head.method, request->head.target);
-  buf_append (out, request->head.lines.data, request->head.lines.len);
-  hm_add (out, NH_REQUEST_FIELD, text);
-  hm_add (out, names->name[HM_CALLER], call->gate->opts.service);
-  hm_add_number (out, names->name[HM_DEADLINE_MS],
-                 (long long)((call->ent.deadline - now) / CLK_US_PER_MS));
-  if (request->head.body_len != 0 || strcmp (request->head.method, "GET") != 0)
-    hm_end_head (out, request->head.body_len);
-  else
-    buf_append (out, "\r\n", 2);
+  gat_out_request (attempt->out, request, &fields);
   gat_out_body (attempt->out, request, &attempt->body_sent,
                 &attempt->body_done);
 }
@@ -133,8 +127,7 @@
   gat_attempt_free (attempt);
   if (passing)
     {
-      gat_answer_break (call->request);
-      gat_call_free (call);
+      gat_call_break (call);
       return;
     }
   gat_call_failed (call, &failure);
@@ -157,16 +150,15 @@
   memset (head, 0, sizeof *head);
   told = (struct ent_told){ .wait_us = attempt->told.wait_us,
                             .pressure_us = attempt->told.pressure_us,
-                            .fan_out = attempt->told.fan_out / 16.0,
-
-                            .load = attempt->told.load / 100.0,
+                            .fan_out
+                            = (double)attempt->told.fan_out / NH_FAN_OUT_UNIT,
+                            .load = (double)attempt->told.load / NH_LOAD_UNIT,
                             .inner = attempt->told.inner,
                             .answered = attempt->told.end == NH_ANSWERED,
                             .ran = now - attempt->started };
   if (told.ran > attempt->told.waited_us)
     told.ran -= attempt->told.waited_us;
   ent_learn (&gate->entry, &call->ent, &told, now);
-
   return SR_OK;
 }
 
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -22,6 +22,13 @@
   free (call);
 }
 
+void
+gat_call_break (struct gat_call *call)
+{
+  gat_answer_break (call->request);
+  gat_call_free (call);
+}
+
 /* The caller's connection has ended, or its answer is complete.  */
 void
 gat_call_gone (struct gat_call *call)
@@ -138,10 +145,7 @@
           = lst_entry (lst_first (&gate->calls), struct gat_call, node);
 
       if (call->request->head_done)
-        {
-          gat_answer_break (call->request);
-          gat_call_free (call);
-        }
+        gat_call_break (call);
       else
         gat_call_refuse (call, RSN_STOPPING, RSN_UNKNOWN, 0);
     }
@@ -181,8 +185,7 @@
     {
       slog (SLOG_INFO, "answer broken off id=%s reason=timeout route=%s",
             gat_id (call->request), call->ent.route->name);
-      gat_answer_break (call->request);
-      gat_call_free (call);
+      gat_call_break (call);
       return;
     }
   ent_ended (&call->ent, now);
--- a/tasks/gate_listen.c
+++ b/tasks/gate_listen.c
@@ -71,14 +71,3 @@
     }
   return SR_OK;
 }
-
-void
-gat_close_listeners (struct gate *gate)
-{
-  for (int i = 0; i < GAT_PORT_COUNT; i++)
-    if (gate->listeners[i].open)
-      {
-        gate->listeners[i].open = false;
-        lop_close (&gate->listeners[i].io, false);
-      }
-}
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -51,8 +51,9 @@
     }
 }
 
+/* The request that the connection carries.  */
 static const struct gat_request *
-gat_out_request (const struct gat_out *out)
+gat_out_carries (const struct gat_out *out)
 {
   return out->state == GAT_OUT_ATTEMPT ? out->user.attempt->call->request
                                        : out->user.serve->request;
@@ -63,7 +64,7 @@
 static bool
 gat_out_matches (const struct gat_out *out, const struct hm_head *head)
 {
-  const char *sent = gat_out_request (out)->head.value[HM_REQUEST_ID];
+  const char *sent = gat_out_carries (out)->head.value[HM_REQUEST_ID];
   const char *id = head->value[HM_REQUEST_ID];
 
   if (!out->pool->to_server && head->value[HM_NODE_ANSWER][0] == '\0')
@@ -86,7 +87,7 @@
     {
       slog (SLOG_WARNING,
             "answer dropped id=%s reason=other-request other=%s status=%d",
-            gat_id (gat_out_request (out)), head->value[HM_REQUEST_ID],
+            gat_id (gat_out_carries (out)), head->value[HM_REQUEST_ID],
             head->status);
       return head->keep_alive && ++out->strays <= GAT_STRAYS_MOST
                  ? SR_OK
@@ -315,6 +316,26 @@
   lop_set (out->gate->loop, &out->timer, now + out->idle_most);
 }
 
+void
+gat_out_request (struct gat_out *out, const struct gat_request *request,
+                 const struct gat_fields *fields)
+{
+  const struct hm_names *names = out->gate->opts.adapter->names;
+  const struct hm_head *head = &request->head;
+  struct buf *to = &out->conn.out;
+
+  hm_request_line (to, head->method, head->target);
+  buf_append (to, head->lines.data, head->lines.len);
+  hm_add (to, names->name[HM_CALLER], fields->caller);
+  hm_add (to, fields->name, fields->value);
+  hm_add_number (to, names->name[HM_DEADLINE_MS],
+                 (long long)(fields->wait / CLK_US_PER_MS));
+  if (head->body_len != 0 || strcmp (head->method, "GET") != 0)
+    hm_end_head (to, head->body_len);
+  else
+    buf_append (to, "\r\n", 2);
+}
+
 void
 gat_out_body (struct gat_out *out, struct gat_request *request, uint64_t *sent,
               bool *done)
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -49,15 +49,14 @@
                            : 0),
           .wait_us = (uint32_t)bsd_call_wait (beside, now),
           .pressure_us = (uint32_t)gat_below_pressure (gate),
-          .fan_out = (uint32_t)(bsd_fan_out (beside, now) * 16),
-
+          .fan_out = (uint32_t)(bsd_fan_out (beside, now) * NH_FAN_OUT_UNIT),
           .inner = serve->bsd.inner };
 
   if (end == NH_NOT_RUN)
     answer.retry_after_ms = bsd_retry_after_ms (beside);
   if (limit > 0)
     answer.load = (adm_running (beside->slots) + adm_waiting (beside->slots))
-                  * 100 / limit;
+                  * NH_LOAD_UNIT / limit;
   nh_put_answer (&answer, text);
 }
 
@@ -96,12 +95,10 @@
   if (now + GAT_NEAR_LIMIT_US >= serve->bsd.deadline)
     bsd_release (&gate->beside, &serve->bsd, PAC_TIMED_OUT,
                  (clk_us)gat_below_pressure (gate), now);
-
   if (serve->running && !serve->has_head)
     slog (SLOG_INFO, "run cancelled id=%s reason=caller-left ran_ms=%llu",
           gat_id (serve->request),
-          (unsigned long long)((lop_now (gate->loop) - serve->dispatched)
-                               / CLK_US_PER_MS));
+          (unsigned long long)((now - serve->dispatched) / CLK_US_PER_MS));
   gat_serve_free (serve);
   if (held)
     gat_serve_run (gate);
@@ -140,22 +137,16 @@
 {
   struct gat_request *request = serve->request;
   struct gate *gate = serve->gate;
-  const struct hm_names *names = gate->opts.adapter->names;
   clk_us now = lop_now (gate->loop);
   uint64_t spent_ms = (now - request->arrived) / CLK_US_PER_MS;
   uint64_t wait_ms = strtoull (request->head.value[HM_DEADLINE_MS], NULL, 10);
-  struct buf *out = &serve->out->conn.out;
-
-  hm_request_line (out, request->head.method, request->head.target);
-  buf_append (out, request->head.lines.data, request->head.lines.len);
-  hm_add (out, names->name[HM_CALLER], request->head.value[HM_CALLER]);
-  hm_add (out, names->name[HM_EXPECT], gate->beside.backend.last.id);
-  hm_add_number (out, names->name[HM_DEADLINE_MS],
-                 (long long)(wait_ms > spent_ms ? wait_ms - spent_ms : 1));
-  if (request->head.body_len != 0 || strcmp (request->head.method, "GET") != 0)
-    hm_end_head (out, request->head.body_len);
-  else
-    buf_append (out, "\r\n", 2);
+  struct gat_fields fields
+      = { .caller = request->head.value[HM_CALLER],
+          .wait = clk_ms (wait_ms > spent_ms ? wait_ms - spent_ms : 1),
+          .name = gate->opts.adapter->names->name[HM_EXPECT],
+          .value = gate->beside.backend.last.id };
+
+  gat_out_request (serve->out, request, &fields);
   gat_out_body (serve->out, request, &serve->body_sent, &serve->body_done);
 }
 
@@ -266,9 +257,8 @@
   gat_serve_run (gate);
 }
 
-/* What is wrong with an answer as a whole; RSN_NONE when nothing is.  A
-   success without the server's proof, or in an encoding that nobody asked
-   for, is not the server's answer.  */
+/* Whether the server made the answer.  A success without the server's proof,
+   or in an encoding that nobody asked for, is not the server's.  */
 static bool
 gat_answer_sound (const struct hm_head *head)
 {
@@ -438,7 +428,7 @@
   memcpy (serve->bsd.service, serve->told.service, sizeof serve->bsd.service);
   serve->bsd.importance = (uint8_t)serve->told.importance;
   serve->bsd.route = serve->told.route;
-  serve->bsd.haste = serve->told.haste / 100.0;
+  serve->bsd.haste = (double)serve->told.haste / NH_HASTE_UNIT;
   serve->bsd.inner = org_note (&gate->beside.origins, serve->told.route,
                                request->head.value[HM_CALLER],
                                serve->told.inner ? ORG_SERVERS : ORG_CALLERS)
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -78,13 +78,6 @@
   struct lop_timer timer;
 };
 
-enum gat_attempt_end
-{
-  GAT_ATTEMPT_ANSWERED,
-  GAT_ATTEMPT_FAILED,
-  GAT_ATTEMPT_DROPPED,
-};
-
 /* One try of a call at one server.  */
 struct gat_attempt
 {
@@ -184,6 +177,15 @@
   bool keep; /* may be used again after this answer */
 };
 
+/* What this node adds to the head of a request that it passes on.  */
+struct gat_fields
+{
+  const char *caller; /* service beside which the request arrived */
+  clk_us wait;        /* for which the caller of the request still waits */
+  const char *name;   /* one more field */
+  const char *value;
+};
+
 struct gat_listener
 {
   struct lop_io io;
@@ -240,14 +242,12 @@
   volatile sig_atomic_t reload_asked;
   bool stopping;
   struct gat_stop stop;
-  clk_us view_at;
   clk_us summed_at; /* when the counters were last logged */
   int exit_status;
 };
 
 /* gate_listen.c */
 int gat_listen (struct gate *gate);
-void gat_close_listeners (struct gate *gate);
 
 /* gate_in.c */
 /* Takes over an accepted socket.  */
@@ -278,6 +278,9 @@
                               bool to_server, bool fresh);
 /* The request has ended; KEEP: the connection may carry another one.  */
 void gat_out_give (struct gat_out *out, bool keep);
+/* Writes the head of a request.  */
+void gat_out_request (struct gat_out *out, const struct gat_request *request,
+                      const struct gat_fields *fields);
 /* Writes the part of a request's body after *SENT that fits; sets *DONE once
    all of it has been written.  */
 void gat_out_body (struct gat_out *out, struct gat_request *request,
@@ -292,6 +295,8 @@
 void gat_call_head (struct gat_request *request);
 void gat_call_body (struct gat_call *call);
 void gat_call_gone (struct gat_call *call);
+/* Ends a call whose answer has begun and cannot be completed.  */
+void gat_call_break (struct gat_call *call);
 /* Asks other nodes to refuse what waits there; what runs goes on.  */
 void gat_call_withdraw_all (struct gate *gate);
 /* Answers all that is unfinished, so that the answers behind it on the same
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -135,7 +135,6 @@
           hcn_end (conn, len == 0 ? HCN_END_ORDERLY : HCN_END_RESET);
           return;
         }
-      conn->bytes_in += (uint64_t)len;
       error = hm_feed (&conn->parser, buffer, (size_t)len);
       if (error != SR_OK)
         {
@@ -259,7 +258,6 @@
   conn->written = false;
   conn->finish = false;
   conn->lingering = false;
-  conn->bytes_in = 0;
   hm_init (&conn->parser, &parser);
   conn->release.fire = hcn_release;
   conn->io.readable = hcn_readable;
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -65,7 +65,6 @@
   bool written;   /* a byte was handed to the system */
   bool finish;    /* close once all is written */
   bool lingering; /* written and shut down; the peer may still send */
-  uint64_t bytes_in;
 };
 
 /* Takes over an accepted socket.  SR_OK or SR_EIO; FD is closed then.  */
--- a/tests/test_beside.c
+++ b/tests/test_beside.c
@@ -157,7 +157,7 @@
       if (rng_unit (&rng) < direct / 1000)
         submit (false, now);
       if (now % clk_ms (125) < clk_ms (1))
-        bsd_sample (&state, now);
+        bsd_sample (&state);
     }
   for (int i = 0; i < OPEN_MOST; i++)
     if (works[i].used)
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -376,12 +376,6 @@
   buf_free (&parser->connection);
 }
 
-void
-hm_limit (struct hm_parser *parser, size_t header_bytes)
-{
-  parser->opts.header_bytes = header_bytes;
-}
-
 int
 hm_feed (struct hm_parser *parser, const void *data, size_t len)
 {
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -120,9 +120,6 @@
 void hm_init (struct hm_parser *parser, const struct hm_opts *opts);
 void hm_fini (struct hm_parser *parser);
 
-/* The limit on header bytes for what follows.  */
-void hm_limit (struct hm_parser *parser, size_t header_bytes);
-
 /**
  * hm_feed() - parse what has been read
  * @parser: parser
--- a/wire/nodehdr.h
+++ b/wire/nodehdr.h
@@ -17,6 +17,10 @@
 #define NH_REQUEST_FIELD "Rudder-Request"
 #define NH_ANSWER_FIELD "Rudder-Answer"
 #define NH_TEXT_BYTES 192
+/* Values on the wire that stand for one.  */
+#define NH_HASTE_UNIT 100u
+#define NH_FAN_OUT_UNIT 16u
+#define NH_LOAD_UNIT 100u
 
 struct nh_request
 {
@@ -24,8 +28,9 @@
   uint32_t importance;
   uint32_t timeout_ms; /* left of the route's timeout */
   uint32_t target_ms;  /* left until an answer counts as late */
-  uint32_t haste; /* percent of their time limit that such requests take */
-  uint64_t route; /* digest of the route's name */
+  uint32_t haste;      /* part of their time limit that such requests take, in
+                          NH_HASTE_UNIT */
+  uint64_t route;      /* digest of the route's name */
   bool idempotent;
   bool repeat; /* an earlier attempt may have run */
   bool inner;  /* the route is known to be sent by backend servers only */
@@ -46,10 +51,10 @@
   uint32_t wait_us;        /* expected wait of a call of a running request */
   uint32_t pressure_us;    /* the longest such wait below the backend server */
   uint32_t waited_us;      /* by this request, for a slot */
-  uint32_t fan_out;        /* calls that one run leads to, times 16 */
-
-  uint32_t load; /* running and waiting requests, percent of slots */
-  bool inner;    /* the route is sent by backend servers only */
+  uint32_t fan_out; /* calls that one run leads to, in NH_FAN_OUT_UNIT */
+  uint32_t load;    /* running and waiting requests for each slot, in
+                       NH_LOAD_UNIT */
+  bool inner;       /* the route is sent by backend servers only */
 };
 
 void nh_put_request (const struct nh_request *request,
