An answer to HEAD ends with its head

Cause: hm_parser.head_answer was read and never set, and read through a head that the sink had moved out, so it would have had no effect. A request with HEAD was answered 504 after the time of its route: the length that the answer tells was taken for a body that does not come. Ruled out: the node between (the own answers to HEAD were right). Change: hm_expect_head() for each request that is sent on; the answer to the caller keeps the length that the server told. Before: test_gate "head" fails (504 after 2,000 ms), test_httpmsg "head" fails. After: both pass.

--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -235,7 +235,8 @@
     }
   if (!attempt->passing)
     {
-      attempt->head.body_len = (int64_t)attempt->answer.len;
+      if (!hm_is_head (&request->head))
+        attempt->head.body_len = (int64_t)attempt->answer.len;
       gat_attempt_pass (attempt);
     }
   gat_attempt_done (attempt, CHS_ANSWERED);
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -152,7 +152,8 @@
   struct buf *out = gat_answer_to (request);
 
   request->head_done = true;
-  request->chunked = body_len < 0 && !request->head.http_1_0;
+  request->chunked = body_len < 0 && !request->head.http_1_0
+                     && !hm_is_head (&request->head);
   request->close_after = request->close_after || !request->head.keep_alive
                          || (body_len < 0 && request->head.http_1_0)
                          || (in->gate->stopping && in->port == GAT_CALLERS
@@ -209,7 +210,7 @@
     hm_add (&fields, "Content-Type", type);
   gat_answer (request, status, fields.data, fields.len, (int64_t)len);
   buf_free (&fields);
-  if (strcmp (request->head.method, "HEAD") != 0)
+  if (!hm_is_head (&request->head))
     gat_answer_body (request, (const uint8_t *)text, len);
   gat_answer_end (request);
 }
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -294,6 +294,7 @@
   out->stray = false;
   out->keep = false;
   out->conn.written = false;
+  hm_expect_head (&out->conn.parser, false);
   return out;
 }
 
@@ -324,6 +325,7 @@
   const struct hm_head *head = &request->head;
   struct buf *to = &out->conn.out;
 
+  hm_expect_head (&out->conn.parser, hm_is_head (head));
   hm_request_line (to, head->method, head->target);
   buf_append (to, head->lines.data, head->lines.len);
   hm_add (to, names->name[HM_CALLER], fields->caller);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -153,8 +153,9 @@
     framing = "X-Open: 1";
   snprintf (out, sizeof out,
             "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n%sX-Odd: "
-            "%.20s\r\n%s\r\n\r\nhello",
-            id, seal, id, framing);
+            "%.20s\r\n%s\r\n\r\n%s",
+            id, seal, id, framing,
+            strncmp (text, "HEAD ", 5) == 0 ? "" : "hello");
   put (fd, out);
 }
 
@@ -235,20 +236,26 @@
   return answer;
 }
 
-/* A request of a caller with PATH and KIND of answer expected.  */
+/* Answer to a request of a caller.  */
 static char *
-get (const char *path)
+ask_method (const char *method, const char *path)
 {
   char text[512];
 
   snprintf (text, sizeof text,
-            "GET %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            "%s %s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
             "X-Sycamorerudder-Request-Id: q7\r\n"
             "X-Sycamorerudder-Deadline-Ms: 3000\r\n\r\n",
-            path);
+            method, path);
   return ask (GAT_CALLERS, text);
 }
 
+static char *
+get (const char *path)
+{
+  return ask_method ("GET", path);
+}
+
 static void
 beat_of (const char *id, int sequence, const char *state)
 {
@@ -371,6 +378,21 @@
   CU_ASSERT_TRUE (server_saw ("3\r\nabc\r\n0\r\n\r\n"));
 }
 
+/* Guards against an answer to HEAD that is waited for until the time is over,
+   since its length tells of a body that does not come.  */
+static void
+test_head (void)
+{
+  char *answer = ask_method ("HEAD", "/r/ok");
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, " 200 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Content-Length: 5\r\n"));
+  CU_ASSERT_PTR_NULL (strstr (answer, "hello"));
+  answer = ask_method ("HEAD", "/r/open");
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, " 200 "));
+  CU_ASSERT_STRING_EQUAL (strstr (answer, "\r\n\r\n"), "\r\n\r\n");
+}
+
 /* Guards against pipelined requests that wait for each other, and answers out
    of order.  */
 static void
@@ -579,6 +601,7 @@
       = { { "begin", begin },
           { "probe", test_probe },
           { "bytes", test_bytes },
+          { "head", test_head },
           { "pipeline", test_pipeline },
           { "broken answers", test_broken_answers },
           { "runs once", test_runs_once },
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -234,17 +234,42 @@
     }
 }
 
+/* Guards against an answer to HEAD whose length is taken for a body, so that
+   the next answer is read as that body.  */
+static void
+test_head (void)
+{
+  static const char text[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  struct seen seen = { 0 };
+  struct hm_opts opts = { .role = HM_ANSWER,
+                          .names = &names,
+                          .sink = &sink,
+                          .arg = &seen,
+                          .header_bytes = 1024 };
+  struct hm_parser parser;
+
+  hm_init (&parser, &opts);
+  hm_expect_head (&parser, true);
+  CU_ASSERT_EQUAL (hm_feed (&parser, text, strlen (text)), SR_OK);
+  CU_ASSERT_EQUAL (seen.heads, 2);
+  CU_ASSERT_EQUAL (seen.ends, 2);
+  CU_ASSERT_EQUAL (seen.body.len, 0);
+  CU_ASSERT_TRUE (seen.head.keep_alive);
+  hm_fini (&parser);
+  seen_free (&seen);
+}
+
 int
 main (void)
 {
-  static const struct suite_test tests[]
-      = { { "bytes stay", test_bytes_stay },
-          { "smuggling", test_smuggling },
-          { "long header", test_long_header },
-          { "pipeline", test_pipeline },
-          { "answers", test_answers },
-          { "random bytes", test_random_bytes },
-          { NULL, NULL } };
+  static const struct suite_test tests[] = {
+    { "bytes stay", test_bytes_stay },     { "smuggling", test_smuggling },
+    { "long header", test_long_header },   { "pipeline", test_pipeline },
+    { "answers", test_answers },           { "head", test_head },
+    { "random bytes", test_random_bytes }, { NULL, NULL }
+  };
 
   return suite_run ("httpmsg", tests);
 }
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -282,11 +282,10 @@
     head->body_len = (int64_t)http->content_length;
   if (head->role == HM_REQUEST && !head->chunked && head->body_len < 0)
     head->body_len = 0;
-  if (head->role == HM_ANSWER
-      && (parser->head_answer || head->status == 204 || head->status == 304))
+  if (head->role == HM_ANSWER && (head->status == 204 || head->status == 304))
     head->body_len = 0;
-  head->until_close
-      = head->role == HM_ANSWER && !head->chunked && head->body_len < 0;
+  head->until_close = head->role == HM_ANSWER && !parser->head_answer
+                      && !head->chunked && head->body_len < 0;
   head->keep_alive = !head->until_close && http_should_keep_alive (http) != 0;
   head->http_1_0 = http->http_major == 1 && http->http_minor == 0;
 }
@@ -322,7 +321,8 @@
   parser->error = parser->opts.sink->head (parser->opts.arg, head);
   if (parser->error != 0)
     return -1;
-  return head->role == HM_ANSWER && parser->head_answer ? 1 : 0;
+  /* The sink may have moved the head out.  */
+  return parser->opts.role == HM_ANSWER && parser->head_answer ? 1 : 0;
 }
 
 static int
@@ -376,6 +376,18 @@
   buf_free (&parser->connection);
 }
 
+void
+hm_expect_head (struct hm_parser *parser, bool expected)
+{
+  parser->head_answer = expected;
+}
+
+bool
+hm_is_head (const struct hm_head *request)
+{
+  return strcmp (request->method, "HEAD") == 0;
+}
+
 int
 hm_feed (struct hm_parser *parser, const void *data, size_t len)
 {
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -60,7 +60,8 @@
   int status;
   struct buf lines; /* fields that are passed on, "name: value\r\n" each */
   char value[HM_FIELD_COUNT][HM_VALUE_BYTES]; /* empty when absent */
-  int64_t body_len; /* HM_LENGTH_UNKNOWN: chunked or until the end */
+  int64_t body_len; /* HM_LENGTH_UNKNOWN: chunked or until the end; of an
+                       answer to HEAD the length that it tells */
   bool chunked;
   bool until_close;
   bool keep_alive;
@@ -120,6 +121,12 @@
 void hm_init (struct hm_parser *parser, const struct hm_opts *opts);
 void hm_fini (struct hm_parser *parser);
 
+/* Whether the next answer is one to HEAD, which has no body.  */
+void hm_expect_head (struct hm_parser *parser, bool expected);
+
+/* Whether a request asks for no body.  */
+bool hm_is_head (const struct hm_head *request);
+
 /**
  * hm_feed() - parse what has been read
  * @parser: parser
