Bound on the requests of one connection that are served at a time

Cause: GAT_PIPELINE_MOST (64) was defined and nothing used it. A caller that writes thousands of requests and reads no answer had all of them taken, each with its record, its attempt and its place in the queue of a server.

Ruled out: a bound by bytes alone; the read that is in progress brings more than 64 small requests, so what it brought has to wait somewhere. Refusing them: they are well formed and can be served in their turn.

Change: after 64 requests the connection is not read; those of the last read are held and started as the ones before them end.

Before: test_gate 'long pipeline' fails, every request that one read brought is taken at once.

Conclusion: a connection costs the node 64 requests and one read.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -12,11 +12,13 @@
 #define GAT_IDLE_MS 60000
 /* Other nodes close idle connections themselves, before this.  */
 #define GAT_NODE_IDLE_MS 60000
-/* Requests of one connection that are served at a time.  */
+/* Requests of one connection that are served at a time.  More are not read,
+   and those that the last read brought are held.  */
 #define GAT_PIPELINE_MOST 64
 #define GAT_SILENT_MS 8000
 
 static void gat_request_free (struct gat_request *request);
+static void gat_in_start_held (struct gat_in *in);
 
 static const struct rte_limits *
 gat_limits (const struct gate *gate)
@@ -56,9 +58,26 @@
   return lst_entry (lst_last (&in->requests), struct gat_request, node);
 }
 
-/* Removes the requests that are through, and hands the next one's answer to
-   the connection.  */
 static void
+gat_in_push (struct gat_in *in, struct gat_request *request)
+{
+  request->gate = in->gate;
+  request->in = in;
+  lst_push_tail (&in->requests, &request->node);
+  in->request_count++;
+}
+
+/* Reads on unless there is enough to do already.  */
+static void
+gat_in_flow (struct gat_in *in)
+{
+  lop_pause (&in->conn.io,
+             in->request_count >= GAT_PIPELINE_MOST
+                 || (!lst_empty (&in->requests)
+                     && gat_in_last (in)->body.len >= GAT_KEEP_BYTES));
+}
+
+void
 gat_in_advance (struct gat_in *in)
 {
   struct gat_request *request;
@@ -87,6 +106,11 @@
   if (!in->ended)
     {
       hcn_flush (&in->conn);
+      gat_in_start_held (in);
+      if (in->ended)
+        return;
+      if (!in->last)
+        gat_in_flow (in);
       if (lst_empty (&in->requests) && !in->conn.closed)
         gat_in_wait (in, hm_inside (&in->conn.parser));
       return;
@@ -98,8 +122,7 @@
   hcn_finish (&in->conn);
 }
 
-/* Ends the connection with what it still carries.  */
-static void
+void
 gat_in_end (struct gat_in *in, bool reset)
 {
   in->ended = true;
@@ -115,6 +138,8 @@
 gat_request_free (struct gat_request *request)
 {
   lst_remove (&request->node);
+  request->in->request_count--;
+  request->in->held_count -= request->kind == GAT_KIND_HELD;
   lst_remove (&request->api_node);
   request->in = NULL;
   switch (request->kind)
@@ -126,6 +151,7 @@
       gat_serve_gone (request->u.serve);
       break;
     case GAT_KIND_API:
+    case GAT_KIND_HELD:
     case GAT_KIND_NONE:
       break;
     }
@@ -135,100 +161,13 @@
   free (request);
 }
 
-/* Where the bytes of the answer go now.  */
-static struct buf *
-gat_answer_to (struct gat_request *request)
-{
-  if (lst_first (&request->in->requests) == &request->node)
-    return &request->in->conn.out;
-  return &request->answer;
-}
-
-void
-gat_answer (struct gat_request *request, int status, const void *lines,
-            size_t lines_len, int64_t body_len)
-{
-  struct gat_in *in = request->in;
-  struct buf *out = gat_answer_to (request);
-
-  request->head_done = true;
-  request->chunked = body_len < 0 && !request->head.http_1_0
-                     && !hm_is_head (&request->head);
-  request->close_after = request->close_after || !request->head.keep_alive
-                         || (body_len < 0 && request->head.http_1_0)
-                         || (in->gate->stopping && in->port == GAT_CALLERS
-                             && lst_last (&in->requests) == &request->node);
-  if (request->close_after)
-    in->last = true;
-  hm_status_line (out, status);
-  buf_append (out, lines, lines_len);
-  if (request->close_after)
-    hm_add (out, "Connection", "close");
-  if (body_len < 0 && !request->chunked)
-    buf_append (out, "\r\n", 2);
-  else
-    hm_end_head (out, body_len);
-}
-
-void
-gat_answer_body (struct gat_request *request, const uint8_t *data, size_t len)
-{
-  hm_body (gat_answer_to (request), request->chunked, data, len);
-  if (gat_answer_to (request) == &request->in->conn.out)
-    hcn_flush (&request->in->conn);
-}
-
-void
-gat_answer_end (struct gat_request *request)
-{
-  struct gat_in *in = request->in;
-
-  hm_body_end (gat_answer_to (request), request->chunked);
-  request->answer_whole = true;
-  request->kind = GAT_KIND_NONE;
-  /* What is left of the body is read and dropped.  */
-  buf_free (&request->body);
-  gat_body_room (request);
-  gat_in_advance (in);
-}
-
-void
-gat_answer_break (struct gat_request *request)
-{
-  request->kind = GAT_KIND_NONE;
-  gat_in_end (request->in, true);
-}
-
-void
-gat_answer_own (struct gat_request *request, int status, const char *lines,
-                const char *type, const char *text, size_t len)
-{
-  struct buf fields = { 0 };
-
-  buf_append (&fields, lines, strlen (lines));
-  if (len > 0)
-    hm_add (&fields, "Content-Type", type);
-  gat_answer (request, status, fields.data, fields.len, (int64_t)len);
-  buf_free (&fields);
-  if (!hm_is_head (&request->head))
-    gat_answer_body (request, (const uint8_t *)text, len);
-  gat_answer_end (request);
-}
-
-bool
-gat_answer_full (const struct gat_request *request)
-{
-  return request->answer.len > HCN_HIGH_BYTES || hcn_full (&request->in->conn);
-}
-
 void
 gat_body_room (struct gat_request *request)
 {
   struct gat_in *in = request->in;
 
-  if (in == NULL || lst_last (&in->requests) != &request->node)
-    return;
-  lop_pause (&in->conn.io, request->body.len >= GAT_KEEP_BYTES);
+  if (in != NULL && gat_in_last (in) == request)
+    gat_in_flow (in);
 }
 
 /* Answers a request that cannot be read, after those before it.  */
@@ -238,17 +177,33 @@
   struct gat_request *request = calloc (1, sizeof *request);
 
   INVARIANT (request != NULL);
-  request->gate = in->gate;
-  request->in = in;
   request->body_whole = true;
   request->close_after = true;
-  lst_push_tail (&in->requests, &request->node);
+  gat_in_push (in, request);
   slog (SLOG_WARNING, "request refused id=- status=%d reason=%s", status,
         status == 431 ? "headers-too-large" : "malformed");
   ctr_refused (status == 431 ? RSN_HEADERS_TOO_LARGE : RSN_MALFORMED);
   gat_answer_own (request, status, "", "text/plain", "refused\n", 8);
 }
 
+/* Hands a request to whoever answers it.  */
+static void
+gat_in_start (struct gat_request *request)
+{
+  switch (request->in->port)
+    {
+    case GAT_CALLERS:
+      gat_call_head (request);
+      break;
+    case GAT_NODES:
+      gat_serve_head (request);
+      break;
+    default:
+      gat_api_head (request);
+      break;
+    }
+}
+
 static int
 gat_in_head (void *arg, struct hm_head *head)
 {
@@ -260,8 +215,6 @@
     return SR_EAGAIN;
   request = calloc (1, sizeof *request);
   INVARIANT (request != NULL);
-  request->gate = gate;
-  request->in = in;
   request->head = *head;
   memset (head, 0, sizeof *head);
   request->arrived = lop_now (gate->loop);
@@ -269,7 +222,8 @@
   in->last = request->close_after;
   in->reading_body = true;
   lop_cancel (&in->timer);
-  lst_push_tail (&in->requests, &request->node);
+  gat_in_push (in, request);
+  gat_in_flow (in);
   if (request->head.wants_continue
       && lst_first (&in->requests) == &request->node)
     buf_append (&in->conn.out, "HTTP/1.1 100 Continue\r\n\r\n", 25);
@@ -279,18 +233,13 @@
       gat_answer_own (request, 413, "", "text/plain", "refused\n", 8);
       return SR_EAGAIN;
     }
-  switch (in->port)
+  if (in->request_count > GAT_PIPELINE_MOST)
     {
-    case GAT_CALLERS:
-      gat_call_head (request);
-      break;
-    case GAT_NODES:
-      gat_serve_head (request);
-      break;
-    default:
-      gat_api_head (request);
-      break;
+      request->kind = GAT_KIND_HELD;
+      in->held_count++;
     }
+  else
+    gat_in_start (request);
   return in->conn.closed || in->ended ? SR_EAGAIN : SR_OK;
 }
 
@@ -310,11 +259,63 @@
       if (request->body_whole)
         gat_api_run (request);
       break;
+    case GAT_KIND_HELD:
     case GAT_KIND_NONE:
       break;
     }
 }
 
+/* The first held request that may be served now, or NULL.  */
+static struct gat_request *
+gat_in_next_held (struct gat_in *in)
+{
+  uint32_t at = 0;
+
+  if (in->ended || in->held_count == 0)
+    return NULL;
+  lst_each (node, &in->requests)
+    {
+      struct gat_request *request = lst_entry (node, struct gat_request, node);
+
+      if (request->kind == GAT_KIND_HELD)
+        return request;
+      if (++at == GAT_PIPELINE_MOST)
+        break;
+    }
+  return NULL;
+}
+
+/* Whether REQUEST, which may be freed by now, is still there.  */
+static bool
+gat_in_has (const struct gat_in *in, const struct gat_request *request)
+{
+  lst_each (node, &in->requests)
+    if (lst_entry (node, struct gat_request, node) == request)
+      return true;
+  return false;
+}
+
+/* Starts what may be served now.  A refusal ends a request at once and comes
+   here again.  */
+static void
+gat_in_start_held (struct gat_in *in)
+{
+  struct gat_request *request;
+
+  if (in->starting)
+    return;
+  in->starting = true;
+  while ((request = gat_in_next_held (in)) != NULL)
+    {
+      request->kind = GAT_KIND_NONE;
+      in->held_count--;
+      gat_in_start (request);
+      if (gat_in_has (in, request))
+        gat_in_body_grew (request);
+    }
+  in->starting = false;
+}
+
 static int
 gat_in_body (void *arg, const uint8_t *data, size_t len)
 {
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -33,6 +33,7 @@
 enum gat_kind
 {
   GAT_KIND_NONE, /* answered at once */
+  GAT_KIND_HELD, /* not looked at yet */
   GAT_KIND_CALL,
   GAT_KIND_SERVE,
   GAT_KIND_API,
@@ -72,6 +73,9 @@
   struct gate *gate;
   enum gat_port port;
   struct lst requests; /* struct gat_request */
+  uint32_t request_count;
+  uint32_t held_count; /* of them, GAT_KIND_HELD */
+  bool starting;       /* what is held is being started */
   bool reading_body;   /* of the last request */
   bool last;           /* no further request is taken */
   bool ended;
@@ -252,6 +256,18 @@
 /* gate_in.c */
 /* Takes over an accepted socket.  */
 void gat_in_open (struct gate *gate, enum gat_port port, int fd);
+/* The request takes more of its body.  */
+void gat_body_room (struct gat_request *request);
+/* Removes the requests that are through, and hands the next one's answer to
+   the connection.  */
+void gat_in_advance (struct gat_in *in);
+/* Ends the connection with what it still carries.  */
+void gat_in_end (struct gat_in *in, bool reset);
+void gat_in_sweep (struct gate *gate);
+/* The id that the caller gave the request.  */
+const char *gat_id (const struct gat_request *request);
+
+/* gate_answer.c */
 /* Begins an answer; LINES are fields that end with "\r\n" each.  */
 void gat_answer (struct gat_request *request, int status, const void *lines,
                  size_t lines_len, int64_t body_len);
@@ -265,11 +281,6 @@
                      const char *lines, const char *type, const char *text,
                      size_t len);
 bool gat_answer_full (const struct gat_request *request);
-/* The request takes more of its body.  */
-void gat_body_room (struct gat_request *request);
-void gat_in_sweep (struct gate *gate);
-/* The id that the caller gave the request.  */
-const char *gat_id (const struct gat_request *request);
 
 /* gate_out.c */
 /* A connection for one request, or NULL.  FRESH: not one that was idle for
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "core/clk.h"
+#include "core/ctr.h"
 #include "platform/platform.h"
 #include "sycamorerudder.h"
 #include "tasks/gate.h"
@@ -18,6 +19,12 @@
 #define TEXT_BYTES 65536
 /* More than the gaps between the descriptors of this program.  */
 #define FILLED 64
+/* Requests of one connection; several times what one read brings.  */
+#define PIPELINED 2000
+/* Of them, served at a time.  */
+#define PIPELINED_AT_ONCE 64
+/* Bytes of more answers than are served at a time.  */
+#define ANSWERS_BYTES 40000
 
 static const char document[]
     = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
@@ -393,6 +400,38 @@
   CU_ASSERT_STRING_EQUAL (strstr (answer, "\r\n\r\n"), "\r\n\r\n");
 }
 
+/* Pattern: a caller that sends far more requests than it reads answers.
+   Guards against all of them being taken, and kept, at once.  */
+static void
+test_long_pipeline (void)
+{
+  static const char request[] = "GET /l/slow HTTP/1.1\r\nHost: h\r\n"
+                                "X-Sycamorerudder-Request-Id: p\r\n\r\n";
+  char *text = malloc (PIPELINED * sizeof request);
+  uint64_t before = ctr_get (CTR_CALLS);
+  size_t len = 0;
+  size_t got;
+  ssize_t part;
+  int fd = dial (addresses[GAT_CALLERS]);
+
+  for (int i = 0; i < PIPELINED; i++)
+    {
+      memcpy (text + len, request, sizeof request - 1);
+      len += sizeof request - 1;
+    }
+  CU_ASSERT_TRUE (send (fd, text, len, MSG_DONTWAIT) > 0);
+  usleep (100000);
+  CU_ASSERT_TRUE (ctr_get (CTR_CALLS) > before);
+  CU_ASSERT_TRUE (ctr_get (CTR_CALLS) - before <= PIPELINED_AT_ONCE);
+  for (got = 0; got < ANSWERS_BYTES; got += (size_t)part)
+    if ((part = read (fd, text, PIPELINED * sizeof request)) <= 0)
+      break;
+  CU_ASSERT_TRUE (ctr_get (CTR_CALLS) - before > PIPELINED_AT_ONCE);
+  close (fd);
+  free (text);
+  usleep (400000);
+}
+
 /* Guards against pipelined requests that wait for each other, and answers out
    of order.  */
 static void
@@ -603,6 +642,7 @@
           { "bytes", test_bytes },
           { "head", test_head },
           { "pipeline", test_pipeline },
+          { "long pipeline", test_long_pipeline },
           { "broken answers", test_broken_answers },
           { "runs once", test_runs_once },
           { "bad input", test_bad_input },
