What both chains agree on about a request stands in one header

The importance of calls (95) and of the most important routes (80), and the calls of one run from which on a request starts a chain (0.5), were defined in the chain at the entry and again in the one beside the server; a change of one alone would have put requests in the wrong class.

--- a/filters/beside.c
+++ b/filters/beside.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/err.h"
+#include "filters/importance.h"
 
 /* Requests that wait, for each slot.  */
 #define BSD_QUEUE_PER_SLOT 4
@@ -27,11 +28,6 @@
 #define BSD_FADE_US clk_s (1)
 #define BSD_FADE 0.7
 #define BSD_RUNS_LEAST 8
-#define BSD_CALL_IMPORTANCE 95
-/* Importance of the most important routes.  */
-#define BSD_URGENT_IMPORTANCE 80
-/* Calls of one run from which on the services below set the pace.  */
-#define BSD_CALLS_LEAST 0.5
 #define BSD_RETRY_LEAST_MS 100
 #define BSD_RETRY_MOST_MS 2000
 
@@ -150,8 +146,7 @@
   struct adm_event event;
 
   memset (&request->ticket, 0, sizeof request->ticket);
-  request->ticket.importance
-      = request->inner ? BSD_CALL_IMPORTANCE : request->importance;
+  request->ticket.importance = request->inner ? IMP_CALL : request->importance;
   request->ticket.cost = request->inner ? MDL_SHORT : MDL_LONG;
   request->ticket.arrived = now;
   request->ticket.deadline = request->deadline - BSD_MARGIN_US;
@@ -192,11 +187,10 @@
         return bsd_refuse (RSN_DEADLINE_QUEUED);
       break;
     case BSD_PACE:
-      if (request->inner || bsd_fan_out (state, now) < BSD_CALLS_LEAST)
+      if (request->inner || bsd_fan_out (state, now) < IMP_CHAIN_CALLS)
         break;
-      request->pace
-          = pac_take (&state->pace, request->route,
-                      request->importance >= BSD_URGENT_IMPORTANCE, now);
+      request->pace = pac_take (&state->pace, request->route,
+                                request->importance >= IMP_ROUTE_FIRST, now);
       if (request->pace == NULL)
         return bsd_refuse (RSN_UPSTREAM_SHED);
       break;
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "core/err.h"
+#include "filters/importance.h"
 
 /* Time that a caller waits when it does not say.  */
 #define ENT_WAIT_DEFAULT_MS 30000
@@ -11,11 +12,8 @@
 #define ENT_LEAST_US clk_ms (5)
 /* Answers leave this much before the caller stops waiting.  */
 #define ENT_MARGIN_US clk_ms (15)
-/* Importance of the priorities 0, 1, 2 … of routes, and of the calls of
-   running requests, which go before new work.  */
-#define ENT_IMPORTANCE_FIRST 80
+/* Between the priorities 0, 1, 2 … of routes.  */
 #define ENT_IMPORTANCE_STEP 10
-#define ENT_IMPORTANCE_CALL 95
 /* Attempts without a run after which the request is refused.  */
 #define ENT_MOVES_MOST 4
 /* Servers that are asked while the services below them are overloaded; the
@@ -33,8 +31,6 @@
    important priority are refused.  */
 #define ENT_PRESSURE_LEAST_US 120000.0
 #define ENT_PRESSURE_MOST_US 400000.0
-/* Calls of one run from which on a request is a chain.  */
-#define ENT_CALLS_LEAST 0.5
 /* Pause of a caller that no server could be found for.  */
 #define ENT_RETRY_AFTER_MS 300
 /* Part of the retry budget that new requests may use.  */
@@ -174,10 +170,10 @@
   uint32_t steps = request->route->priority;
 
   if (request->inner)
-    return ENT_IMPORTANCE_CALL;
-  if (steps > ENT_IMPORTANCE_FIRST / ENT_IMPORTANCE_STEP)
-    steps = ENT_IMPORTANCE_FIRST / ENT_IMPORTANCE_STEP;
-  return (uint8_t)(ENT_IMPORTANCE_FIRST - steps * ENT_IMPORTANCE_STEP);
+    return IMP_CALL;
+  if (steps > IMP_ROUTE_FIRST / ENT_IMPORTANCE_STEP)
+    steps = IMP_ROUTE_FIRST / ENT_IMPORTANCE_STEP;
+  return (uint8_t)(IMP_ROUTE_FIRST - steps * ENT_IMPORTANCE_STEP);
 }
 
 static struct ent_result
@@ -249,7 +245,7 @@
   double least = ENT_PRESSURE_LEAST_US;
   double share;
 
-  if (request->inner || request->service->fan_out < ENT_CALLS_LEAST)
+  if (request->inner || request->service->fan_out < IMP_CHAIN_CALLS)
     return (struct ent_result){ .kind = ENT_GO };
   if (request->route->priority == 0)
     least = ENT_PRESSURE_MOST_US;
