--- a/core/api.h
+++ b/core/api.h
@@ -13,6 +13,9 @@
 
 #include "core/route.h"
 
+/* What is wrong with a call or a document, in words.  */
+#define API_FAULT_BYTES 160
+
 #define API_ID_BYTES 64
 #define API_ADDRESS_BYTES 64
 
@@ -67,7 +70,7 @@
 struct api_call
 {
   enum api_kind kind;
-  char fault[160]; /* for API_MALFORMED: what is wrong */
+  char fault[API_FAULT_BYTES]; /* for API_MALFORMED: what is wrong */
   union
   {
     struct api_beat beat;
@@ -86,7 +89,7 @@
   /* Builds the routing table of a document; SR_OK, SR_EMALFORMED, SR_EINVAL
      with the reason in FAULT.  */
   int (*parse) (const char *document, size_t len, struct mdl **out,
-                char fault[160]);
+                char fault[API_FAULT_BYTES]);
 };
 
 #endif
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -45,7 +45,7 @@
 static int
 npl_read (struct plt_settings *settings)
 {
-  char fault[160] = "";
+  char fault[API_FAULT_BYTES] = "";
   int error = plt_read_settings (settings, fault);
 
   if (error != SR_OK)
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -115,7 +115,7 @@
 {
   const struct api_adapter *adapter = request->gate->opts.adapter;
   struct mdl *model = NULL;
-  char fault[160] = "";
+  char fault[API_FAULT_BYTES] = "";
   char text[GAT_TEXT_BYTES];
   int error = adapter->parse ((const char *)request->body.data,
                               request->body.len, &model, fault);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -300,7 +300,7 @@
                                .slots = 4,
                                .state = MEM_SERVING,
                                .incarnation = 1 };
-  char fault[160];
+  char fault[API_FAULT_BYTES];
   pthread_t thread;
 
   server_listener = listen_any (server_address);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -23,7 +23,7 @@
 parse (const char *text, size_t len)
 {
   struct mdl *model = NULL;
-  char fault[160] = "";
+  char fault[API_FAULT_BYTES] = "";
   int error = plt_parse_document (text, len, &model, fault);
 
   mdl_unref (model);
@@ -36,7 +36,7 @@
 test_document (void)
 {
   struct mdl *model = NULL;
-  char fault[160] = "";
+  char fault[API_FAULT_BYTES] = "";
   struct rte_route *route;
 
   CU_ASSERT_EQUAL_FATAL (
@@ -106,7 +106,7 @@
 test_settings (void)
 {
   struct plt_settings out;
-  char fault[160] = "";
+  char fault[API_FAULT_BYTES] = "";
 
   CU_ASSERT_EQUAL_FATAL (
       plt_parse_settings (settings, strlen (settings), &out, fault), SR_OK);
