A pool of connections goes with its last connection

Cause: each address that a node ever dialled kept a record, found by comparing texts one after the other. Servers come back at other addresses, so the list grew for as long as the process ran.

Ruled out: freeing on the change of members; connections under way to a server that has left still need their pool.

Change: pools are in a hash table (tasks/gate_pool.c) and are freed when the last connection of theirs is released.

Conclusion: the pools of a node are bounded by its open connections.

--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -56,7 +56,6 @@
   lst_init (&gate->ins);
   lst_init (&gate->calls);
   lst_init (&gate->serves);
-  lst_init (&gate->pools);
   lst_init (&gate->apis);
   gat_own_address (gate);
   gate->loop = lop_new (&loop);
@@ -64,6 +63,7 @@
   INVARIANT (gate->loop != NULL && gate->inbox != NULL);
   INVARIANT (ent_init (&gate->entry, &entry) == SR_OK);
   INVARIANT (bsd_init (&gate->beside) == SR_OK);
+  INVARIANT (hsh_init (&gate->pools) == SR_OK);
   gate->tick.fire = gat_tick;
   if (gat_listen (gate) == SR_OK)
     return gate;
@@ -77,7 +77,7 @@
   /* Connections go with the loop; the process ends.  */
   lop_free (gate->loop);
   inb_free (gate->inbox);
-  gat_out_free (gate);
+  hsh_fini (&gate->pools);
   ent_fini (&gate->entry);
   bsd_fini (&gate->beside);
   free (gate);
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -204,6 +204,7 @@
   lst_remove (&out->node);
   lop_cancel (&out->timer);
   out->pool->open--;
+  gat_pool_drop (out->gate, out->pool);
   free (out);
 }
 
@@ -223,26 +224,6 @@
   gat_out_fail (out, RSN_CONNECT_FAILED, RSN_NOT_RUN);
 }
 
-static struct gat_pool *
-gat_pool (struct gate *gate, const char *address, bool to_server)
-{
-  struct gat_pool *pool;
-
-  lst_each (node, &gate->pools)
-    {
-      pool = lst_entry (node, struct gat_pool, node);
-      if (pool->to_server == to_server && strcmp (pool->address, address) == 0)
-        return pool;
-    }
-  pool = calloc (1, sizeof *pool);
-  INVARIANT (pool != NULL);
-  memcpy (pool->address, address, strnlen (address, sizeof pool->address - 1));
-  pool->to_server = to_server;
-  lst_init (&pool->idle);
-  lst_push_tail (&gate->pools, &pool->node);
-  return pool;
-}
-
 static struct gat_out *
 gat_out_dial (struct gate *gate, struct gat_pool *pool)
 {
@@ -260,6 +241,7 @@
   out->timer.fire = gat_out_timeout;
   if (hcn_dial (&out->conn, &opts, pool->address) != SR_OK)
     {
+      gat_pool_drop (gate, pool);
       free (out);
       return NULL;
     }
@@ -272,7 +254,7 @@
 gat_out_take (struct gate *gate, const char *address, bool to_server,
               bool fresh)
 {
-  struct gat_pool *pool = gat_pool (gate, address, to_server);
+  struct gat_pool *pool = gat_pool_get (gate, address, to_server);
   clk_us now = lop_now (gate->loop);
   struct gat_out *out = NULL;
 
@@ -357,12 +339,3 @@
     }
   hcn_flush (&out->conn);
 }
-
-void
-gat_out_free (struct gate *gate)
-{
-  struct lst_node *node;
-
-  while ((node = lst_pop_head (&gate->pools)) != NULL)
-    free (lst_entry (node, struct gat_pool, node));
-}
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -8,6 +8,7 @@
 #include <signal.h>
 
 #include "core/err.h"
+#include "core/hash.h"
 #include "filters/beside.h"
 #include "filters/entry.h"
 #include "tasks/gate.h"
@@ -151,7 +152,7 @@
 /* Connections to one address.  */
 struct gat_pool
 {
-  struct lst_node node; /* gate->pools */
+  struct hsh_node node; /* gate->pools */
   char address[MEM_ADDRESS_BYTES];
   bool to_server;
   struct lst idle; /* struct gat_out, last used first */
@@ -231,7 +232,7 @@
   struct lst ins;    /* struct gat_in */
   struct lst calls;  /* struct gat_call */
   struct lst serves; /* struct gat_serve */
-  struct lst pools;  /* struct gat_pool */
+  struct hsh pools;  /* struct gat_pool */
   struct lst apis;   /* struct gat_request that wait for the control task */
   uint64_t next_api;
   bool confirmed; /* the configuration, by a quorum */
@@ -282,6 +283,13 @@
                      size_t len);
 bool gat_answer_full (const struct gat_request *request);
 
+/* gate_pool.c */
+struct gat_pool *gat_pool_get (struct gate *gate, const char *address,
+                               bool to_server);
+/* Frees a pool that has no connection; servers come back at other
+   addresses.  */
+void gat_pool_drop (struct gate *gate, struct gat_pool *pool);
+
 /* gate_out.c */
 /* A connection for one request, or NULL.  FRESH: not one that was idle for
    long.  */
@@ -296,7 +304,6 @@
    all of it has been written.  */
 void gat_out_body (struct gat_out *out, struct gat_request *request,
                    uint64_t *sent, bool *done);
-void gat_out_free (struct gate *gate);
 
 /* gate_call.c */
 void gat_call_free (struct gat_call *call);
