--- a/programs/fake_options.c
+++ b/programs/fake_options.c
@@ -18,15 +18,28 @@
   options->call_host[len] = '\0';
 }
 
+static void
+fop_check_fields (const struct fake_options *options)
+{
+  for (size_t i = 0; i < options->answer_fields.count; i++)
+    if (strstr (options->answer_fields.items[i], ": ") == NULL)
+      top_fail (FOP_PROGRAM, "answer-field", options->answer_fields.items[i],
+                "NAME: VALUE");
+}
+
 static void
 fop_check (struct fake_options *options)
 {
+  fop_check_fields (options);
   if (options->listen.port == 0)
     top_fail (FOP_PROGRAM, "listen", "", "IP:PORT, required");
   if (options->admin.port != 0 && options->service == NULL)
     top_fail (FOP_PROGRAM, "service", "", "a name, required with --admin");
   if (options->call != NULL)
     fop_split_call (options);
+  if (options->id_field != NULL
+      && !top_read_field (options->id_field, options->id_name))
+    top_fail (FOP_PROGRAM, "id-field", options->id_field, TOP_FIELD_ALLOWED);
 }
 
 static void
@@ -77,6 +90,15 @@
     NUMBER ("stall-from-ms", stall_from_ms, 0, 86400000, "N",
             "start of a stall after the start of the process"),
     NUMBER ("stall-for-ms", stall_for_ms, 0, 86400000, "N", "its length"),
+    TEXT ("id-field", id_field, "NAME",
+          "field of requests that answers repeat"),
+    { "answer-field",
+      TOP_LIST,
+      { .list = &options->answer_fields },
+      0,
+      0,
+      "NAME: VALUE",
+      "field of all answers; repeatable" },
     TEXT ("crash-path", crash_path, "PREFIX", "exit on such a request"),
     TEXT ("truncate-path", truncate_path, "PREFIX", "close half-way"),
     TEXT ("corrupt-path", corrupt_path, "PREFIX", "answer with a wrong byte"),
--- a/programs/fake_options.h
+++ b/programs/fake_options.h
@@ -22,11 +22,14 @@
   uint64_t answer_bytes;
   char *long_path;
   uint64_t long_factor;
-  char *call;                 /* HOST=IP:PORT as given, or NULL */
-  char call_host[64];         /* part before "=" */
-  struct top_address call_to; /* the own node */
+  char *call;                    /* HOST=IP:PORT as given, or NULL */
+  char call_host[64];            /* part before "=" */
+  char id_name[TOP_FIELD_BYTES]; /* of @id_field, for libwebsockets */
+  struct top_address call_to;    /* the own node */
   uint64_t stall_from_ms;
   uint64_t stall_for_ms;
+  char *id_field; /* or NULL */
+  struct top_list answer_fields;
   char *crash_path;
   char *truncate_path;
   char *corrupt_path;
--- a/programs/fake_server.c
+++ b/programs/fake_server.c
@@ -75,6 +75,9 @@
   fsv_copy_custom (wsi, request->facts.key, TAN_FIELD_BYTES,
                    "idempotency-key:");
   fsv_copy_custom (wsi, request->trace, FAKE_TRACE_BYTES, "traceparent:");
+  if (request->fake->options.id_field != NULL)
+    fsv_copy_custom (wsi, request->id, FAKE_ID_BYTES,
+                     request->fake->options.id_name);
   fsv_copy_custom (wsi, request->state, FAKE_STATE_BYTES, "tracestate:");
   fsv_copy_custom (wsi, text, sizeof text, "x-request-timeout-ms:");
   request->timeout_ms = strtoull (text, NULL, 10);
@@ -173,6 +176,29 @@
                                       (int)strlen (value), at, end);
 }
 
+/* Fields that the command line asks for.  */
+static int
+fsv_add_fields (const struct fake_request *request, unsigned char **at,
+                unsigned char *end)
+{
+  const struct fake_options *options = &request->fake->options;
+  const struct top_list *fields = &options->answer_fields;
+
+  for (size_t i = 0; i < fields->count; i++)
+    {
+      char name[TOP_FIELD_BYTES];
+      const char *colon = strchr (fields->items[i], ':');
+
+      snprintf (name, sizeof name, "%.*s:", (int)(colon - fields->items[i]),
+                fields->items[i]);
+      if (fsv_add_header (request->wsi, name, colon + 2, at, end))
+        return -1;
+    }
+  if (request->id[0] == '\0')
+    return 0;
+  return fsv_add_header (request->wsi, options->id_name, request->id, at, end);
+}
+
 static int
 fsv_send_head (struct fake_request *request)
 {
@@ -189,6 +215,7 @@
                                              end)
       || fsv_add_header (wsi, "content-type:", "text/plain", &at, end)
       || fsv_add_header (wsi, "endpoint-load-metrics:", report, &at, end)
+      || fsv_add_fields (request, &at, end)
       || (request->chunked
           && fsv_add_header (wsi, "connection:", "close", &at, end))
       || lws_finalize_write_http_header (wsi, start, &at, end))
--- a/programs/fake_state.h
+++ b/programs/fake_state.h
@@ -20,6 +20,7 @@
 #include "programs/tool_client.h"
 
 #define FAKE_TRACE_BYTES 64
+#define FAKE_ID_BYTES 80
 #define FAKE_STATE_BYTES 256
 #define FAKE_METHOD_BYTES 16
 
@@ -75,6 +76,7 @@
   struct fake_act act;
   char method[FAKE_METHOD_BYTES];
   struct tan_facts facts;
+  char id[FAKE_ID_BYTES]; /* answers repeat it */
   char trace[FAKE_TRACE_BYTES];
   char state[FAKE_STATE_BYTES];
   uint64_t timeout_ms; /* 0: none */
--- a/programs/load_call.c
+++ b/programs/load_call.c
@@ -81,6 +81,12 @@
   lcl_add_header (request, "traceparent:", call->trace);
   if (call->facts.key[0] != '\0')
     lcl_add_header (request, "idempotency-key:", call->facts.key);
+  if (options->id_field != NULL)
+    {
+      snprintf (call->id, sizeof call->id, "%.32s-%" PRIu32,
+                call->trace + LOAD_TRACE_ID_AT, call->resends);
+      lcl_add_header (request, options->id_name, call->id);
+    }
 }
 
 void
--- a/programs/load_options.c
+++ b/programs/load_options.c
@@ -35,6 +35,9 @@
   lop_split_targets (options);
   if (options->host == NULL)
     top_fail (LOP_PROGRAM, "host", "", "a service name, required");
+  if (options->id_field != NULL
+      && !top_read_field (options->id_field, options->id_name))
+    top_fail (LOP_PROGRAM, "id-field", options->id_field, TOP_FIELD_ALLOWED);
   if (options->direct && options->direct_target.port == 0)
     top_fail (LOP_PROGRAM, "direct-target", "",
               "IP:PORT, required with --direct");
@@ -91,6 +94,8 @@
     FLAG ("retry-at-once", retry_at_once, "resend without waiting"),
     NUMBER ("timeout-ms", timeout_ms, 1, 600000, "time for one attempt"),
     NUMBER ("callers", callers, 1, 100000, "different x-caller-id values"),
+    TEXT ("id-field", id_field, "NAME",
+          "field with an id of its own for each attempt"),
     FLAG ("chunked", chunked, "send bodies chunked"),
     FLAG ("direct", direct, "send each request to --direct-target as well"),
     { "direct-target",
--- a/programs/load_options.h
+++ b/programs/load_options.h
@@ -31,6 +31,8 @@
   uint64_t callers;
   bool chunked;
   bool json;
+  char *id_field;
+  char id_name[TOP_FIELD_BYTES]; /* of @id_field, for libwebsockets */
   char *record;
 };
 
--- a/programs/load_state.h
+++ b/programs/load_state.h
@@ -17,6 +17,8 @@
 #include "programs/tool_client.h"
 
 #define LOAD_TRACE_BYTES 64
+/* Where the trace id begins in a trace context.  */
+#define LOAD_TRACE_ID_AT 3
 #define LOAD_ATTEMPTS_MAX 32
 
 /* What one attempt came to.  */
@@ -48,6 +50,7 @@
   struct load_kind *kind;
   struct tan_facts facts;
   char trace[LOAD_TRACE_BYTES];
+  char id[LOAD_TRACE_BYTES]; /* of the attempt */
   struct tbf body;
   clk_us due;  /* when the call should have started */
   clk_us sent; /* start of the last attempt */
--- a/programs/tool_opt.c
+++ b/programs/tool_opt.c
@@ -1,6 +1,7 @@
 #include "programs/tool_opt.h"
 
 #include <arpa/inet.h>
+#include <ctype.h>
 #include <errno.h>
 #include <inttypes.h>
 #include <popt.h>
@@ -159,3 +160,17 @@
     }
   poptFreeContext (context);
 }
+
+bool
+top_read_field (const char *text, char out[TOP_FIELD_BYTES])
+{
+  size_t len = strlen (text);
+
+  if (len == 0 || len + 2 > TOP_FIELD_BYTES)
+    return false;
+  for (size_t i = 0; i < len; i++)
+    out[i] = (char)tolower ((unsigned char)text[i]);
+  out[len] = ':';
+  out[len + 1] = '\0';
+  return true;
+}
--- a/programs/tool_opt.h
+++ b/programs/tool_opt.h
@@ -14,6 +14,9 @@
 #include <stdint.h>
 
 #define TOP_LIST_MAX 32
+/* Name of an HTTP field, with a colon.  */
+#define TOP_FIELD_BYTES 64
+#define TOP_FIELD_ALLOWED "name of an HTTP field"
 
 struct top_address
 {
@@ -76,4 +79,8 @@
 /* Reads IP:PORT; returns false when TEXT is not in that form.  */
 bool top_read_address (const char *text, struct top_address *address);
 
+/* Copies the name of an HTTP field as libwebsockets wants it, in lower case
+   and with a colon; returns false when TEXT is empty or too long.  */
+bool top_read_field (const char *text, char out[TOP_FIELD_BYTES]);
+
 #endif
--- a/tests/test_tools.sh
+++ b/tests/test_tools.sh
@@ -92,11 +92,24 @@
 mesh_until 5 mesh_listens "${fake#*:}" || fail "fake does not listen"
 mesh_stop fake 5 || fail "fake does not stop cleanly"
 
+# Fields that a front end asks of servers.
+mesh_start fake "$MESH_BIN/rudder-fake" --listen "$fake" --id-field X-Id \
+  --answer-field "X-Seal: s" --answer-field "X-Load: 1,2"
+mesh_until 5 mesh_listens "${fake#*:}" || fail "fake does not listen"
+output=$(curl -s -i -m 2 -H "X-Id: id-7" "http://$fake/a" | tr -d '\r')
+for line in "x-id: id-7" "x-seal: s" "x-load: 1,2"; do
+  echo "$output" | grep -qix "$line" || fail "no field $line" "$output"
+done
+load "$fake" --concurrency 1 --id-field X-Id --request "GET /a 1"
+expect "answers to requests with an id" whole
+mesh_kill fake
+
 for program in rudder-fake rudder-load; do
   "$MESH_BIN/$program" --help >/dev/null || fail "$program --help"
 done
 wrong_setting rudder-fake listen 127.0.0.1
 wrong_setting rudder-fake slots 0
+wrong_setting rudder-fake answer-field x
 wrong_setting rudder-load rate 1x
 wrong_setting rudder-load timeout-ms 0
 wrong_setting rudder-load target 127.0.0.1:70000
