--- a/core/slog.c
+++ b/core/slog.c
@@ -49,6 +49,21 @@
   slog_most = most;
 }
 
+int
+slog_severity_of (const char *name)
+{
+  for (int i = SLOG_CRIT; i <= SLOG_DEBUG; i++)
+    if (strcmp (slog_names[i], name) == 0)
+      return i;
+  return -1;
+}
+
+void
+slog_limit (enum slog_severity most)
+{
+  slog_most = most;
+}
+
 void
 slog_name (const char *node)
 {
--- a/core/slog.h
+++ b/core/slog.h
@@ -30,6 +30,12 @@
 /* Names the program and sets the highest severity number that is written. */
 void slog_open (const char *program, enum slog_severity most);
 
+/* Severity called NAME, as in the lines; -1 when there is none.  */
+int slog_severity_of (const char *name);
+
+/* Changes the highest severity number that is written.  */
+void slog_limit (enum slog_severity most);
+
 /* Names the node in every line.  */
 void slog_name (const char *node);
 
--- a/programs/node_settings.c
+++ b/programs/node_settings.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/slog.h"
 #include "sycamorerudder.h"
 
 #define NST_NAME_MAX 63
@@ -22,6 +23,7 @@
   NST_NAME,
   NST_PATH,
   NST_DURATION_MS,
+  NST_SEVERITY,
 };
 
 struct nst_rule
@@ -33,6 +35,9 @@
   size_t offset;
 };
 
+/* The one setting that is not taken from the platform's file.  */
+#define NST_RULE_SEVERITY 0
+
 #define NST_RULE(flag, variable, form, required, member)                      \
   {                                                                           \
     flag, "SYCAMORERUDDER_" variable, form, required,                         \
@@ -40,6 +45,8 @@
   }
 
 static const struct nst_rule nst_rules[] = {
+  [NST_RULE_SEVERITY] = NST_RULE ("--log-severity", "LOG_SEVERITY",
+                                  NST_SEVERITY, false, log_severity),
   NST_RULE ("--listen", "LISTEN", NST_ADDRESS, true, listen),
   NST_RULE ("--admin", "ADMIN", NST_ADDRESS, false, admin),
   NST_RULE ("--peer", "PEER", NST_ADDRESS, true, peer),
@@ -63,6 +70,7 @@
   [NST_NAME] = "1 to 63 characters of a-z, 0-9 and -",
   [NST_PATH] = "a path",
   [NST_DURATION_MS] = "1 to 3600000 milliseconds",
+  [NST_SEVERITY] = "crit, err, warning, notice, info or debug",
 };
 
 /* Writes the one line that names a wrong setting.  */
@@ -156,27 +164,34 @@
       return text[0] != '\0';
     case NST_DURATION_MS:
       return nst_is_duration (text);
+    case NST_SEVERITY:
+      return slog_severity_of (text) >= 0;
     }
   return false;
 }
 
-/* Fills in variables and checks all settings.  */
+/* Fills in the variable of a setting without a flag, and checks it.  */
+static enum nst_result
+nst_check_one (struct nst *settings, const struct nst_rule *rule)
+{
+  char **value = nst_value (settings, rule);
+  const char *variable = getenv (rule->variable);
+
+  if (*value == NULL && variable != NULL)
+    *value = strdup (variable);
+  if (*value == NULL && rule->required)
+    return nst_wrong (rule->flag, "", nst_allowed[rule->form]);
+  if (*value != NULL && !nst_matches (*value, rule->form))
+    return nst_wrong (rule->flag, *value, nst_allowed[rule->form]);
+  return NST_RUN;
+}
+
 static enum nst_result
 nst_check (struct nst *settings)
 {
   for (size_t i = 0; i < NST_RULES; i++)
-    {
-      const struct nst_rule *rule = &nst_rules[i];
-      char **value = nst_value (settings, rule);
-      const char *variable = getenv (rule->variable);
-
-      if (*value == NULL && variable != NULL)
-        *value = strdup (variable);
-      if (*value == NULL && rule->required)
-        return nst_wrong (rule->flag, "", nst_allowed[rule->form]);
-      if (*value != NULL && !nst_matches (*value, rule->form))
-        return nst_wrong (rule->flag, *value, nst_allowed[rule->form]);
-    }
+    if (nst_check_one (settings, &nst_rules[i]) != NST_RUN)
+      return NST_WRONG;
   if (settings->admin == NULL)
     settings->admin = strdup (NST_DEFAULT_ADMIN);
   if (getenv ("SYCAMORERUDDER_CONTROL") != NULL)
@@ -277,6 +292,8 @@
       "FILE" },
     { "peer-key-file", 0, POPT_ARG_STRING, &settings->curve_file, 0,
       "file with the mesh's secret and public CURVE key", "FILE" },
+    { "log-severity", 0, POPT_ARG_STRING, &settings->log_severity, 0,
+      "least severe log lines that are written (info)", "NAME" },
     { "platform", 0, POPT_ARG_NONE, &settings->platform, 0,
       "take all settings from the platform's file", NULL },
     { "check-settings", 0, POPT_ARG_NONE, &settings->check, 0,
@@ -305,6 +322,11 @@
       printf ("sycamorerudder-node " SR_VERSION "\n");
       return NST_DONE;
     }
+  result = nst_check_one (settings, &nst_rules[NST_RULE_SEVERITY]);
+  if (result != NST_RUN)
+    return result;
+  if (settings->log_severity != NULL)
+    slog_limit ((enum slog_severity)slog_severity_of (settings->log_severity));
   if (settings->platform)
     return NST_RUN;
   result = nst_check (settings);
--- a/programs/node_settings.h
+++ b/programs/node_settings.h
@@ -26,6 +26,7 @@
   char *token_file;
   char *curve_file;
   char *drain_limit;
+  char *log_severity;
   int control;
   int check;
   int platform; /* settings come from the platform's file */
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -128,7 +128,11 @@
     }
   node_raise_limits ();
   if (node.settings.platform)
-    return node.settings.check ? npl_check () : npl_run ();
+    {
+      status = node.settings.check ? npl_check () : npl_run ();
+      nst_free (&node.settings);
+      return status;
+    }
   slog_name (node.settings.instance);
   tsg_catch (node_signal, node_signals,
              sizeof node_signals / sizeof node_signals[0]);
--- a/tests/test_settings.sh
+++ b/tests/test_settings.sh
@@ -30,6 +30,7 @@
 wrong --failure-domain ""
 wrong --join 127.0.0.1:7301,
 wrong --drain-limit-ms 0
+wrong --log-severity loud
 wrong --operator-token-file "$MESH_DIR/missing"
 "$node" "${good[@]}" --unknown >/dev/null 2>&1
 mesh_expect "status of an unknown flag" $? 2
@@ -43,6 +44,9 @@
 SYCAMORERUDDER_DRAIN_LIMIT_MS=0 "$node" "${good[@]}" --check-settings \
   >/dev/null 2>&1
 mesh_expect "a variable is read" $? 2
+SYCAMORERUDDER_LOG_SEVERITY=loud "$node" --platform --check-settings \
+  >/dev/null 2>&1
+mesh_expect "the severity is checked with the platform's file too" $? 2
 
 mesh_ports n1
 mesh_join n1
--- a/tests/test_slog.c
+++ b/tests/test_slog.c
@@ -43,6 +43,27 @@
   close (ends[1]);
 }
 
+/* Guards against a limit that lets everything through, or nothing.  */
+static void
+test_limit (void)
+{
+  int ends[2];
+
+  CU_ASSERT_EQUAL (slog_severity_of ("notice"), SLOG_NOTICE);
+  CU_ASSERT_EQUAL (slog_severity_of ("loud"), -1);
+  CU_ASSERT_EQUAL_FATAL (pipe (ends), 0);
+  slog_to (ends[1]);
+  slog_limit (SLOG_WARNING);
+  slog (SLOG_NOTICE, "left out");
+  slog (SLOG_WARNING, "written");
+  slog_limit (SLOG_INFO);
+  read_all (ends[0]);
+  CU_ASSERT_PTR_NULL (strstr (text, "left out"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "written"));
+  close (ends[0]);
+  close (ends[1]);
+}
+
 /* Guards against a reader that does not read: no call waits, and the lines
    that are lost are counted and told.  */
 static void
@@ -161,6 +182,7 @@
 {
   static const struct suite_test tests[]
       = { { "format", test_format },
+          { "limit", test_limit },
           { "reader stops", test_reader_stops },
           { "kinds", test_kinds },
           { "histogram", test_histogram },
