A run that nobody can be waiting for any more gives its slot back

Cause: a node that ends, or whose connection is lost, while a server that will never answer has its request left that run in the books of the node beside the server: the end of a connection between nodes is taken as 'the other node still reads', and no more of it is read. Only the server could end the run.

Ruled out: ending the run when the other node ends its side; a node that stops half-closes its connections and still takes the answers of what runs.

Change: 1 s after the limit of its request a run without an answer ends; one with an answer that is being read goes on while the other node reads.

Before: test_gate 'overdue' fails, the server's connection stays open.

--- a/controllers/backend.c
+++ b/controllers/backend.c
@@ -35,12 +35,16 @@
          && backend->last.born_ms == beat->born_ms;
 }
 
-/* Whether BEAT comes from an earlier start than the one known.  */
+/* Whether BEAT comes from an earlier start than the one known.  When neither
+   tells its start, one with an id that was not heard before is the later.  */
 static bool
 bkd_earlier_start (const struct bkd *backend, const struct api_beat *beat)
 {
-  return backend->last.id[0] != '\0' && !bkd_same_start (backend, beat)
-         && beat->born_ms <= backend->last.born_ms;
+  if (backend->last.id[0] == '\0' || bkd_same_start (backend, beat))
+    return false;
+  if (beat->born_ms == 0 && backend->last.born_ms == 0)
+    return false;
+  return beat->born_ms <= backend->last.born_ms;
 }
 
 enum bkd_change
--- a/programs/fake_work.c
+++ b/programs/fake_work.c
@@ -174,6 +174,7 @@
   fwk_copy_header (&child, "tracestate:", request->state);
   fwk_copy_header (&child, "idempotency-key:", request->facts.key);
   fwk_copy_header (&child, "x-caller-id:", request->facts.caller);
+  fwk_copy_header (&child, options->id_name, request->id);
   request->phase = FAKE_CALLING;
   request->child
       = tcl_send (&request->fake->client, &child, fwk_on_child, request);
--- a/scripts/mesh_platform.sh
+++ b/scripts/mesh_platform.sh
@@ -50,21 +50,22 @@
   plat_start "$1" "${@:4}"
 }
 
-# plat_fake NAME IP [FLAG...]: a backend server beside the node at IP.
+# plat_fake NAME IP ID [FLAG...]: a backend server beside the node at IP; ID is
+# that of this start.
 plat_fake () {
   mesh_start "$1" "$MESH_BIN/rudder-fake" --listen "$2:$PLAT_SERVER" \
     --journal "$MESH_DIR/$1.journal" \
     --id-field X-Sycamorerudder-Request-Id \
     --answer-field "X-Sycamorerudder-Response-Seal: s" \
-    --answer-field "X-Sycamorerudder-Instance-Id: $1" "${@:3}"
+    --answer-field "X-Sycamorerudder-Instance-Id: $3" "${@:4}"
 }
 
-# plat_beat NAME IP ADDRESS SERVICE SEQUENCE [STATE]: one liveness report of a
-# server to the node at IP.
+# plat_beat ID IP ADDRESS SERVICE SEQUENCE [STATE [BORN]]: one liveness report
+# of a server to the node at IP.
 plat_beat () {
   curl -sf -m 1 -o /dev/null -X POST -d "{\"service\": \"$4\",
     \"address\": \"$3\", \"zone\": \"z$2\", \"version\": \"1\", \"slots\": 16,
-    \"state\": \"${6:-ready}\", \"cold_remaining_s\": 0, \"sequence\": $5}" \
+    \"state\": \"${6:-ready}\", \"cold_remaining_s\": 0, \"sequence\": $5${7:+, \"born\": $7}}" \
     "http://$2:$PLAT_CONTROL/-/Instances.Heartbeat/$1"
 }
 
@@ -101,8 +102,9 @@
 }
 
 # plat_document VERSION [PREFIX [SERVICE...]]: a configuration.  The first
-# route is idempotent, the second, at PREFIX, too; each further service has an
-# idempotent route at /SERVICE/ and one at /SERVICE-once/ that is not.
+# route is idempotent, the second, at PREFIX, too.  Each further service has an
+# idempotent route at /SERVICE/ and one at /SERVICE-once/ that is not; all
+# paths of the host SERVICE go to it, those at /front-once/ at most once.
 plat_document () {
   local columns='"name","hostname","path_prefix","route_type","timeout_s"'
   local routes services service=a
@@ -115,7 +117,10 @@
     routes="$routes,[\"$service\",\"h\",\"/$service/\",\"idempotent\",3,1,0"
     routes="$routes,null,2,\"$service\"],[\"$service-once\",\"h\""
     routes="$routes,\"/$service-once/\",\"non_idempotent\",3,1,0,null,2"
-    routes="$routes,\"$service\"]"
+    routes="$routes,\"$service\"],[\"$service-all\",\"$service\",\"/\""
+    routes="$routes,\"idempotent\",3,1,0,null,2,\"$service\"]"
+    routes="$routes,[\"$service-all-once\",\"$service\",\"/front-once/\""
+    routes="$routes,\"non_idempotent\",3,1,0,null,2,\"$service\"]"
     services="$services,[\"$service\",\"/health\",100,\"h1\",false]"
   done
   printf '{"version":"r%s","routes":{"columns":[%s],"rows":[%s]},' \
--- a/scripts/soak-events.sh
+++ b/scripts/soak-events.sh
@@ -1,5 +1,26 @@
-# Fault events of scripts/soak.  "due" holds actions by time, "down" the
-# processes that are not running or frozen on purpose.
+# Fault events of scripts/soak and scripts/soak-gate.  "due" holds actions by
+# time, "down" the processes that are not running or frozen on purpose.
+
+# Time since the start, in milliseconds.
+now_ms () {
+  echo $(($(date +%s%3N) - started_ms))
+}
+
+say () {
+  printf '%7d ms  %s\n' "$(now_ms)" "$1"
+}
+
+fail () {
+  echo "FAIL $1"
+  failed=1
+}
+
+# Whether all calls of a result file were whole.
+soak_whole () {
+  awk '/"all": {/ { all = 1 } /}/ { all = 0 }
+    all && /"calls":/ { calls = $2 + 0 } all && /"whole":/ { whole = $2 + 0 }
+    END { exit !(calls > 0 && calls == whole) }' "$1"
+}
 
 # later MS ACTION NAME: runs the action after that time.
 later () {
@@ -38,7 +59,7 @@
   for name in "${!down[@]}"; do
     [ "${down[$name]}" = stopping ] || continue
     unset "due[stopped:$name]"
-    mesh_until 40 mesh_ended "$name"
+    mesh_until "$stop_s" mesh_ended "$name"
     due_stopped "$name"
   done
   run_due all
@@ -51,7 +72,7 @@
     return
   fi
   if mesh_alive "$1"; then
-    fail "$1 did not stop gracefully in 40 s"
+    fail "$1 did not stop gracefully in $stop_s s"
     mesh_kill "$1"
   else
     wait "${MESH_PID[$1]}" || fail "$1 ended with status $?"
@@ -63,6 +84,9 @@
 
 declare -A stop_limit
 
+# Time that a graceful stop may take, in seconds.
+stop_s=${stop_s:-40}
+
 # Draws one of its arguments into REPLY.
 draw () {
   local index=$((RANDOM % $# + 1))
@@ -94,7 +118,7 @@
 }
 
 event_slow () {
-  draw_up "${fake_of[@]}" || return
+  draw_up "$@" || return
   local wait_ms=$((2000 + RANDOM % 4000))
   say "slow $REPLY for $wait_ms ms"
   mesh_signal "$REPLY" USR1
@@ -106,65 +130,10 @@
   say "graceful restart $REPLY"
   mesh_signal "$REPLY" TERM
   down[$REPLY]=stopping
-  stop_limit[$REPLY]=$(($(now_ms) + 40000))
+  stop_limit[$REPLY]=$(($(now_ms) + stop_s * 1000))
   later 200 stopped "$REPLY"
 }
 
-# One request with three tries, recorded like the bursts.
-event_request () {
-  local path=$1
-  draw $controls
-  special=$((special + 1))
-  say "request $path-$special"
-  "$MESH_BIN/rudder-load" --target "${MESH_LISTEN[$REPLY]}" --host orders \
-    --rate 2 --seconds 1 --timeout-ms 1500 --retries 2 \
-    --retry-at-once --record "$MESH_DIR/special-$special.record" \
-    --request "GET $path-$special-{n} 1" >/dev/null 2>&1 &
-}
-special=0
-
-# apply NODE BASE ID: notes "BASE ID RESULT" with accepted, conflict or
-# unknown.
-apply () {
-  local output result=conflict
-  output=$(timeout 8 "$MESH_BIN/rudderctl" --admin "${MESH_ADMIN[$1]}" apply \
-    "$MESH_DIR/$3.json" --base "$2" --change-id "$3" 2>&1)
-  case $?:$output in
-    0:*) result=accepted ;;
-    124:* | *"not known"* | *nable* | *later*) result=unknown ;;
-  esac
-  echo "$2 $3 $result" >>"$MESH_DIR/changes"
-  [ "$result" != conflict ] || echo "$output" >>"$MESH_DIR/conflicts.log"
-}
-
-# Two operators change the same version at the same time.
-event_race () {
-  local base id
-  race=$((race + 1))
-  draw $controls
-  base=$(mesh_get "$REPLY" /v1/status | sed -n 's/.*"number": \([0-9]*\).*/\1/p')
-  [ -n "$base" ] || return
-  say "race on version $base"
-  for id in "r$race-a" "r$race-b"; do
-    sed "s/\"format\": 1,/&\n  \"drain_limit_ms\": $((20000 + RANDOM)),/" \
-      examples/demo.json >"$MESH_DIR/$id.json"
-    draw $controls
-    apply "$REPLY" "$base" "$id" &
-  done
-}
-race=0
-
-# Sends all changes again; each must get its first result.
-resend_changes () {
-  local line base id
-  wait_others
-  cut -d' ' -f1,2 "$MESH_DIR/changes" | sort -u >"$MESH_DIR/sent"
-  while read -r base id; do
-    draw $controls
-    apply "$REPLY" "$base" "$id" </dev/null
-  done <"$MESH_DIR/sent"
-}
-
 # Waits for operators and single requests that are still running; a crashing
 # request that is resent later would be one more fault.
 wait_others () {
@@ -176,18 +145,3 @@
     esac
   done
 }
-
-event () {
-  case $((RANDOM % 12)) in
-    0 | 1) event_kill $controls $servers ;;
-    2) event_kill "${fake_of[@]}" ;;
-    3 | 4) event_freeze $controls $servers ;;
-    5) event_freeze "${fake_of[@]}" ;;
-    6) event_slow ;;
-    7) event_graceful $servers $controls ;;
-    8) event_graceful "${fake_of[@]}" ;;
-    9) event_request /orders/crash ;;
-    10) event_request /orders/silent ;;
-    11) event_race ;;
-  esac
-}
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -11,6 +11,10 @@
    mind.  */
 #define GAT_NEAR_LIMIT_US clk_ms (60)
 
+/* Time after the limit of a run from which on nobody can be waiting for it,
+   nor an answer be on its way.  */
+#define GAT_OVERDUE_US clk_s (1)
+
 static void gat_serve_end (struct gat_serve *serve);
 
 double
@@ -64,6 +68,7 @@
 gat_serve_free (struct gat_serve *serve)
 {
   gat_serve_end (serve);
+  lop_cancel (&serve->overdue);
   lst_remove (&serve->node);
   free (serve);
 }
@@ -150,6 +155,21 @@
   gat_out_body (serve->out, request, &serve->body_sent, &serve->body_done);
 }
 
+/* The other node gives up at the time limit and closes its connection.  When
+   that is not heard of, as after its end, only the server could end the run.
+   An answer that is being read may take longer while the other node reads.  */
+static void
+gat_serve_overdue (struct lop_timer *timer)
+{
+  struct gat_serve *serve = lst_entry (timer, struct gat_serve, overdue);
+
+  if (serve->has_head && !serve->request->in->last)
+    lop_set (serve->gate->loop, timer,
+             lop_now (serve->gate->loop) + GAT_OVERDUE_US);
+  else
+    gat_serve_lost (serve, RSN_DEADLINE_RUNNING, RSN_UNKNOWN);
+}
+
 /* The request holds a slot: it goes to the server.  */
 static void
 gat_serve_dispatch (struct gat_serve *serve)
@@ -179,6 +199,8 @@
     }
   serve->out->state = GAT_OUT_SERVE;
   serve->out->user.serve = serve;
+  serve->overdue.fire = gat_serve_overdue;
+  lop_set (gate->loop, &serve->overdue, serve->bsd.deadline + GAT_OVERDUE_US);
   gat_serve_send (serve);
 }
 
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -139,6 +139,7 @@
   bool has_head;
   int status; /* of the server's answer */
   clk_us dispatched;
+  struct lop_timer overdue; /* while it runs */
 };
 
 enum gat_out_state
--- a/tests/test_backend.c
+++ b/tests/test_backend.c
@@ -89,13 +89,35 @@
   CU_ASSERT_EQUAL (backend.state, BKD_UP);
 }
 
+/* Guards against a server that starts again, does not tell when, and is taken
+   for an earlier one for good; and against the late report of the one before
+   it.  */
+static void
+test_start_not_told (void)
+{
+  struct bkd backend = { 0 };
+
+  CU_ASSERT_EQUAL (take (&backend, "i-1", 0, 7, API_SERVER_READY),
+                   BKD_STARTED);
+  CU_ASSERT_EQUAL (bkd_lost (&backend), BKD_LEFT);
+  CU_ASSERT_EQUAL (take (&backend, "i-2", 0, 1, API_SERVER_READY),
+                   BKD_STARTED);
+  CU_ASSERT_EQUAL (take (&backend, "i-1", 0, 8, API_SERVER_READY), BKD_STALE);
+  CU_ASSERT_STRING_EQUAL (backend.last.id, "i-2");
+  CU_ASSERT_EQUAL (take (&backend, "i-3", 500, 1, API_SERVER_READY),
+                   BKD_STARTED);
+  CU_ASSERT_EQUAL (take (&backend, "i-4", 0, 1, API_SERVER_READY), BKD_STALE);
+}
+
 int
 main (void)
 {
-  static const struct suite_test tests[] = { { "leaving", test_leaving },
-                                             { "starts", test_starts },
-                                             { "lost", test_lost },
-                                             { NULL, NULL } };
+  static const struct suite_test tests[]
+      = { { "leaving", test_leaving },
+          { "starts", test_starts },
+          { "lost", test_lost },
+          { "start not told", test_start_not_told },
+          { NULL, NULL } };
 
   return suite_run ("backend", tests);
 }
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -15,6 +15,7 @@
 #include "sycamorerudder.h"
 #include "tasks/gate.h"
 #include "tests/suite.h"
+#include "wire/nodehdr.h"
 
 #define TEXT_BYTES 65536
 /* More than the gaps between the descriptors of this program.  */
@@ -453,6 +454,36 @@
   CU_ASSERT_TRUE (first != NULL && second > first && third > second);
 }
 
+/* Pattern: another node ends, or its connection is lost, while a server that
+   will never answer has its request.
+   Guards against a slot that is held for as long as the server runs.  */
+static void
+test_overdue (void)
+{
+  struct nh_request told
+      = { .service = "a", .timeout_ms = 200, .idempotent = true };
+  char field[NH_TEXT_BYTES];
+  char text[TEXT_BYTES];
+  int gone = server_gone;
+  int fd = dial (addresses[GAT_NODES]);
+
+  nh_put_request (&told, field);
+  snprintf (text, sizeof text,
+            "GET /l/hang HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 200\r\n"
+            "X-Sycamorerudder-Request-Id: overdue\r\n\r\n",
+            NH_REQUEST_FIELD, field);
+  put (fd, text);
+  usleep (100000);
+  CU_ASSERT_EQUAL (shutdown (fd, SHUT_WR), 0);
+  usleep (50000);
+  CU_ASSERT_EQUAL (server_gone, gone);
+  for (int i = 0; i < 40 && server_gone == gone; i++)
+    usleep (50000);
+  CU_ASSERT_EQUAL (server_gone, gone + 1);
+  close (fd);
+}
+
 /* Guards against broken answers that reach a caller as whole ones.  */
 static void
 test_broken_answers (void)
@@ -643,6 +674,7 @@
           { "head", test_head },
           { "pipeline", test_pipeline },
           { "long pipeline", test_long_pipeline },
+          { "overdue", test_overdue },
           { "broken answers", test_broken_answers },
           { "runs once", test_runs_once },
           { "bad input", test_bad_input },
