--- a/Makefile
+++ b/Makefile
@@ -75,6 +75,10 @@
 	@$(MAKE) --no-print-directory all
 	@scripts/soak "$(or $(SEED),1)" "$(or $(SECONDS),60)"
 
+soak-gate: setup
+	@$(MAKE) --no-print-directory all
+	@scripts/soak-gate "$(or $(SEED),1)" "$(or $(SECONDS),60)"
+
 fuzz: setup
 	@scripts/fuzz "$(or $(SECONDS),60)"
 
@@ -90,8 +94,8 @@
 clean:
 	rm -rf build build-sanitize build-fuzz
 
-.PHONY: all tests setup demo check bench soak fuzz lint format clean \
-	print-sources
+.PHONY: all tests setup demo check bench soak soak-gate fuzz lint format \
+	clean print-sources
 .SECONDARY:
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
