Operators are told that a node stops, and control replicas stop sooner

Cause: a control task that ended left the requests that it had not answered, and the gate went on to ask it: an operator's call waited for its own time-out, and the stop of a control replica for its whole limit, because such a call counted as unfinished.

Ruled out: answering in the gate only; a change that has been proposed may still get its result while the control task ends.

Before: test_control 0 of 3 reads answered; test_gate 'stop' no read answered after the close.

--- a/tasks/control.c
+++ b/tasks/control.c
@@ -377,6 +377,7 @@
         }
       ctl_tick (control, clk_now ());
     }
+  ctl_give_up_pending (control, clk_now ());
   if (control->failed)
     inb_put (control->opts.front, msg_new (MSG_STOP));
   return NULL;
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -209,6 +209,20 @@
     }
 }
 
+void
+ctl_give_up_pending (struct control *control, clk_us now)
+{
+  struct lst_node *node;
+
+  while ((node = lst_first (&control->pending)) != NULL)
+    {
+      struct msg_result result = { .status = SR_EAGAIN };
+
+      ctl_finish (control, lst_entry (node, struct ctl_pending, node), &result,
+                  now);
+    }
+}
+
 /* Whether another replica, or the same one later, may accept.  */
 static bool
 ctl_may_repeat (const struct ctl_pending *pending,
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -159,6 +159,8 @@
 void ctl_take_propose (struct control *control, struct msg *msg, clk_us now);
 void ctl_take_result (struct control *control, struct msg_result *result,
                       clk_us now);
+/* The task ends: whoever waits for a result is told that there is none.  */
+void ctl_give_up_pending (struct control *control, clk_us now);
 void ctl_check_pending (struct control *control, clk_us now);
 clk_us ctl_pending_wakeup (const struct control *control, clk_us latest);
 void ctl_free_pending (struct control *control);
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -82,15 +82,23 @@
   request->u.api = 0;
 }
 
-/* Asks the control task; the answer comes through gat_api_reply().  */
+/* Asks the control task; the answer comes through gat_api_reply().  One that
+   was told to stop may not answer.  */
 static void
 gat_api_ask (struct gat_request *request, enum msg_admin_op op,
              const struct api_apply *apply)
 {
   struct gate *gate = request->gate;
-  struct msg *msg = msg_new (MSG_ADMIN);
-  struct msg_admin *admin = &msg->u.admin;
+  struct msg *msg;
+  struct msg_admin *admin;
 
+  if (gat_stop_done (gate, GAT_STOP_CLOSE))
+    {
+      gat_api_answer (request, 503, "{\"error\":\"stopping\"}");
+      return;
+    }
+  msg = msg_new (MSG_ADMIN);
+  admin = &msg->u.admin;
   admin->op = op;
   admin->request = ++gate->next_api;
   request->u.api = admin->request;
--- /dev/null
+++ b/tests/test_control.c
@@ -0,0 +1,70 @@
+#include "core/err.h"
+#include "tasks/control.h"
+#include "tests/suite.h"
+
+#define STOP_MOST clk_s (3)
+
+/* Replies to operators among what the control task sent.  */
+static uint32_t
+count_replies (struct inb *front, int status)
+{
+  struct lst messages;
+  struct lst_node *node;
+  uint32_t count = 0;
+
+  lst_init (&messages);
+  inb_take (front, &messages);
+  while ((node = lst_pop_head (&messages)) != NULL)
+    {
+      struct msg *msg = lst_entry (node, struct msg, node);
+
+      count += msg->kind == MSG_ADMIN_REPLY
+               && msg->u.admin_reply.http_status == status;
+      msg_free (msg);
+    }
+  return count;
+}
+
+/* Pattern: operators read and change the configuration at a node that stops.
+   Guards against requests that are left without an answer.  */
+static void
+test_stop (void)
+{
+  struct inb_opts inbox = { .wake = INB_WAKE_CONDITION };
+  struct inb *front = inb_new (&inbox);
+  struct inb *peer = inb_new (&inbox);
+  struct control_opts opts = { .instance = "n-1",
+                               .failure_domain = "a",
+                               .address = "127.0.0.1:1",
+                               .join = "127.0.0.2:1",
+                               .front = front };
+  struct control *control = control_new (&opts);
+  clk_us from = clk_now ();
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (control);
+  control_attach (control, peer, NULL);
+  CU_ASSERT_EQUAL_FATAL (control_start (control), SR_OK);
+  for (uint64_t i = 1; i <= 3; i++)
+    {
+      struct msg *msg = msg_new (MSG_ADMIN);
+
+      msg->u.admin.op = MSG_ADMIN_GET;
+      msg->u.admin.request = i;
+      inb_put (control_inbox (control), msg);
+    }
+  inb_put (control_inbox (control), msg_new (MSG_STOP));
+  CU_ASSERT_EQUAL (control_join (control), 0);
+  CU_ASSERT_TRUE (clk_now () - from < STOP_MOST);
+  CU_ASSERT_EQUAL (count_replies (front, 503), 3);
+  inb_free (front);
+  inb_free (peer);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "stop", test_stop }, { NULL, NULL } };
+
+  return suite_run ("control", tests);
+}
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -26,6 +26,8 @@
 #define PIPELINED_AT_ONCE 64
 /* Bytes of more answers than are served at a time.  */
 #define ANSWERS_BYTES 40000
+/* Reads of the configuration during a stop.  */
+#define ASKS 12
 
 static const char document[]
     = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
@@ -623,11 +625,43 @@
   close (fd);
 }
 
+/* Reads of the configuration from 2.5 s to 3 s after the stop has begun, so
+   that some come after the control task was told to end; here it never
+   answers.  */
+static void
+ask_while_stopping (int asks[ASKS])
+{
+  usleep (1900000);
+  for (int i = 0; i < ASKS; i++)
+    {
+      asks[i] = dial (addresses[GAT_CONTROL]);
+      put (asks[i], "GET /-/Config.Get HTTP/1.1\r\nHost: n\r\n\r\n");
+      usleep (50000);
+    }
+}
+
+static int
+count_refused (const int asks[ASKS])
+{
+  int count = 0;
+
+  for (int i = 0; i < ASKS; i++)
+    {
+      char answer[256] = "";
+
+      if (recv (asks[i], answer, sizeof answer - 1, MSG_DONTWAIT) > 0)
+        count += strstr (answer, " 503 ") != NULL;
+      close (asks[i]);
+    }
+  return count;
+}
+
 /* Guards against a stop that cuts off a request, and one that keeps an answer
    which is ready behind one that is not.  */
 static void
 test_stop (void)
 {
+  int asks[ASKS];
   char answer[4096];
   char *given_up;
   int fd;
@@ -656,9 +690,11 @@
   CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 200 ", 13), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Connection: close"));
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "hello"));
+  ask_while_stopping (asks);
   read_to_end (piped, answer, sizeof answer);
   given_up = strstr (answer, "HTTP/1.1 502 ");
   CU_ASSERT_PTR_NOT_NULL (given_up);
+  CU_ASSERT_TRUE (count_refused (asks) > 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "HTTP/1.1 200 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "hello"));
   pthread_join (gate_thread, NULL);
