Routes of calls are told before the answer

Cause: a node learned from the answers to calls that a route is one of calls.

Ruled out: telling calls from requests of callers by where they come from (they come from one address, with the same fields); learning from calls that time out (they tell nothing); spreading it with the members (too much for what one connection can say).

Change: a node that gets a call from one that does not know the route says so at once, in an interim answer 103 with the field that answers between nodes have.

--- a/filters/entry.c
+++ b/filters/entry.c
@@ -442,12 +442,27 @@
   return next;
 }
 
+void
+ent_learn_route (struct ent_state *state, uint64_t route, bool inner)
+{
+  struct ent_learned *learned = ent_find_learned (state, route);
+
+  if (learned == NULL)
+    {
+      learned = calloc (1, sizeof *learned);
+      INVARIANT (learned != NULL);
+      learned->route = route;
+      hsh_add (&state->learned, &learned->hash_node, learned->route);
+      lst_push_tail (&state->all_learned, &learned->node);
+    }
+  learned->inner = inner;
+}
+
 void
 ent_learn (struct ent_state *state, const struct ent_request *request,
            const struct ent_told *told, clk_us now)
 {
   struct ent_service *service = request->service;
-  struct ent_learned *learned = ent_find_learned (state, request->route_id);
   double pressure = told->pressure_us > told->wait_us
                         ? (double)told->pressure_us
                         : (double)told->wait_us;
@@ -460,13 +475,5 @@
   if (told->answered)
     chs_note_run (request->server, ent_cost (request), told->ran);
   chs_note_load (request->server, told->load, told->wait_us, now);
-  if (learned == NULL)
-    {
-      learned = calloc (1, sizeof *learned);
-      INVARIANT (learned != NULL);
-      learned->route = request->route_id;
-      hsh_add (&state->learned, &learned->hash_node, learned->route);
-      lst_push_tail (&state->all_learned, &learned->node);
-    }
-  learned->inner = told->inner;
+  ent_learn_route (state, request->route_id, told->inner);
 }
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -145,6 +145,9 @@
    over or the route has no target.  */
 uint32_t ent_target_left_ms (const struct ent_request *request, clk_us now);
 
+/* Another node has told whether servers alone send a route.  */
+void ent_learn_route (struct ent_state *state, uint64_t route, bool inner);
+
 /* The request has been answered by a server, or its time is over.  */
 void ent_ended (struct ent_request *request, clk_us now);
 
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -104,6 +104,19 @@
   return gat_serve_answer_head (out->user.serve, head);
 }
 
+/* A node tells of a route before it has an answer.  */
+static void
+gat_out_interim (void *arg, const struct hm_head *head)
+{
+  struct gat_out *out = lst_entry ((struct hcn *)arg, struct gat_out, conn);
+  struct nh_answer told;
+
+  if (out->state == GAT_OUT_ATTEMPT
+      && nh_get_answer (head->value[HM_NODE_ANSWER], &told) == SR_OK)
+    ent_learn_route (&out->gate->entry, out->user.attempt->call->ent.route_id,
+                     told.inner);
+}
+
 static int
 gat_out_data (void *arg, const uint8_t *data, size_t len)
 {
@@ -209,7 +222,7 @@
 }
 
 static const struct hcn_events gat_out_events
-    = { .sink = { gat_out_head, gat_out_data, gat_out_end },
+    = { .sink = { gat_out_head, gat_out_data, gat_out_end, gat_out_interim },
         .opened = gat_out_opened,
         .drained = gat_out_drained,
         .ended = gat_out_ended,
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -15,6 +15,9 @@
    nor an answer be on its way.  */
 #define GAT_OVERDUE_US clk_s (1)
 
+/* Early hints (RFC 8297), between nodes only.  */
+#define GAT_STATUS_HINTS 103
+
 static void gat_serve_end (struct gat_serve *serve);
 
 double
@@ -427,6 +430,26 @@
   gat_body_room (request);
 }
 
+/* Tells the other node that the route is one of calls, if it does not know.
+   Calls that never get an answer would not be known as such otherwise, and the
+   requests that make them not be limited.  */
+static void
+gat_serve_tell_route (struct gat_serve *serve)
+{
+  struct gat_request *request = serve->request;
+  struct buf *out = &request->in->conn.out;
+  char told[NH_TEXT_BYTES];
+
+  if (!serve->bsd.inner || serve->told.inner
+      || lst_first (&request->in->requests) != &request->node)
+    return;
+  gat_serve_told (serve, NH_UNKNOWN, RSN_NONE, told);
+  hm_status_line (out, GAT_STATUS_HINTS);
+  hm_add (out, NH_ANSWER_FIELD, told);
+  buf_append (out, "\r\n", 2);
+  hcn_flush (&request->in->conn);
+}
+
 void
 gat_serve_head (struct gat_request *request)
 {
@@ -456,6 +479,7 @@
                                serve->told.inner ? ORG_SERVERS : ORG_CALLERS)
                      == ORG_SERVERS;
   serve->bsd.arrived = request->arrived;
+  gat_serve_tell_route (serve);
   if (serve->told.timeout_ms < wait_ms)
     wait_ms = serve->told.timeout_ms;
   serve->bsd.deadline = request->arrived + clk_ms (wait_ms);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -227,6 +227,24 @@
   ent_fini (&state);
 }
 
+/* Guards against calls that are taken for requests of callers until the first
+   answer to one of them.  */
+static void
+test_route_told (void)
+{
+  struct ent_request request;
+
+  begin ();
+  request = admit ("/place/1", ENT_GO);
+  CU_ASSERT_FALSE (request.inner);
+  ent_learn_route (&state, request.route_id, true);
+  ent_release (&request);
+  request = admit ("/place/1", ENT_GO);
+  CU_ASSERT_TRUE (request.inner);
+  ent_release (&request);
+  ent_fini (&state);
+}
+
 int
 main (void)
 {
@@ -237,6 +255,7 @@
           { "closing", test_closing },
           { "near servers", test_near_servers },
           { "refusals", test_refusals },
+          { "route told", test_route_told },
           { NULL, NULL } };
 
   return suite_run ("entry", tests);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -28,6 +28,9 @@
 #define ANSWERS_BYTES 40000
 /* Reads of the configuration during a stop.  */
 #define ASKS 12
+/* Requests from one service after which a route is known to be one of calls.
+ */
+#define CALLS_TO_TELL 20
 
 static const char document[]
     = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
@@ -456,6 +459,51 @@
   CU_ASSERT_TRUE (first != NULL && second > first && third > second);
 }
 
+/* Pattern: after a restart of all nodes a deep service is so slow that no call
+   of it is ever answered.
+   Guards against requests that are not known to make calls, and not limited,
+   because what the node beside the deep service knows comes with answers
+   only.  */
+static void
+test_route_told (void)
+{
+  struct nh_request told
+      = { .service = "a", .timeout_ms = 200, .route = 99, .idempotent = true };
+  char field[NH_TEXT_BYTES];
+  char text[TEXT_BYTES];
+  char answer[4096] = "";
+  struct linger reset = { .l_onoff = 1 };
+  int gone = server_gone;
+  int sent = 0;
+  int fd;
+
+  nh_put_request (&told, field);
+  for (int i = 0; i < CALLS_TO_TELL && strstr (answer, " 103 ") == NULL; i++)
+    {
+      ssize_t len;
+
+      fd = dial (addresses[GAT_NODES]);
+      snprintf (text, sizeof text,
+                "GET /l/hang HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
+                "X-Sycamorerudder-Caller-Service: z\r\n"
+                "X-Sycamorerudder-Deadline-Ms: 200\r\n\r\n",
+                NH_REQUEST_FIELD, field);
+      put (fd, text);
+      usleep (20000);
+      len = recv (fd, answer, sizeof answer - 1, MSG_DONTWAIT);
+      answer[len > 0 ? len : 0] = '\0';
+      /* The run is cancelled at once.  */
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      close (fd);
+      sent++;
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (strstr (answer, " 103 "));
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, NH_ANSWER_FIELD));
+  for (int i = 0; i < 40 && server_gone - gone < sent; i++)
+    usleep (50000);
+  CU_ASSERT_EQUAL (server_gone - gone, sent);
+}
+
 /* Pattern: another node ends, or its connection is lost, while a server that
    will never answer has its request.
    Guards against a slot that is held for as long as the server runs.  */
@@ -710,6 +758,7 @@
           { "head", test_head },
           { "pipeline", test_pipeline },
           { "long pipeline", test_long_pipeline },
+          { "route told", test_route_told },
           { "overdue", test_overdue },
           { "broken answers", test_broken_answers },
           { "runs once", test_runs_once },
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -10,6 +10,7 @@
 {
   int heads;
   int ends;
+  int interim;         /* status of the last interim answer */
   struct hm_head head; /* the last one */
   struct buf body;     /* of all messages */
 };
@@ -40,7 +41,16 @@
   return 0;
 }
 
-static const struct hm_sink sink = { on_head, on_body, on_end };
+static void
+on_interim (void *arg, const struct hm_head *head)
+{
+  struct seen *seen = arg;
+
+  if (strcmp (head->value[HM_SEAL], "told") == 0)
+    seen->interim = head->status;
+}
+
+static const struct hm_sink sink = { on_head, on_body, on_end, on_interim };
 static const struct hm_names names = { .name = { [HM_HOST] = "Host",
                                                  [HM_REQUEST_ID] = "X-Id",
                                                  [HM_CALLER] = "X-Caller",
@@ -210,6 +220,32 @@
     }
 }
 
+/* Guards against interim answers that are taken for the answer, or whose
+   fields are lost or kept for it.  */
+static void
+test_interim (void)
+{
+  static const char text[] = "HTTP/1.1 103 Early Hints\r\nX-Seal: told\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  struct hm_opts opts = {
+    .role = HM_ANSWER, .names = &names, .sink = &sink, .header_bytes = 1024
+  };
+  struct hm_parser parser;
+  struct seen seen = { 0 };
+
+  opts.arg = &seen;
+  hm_init (&parser, &opts);
+  CU_ASSERT_EQUAL (hm_feed (&parser, text, strlen (text)), SR_OK);
+  CU_ASSERT_EQUAL (seen.interim, 103);
+  CU_ASSERT_EQUAL (seen.heads, 1);
+  CU_ASSERT_EQUAL (seen.ends, 1);
+  CU_ASSERT_EQUAL (seen.head.status, 200);
+  CU_ASSERT_STRING_EQUAL (seen.head.value[HM_SEAL], "");
+  CU_ASSERT_EQUAL (seen.body.len, 2);
+  hm_fini (&parser);
+  seen_free (&seen);
+}
+
 /* Guards against faults on bytes that no program sends.  */
 static void
 test_random_bytes (void)
@@ -264,12 +300,16 @@
 int
 main (void)
 {
-  static const struct suite_test tests[] = {
-    { "bytes stay", test_bytes_stay },     { "smuggling", test_smuggling },
-    { "long header", test_long_header },   { "pipeline", test_pipeline },
-    { "answers", test_answers },           { "head", test_head },
-    { "random bytes", test_random_bytes }, { NULL, NULL }
-  };
+  static const struct suite_test tests[]
+      = { { "bytes stay", test_bytes_stay },
+          { "smuggling", test_smuggling },
+          { "long header", test_long_header },
+          { "pipeline", test_pipeline },
+          { "answers", test_answers },
+          { "head", test_head },
+          { "interim answers", test_interim },
+          { "random bytes", test_random_bytes },
+          { NULL, NULL } };
 
   return suite_run ("httpmsg", tests);
 }
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -315,7 +315,11 @@
       || (head->role == HM_REQUEST && http->method == HTTP_CONNECT))
     return hm_malformed (parser), -1;
   if (head->role == HM_ANSWER && head->status / 100 == 1)
-    return 1;
+    {
+      if (parser->opts.sink->interim != NULL)
+        parser->opts.sink->interim (parser->opts.arg, head);
+      return 1;
+    }
   hm_drop_options (parser);
   hm_framing (parser);
   parser->error = parser->opts.sink->head (parser->opts.arg, head);
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -78,6 +78,8 @@
   int (*head) (void *arg, struct hm_head *head);
   int (*body) (void *arg, const uint8_t *data, size_t len);
   int (*end) (void *arg);
+  /* An interim answer, with a status from 100 to 199; may be NULL.  */
+  void (*interim) (void *arg, const struct hm_head *head);
 };
 
 struct hm_opts
