--- a/controllers/pace.c
+++ b/controllers/pace.c
@@ -33,10 +33,10 @@
 #define PAC_SHRINK_EVERY_US clk_ms (100)
 /* The limit grows only while this part of it is used.  */
 #define PAC_USED 0.5
-/* A limit that was left is forgotten by this factor at each time it shrinks
-   further, so that an overload that lasts becomes the rule.  */
+/* Factor by which the limit before a shortage is forgotten each time the limit
+   shrinks further, so that an overload that lasts becomes the rule.  */
 #define PAC_FORGET 0.99
-/* Part of it from which on the limit grows again once calls do not wait.  */
+/* Part of the limit before a shortage at which the limit begins to double.  */
 #define PAC_RESUME 0.125
 
 struct pac_route
@@ -47,8 +47,8 @@
   uint64_t route;
   bool urgent;
   double limit;
-  double left;  /* limit that was left when it began to shrink */
-  double close; /* smoothed part of the runs that were close */
+  double before; /* the limit from which it began to shrink */
+  double close;  /* smoothed part of the runs that were close */
   uint32_t running;
   clk_us shrunk;
   clk_us tried; /* when the last run began */
@@ -128,21 +128,21 @@
   if (now < route->shrunk + PAC_SHRINK_EVERY_US)
     return;
   route->shrunk = now;
-  route->left = fmax (route->left * PAC_FORGET, route->limit);
+  route->before = fmax (route->before * PAC_FORGET, route->limit);
   route->limit *= route->urgent ? PAC_SHRINK_URGENT : PAC_SHRINK;
   if (route->limit < PAC_LEAST)
     route->limit = PAC_LEAST;
 }
 
-/* After a shortage is over the limit doubles with each round of runs up to the
-   one that was left, and grows by one with each round from there.  */
+/* After a shortage the limit doubles with each round of runs up to the one
+   before it, and grows by one with each round from there.  */
 static void
 pac_grow (struct pac_route *route, bool pressed)
 {
   if (route->running < route->limit * PAC_USED)
     return;
-  if (!pressed && route->limit < route->left)
-    route->limit = fmax (route->limit + 1, route->left * PAC_RESUME);
+  if (!pressed && route->limit < route->before)
+    route->limit = fmax (route->limit + 1, route->before * PAC_RESUME);
   else
     route->limit += route->limit > 1 ? 1 / route->limit : route->limit;
   if (route->limit > route->pace->opts.most)
@@ -159,7 +159,7 @@
 
   route->close += ((close ? 1.0 : 0.0) - route->close)
                   * (route->limit < 1 ? PAC_GAIN_TRY : PAC_GAIN);
-  /* A single run in time tells that what made all others fail is over.  */
+  /* What made all others fail is over.  */
   if (!close && route->limit < 1)
     {
       route->close = 0;
--- a/controllers/pace.h
+++ b/controllers/pace.h
@@ -11,7 +11,7 @@
  * wait below, and shrinks by a factor otherwise (additive increase,
  * multiplicative decrease).  A limit below one is tried with single runs; the
  * first in time ends the shortage, and while calls do not wait the limit then
- * doubles with each round up to the one that was left.
+ * doubles with each round up to the one before the shortage.
  *
  * Target, while three times as much arrives as the services below carry: at
  * most a fifth of the runs late, and three quarters of what they carry
