--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -231,7 +231,7 @@
   gate->summed_at = now;
   slog (SLOG_INFO,
         "traffic calls=%llu answers=%llu attempts=%llu far=%llu "
-        "bytes_far=%llu serves=%llu running=%u waiting=%u haste=%.2f "
+        "bytes_far=%llu serves=%llu running=%u waiting=%u limit=%u haste=%.2f "
         "fan_out=%.1f",
         (unsigned long long)ctr_get (CTR_CALLS),
         (unsigned long long)ctr_get (CTR_ANSWERS),
@@ -240,7 +240,8 @@
         (unsigned long long)ctr_get (CTR_BYTES_FAR),
         (unsigned long long)ctr_get (CTR_SERVES),
         adm_running (gate->beside.slots), adm_waiting (gate->beside.slots),
-        gate->beside.haste, bsd_fan_out (&gate->beside, now));
+        adm_limit (gate->beside.slots), gate->beside.haste,
+        bsd_fan_out (&gate->beside, now));
 }
 
 static void
