Tables by digest: one lookup and one way to empty them

Cause: four modules of the gate kept a second list of all items of their hash table, only to free them, and three a copy of the key that the hash node holds already, each with the same loop over a bucket.

Ruled out: the tables of members, views and claims; they find by name and use their lists for more than freeing.

Change: hsh_find() for tables whose key is the hash, hsh_drain() to empty any. The lists and copies go. In pac_grow the case below one is dead since a run in time sets the limit to one; it goes too.

--- a/controllers/origin.c
+++ b/controllers/origin.c
@@ -23,10 +23,8 @@
 
 struct org_route
 {
-  struct hsh_node hash_node;
-  struct lst_node node; /* org->all */
-  uint64_t route;
-  uint32_t count; /* requests, bounded by ORG_LEAST */
+  struct hsh_node node; /* org->routes */
+  uint32_t count;       /* requests, bounded by ORG_LEAST */
   uint32_t origin_count;
   struct org_origin origins[ORG_SERVICES];
 };
@@ -35,17 +33,19 @@
 org_init (struct org *origins)
 {
   memset (origins, 0, sizeof *origins);
-  lst_init (&origins->all);
   return hsh_init (&origins->routes);
 }
 
 void
 org_fini (struct org *origins)
 {
+  struct lst all;
   struct lst_node *node;
 
-  while ((node = lst_pop_head (&origins->all)) != NULL)
-    free (lst_entry (node, struct org_route, node));
+  lst_init (&all);
+  hsh_drain (&origins->routes, &all);
+  while ((node = lst_pop_head (&all)) != NULL)
+    free (lst_entry (node, struct org_route, node.node));
   hsh_fini (&origins->routes);
 }
 
@@ -76,20 +76,14 @@
 static struct org_route *
 org_find (struct org *origins, uint64_t route)
 {
+  struct hsh_node *node = hsh_find (&origins->routes, route);
   struct org_route *found;
 
-  lst_each (node, hsh_bucket (&origins->routes, route))
-    {
-      found = lst_entry (lst_entry (node, struct hsh_node, node),
-                         struct org_route, hash_node);
-      if (found->route == route)
-        return found;
-    }
+  if (node != NULL)
+    return lst_entry (node, struct org_route, node);
   found = calloc (1, sizeof *found);
   INVARIANT (found != NULL);
-  found->route = route;
-  hsh_add (&origins->routes, &found->hash_node, route);
-  lst_push_tail (&origins->all, &found->node);
+  hsh_add (&origins->routes, &found->node, route);
   return found;
 }
 
--- a/controllers/origin.h
+++ b/controllers/origin.h
@@ -27,8 +27,7 @@
 
 struct org
 {
-  struct hsh routes;
-  struct lst all; /* of what is in @routes */
+  struct hsh routes; /* struct org_route, by the digest of the route's name */
   struct org_service services[ORG_SERVICES];
   uint32_t service_count;
   uint32_t nodes;
--- a/controllers/pace.c
+++ b/controllers/pace.c
@@ -41,10 +41,8 @@
 
 struct pac_route
 {
-  struct hsh_node hash_node;
-  struct lst_node node; /* pac->all */
+  struct hsh_node node; /* pac->routes */
   struct pac *pace;
-  uint64_t route;
   bool urgent;
   double limit;
   double before; /* the limit from which it began to shrink */
@@ -58,17 +56,19 @@
 pac_init (struct pac *pace)
 {
   pace->opts.most = 1;
-  lst_init (&pace->all);
   return hsh_init (&pace->routes);
 }
 
 void
 pac_fini (struct pac *pace)
 {
+  struct lst all;
   struct lst_node *node;
 
-  while ((node = lst_pop_head (&pace->all)) != NULL)
-    free (lst_entry (node, struct pac_route, node));
+  lst_init (&all);
+  hsh_drain (&pace->routes, &all);
+  while ((node = lst_pop_head (&all)) != NULL)
+    free (lst_entry (node, struct pac_route, node.node));
   hsh_fini (&pace->routes);
 }
 
@@ -81,22 +81,16 @@
 static struct pac_route *
 pac_find (struct pac *pace, uint64_t id)
 {
+  struct hsh_node *node = hsh_find (&pace->routes, id);
   struct pac_route *route;
 
-  lst_each (node, hsh_bucket (&pace->routes, id))
-    {
-      route = lst_entry (lst_entry (node, struct hsh_node, node),
-                         struct pac_route, hash_node);
-      if (route->route == id)
-        return route;
-    }
+  if (node != NULL)
+    return lst_entry (node, struct pac_route, node);
   route = calloc (1, sizeof *route);
   INVARIANT (route != NULL);
   route->pace = pace;
-  route->route = id;
   route->limit = pace->opts.most * PAC_FIRST;
-  hsh_add (&pace->routes, &route->hash_node, id);
-  lst_push_tail (&pace->all, &route->node);
+  hsh_add (&pace->routes, &route->node, id);
   return route;
 }
 
@@ -144,7 +138,7 @@
   if (!pressed && route->limit < route->before)
     route->limit = fmax (route->limit + 1, route->before * PAC_RESUME);
   else
-    route->limit += route->limit > 1 ? 1 / route->limit : route->limit;
+    route->limit += 1 / route->limit;
   if (route->limit > route->pace->opts.most)
     route->limit = route->pace->opts.most;
 }
--- a/controllers/pace.h
+++ b/controllers/pace.h
@@ -33,8 +33,7 @@
 struct pac
 {
   struct pac_opts opts;
-  struct hsh routes;
-  struct lst all; /* struct pac_route */
+  struct hsh routes; /* struct pac_route, by the digest of the route's name */
 };
 
 struct pac_route;
--- a/controllers/split.c
+++ b/controllers/split.c
@@ -7,8 +7,7 @@
 /* Position of one route.  */
 struct spl_route
 {
-  struct hsh_node hash_node;
-  struct lst_node node; /* spl->all */
+  struct hsh_node node; /* spl->routes */
   const struct rte_route *route;
   struct lst credits; /* struct spl_credit, in the order of the targets */
 };
@@ -21,8 +20,7 @@
 
 struct spl
 {
-  struct hsh routes;
-  struct lst all; /* struct spl_route */
+  struct hsh routes; /* struct spl_route */
 };
 
 struct spl *
@@ -32,7 +30,6 @@
 
   if (split == NULL)
     return NULL;
-  lst_init (&split->all);
   if (hsh_init (&split->routes) == SR_OK)
     return split;
   free (split);
@@ -52,15 +49,13 @@
 void
 spl_reset (struct spl *split)
 {
+  struct lst all;
   struct lst_node *node;
 
-  while ((node = lst_pop_head (&split->all)) != NULL)
-    {
-      struct spl_route *position = lst_entry (node, struct spl_route, node);
-
-      hsh_remove (&split->routes, &position->hash_node);
-      spl_free_route (position);
-    }
+  lst_init (&all);
+  hsh_drain (&split->routes, &all);
+  while ((node = lst_pop_head (&all)) != NULL)
+    spl_free_route (lst_entry (node, struct spl_route, node.node));
 }
 
 void
@@ -79,8 +74,7 @@
   lst_each (node, hsh_bucket (&split->routes, hash))
     {
       struct spl_route *position
-          = lst_entry (lst_entry (node, struct hsh_node, node),
-                       struct spl_route, hash_node);
+          = lst_entry (node, struct spl_route, node.node);
 
       if (position->route == route)
         return position;
@@ -105,8 +99,7 @@
       credit->value = (int64_t)rng_below (rng, route->weight_sum);
       lst_push_tail (&position->credits, &credit->node);
     }
-  hsh_add (&split->routes, &position->hash_node, hash);
-  lst_push_tail (&split->all, &position->node);
+  hsh_add (&split->routes, &position->node, hash);
   return position;
 }
 
--- a/core/hash.c
+++ b/core/hash.c
@@ -111,6 +111,30 @@
   table->items--;
 }
 
+struct hsh_node *
+hsh_find (struct hsh *table, uint64_t hash)
+{
+  lst_each (node, hsh_bucket (table, hash))
+    {
+      struct hsh_node *found = lst_entry (node, struct hsh_node, node);
+
+      if (found->hash == hash)
+        return found;
+    }
+  return NULL;
+}
+
+void
+hsh_drain (struct hsh *table, struct lst *out)
+{
+  for (size_t i = table->moved; table->old != NULL && i < table->old_count;
+       i++)
+    lst_splice_tail (out, hsh_ready (&table->old[i]));
+  for (size_t i = 0; i < table->count; i++)
+    lst_splice_tail (out, hsh_ready (&table->buckets[i]));
+  table->items = 0;
+}
+
 uint64_t
 hsh_bytes (const void *data, size_t len)
 {
--- a/core/hash.h
+++ b/core/hash.h
@@ -44,6 +44,12 @@
    other items may be in it.  */
 struct lst *hsh_bucket (struct hsh *table, uint64_t hash);
 
+/* The item with HASH, or NULL; for tables whose key is the hash itself.  */
+struct hsh_node *hsh_find (struct hsh *table, uint64_t hash);
+
+/* Moves all items to the tail of OUT, linked by hsh_node.node.  */
+void hsh_drain (struct hsh *table, struct lst *out);
+
 uint64_t hsh_bytes (const void *data, size_t len);
 uint64_t hsh_text (const char *text);
 
--- a/filters/entry.c
+++ b/filters/entry.c
@@ -61,7 +61,6 @@
   state->opts = *opts;
   state->nodes = 1;
   lst_init (&state->services);
-  lst_init (&state->all_learned);
   rng_id ((uint8_t *)&seed, sizeof seed);
   rng_seed (&state->rng, seed);
   state->split = spl_new ();
@@ -70,23 +69,10 @@
   return hsh_init (&state->learned);
 }
 
-static void
-ent_forget (struct ent_state *state)
-{
-  struct lst_node *node;
-
-  while ((node = lst_pop_head (&state->all_learned)) != NULL)
-    {
-      struct ent_learned *learned = lst_entry (node, struct ent_learned, node);
-
-      hsh_remove (&state->learned, &learned->hash_node);
-      free (learned);
-    }
-}
-
 void
 ent_fini (struct ent_state *state)
 {
+  struct lst learned;
   struct lst_node *node;
 
   while ((node = lst_pop_head (&state->services)) != NULL)
@@ -96,7 +82,10 @@
       chs_free (service->servers);
       free (service);
     }
-  ent_forget (state);
+  lst_init (&learned);
+  hsh_drain (&state->learned, &learned);
+  while ((node = lst_pop_head (&learned)) != NULL)
+    free (lst_entry (node, struct ent_learned, node.node));
   hsh_fini (&state->learned);
   spl_free (state->split);
   mdl_unref (state->model);
@@ -138,16 +127,9 @@
 static struct ent_learned *
 ent_find_learned (struct ent_state *state, uint64_t route)
 {
-  lst_each (node, hsh_bucket (&state->learned, route))
-    {
-      struct ent_learned *learned
-          = lst_entry (lst_entry (node, struct hsh_node, node),
-                       struct ent_learned, hash_node);
+  struct hsh_node *node = hsh_find (&state->learned, route);
 
-      if (learned->route == route)
-        return learned;
-    }
-  return NULL;
+  return node != NULL ? lst_entry (node, struct ent_learned, node) : NULL;
 }
 
 static struct ent_result
@@ -451,9 +433,7 @@
     {
       learned = calloc (1, sizeof *learned);
       INVARIANT (learned != NULL);
-      learned->route = route;
-      hsh_add (&state->learned, &learned->hash_node, learned->route);
-      lst_push_tail (&state->all_learned, &learned->node);
+      hsh_add (&state->learned, &learned->node, route);
     }
   learned->inner = inner;
 }
--- a/filters/entry.h
+++ b/filters/entry.h
@@ -47,10 +47,8 @@
 /* What was learned of a route.  */
 struct ent_learned
 {
-  struct hsh_node hash_node;
-  struct lst_node node; /* ent_state->all_learned */
-  uint64_t route;
-  bool inner; /* sent by backend servers only */
+  struct hsh_node node; /* ent_state->learned */
+  bool inner;           /* sent by backend servers only */
 };
 
 struct ent_opts
@@ -64,8 +62,8 @@
   struct ent_opts opts;
   struct mdl *model;   /* NULL before the first configuration */
   struct lst services; /* struct ent_service */
-  struct hsh learned;  /* struct ent_learned */
-  struct lst all_learned;
+  struct hsh learned;  /* struct ent_learned, by the digest of the route's
+                          name */
   struct spl *split;
   struct rng rng;
   uint32_t nodes; /* that share the retry budget */
--- a/tests/test_bytes.c
+++ b/tests/test_bytes.c
@@ -152,6 +152,47 @@
   free (items);
 }
 
+/* Guards against items that are left out, or returned for another hash, while
+   a table doubles.  */
+static void
+test_hash_find_and_drain (void)
+{
+  enum
+  {
+    ITEMS = 700
+  };
+  struct item *items = calloc (ITEMS, sizeof *items);
+  struct hsh table;
+  struct lst all;
+  struct lst_node *node;
+  uint32_t count = 0;
+
+  lst_init (&all);
+  CU_ASSERT_EQUAL (hsh_init (&table), SR_OK);
+  for (uint32_t i = 0; i < ITEMS; i++)
+    {
+      hsh_add (&table, &items[i].node, hsh_bytes (&i, sizeof i));
+      for (uint32_t j = 0; j <= i; j += 1 + i / 20)
+        CU_ASSERT_PTR_EQUAL_FATAL (hsh_find (&table, hsh_bytes (&j, sizeof j)),
+                                   &items[j].node);
+      CU_ASSERT_PTR_NULL (hsh_find (&table, i));
+    }
+  hsh_drain (&table, &all);
+  CU_ASSERT_EQUAL (table.items, 0);
+  CU_ASSERT_PTR_NULL (hsh_find (&table, items[0].node.hash));
+  while ((node = lst_pop_head (&all)) != NULL)
+    {
+      struct item *item = lst_entry (node, struct item, node.node);
+
+      CU_ASSERT_FALSE (item->added);
+      item->added = true;
+      count++;
+    }
+  CU_ASSERT_EQUAL (count, ITEMS);
+  hsh_fini (&table);
+  free (items);
+}
+
 int
 main (void)
 {
@@ -159,6 +200,7 @@
       = { { "round trip and truncation", test_round_trip_and_truncation },
           { "text limits", test_text_limits },
           { "hash doubling", test_hash_doubling },
+          { "hash table by hash", test_hash_find_and_drain },
           { NULL, NULL } };
 
   return suite_run ("bytes", tests);
