A connection's end and its held requests, once

Cause: the two ends of an accepted connection freed its requests each for itself, five places spelled out its first request, and a count of the held ones said what their kind says.

The end comes first in gat_in_advance().

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -52,6 +52,12 @@
   lop_set (in->gate->loop, &in->timer, lop_now (in->gate->loop) + clk_ms (ms));
 }
 
+static struct gat_request *
+gat_in_first (struct gat_in *in)
+{
+  return lst_entry (lst_first (&in->requests), struct gat_request, node);
+}
+
 static struct gat_request *
 gat_in_last (struct gat_in *in)
 {
@@ -67,6 +73,16 @@
   in->request_count++;
 }
 
+/* The connection takes and answers nothing more.  */
+static void
+gat_in_clear (struct gat_in *in)
+{
+  in->ended = true;
+  while (!lst_empty (&in->requests))
+    gat_request_free (gat_in_first (in));
+  lop_cancel (&in->timer);
+}
+
 /* Reads on unless there is enough to do already.  */
 static void
 gat_in_flow (struct gat_in *in)
@@ -84,8 +100,7 @@
 
   while (!in->ended && !lst_empty (&in->requests))
     {
-      request
-          = lst_entry (lst_first (&in->requests), struct gat_request, node);
+      request = gat_in_first (in);
       if (request->answer.len > 0)
         {
           buf_append (&in->conn.out, request->answer.data,
@@ -103,33 +118,26 @@
         break;
       gat_request_free (request);
     }
-  if (!in->ended)
+  if (in->ended)
     {
-      hcn_flush (&in->conn);
-      gat_in_start_held (in);
-      if (in->ended)
-        return;
-      if (!in->last)
-        gat_in_flow (in);
-      if (lst_empty (&in->requests) && !in->conn.closed)
-        gat_in_wait (in, hm_inside (&in->conn.parser));
+      gat_in_clear (in);
+      hcn_finish (&in->conn);
       return;
     }
-  while (!lst_empty (&in->requests))
-    gat_request_free (
-        lst_entry (lst_first (&in->requests), struct gat_request, node));
-  lop_cancel (&in->timer);
-  hcn_finish (&in->conn);
+  hcn_flush (&in->conn);
+  gat_in_start_held (in);
+  if (in->ended)
+    return;
+  if (!in->last)
+    gat_in_flow (in);
+  if (lst_empty (&in->requests) && !in->conn.closed)
+    gat_in_wait (in, hm_inside (&in->conn.parser));
 }
 
 void
 gat_in_end (struct gat_in *in, bool reset)
 {
-  in->ended = true;
-  while (!lst_empty (&in->requests))
-    gat_request_free (
-        lst_entry (lst_first (&in->requests), struct gat_request, node));
-  lop_cancel (&in->timer);
+  gat_in_clear (in);
   hcn_close (&in->conn, reset);
 }
 
@@ -139,7 +147,6 @@
 {
   lst_remove (&request->node);
   request->in->request_count--;
-  request->in->held_count -= request->kind == GAT_KIND_HELD;
   lst_remove (&request->api_node);
   request->in = NULL;
   switch (request->kind)
@@ -234,10 +241,7 @@
       return SR_EAGAIN;
     }
   if (in->request_count > GAT_PIPELINE_MOST)
-    {
-      request->kind = GAT_KIND_HELD;
-      in->held_count++;
-    }
+    request->kind = GAT_KIND_HELD;
   else
     gat_in_start (request);
   return in->conn.closed || in->ended ? SR_EAGAIN : SR_OK;
@@ -271,7 +275,7 @@
 {
   uint32_t at = 0;
 
-  if (in->ended || in->held_count == 0)
+  if (in->ended)
     return NULL;
   lst_each (node, &in->requests)
     {
@@ -308,7 +312,6 @@
   while ((request = gat_in_next_held (in)) != NULL)
     {
       request->kind = GAT_KIND_NONE;
-      in->held_count--;
       gat_in_start (request);
       if (gat_in_has (in, request))
         gat_in_body_grew (request);
@@ -368,7 +371,7 @@
 
   if (lst_empty (&in->requests))
     return;
-  request = lst_entry (lst_first (&in->requests), struct gat_request, node);
+  request = gat_in_first (in);
   if (request->kind == GAT_KIND_CALL)
     gat_call_room (request->u.call);
   else if (request->kind == GAT_KIND_SERVE)
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -75,10 +75,9 @@
   enum gat_port port;
   struct lst requests; /* struct gat_request */
   uint32_t request_count;
-  uint32_t held_count; /* of them, GAT_KIND_HELD */
-  bool starting;       /* what is held is being started */
-  bool reading_body;   /* of the last request */
-  bool last;           /* no further request is taken */
+  bool starting;     /* what is held is being started */
+  bool reading_body; /* of the last request */
+  bool last;         /* no further request is taken */
   bool ended;
   struct lop_timer timer;
 };
@@ -239,7 +238,6 @@
   bool confirmed; /* the configuration, by a quorum */
   bool probed;    /* the own server was asked, or need not be */
   struct gat_out *probe;
-  char own_ip[MEM_ADDRESS_BYTES];
   char request_port[16]; /* of other nodes; equal on all */
   struct lop_timer tick;
   struct lop_timer admission;
