State, steps and sockets of the gate that were there twice, or for nobody

- own_ip of the gate was written and never read; ctl_free_pending() has nothing to free since the task gives up what is pending; CTL_FAULT_BYTES was a copy of API_FAULT_BYTES.
- The steps of a stop were ordered by two special cases; one pass from the end keeps each from being due after the next, which is what both were for.
- hcn_listen() and hcn_dial() began with the same lines.

--- a/tasks/control.c
+++ b/tasks/control.c
@@ -398,7 +398,6 @@
 
   pthread_join (control->thread, NULL);
   failed = control->failed;
-  ctl_free_pending (control);
   ctl_expire_nodes (control, UINT64_MAX);
   hsh_fini (&control->node_table);
   rpl_free (control->replica);
--- a/tasks/control.h
+++ b/tasks/control.h
@@ -12,12 +12,11 @@
 
 #include <stdbool.h>
 
+#include "core/api.h"
 #include "core/clk.h"
 #include "core/inbox.h"
 #include "tasks/store.h"
 
-#define CTL_FAULT_BYTES 160
-
 struct control;
 struct mdl;
 
@@ -30,7 +29,7 @@
   struct inb *front;
   /* Decodes a document; NULL for the project's own format.  */
   int (*parse) (const char *document, size_t len, struct mdl **out,
-                char fault[CTL_FAULT_BYTES]);
+                char fault[API_FAULT_BYTES]);
   bool existing;        /* the groups exist already */
   uint32_t voters_most; /* 0 for the default */
   clk_us replace_after; /* 0 for the default */
--- a/tasks/control_config.c
+++ b/tasks/control_config.c
@@ -37,7 +37,7 @@
 
 static int
 ctl_config_parse (const struct control *control, const char *document,
-                  size_t len, struct mdl **model, char fault[CTL_FAULT_BYTES])
+                  size_t len, struct mdl **model, char fault[API_FAULT_BYTES])
 {
   if (control->opts.parse != NULL)
     return control->opts.parse (document, len, model, fault);
@@ -50,7 +50,7 @@
                 const struct mem_version *version, bool confirmed)
 {
   struct mdl *model = NULL;
-  char fault[CTL_FAULT_BYTES] = "";
+  char fault[API_FAULT_BYTES] = "";
   int order = ctl_version_compare (version, &control->version);
 
   if (order == 0 && confirmed && !control->confirmed)
--- a/tasks/control_propose.c
+++ b/tasks/control_propose.c
@@ -15,13 +15,6 @@
   free (pending);
 }
 
-void
-ctl_free_pending (struct control *control)
-{
-  lst_each (node, &control->pending)
-    ctl_drop_pending (lst_entry (node, struct ctl_pending, node));
-}
-
 /* Forgets the proposals and reads of one origin; late results find nobody. */
 void
 ctl_drop_origin (struct control *control, enum ctl_origin_kind kind)
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -163,7 +163,6 @@
 void ctl_give_up_pending (struct control *control, clk_us now);
 void ctl_check_pending (struct control *control, clk_us now);
 clk_us ctl_pending_wakeup (const struct control *control, clk_us latest);
-void ctl_free_pending (struct control *control);
 bool ctl_has_claims (const struct control *control);
 void ctl_drop_origin (struct control *control, enum ctl_origin_kind kind);
 void ctl_run_replica (struct control *control, clk_us now);
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -28,13 +28,12 @@
   lop_wake (gate->loop);
 }
 
+/* Nodes take requests of others at the same port.  */
 static void
-gat_own_address (struct gate *gate)
+gat_note_port (struct gate *gate)
 {
   const char *nodes = gate->opts.listen[GAT_NODES];
 
-  snprintf (gate->own_ip, sizeof gate->own_ip, "%.*s",
-            (int)strcspn (gate->opts.peer, ":"), gate->opts.peer);
   if (nodes != NULL && strchr (nodes, ':') != NULL)
     snprintf (gate->request_port, sizeof gate->request_port, "%s",
               strchr (nodes, ':') + 1);
@@ -57,7 +56,7 @@
   lst_init (&gate->calls);
   lst_init (&gate->serves);
   lst_init (&gate->apis);
-  gat_own_address (gate);
+  gat_note_port (gate);
   gate->loop = lop_new (&loop);
   gate->inbox = inb_new (&inbox);
   INVARIANT (gate->loop != NULL && gate->inbox != NULL);
--- a/tasks/gate_stop.c
+++ b/tasks/gate_stop.c
@@ -47,14 +47,11 @@
   stop->due[GAT_STOP_GIVE_UP] = now + limit - GAT_GIVE_UP_BEFORE_US;
   stop->due[GAT_STOP_END] = now + limit;
   stop->sweep_from = now + GAT_SWEEP_US;
-  /* The steps keep their order: those before a close that comes early come
-     early too, as do all with a short limit.  */
-  for (int step = 0; step < GAT_STOP_CLOSE; step++)
-    if (stop->due[step] > stop->due[GAT_STOP_CLOSE])
-      stop->due[step] = stop->due[GAT_STOP_CLOSE];
-  for (int step = 0; step < GAT_STOP_WITHDRAW; step++)
-    if (stop->due[step] > stop->due[GAT_STOP_WITHDRAW])
-      stop->due[step] = stop->due[GAT_STOP_WITHDRAW];
+  /* No step is due after the next one: with a short limit, or a close that
+     comes early, those before come early too.  */
+  for (int step = GAT_STOP_END; step > 0; step--)
+    if (stop->due[step - 1] > stop->due[step])
+      stop->due[step - 1] = stop->due[step];
 }
 
 static void
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -41,18 +41,28 @@
   return SR_OK;
 }
 
+/* Reads ADDRESS and opens a socket for it; a descriptor, or a negative error
+   number.  */
+static int
+hcn_socket (const char *address, struct sockaddr_in *name)
+{
+  int fd;
+
+  if (hcn_address (address, name) != SR_OK)
+    return SR_EINVAL;
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  return fd < 0 ? SR_EIO : fd;
+}
+
 int
 hcn_listen (const char *address)
 {
   struct sockaddr_in name;
   int on = 1;
-  int fd;
+  int fd = hcn_socket (address, &name);
 
-  if (hcn_address (address, &name) != SR_OK)
-    return SR_EINVAL;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
-    return SR_EIO;
+    return fd;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (fd, (struct sockaddr *)&name, sizeof name) == 0
       && listen (fd, HCN_BACKLOG) == 0)
@@ -285,13 +295,10 @@
 {
   struct sockaddr_in name;
   int error;
-  int fd;
+  int fd = hcn_socket (address, &name);
 
-  if (hcn_address (address, &name) != SR_OK)
-    return SR_EINVAL;
-  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
-    return SR_EIO;
+    return fd;
   if (connect (fd, (struct sockaddr *)&name, sizeof name) != 0
       && errno != EINPROGRESS)
     {
