One run for both soaks

Cause: scripts/soak-gate was written after scripts/soak and repeated its loop, the supervision, the end of the bursts, the recovery and the verdict; the fault of one check that could not fail stood in both before it was found.

Change: scripts/soak-run.sh has the run, scripts/soak-events.sh the faults; each soak says what it starts, what its load is and what it checks. Draws and bounds are the same.

--- a/scripts/soak-events.sh
+++ b/scripts/soak-events.sh
@@ -1,27 +1,6 @@
-# Fault events of scripts/soak and scripts/soak-gate.  "due" holds actions by
+# Fault events of soak runs; sourced by soak-run.sh.  "due" holds actions by
 # time, "down" the processes that are not running or frozen on purpose.
 
-# Time since the start, in milliseconds.
-now_ms () {
-  echo $(($(date +%s%3N) - started_ms))
-}
-
-say () {
-  printf '%7d ms  %s\n' "$(now_ms)" "$1"
-}
-
-fail () {
-  echo "FAIL $1"
-  failed=1
-}
-
-# Whether all calls of a result file were whole.
-soak_whole () {
-  awk '/"all": {/ { all = 1 } /}/ { all = 0 }
-    all && /"calls":/ { calls = $2 + 0 } all && /"whole":/ { whole = $2 + 0 }
-    END { exit !(calls > 0 && calls == whole) }' "$1"
-}
-
 # later MS ACTION NAME: runs the action after that time.
 later () {
   due[$2:$3]=$(($(now_ms) + $1))
@@ -133,15 +112,3 @@
   stop_limit[$REPLY]=$(($(now_ms) + stop_s * 1000))
   later 200 stopped "$REPLY"
 }
-
-# Waits for operators and single requests that are still running; a crashing
-# request that is resent later would be one more fault.
-wait_others () {
-  local pid
-  for pid in $(jobs -pr); do
-    case " ${MESH_PID[*]} " in
-      *" $pid "*) ;;
-      *) wait "$pid" ;;
-    esac
-  done
-}
