--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdbool.h>
@@ -11,6 +10,7 @@
 #include "core/clk.h"
 #include "programs/ctl_opts.h"
 #include "programs/ctl_run.h"
+#include "tests/net.h"
 #include "tests/suite.h"
 
 #define REQUEST_BYTES (256 * 1024)
@@ -98,17 +98,12 @@
 static void
 stand_in_start (struct stand_in *self)
 {
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t len = sizeof address;
+  char address[NET_ADDRESS_BYTES];
 
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   self->held = -1;
-  self->listener = socket (AF_INET, SOCK_STREAM, 0);
-  CU_ASSERT_EQUAL_FATAL (
-      bind (self->listener, (struct sockaddr *)&address, len), 0);
+  self->listener = net_bind (address);
+  self->port = (uint16_t)atoi (strchr (address, ':') + 1);
   CU_ASSERT_EQUAL_FATAL (listen (self->listener, 8), 0);
-  getsockname (self->listener, (struct sockaddr *)&address, &len);
-  self->port = ntohs (address.sin_port);
   pthread_create (&self->thread, NULL, stand_in_serve, self);
 }
 
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -14,6 +14,7 @@
 #include "platform/platform.h"
 #include "sycamorerudder.h"
 #include "tasks/gate.h"
+#include "tests/net.h"
 #include "tests/suite.h"
 #include "wire/nodehdr.h"
 
@@ -48,7 +49,7 @@
 
 /* The backend server: answers by the last part of the path.  */
 static int server_listener;
-static char server_address[32];
+static char server_address[NET_ADDRESS_BYTES];
 static atomic_int server_requests;
 static atomic_int server_gone; /* requests whose connection ended meanwhile */
 static char server_last[TEXT_BYTES];
@@ -57,21 +58,7 @@
 static struct gate *gate;
 static struct inb *control;
 static pthread_t gate_thread;
-static char addresses[GAT_PORT_COUNT][32];
-
-static int
-listen_any (char address[32])
-{
-  struct sockaddr_in name = { .sin_family = AF_INET };
-  socklen_t len = sizeof name;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&name, len), 0);
-  getsockname (fd, (struct sockaddr *)&name, &len);
-  snprintf (address, 32, "127.0.0.1:%u", ntohs (name.sin_port));
-  return fd;
-}
+static char addresses[GAT_PORT_COUNT][NET_ADDRESS_BYTES];
 
 static int
 dial (const char *address)
@@ -309,12 +296,12 @@
   char fault[API_FAULT_BYTES];
   pthread_t thread;
 
-  server_listener = listen_any (server_address);
+  server_listener = net_bind (server_address);
   listen (server_listener, 64);
   pthread_create (&thread, NULL, server_run, NULL);
   for (int i = 0; i < GAT_PORT_COUNT; i++)
     {
-      close (listen_any (addresses[i]));
+      close (net_bind (addresses[i]));
       opts.listen[i] = addresses[i];
     }
   opts.instance = "n-1";
--- a/tests/test_peer.c
+++ b/tests/test_peer.c
@@ -1,8 +1,6 @@
-#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -12,6 +10,7 @@
 #include "core/msg.h"
 #include "sycamorerudder.h"
 #include "tasks/peer.h"
+#include "tests/net.h"
 #include "tests/suite.h"
 
 /* Two heartbeats of the nodes' sockets and a margin: the first finds the
@@ -28,20 +27,12 @@
 }
 
 /* Address with a free port.  */
-static char address[32];
+static char address[NET_ADDRESS_BYTES];
 
 static void
 choose_address (void)
 {
-  struct sockaddr_in name = { .sin_family = AF_INET };
-  socklen_t len = sizeof name;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&name, len), 0);
-  getsockname (fd, (struct sockaddr *)&name, &len);
-  snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (name.sin_port));
-  close (fd);
+  close (net_bind (address));
 }
 
 static void *
