A mark of reused connections that nothing read

Whether a connection of the gate had been used before was set and never asked: the age of an idle one decides. test_gate 125 assertions as before.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -279,7 +279,6 @@
     out = gat_out_dial (gate, pool);
   else
     {
-      out->reused = true;
       lst_remove (&out->node);
       lop_cancel (&out->timer);
     }
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -177,7 +177,6 @@
   clk_us idle_most; /* from Keep-Alive */
   uint32_t strays;  /* answers to other requests */
   bool stray;       /* the answer that is being read is one */
-  bool reused;
   bool answered;
   bool keep; /* may be used again after this answer */
 };
