--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -128,6 +128,77 @@
   CU_ASSERT_STRING_EQUAL (out.peer_address, "10.1.0.8:7620");
 }
 
+/* Parses the settings with the first FROM replaced by TO.  */
+static int
+parse_settings_with (const char *from, const char *to,
+                     struct platform_settings *out)
+{
+  static char text[4096];
+  char fault[API_FAULT_BYTES] = "";
+  const char *match = strstr (settings, from);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
+  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - settings), settings,
+            to, match + strlen (from));
+  return platform_parse_settings (text, strlen (text), out, fault);
+}
+
+/* Guards against bounds that are passed over, so that a graceful shutdown cuts
+   off requests long before the end of the grace period: the template writes
+   the bounds as an object, the platform's own file has a list of strings.  */
+static void
+test_bounds (void)
+{
+  static const char list[] = "[\"grace_s=6\",\"retry_budget_slack=49\"]";
+  struct platform_settings out;
+
+  CU_ASSERT_EQUAL (parse_settings_with (list,
+                                        "{\"grace_s\":10,\"drain_s\":2.5,"
+                                        "\"retry_budget_ratio\":0.3,"
+                                        "\"retry_budget_slack\":118,"
+                                        "\"budget_window_s\":8.5}",
+                                        &out),
+                   SR_OK);
+  CU_ASSERT_TRUE (out.stop_limit_s > 9 && out.stop_limit_s < 10);
+  CU_ASSERT_TRUE (out.retry_ratio == 0.3);
+  CU_ASSERT_TRUE (out.retries_min == 118.0);
+  CU_ASSERT_TRUE (out.retry_window_s == 8.5);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "[\"grace_s=12\"]", &out), SR_OK);
+  CU_ASSERT_TRUE (out.stop_limit_s > 11 && out.stop_limit_s < 12);
+}
+
+/* Guards against settings of which a part is dropped without a word: bounds
+   without a usable value, and seeds beyond the number that is read.  */
+static void
+test_invalid_settings (void)
+{
+  static const char list[] = "[\"grace_s=6\",\"retry_budget_slack=49\"]";
+  static const char seed[] = "\"10.1.0.13:8306\"";
+  struct platform_settings out;
+
+  CU_ASSERT_EQUAL (parse_settings_with (list, "{\"grace_s\":\"soon\"}", &out),
+                   SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "{\"grace_s\":-1}", &out),
+                   SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "[\"grace_s=1e99\"]", &out),
+                   SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "[\"grace_s=6s\"]", &out),
+                   SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "7", &out), SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "{\"new_bound\":true}", &out),
+                   SR_OK);
+  CU_ASSERT_EQUAL (parse_settings_with (seed,
+                                        "\"10.1.0.13:8306\","
+                                        "\"10.1.0.14:8306\","
+                                        "\"10.1.0.15:8306\","
+                                        "\"10.1.0.16:8306\","
+                                        "\"10.1.0.17:8306\","
+                                        "\"10.1.0.18:8306\","
+                                        "\"10.1.0.19:8306\"",
+                                        &out),
+                   SR_EINVAL);
+}
+
 static struct api_call
 decode (const char *method, const char *target, const char *base,
         const char *body)
@@ -194,6 +265,8 @@
       = { { "routes of a document", test_document },
           { "invalid documents are rejected", test_invalid_documents },
           { "addresses and group of the settings", test_settings },
+          { "bounds of the settings", test_bounds },
+          { "invalid settings are rejected", test_invalid_settings },
           { "malformed heartbeats are rejected", test_heartbeats },
           { "change id is the same only for a resend", test_change_ids },
           { NULL, NULL } };
