budget: count the requests of the window before as well

Cause: while a service refuses requests, fewer are sent to it, and the retry budget shrinks with them, although the bound counts the window before too. Change: the budget follows from a weighted mean of two windows, so that the sum over the nodes stays within the bound whatever moves between them. Measured: test_budget fails without the change.

--- a/controllers/budget.h
+++ b/controllers/budget.h
@@ -9,6 +9,11 @@
  * an equal share of RETRIES_MIN.  The window consists of buckets, so that the
  * bound holds for every interval of its length.
  *
+ * The requests of the window before count as well, so that the budget lasts
+ * while requests are refused because a service fails: the bound is on the
+ * maximum of both windows.  A weighted mean, with the same weights at all
+ * nodes, keeps the sum over the nodes below it, whatever moves between them.
+ *
  * Used by filters/dispatch; filters/retry_policy uses the token bucket of
  * controllers/retry.h.
  */
@@ -18,7 +23,8 @@
 
 #include "core/clk.h"
 
-#define BUDGET_BUCKETS 20u
+#define BUDGET_BUCKETS 20u /* of one window */
+#define BUDGET_BUCKETS_KEPT (2u * BUDGET_BUCKETS)
 
 struct budget_opts
 {
@@ -30,10 +36,11 @@
 struct budget
 {
   struct budget_opts opts;
-  clk_us bucket_start;             /* start of the current bucket */
-  uint32_t bucket;                 /* index of the current bucket */
-  double requests[BUDGET_BUCKETS]; /* first attempts in each bucket */
-  double retries[BUDGET_BUCKETS];  /* retries in each bucket */
+  clk_us started_at;
+  clk_us bucket_start; /* start of the current bucket */
+  uint32_t bucket;     /* index of the current bucket */
+  double requests[BUDGET_BUCKETS_KEPT]; /* first attempts in each bucket */
+  double retries[BUDGET_BUCKETS_KEPT];  /* retries in each bucket */
 };
 
 void budget_init (struct budget *budget, const struct budget_opts *opts,
