httpmsg: bound the interim responses before an answer

Cause: a server in trouble that sends 1xx after 1xx was read for the whole time of the route (424 MB in 3 s); a 101 that nobody asked for counted as interim. Change: more than 16 interim responses before one answer, and any 101, are malformed.

--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -256,6 +256,46 @@
   received_free (&received);
 }
 
+/* Guards against a broken server that keeps a connection, and the node that
+   reads it, busy with interim responses without end, and against an upgrade
+   that nobody has asked for.  */
+static void
+test_endless_interim_responses (void)
+{
+  static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
+  static const char upgrade[] = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
+  static const char final[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  struct httpmsg_opts opts = { .role = HTTPMSG_ANSWER,
+                               .names = &names,
+                               .sink = &sink,
+                               .max_header_bytes = 1024 };
+  struct httpmsg_parser parser;
+  struct received received = { 0 };
+  int accepted = 0;
+
+  opts.arg = &received;
+  httpmsg_init (&parser, &opts);
+  /* The bound is on one answer, not on the connection.  */
+  for (int answer = 0; answer < 4; answer++)
+    {
+      for (int i = 0; i < 16; i++)
+        CU_ASSERT_EQUAL (httpmsg_feed (&parser, interim, strlen (interim)),
+                         SR_OK);
+      CU_ASSERT_EQUAL (httpmsg_feed (&parser, final, strlen (final)), SR_OK);
+    }
+  while (accepted < 1000
+         && httpmsg_feed (&parser, interim, strlen (interim)) == SR_OK)
+    accepted++;
+  CU_ASSERT_TRUE (accepted <= 16);
+  httpmsg_fini (&parser);
+  httpmsg_init (&parser, &opts);
+  CU_ASSERT_EQUAL (httpmsg_feed (&parser, upgrade, strlen (upgrade)),
+                   SR_EMALFORMED);
+  httpmsg_fini (&parser);
+  received_free (&received);
+}
+
 /* Random bytes must not cause memory errors; the sanitizers report these.  */
 static void
 test_random_bytes (void)
@@ -318,6 +358,7 @@
           { "truncated responses", test_truncated_responses },
           { "responses to HEAD", test_head_responses },
           { "interim responses", test_interim_responses },
+          { "interim responses without end", test_endless_interim_responses },
           { "random bytes", test_random_bytes },
           { NULL, NULL } };
 
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -20,6 +20,9 @@
 #define HTTPMSG_METHOD_BYTES 24
 #define HTTPMSG_VALUE_BYTES 256
 #define HTTPMSG_LENGTH_UNKNOWN (-1)
+/* Interim responses accepted before a final one; more are malformed, because a
+   broken server may send them without end.  */
+#define HTTPMSG_INTERIM_MAX 16u
 
 /* Fields whose value the parser stores in the head.  */
 enum httpmsg_field
@@ -116,6 +119,7 @@
   struct buf target;
   struct buf connection_options; /* Connection values, each after "," */
   size_t header_bytes;
+  uint32_t interim_count;  /* interim responses since the last final one */
   uint32_t framing_fields; /* number of Content-Length and Transfer-Encoding
                               fields, plus 2 for a second Host; the message is
                               malformed above 1 */
