--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -237,6 +237,70 @@
   CU_ASSERT_EQUAL (decode ("GET", "/-/other", "", "").kind, API_UNKNOWN);
 }
 
+/* Decodes a heartbeat that is valid but for its field NAME, which has the value
+   VALUE.  */
+static enum api_kind
+decode_heartbeat_with (const char *name, const char *value)
+{
+  static const char *const fields[][2] = { { "service", "\"a\"" },
+                                           { "address", "\"10.1.0.8:80\"" },
+                                           { "slots", "36" },
+                                           { "state", "\"ready\"" },
+                                           { "cold_remaining_s", "0.5" },
+                                           { "sequence", "4" },
+                                           { "born", "17" } };
+  static char body[64 * 1024];
+  size_t len = 0;
+
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    len += (size_t)snprintf (
+        body + len, sizeof body - len, "%s\"%s\":%s", i > 0 ? "," : "{",
+        fields[i][0], strcmp (fields[i][0], name) == 0 ? value : fields[i][1]);
+  snprintf (body + len, sizeof body - len, "}");
+  return decode ("POST", "/-/Instances.Heartbeat/i-7", "", body).kind;
+}
+
+/* Guards against an odd entry of another writer that becomes the server of the
+   node, so that the reports of the true server count as older ones, or that
+   ends the process: an impossible address, numbers out of range, deep
+   nesting.  */
+static void
+test_odd_heartbeats (void)
+{
+  static const char *const addresses[]
+      = { "10.1.0.8:70000", "10.1.0.8:-1",  "10.1.0.8:0",  "[::1",
+          "10.1.0.8",       "10.1.0.8:",    "10.1.0:80",   "10.1.0.8:80x",
+          "10.1.0.8: 80",   "10.1.0.8:+80", "host.name:80",
+          "10.1.0.8:12345678901234567890" };
+  static char nested[32 * 1024];
+  char value[64];
+
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("", ""), API_HEARTBEAT);
+  for (size_t i = 0; i < sizeof addresses / sizeof addresses[0]; i++)
+    {
+      snprintf (value, sizeof value, "\"%s\"", addresses[i]);
+      SUITE_SEEDED (decode_heartbeat_with ("address", value) == API_MALFORMED,
+                    i);
+    }
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("slots", "4294967295"),
+                   API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("slots", "99999999999999999999"),
+                   API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("slots", "-1"), API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("sequence", "1e400"), API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("born", "1.5"), API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("cold_remaining_s", "1e308"),
+                   API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("cold_remaining_s", "-1e308"),
+                   API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("cold_remaining_s", "\"x\""),
+                   API_MALFORMED);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("cold_remaining_s", "-1"),
+                   API_HEARTBEAT);
+  memset (nested, '[', sizeof nested - 1);
+  CU_ASSERT_EQUAL (decode_heartbeat_with ("service", nested), API_MALFORMED);
+}
+
 /* Guards against a change whose id equals that of another change, or differs
    when the same change is sent again.  */
 static void
@@ -268,6 +332,7 @@
           { "bounds of the settings", test_bounds },
           { "invalid settings are rejected", test_invalid_settings },
           { "malformed heartbeats are rejected", test_heartbeats },
+          { "odd heartbeats are rejected", test_odd_heartbeats },
           { "change id is the same only for a resend", test_change_ids },
           { NULL, NULL } };
 
