test_gate: count only the requests that hang

Change: the test counts the requests of its own kind, which no other test sends at that time; the bounds are the same.

--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -53,7 +53,9 @@
 static int server_listener;
 static char server_address[NET_ADDRESS_BYTES];
 static atomic_int server_request_count;
-/* Requests whose connection was closed before the answer.  */
+/* Requests that are never answered, and those of them whose connection was
+   closed.  */
+static atomic_int server_hang_count;
 static atomic_int server_cancelled_count;
 static char server_last_request[TEXT_BYTES];
 static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -189,6 +191,7 @@
         {
           char byte;
 
+          server_hang_count++;
           if (read (fd, &byte, 1) <= 0)
             server_cancelled_count++;
           break;
@@ -483,7 +486,7 @@
   char answer[4096] = "";
   struct linger reset = { .l_onoff = 1 };
   int cancelled_before = server_cancelled_count;
-  int requests_before = server_request_count;
+  int requests_before = server_hang_count;
   int fd;
 
   nodehdr_encode_request (&node_request, field);
@@ -514,12 +517,12 @@
   usleep (200000);
   for (int i = 0; i < 200
                   && server_cancelled_count - cancelled_before
-                         != server_request_count - requests_before;
+                         != server_hang_count - requests_before;
        i++)
     usleep (50000);
-  CU_ASSERT_TRUE (server_request_count > requests_before);
+  CU_ASSERT_TRUE (server_hang_count > requests_before);
   CU_ASSERT_EQUAL (server_cancelled_count - cancelled_before,
-                   server_request_count - requests_before);
+                   server_hang_count - requests_before);
 }
 
 /* Guards against a slot that is never released: the node that sent the request
