loop: watch the descriptors with an epoll set

Change: the descriptors are in an epoll set of the loop's own, which libwebsockets watches as one descriptor; timers and wake-ups stay with it. Ruled out: an event library of libwebsockets (it keeps a handle and a callback for each descriptor, and closes them later).

--- a/tasks/loop.c
+++ b/tasks/loop.c
@@ -4,7 +4,9 @@
 #include <libwebsockets.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/err.h"
 #include "core/slog.h"
@@ -13,6 +15,10 @@
 #define LOOP_LWS_TIMEOUT_S 3600
 /* Buffer of libwebsockets that raw descriptors do not use.  */
 #define LOOP_SERVICE_BUFFER_BYTES 4096
+/* Descriptors of libwebsockets: the epoll set and its own.  */
+#define LOOP_LWS_DESCRIPTORS_MAX 16
+/* Events that are taken from the epoll set at a time.  */
+#define LOOP_EVENTS_MAX 64
 
 struct loop
 {
@@ -22,8 +28,9 @@
   struct wheel timers;
   lws_sorted_usec_list_t wakeup_timer; /* for the earliest of @timers */
   clk_us wakeup_at;                    /* 0: not set */
-  struct list deferred; /* struct loop_io whose owner called loop_want_write()
-                           from @writable */
+  int epoll_fd;
+  struct list descriptors;   /* struct loop_io in the epoll set */
+  uint32_t descriptor_count; /* length of @descriptors */
   clk_us now;
   bool stopping;
 };
@@ -53,7 +60,8 @@
     return NULL;
   loop->opts = *opts;
   loop->now = clk_now ();
-  list_init (&loop->deferred);
+  list_init (&loop->descriptors);
+  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
   wheel_init (&loop->timers, loop->now);
   lws_set_log_level (LLL_ERR, loop_log);
   info.options
@@ -62,23 +70,41 @@
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.timeout_secs = LOOP_LWS_TIMEOUT_S;
   info.pt_serv_buf_size = LOOP_SERVICE_BUFFER_BYTES;
-  info.fd_limit_per_thread = opts->descriptors_max;
+  info.fd_limit_per_thread = LOOP_LWS_DESCRIPTORS_MAX;
   info.protocols = loop_protocols;
   info.vhost_name = "raw";
   loop->context = lws_create_context (&info);
   if (loop->context != NULL)
     loop->vhost = lws_create_vhost (loop->context, &info);
-  if (loop->vhost != NULL)
+  if (loop->vhost != NULL && loop->epoll_fd >= 0
+      && lws_adopt_descriptor_vhost (
+             loop->vhost, LWS_ADOPT_RAW_FILE_DESC,
+             (lws_sock_file_fd_type){ .filefd = loop->epoll_fd },
+             loop_protocols[0].name, NULL)
+             != NULL)
     return loop;
   loop_free (loop);
   return NULL;
 }
 
+/* Closes the descriptor, which removes it from the epoll set.  */
+static void
+loop_forget (struct loop_io *io)
+{
+  close (io->fd);
+  io->fd = -1;
+  list_remove (&io->node);
+  io->loop->descriptor_count--;
+}
+
 void
 loop_free (struct loop *loop)
 {
   if (loop == NULL)
     return;
+  while (!list_empty (&loop->descriptors))
+    loop_forget (
+        list_entry (list_first (&loop->descriptors), struct loop_io, node));
   if (loop->context != NULL)
     lws_context_destroy (loop->context);
   free (loop);
@@ -103,7 +129,7 @@
   loop_wake (loop);
 }
 
-/* The connection has ended without a call of loop_close().  */
+/* The connection has ended while nothing was to be read from it.  */
 static void
 loop_report_failure (struct loop_io *io)
 {
@@ -112,91 +138,120 @@
 
   if (getsockopt (io->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
     error = errno;
-  io->wsi = NULL;
-  list_remove (&io->deferred);
+  loop_forget (io);
   io->failed (io, error != 0 ? error : ECONNRESET);
 }
 
+/* Sets the events for which the descriptor is in the epoll set.  */
+static void
+loop_update_events (struct loop_io *io)
+{
+  struct epoll_event event = { .data.ptr = io };
+
+  if (!io->paused)
+    event.events |= EPOLLIN;
+  if (io->want_write)
+    event.events |= EPOLLOUT;
+  if (io->fd < 0 || event.events == io->watched_events)
+    return;
+  INVARIANT (
+      epoll_ctl (io->loop->epoll_fd, EPOLL_CTL_MOD, io->fd, &event) == 0);
+  io->watched_events = event.events;
+}
+
+/* Calls the owner of a descriptor, which may close it in each callback.
+   Errors are reported by the epoll set also when they are not asked for; the
+   owner finds them when it reads or writes.  */
+static void
+loop_handle_event (struct loop_io *io, uint32_t events)
+{
+  bool failed = (events & (EPOLLERR | EPOLLHUP)) != 0;
+
+  io->loop->now = clk_now ();
+  if (io->want_write && (failed || (events & EPOLLOUT) != 0))
+    {
+      io->want_write = false;
+      io->writable (io);
+    }
+  if (io->fd >= 0 && !io->paused && (failed || (events & EPOLLIN) != 0))
+    io->readable (io);
+  else if (io->fd >= 0 && failed && io->paused)
+    loop_report_failure (io);
+  loop_update_events (io);
+}
+
+static void
+loop_handle_events (struct loop *loop)
+{
+  struct epoll_event events[LOOP_EVENTS_MAX];
+  int count = epoll_wait (loop->epoll_fd, events, LOOP_EVENTS_MAX, 0);
+
+  for (int i = 0; i < count; i++)
+    {
+      struct loop_io *io = events[i].data.ptr;
+
+      /* A callback before this one may have closed it; its owner frees it
+         from a timer, not before this function returns.  */
+      if (io->fd >= 0)
+        loop_handle_event (io, events[i].events);
+    }
+}
+
 static int
 loop_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
                    void *user, void *in, size_t len)
 {
   struct loop *loop = lws_context_user (lws_get_context (wsi));
-  struct loop_io *io;
 
   (void)user;
   (void)in;
   (void)len;
-  if (reason == LWS_CALLBACK_EVENT_WAIT_CANCELLED)
+  switch (reason)
     {
+    case LWS_CALLBACK_EVENT_WAIT_CANCELLED:
       loop->now = clk_now ();
       loop->opts.on_wake (loop->opts.arg);
-      return 0;
-    }
-  if (reason != LWS_CALLBACK_RAW_RX_FILE
-      && reason != LWS_CALLBACK_RAW_WRITEABLE_FILE
-      && reason != LWS_CALLBACK_RAW_CLOSE_FILE)
-    return 0;
-  io = lws_get_opaque_user_data (wsi);
-  loop->now = clk_now ();
-  if (io == NULL)
-    return reason == LWS_CALLBACK_RAW_CLOSE_FILE ? 0 : -1;
-  switch (reason)
-    {
-    case LWS_CALLBACK_RAW_RX_FILE:
-      io->readable (io);
       break;
-    case LWS_CALLBACK_RAW_WRITEABLE_FILE:
-      /* libwebsockets clears its request for a writable callback after this
-         call, so loop_want_write() defers requests made during it.  */
-      io->in_writable = true;
-      io->writable (io);
-      if (lws_get_opaque_user_data (wsi) == io)
-        io->in_writable = false;
+    case LWS_CALLBACK_RAW_RX_FILE:
+      loop_handle_events (loop);
       break;
     default:
-      loop_report_failure (io);
-      return 0;
+      break;
     }
-  return lws_get_opaque_user_data (wsi) == NULL ? -1 : 0;
+  return 0;
 }
 
 int
 loop_add (struct loop *loop, struct loop_io *io, int fd)
 {
-  lws_sock_file_fd_type desc = { .filefd = fd };
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = io };
 
   io->loop = loop;
-  io->fd = fd;
-  io->in_writable = false;
+  io->fd = -1;
+  io->watched_events = event.events;
+  io->want_write = false;
   io->paused = false;
-  io->wsi = lws_adopt_descriptor_vhost (loop->vhost, LWS_ADOPT_RAW_FILE_DESC,
-                                        desc, loop_protocols[0].name, NULL);
-  if (io->wsi == NULL)
+  if (loop->descriptor_count >= loop->opts.descriptors_max
+      || epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) != 0)
     return SR_EIO;
-  lws_set_opaque_user_data (io->wsi, io);
+  io->fd = fd;
+  list_push_tail (&loop->descriptors, &io->node);
+  loop->descriptor_count++;
   return SR_OK;
 }
 
 void
 loop_want_write (struct loop_io *io)
 {
-  if (io->in_writable)
-    {
-      list_remove (&io->deferred);
-      list_push_tail (&io->loop->deferred, &io->deferred);
-    }
-  else if (io->wsi != NULL)
-    lws_callback_on_writable (io->wsi);
+  io->want_write = true;
+  loop_update_events (io);
 }
 
 void
 loop_pause_reading (struct loop_io *io, bool paused)
 {
-  if (io->wsi == NULL || io->paused == paused)
-    return;
   io->paused = paused;
-  lws_rx_flow_control (io->wsi, !paused);
+  loop_update_events (io);
 }
 
 void
@@ -204,16 +259,11 @@
 {
   struct linger linger = { .l_onoff = 1, .l_linger = 0 };
 
-  list_remove (&io->deferred);
-  if (io->wsi == NULL)
+  if (io->fd < 0)
     return;
   if (reset)
     setsockopt (io->fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-  else
-    shutdown (io->fd, SHUT_RDWR);
-  lws_set_opaque_user_data (io->wsi, NULL);
-  lws_set_timeout (io->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
-  io->wsi = NULL;
+  loop_forget (io);
 }
 
 static void loop_fire_timers (lws_sorted_usec_list_t *wakeup);
@@ -272,14 +322,6 @@
 void
 loop_run (struct loop *loop)
 {
-  struct list_node *node;
-
-  while (!loop->stopping)
-    {
-      if (lws_service (loop->context, 0) < 0)
-        return;
-      loop->now = clk_now ();
-      while ((node = list_pop_head (&loop->deferred)) != NULL)
-        loop_want_write (list_entry (node, struct loop_io, deferred));
-    }
+  while (!loop->stopping && lws_service (loop->context, 0) >= 0)
+    loop->now = clk_now ();
 }
--- a/tasks/loop.h
+++ b/tasks/loop.h
@@ -4,9 +4,11 @@
 /**
  * DOC: loop - event loop for tasks that own raw sockets
  *
- * libwebsockets only polls the descriptors.  Their owners read and write them
- * with system calls, so that an orderly close can be distinguished from a
- * reset.
+ * Timers and wake-ups are those of libwebsockets.  The descriptors are in an
+ * epoll set of their own, which libwebsockets watches as one descriptor: it
+ * would poll all of them in each turn, and a node of a large fleet has
+ * hundreds.  Their owners read and write them with system calls, so that an
+ * orderly close can be distinguished from a reset.
  */
 
 #include <stdbool.h>
@@ -16,7 +18,6 @@
 #include "core/clk.h"
 #include "core/list.h"
 
-struct lws;
 struct loop;
 struct loop_io;
 
@@ -31,10 +32,10 @@
 struct loop_io
 {
   struct loop *loop;
-  struct lws *wsi;
-  struct list_node deferred; /* loop->deferred */
-  int fd;
-  bool in_writable; /* @writable is being called */
+  struct list_node node; /* loop->descriptors */
+  int fd;                /* -1 when closed */
+  uint32_t watched_events; /* events for which it is in the epoll set */
+  bool want_write;
   bool paused;
   void (*readable) (struct loop_io *io);
   void (*writable) (struct loop_io *io);
