--- a/controllers/budget.c
+++ b/controllers/budget.c
@@ -22,7 +22,8 @@
   clk_us bucket_length = budget->opts.window / BUDGET_BUCKETS + 1;
 
   for (uint32_t i = 0;
-       i < BUDGET_BUCKETS_KEPT && now >= budget->bucket_start + bucket_length; i++)
+       i < BUDGET_BUCKETS_KEPT && now >= budget->bucket_start + bucket_length;
+       i++)
     {
       budget->bucket = (budget->bucket + 1) % BUDGET_BUCKETS_KEPT;
       budget->requests[budget->bucket] = 0;
--- a/controllers/budget.h
+++ b/controllers/budget.h
@@ -37,8 +37,8 @@
 {
   struct budget_opts opts;
   clk_us started_at;
-  clk_us bucket_start; /* start of the current bucket */
-  uint32_t bucket;     /* index of the current bucket */
+  clk_us bucket_start;                  /* start of the current bucket */
+  uint32_t bucket;                      /* index of the current bucket */
   double requests[BUDGET_BUCKETS_KEPT]; /* first attempts in each bucket */
   double retries[BUDGET_BUCKETS_KEPT];  /* retries in each bucket */
 };
--- a/tasks/loop.c
+++ b/tasks/loop.c
@@ -154,8 +154,8 @@
     event.events |= EPOLLOUT;
   if (io->fd < 0 || event.events == io->watched_events)
     return;
-  INVARIANT (
-      epoll_ctl (io->loop->epoll_fd, EPOLL_CTL_MOD, io->fd, &event) == 0);
+  INVARIANT (epoll_ctl (io->loop->epoll_fd, EPOLL_CTL_MOD, io->fd, &event)
+             == 0);
   io->watched_events = event.events;
 }
 
--- a/tasks/loop.h
+++ b/tasks/loop.h
@@ -32,8 +32,8 @@
 struct loop_io
 {
   struct loop *loop;
-  struct list_node node; /* loop->descriptors */
-  int fd;                /* -1 when closed */
+  struct list_node node;   /* loop->descriptors */
+  int fd;                  /* -1 when closed */
   uint32_t watched_events; /* events for which it is in the epoll set */
   bool want_write;
   bool paused;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -30,8 +30,8 @@
 static const struct kind_opts kinds[KIND_COUNT]
     = { [INTERNAL] = { 60, clk_ms (55), clk_ms (300), clk_ms (700) },
         [EXTERNAL] = { 60, clk_ms (750), clk_ms (2500), clk_s (5) },
-        [URGENT] = { IMPORTANCE_ROUTE_MAX, clk_ms (72), clk_ms (250),
-                     clk_s (1) } };
+        [URGENT]
+        = { IMPORTANCE_ROUTE_MAX, clk_ms (72), clk_ms (250), clk_s (1) } };
 
 /* A request at the node, and when its run ends.  */
 struct entry
@@ -220,8 +220,8 @@
   CU_ASSERT_TRUE (counts.external_late * 5 <= counts.external_in_time);
 }
 
-/* Short requests of the highest priority come to a server that is overloaded by
-   calls of less urgent requests, twice what it can serve.  A request behind
+/* Short requests of the highest priority come to a server that is overloaded
+   by calls of less urgent requests, twice what it can serve.  A request behind
    the queue of calls misses its latency target, though it needs a twelfth of
    the slots.  */
 static void
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -264,8 +264,7 @@
 {
   static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
   static const char upgrade[] = "HTTP/1.1 101 Switching Protocols\r\n\r\n";
-  static const char final[]
-      = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  static const char final[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
   struct httpmsg_opts opts = { .role = HTTPMSG_ANSWER,
                                .names = &names,
                                .sink = &sink,
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -163,7 +163,8 @@
   CU_ASSERT_TRUE (out.retry_ratio == 0.3);
   CU_ASSERT_TRUE (out.retries_min == 118.0);
   CU_ASSERT_TRUE (out.retry_window_s == 8.5);
-  CU_ASSERT_EQUAL (parse_settings_with (list, "[\"grace_s=12\"]", &out), SR_OK);
+  CU_ASSERT_EQUAL (parse_settings_with (list, "[\"grace_s=12\"]", &out),
+                   SR_OK);
   CU_ASSERT_TRUE (out.stop_limit_s > 11 && out.stop_limit_s < 12);
 }
 
@@ -237,8 +238,8 @@
   CU_ASSERT_EQUAL (decode ("GET", "/-/other", "", "").kind, API_UNKNOWN);
 }
 
-/* Decodes a heartbeat that is valid but for its field NAME, which has the value
-   VALUE.  */
+/* Decodes a heartbeat that is valid but for its field NAME, which has the
+   value VALUE.  */
 static enum api_kind
 decode_heartbeat_with (const char *name, const char *value)
 {
@@ -268,10 +269,10 @@
 test_odd_heartbeats (void)
 {
   static const char *const addresses[]
-      = { "10.1.0.8:70000", "10.1.0.8:-1",  "10.1.0.8:0",  "[::1",
-          "10.1.0.8",       "10.1.0.8:",    "10.1.0:80",   "10.1.0.8:80x",
-          "10.1.0.8: 80",   "10.1.0.8:+80", "host.name:80",
-          "10.1.0.8:12345678901234567890" };
+      = { "10.1.0.8:70000", "10.1.0.8:-1",  "10.1.0.8:0",
+          "[::1",           "10.1.0.8",     "10.1.0.8:",
+          "10.1.0:80",      "10.1.0.8:80x", "10.1.0.8: 80",
+          "10.1.0.8:+80",   "host.name:80", "10.1.0.8:12345678901234567890" };
   static char nested[32 * 1024];
   char value[64];
 
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -329,8 +329,7 @@
   if (head->role == HTTPMSG_ANSWER && head->status / 100 == 1)
     {
       /* 101 is the answer to an Upgrade field, which is never sent.  */
-      if (head->status == 101
-          || ++parser->interim_count > HTTPMSG_INTERIM_MAX)
+      if (head->status == 101 || ++parser->interim_count > HTTPMSG_INTERIM_MAX)
         return httpmsg_set_malformed (parser), -1;
       if (parser->opts.sink->interim != NULL)
         parser->opts.sink->interim (parser->opts.arg, head);
