aimd: the limit returns fast although calls wait a little downstream

Change: ten requests in a row that are not slow let the limit double as well; the slow start threshold falls to half of a limit that proved too high while it doubled, and is no longer raised by a limit that falls. Ruled out (trials in test_aimd's model): growth by a half or a quarter of the limit in each round, with or without a streak: too many late requests under three times the capacity, or too slow.

--- a/controllers/aimd.c
+++ b/controllers/aimd.c
@@ -40,6 +40,12 @@
 /* Factor applied to the slow start threshold at each decrease, so that the
    threshold follows the limit during a long overload.  */
 #define AIMD_THRESHOLD_DECAY 0.99
+/* Threshold as a fraction of the limit that proved too high while it doubled.
+ */
+#define AIMD_OVERSHOOT_FACTOR 0.5
+/* Requests in a row that were not slow after which the limit doubles although
+   calls queue downstream.  */
+#define AIMD_FAST_STREAK_MIN 10u
 /* Fraction of the slow start threshold from which on the limit doubles.  */
 #define AIMD_RESTART_FRACTION 0.125
 
@@ -50,7 +56,9 @@
   bool critical;
   double limit;
   double slow_start_threshold; /* limit before the decrease; 0 for none */
-  double slow_share; /* moving average of the share of slow requests */
+  double slow_share;    /* moving average of the share of slow requests */
+  uint32_t fast_streak; /* requests since the last slow one */
+  bool increased;       /* since the last decrease */
   uint32_t running;
   clk_us decreased_at;
   clk_us admitted_at; /* when the last request was admitted */
@@ -94,6 +102,7 @@
   INVARIANT (route != NULL);
   route->aimd = aimd;
   route->limit = aimd->opts.limit_max * AIMD_INITIAL_FRACTION;
+  route->increased = true;
   htable_add (&aimd->routes, &route->node, id);
   return route;
 }
@@ -130,8 +139,13 @@
   if (now < route->decreased_at + AIMD_DECREASE_INTERVAL_US)
     return;
   route->decreased_at = now;
-  route->slow_start_threshold = fmax (
-      route->slow_start_threshold * AIMD_THRESHOLD_DECAY, route->limit);
+  if (!route->increased)
+    route->slow_start_threshold *= AIMD_THRESHOLD_DECAY;
+  else if (route->limit < route->slow_start_threshold)
+    route->slow_start_threshold = route->limit * AIMD_OVERSHOOT_FACTOR;
+  else
+    route->slow_start_threshold = route->limit;
+  route->increased = false;
   route->limit *= route->critical ? AIMD_DECREASE_FACTOR_CRITICAL
                                   : AIMD_DECREASE_FACTOR;
   if (route->limit < AIMD_LIMIT_MIN)
@@ -139,18 +153,20 @@
 }
 
 /* Doubles the limit in each round of requests up to the slow start threshold,
-   and adds one in each round from there.  Has no effect while the limit is not
-   in use.  */
+   and adds one in each round from there, or when calls queue downstream and a
+   request was slow lately.  Has no effect while the limit is not in use.  */
 static void
 aimd_increase (struct aimd_route *route, bool downstream_queued)
 {
   if (route->running < route->limit * AIMD_UTILIZATION_MIN)
     return;
-  if (!downstream_queued && route->limit < route->slow_start_threshold)
+  if (route->limit < route->slow_start_threshold
+      && (!downstream_queued || route->fast_streak >= AIMD_FAST_STREAK_MIN))
     route->limit = fmax (route->limit + 1,
                          route->slow_start_threshold * AIMD_RESTART_FRACTION);
   else
     route->limit += 1 / route->limit;
+  route->increased = true;
   if (route->limit > route->aimd->opts.limit_max)
     route->limit = route->aimd->opts.limit_max;
 }
@@ -167,6 +183,7 @@
   double low
       = route->critical ? AIMD_SLOW_SHARE_LOW_CRITICAL : AIMD_SLOW_SHARE_LOW;
 
+  route->fast_streak = slow ? 0 : route->fast_streak + 1;
   route->slow_share += ((slow ? 1.0 : 0.0) - route->slow_share)
                        * (route->limit < 1 ? AIMD_GAIN_PROBE : AIMD_GAIN);
   /* A probe in time shows that the overload has ended.  */
--- a/tests/test_aimd.c
+++ b/tests/test_aimd.c
@@ -171,17 +171,18 @@
   aimd_fini (&limiter);
 }
 
-/* All calls to the downstream service fail for 8 s under constant load, then
-   all succeed.  A limit that recovers too slowly refuses requests for long
-   after the outage, although there is capacity for them.  */
+/* One in FAIL_ONE_IN requests fails for 8 s under constant load because of the
+   downstream service, then all succeed, while calls wait there for
+   WAIT_AFTER.  */
 static void
-test_recovery_after_outage (void)
+simulate_outage (int fail_one_in, clk_us wait_after)
 {
   struct aimd_opts opts = { .limit_max = REQUESTS_MAX };
   struct sim sim = { .slots = REQUESTS_MAX };
   struct aimd limiter;
   int refused_before_outage = 0;
   int refused_after_outage = 0;
+  int ended = 0;
 
   CU_ASSERT_EQUAL (aimd_init (&limiter), 0);
   aimd_configure (&limiter, &opts);
@@ -193,8 +194,13 @@
       for (int i = 0; i < REQUESTS_MAX; i++)
         if (sim.routes[i] != NULL && now >= sim.ends_at[i])
           {
-            aimd_release (sim.routes[i], outage ? AIMD_FAILED : AIMD_ANSWERED,
-                          clk_ms (250), TIME_LIMIT, outage ? clk_ms (20) : 0,
+            bool failed = outage && ++ended % fail_one_in == 0;
+
+            aimd_release (sim.routes[i], failed ? AIMD_FAILED : AIMD_ANSWERED,
+                          clk_ms (250), TIME_LIMIT,
+                          now < clk_s (4) ? 0
+                          : outage        ? clk_ms (20)
+                                          : wait_after,
                           now);
             sim.routes[i] = NULL;
           }
@@ -225,6 +231,23 @@
   aimd_fini (&limiter);
 }
 
+/* All calls to the downstream service fail for 8 s under constant load, then
+   all succeed.  A limit that recovers too slowly refuses requests for long
+   after the outage, although there is capacity for them.  */
+static void
+test_recovery_after_outage (void)
+{
+  simulate_outage (1, 0);
+}
+
+/* The same while calls wait for a slot for some milliseconds after the outage,
+   as they do on a normal day.  */
+static void
+test_recovery_with_short_waits (void)
+{
+  simulate_outage (1, clk_ms (20));
+}
+
 /* After a failure of the downstream service, while calls still queue there for
    a short time, the first request that ends in time must set the limit to one.
    If the limit grew from below one by steps, several probes, a second or more
@@ -294,6 +317,8 @@
           { "no refusals without overload", test_no_overload },
           { "few probes during a failure, then recovery", test_probes },
           { "few refusals after an outage", test_recovery_after_outage },
+          { "few refusals after an outage, with short waits",
+            test_recovery_with_short_waits },
           { "first success sets the limit to one", test_first_success },
           { "slow requests without a queue downstream",
             test_slow_without_queue },
