--- a/fuzz/fuzz_http.c
+++ b/fuzz/fuzz_http.c
@@ -37,7 +37,7 @@
 /* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
-  static const struct httpmsg_sink sink = { on_head, on_body, on_end };
+  static const struct httpmsg_sink sink = { on_head, on_body, on_end, NULL };
   static const struct httpmsg_names names
       = { .name = { [HTTPMSG_HOST] = "Host" } };
   struct httpmsg_opts opts
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -459,7 +459,7 @@
 
 static const struct hconn_events gate_in_events
     = { .sink = { gate_in_handle_head, gate_in_handle_body,
-                  gate_in_handle_request_end },
+                  gate_in_handle_request_end, NULL },
         .connected = gate_in_handle_connected,
         .drained = gate_in_handle_drained,
         .ended = gate_in_handle_close,
