One parser of addresses, one of tracestate

Cause: the hop id was read from inside the tracestate member of another vendor ("a=rudder=..."), so that calls counted as those of another request; IP:PORT was parsed in three places, and the own interface took "[::1" for an address. Change: core/address and wire/tracestate, used by all.

--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -6,6 +6,7 @@
 #include "core/err.h"
 #include "core/slog.h"
 #include "tasks/front_state.h"
+#include "wire/tracestate.h"
 
 #define FRONT_BACKEND_READ_BYTES (16 * 1024)
 #define FRONT_BACKEND_KEEP_WARM_S 40
@@ -254,28 +255,6 @@
   lws_rx_flow_control (conn->wsi, 1);
 }
 
-/* Appends the tracestate members of STATE to OUT, except the one of this
-   system.  */
-static void
-front_backend_append_tracestate (const char *state, char *out, size_t size)
-{
-  size_t used = strlen (out);
-
-  while (*state != '\0')
-    {
-      const char *member = state + strspn (state, " ,");
-      size_t len = strcspn (member, ",");
-
-      state = member + len;
-      if (len == 0 || strncmp (member, "rudder=", strlen ("rudder=")) == 0)
-        continue;
-      if (used + len + 2 >= size)
-        return;
-      used += (size_t)snprintf (out + used, size - used, ",%.*s", (int)len,
-                                member);
-    }
-}
-
 /* Formats tracestate: the member with the hop id, then those of other
    vendors.  */
 static void
@@ -286,9 +265,9 @@
   char hop[RNG_ID_DIGITS + 1];
 
   digest_hex (serve->hop->id, RNG_ID_BYTES, hop);
-  snprintf (out, size, "rudder=%s", hop);
+  snprintf (out, size, TRACESTATE_KEY "=%s", hop);
   if (state != NULL)
-    front_backend_append_tracestate (state, out, size);
+    tracestate_append_others (state, out, size);
 }
 
 /* Formats a traceparent with a new trace id, for a request without one.  */
--- a/tasks/front_health.c
+++ b/tasks/front_health.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/address.h"
 #include "core/counter.h"
 #include "core/err.h"
 #include "core/slog.h"
@@ -124,26 +125,6 @@
                     (lws_usec_t)FRONT_HEALTH_PROBE_DELAY_US);
 }
 
-/* Parses "IP:PORT"; returns SR_EINVAL for any other format.  */
-static int
-front_health_parse_address (struct front_backend *backend, const char *address)
-{
-  const char *colon = strrchr (address, ':');
-  char *end = NULL;
-  long port;
-
-  if (colon == NULL || colon == address)
-    return SR_EINVAL;
-  port = strtol (colon + 1, &end, 10);
-  if (*end != '\0' || port < 1 || port > 65535)
-    return SR_EINVAL;
-  snprintf (backend->host, sizeof backend->host, "%.*s",
-            (int)(colon - address), address);
-  snprintf (backend->address, sizeof backend->address, "%s", address);
-  backend->port = (int)port;
-  return SR_OK;
-}
-
 int
 front_health_handle_announcement (struct front *front, const char *service,
                                   const char *address, uint32_t slots,
@@ -151,9 +132,13 @@
 {
   struct front_backend *backend = &front->backend;
   bool was_up = front->state.backend_up;
+  struct address parsed;
 
-  if (front_health_parse_address (backend, address) != SR_OK)
+  if (address_parse (address, &parsed) != SR_OK)
     return SR_EINVAL;
+  snprintf (backend->host, sizeof backend->host, "%s", parsed.ip);
+  snprintf (backend->address, sizeof backend->address, "%s", address);
+  backend->port = parsed.port;
   snprintf (backend->service, sizeof backend->service, "%s", service);
   snprintf (front->state.backend_service, sizeof front->state.backend_service,
             "%s", service);
--- a/tasks/front_request.c
+++ b/tasks/front_request.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "tasks/front_state.h"
+#include "wire/tracestate.h"
 
 /* Copies the service name from the Host field: the part before the first "."
    or ":".  */
@@ -26,16 +27,15 @@
   return -1;
 }
 
-/* Reads the hop id from the tracestate member "rudder".  */
+/* Reads the hop id from the tracestate member of this system.  */
 static void
 front_request_read_hop (struct front_call *call)
 {
   const char *state = msg_field_get (&call->fields, "tracestate");
-  const char *member = state != NULL ? strstr (state, "rudder=") : NULL;
+  const char *member = state != NULL ? tracestate_find (state) : NULL;
 
   if (member == NULL)
     return;
-  member += strlen ("rudder=");
   for (int i = 0; i < RNG_ID_BYTES; i++)
     {
       int high = front_request_hex_digit (member[2 * i]);
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "core/address.h"
 #include "core/err.h"
 
 #define HCONN_READ_BYTES (32 * 1024)
@@ -22,36 +23,20 @@
 /* Time for the peer to read the last bytes and close.  */
 #define HCONN_LINGER_US clk_s (2)
 
-/* Parses "IP:PORT".  SR_OK or SR_EINVAL.  */
-static int
-hconn_parse_address (const char *text, struct sockaddr_in *address)
-{
-  char host[64];
-  const char *colon = strrchr (text, ':');
-  long port;
-
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return SR_EINVAL;
-  snprintf (host, sizeof host, "%.*s", (int)(colon - text), text);
-  port = strtol (colon + 1, NULL, 10);
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)port);
-  if (port <= 0 || port > 65535
-      || inet_pton (AF_INET, host, &address->sin_addr) != 1)
-    return SR_EINVAL;
-  return SR_OK;
-}
-
 /* Parses ADDRESS and opens a socket for it.  Its descriptor, SR_EINVAL or
    SR_EIO.  */
 static int
 hconn_open_socket (const char *address, struct sockaddr_in *sockaddr)
 {
+  struct address parsed;
   int fd;
 
-  if (hconn_parse_address (address, sockaddr) != SR_OK)
+  if (address_parse (address, &parsed) != SR_OK)
     return SR_EINVAL;
+  *sockaddr
+      = (struct sockaddr_in){ .sin_family = AF_INET,
+                              .sin_port = htons (parsed.port),
+                              .sin_addr = { .s_addr = parsed.ip_network } };
   fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   return fd < 0 ? SR_EIO : fd;
 }
