httpmsg: refuse a stored field that is too long

Change: the header counts as too long (431 to callers, a broken answer from servers). Measured: test_httpmsg, stored field that is too long, fails without the change.

--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -295,6 +295,38 @@
   received_free (&received);
 }
 
+/* Guards against a field that is forwarded and counts as absent here, because
+   it is too long to be stored: the answer to a request without an id is not
+   compared with it, and of two Host fields one would not be seen.  */
+static void
+test_overlong_stored_field (void)
+{
+  static const char *const fields[] = { "Host", "X-Id", "X-Seal" };
+  struct httpmsg_opts opts
+      = { .names = &names, .sink = &sink, .max_header_bytes = 4096 };
+  struct httpmsg_parser parser;
+  struct received received = { 0 };
+  char text[2048];
+  char value[300];
+
+  memset (value, 'a', sizeof value - 1);
+  value[sizeof value - 1] = '\0';
+  opts.arg = &received;
+  for (int i = 0; i < 6; i++)
+    {
+      opts.role = i < 3 ? HTTPMSG_REQUEST : HTTPMSG_ANSWER;
+      httpmsg_init (&parser, &opts);
+      snprintf (text, sizeof text, "%s\r\nContent-Length: 0\r\n%s: %s\r\n\r\n",
+                i < 3 ? "GET / HTTP/1.1" : "HTTP/1.1 200 OK", fields[i % 3],
+                value);
+      SUITE_SEEDED (httpmsg_feed (&parser, text, strlen (text)) == SR_EFULL,
+                    i);
+      CU_ASSERT_EQUAL (received.head_count, 0);
+      httpmsg_fini (&parser);
+    }
+  received_free (&received);
+}
+
 /* Random bytes must not cause memory errors; the sanitizers report these.  */
 static void
 test_random_bytes (void)
@@ -358,6 +390,7 @@
           { "responses to HEAD", test_head_responses },
           { "interim responses", test_interim_responses },
           { "interim responses without end", test_endless_interim_responses },
+          { "stored field that is too long", test_overlong_stored_field },
           { "random bytes", test_random_bytes },
           { NULL, NULL } };
 
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -93,14 +93,15 @@
       = (uint32_t)strtoul (timeout + strlen ("timeout="), NULL, 10);
 }
 
-/* Stores the value of the field in the head if it is a known one.  Returns
-   whether the field is to be forwarded.  */
-static bool
-httpmsg_store_known_field (struct httpmsg_parser *parser)
+/* Stores the value of the field in the head if it is a known one, and sets
+ *FORWARDED.  Returns nonzero if the value is too long.  */
+static int
+httpmsg_store_known_field (struct httpmsg_parser *parser, bool *forwarded)
 {
   struct httpmsg_head *head = &parser->head;
   size_t len = parser->field_value.len - 1;
 
+  *forwarded = true;
   for (int i = 0; i < HTTPMSG_FIELD_COUNT; i++)
     {
       const char *name = parser->opts.names->name[i];
@@ -109,11 +110,16 @@
         continue;
       if (i == HTTPMSG_HOST && head->value[i][0] != '\0')
         parser->framing_fields += 2; /* two Host fields are ambiguous */
-      if (len < HTTPMSG_VALUE_BYTES)
-        memcpy (head->value[i], parser->field_value.data, len + 1);
-      return !httpmsg_consumed[i];
+      if (len >= HTTPMSG_VALUE_BYTES)
+        {
+          parser->error = SR_EFULL;
+          return 1;
+        }
+      memcpy (head->value[i], parser->field_value.data, len + 1);
+      *forwarded = !httpmsg_consumed[i];
+      return 0;
     }
-  return true;
+  return 0;
 }
 
 /* Whether a field's name is a token (RFC 9110, 5.6.2).  */
@@ -139,6 +145,7 @@
 {
   struct httpmsg_head *head = &parser->head;
   size_t count = sizeof httpmsg_hop_by_hop / sizeof httpmsg_hop_by_hop[0];
+  bool forwarded;
 
   if (parser->field_name.len == 0)
     return 0;
@@ -168,7 +175,9 @@
   for (size_t i = 0; i < count; i++)
     if (httpmsg_name_equals (&parser->field_name, httpmsg_hop_by_hop[i]))
       return 0;
-  if (!httpmsg_store_known_field (parser))
+  if (httpmsg_store_known_field (parser, &forwarded) != 0)
+    return 1;
+  if (!forwarded)
     return 0;
   buf_append (&head->field_lines, parser->field_name.data,
               parser->field_name.len);
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -64,7 +64,7 @@
   char *target; /* path and query as received */
   int status;
   struct buf field_lines; /* forwarded fields, "name: value\r\n" each */
-  /* Values of the stored fields; empty when absent or too long.  */
+  /* Values of the stored fields; empty when absent.  */
   char value[HTTPMSG_FIELD_COUNT][HTTPMSG_VALUE_BYTES];
   int64_t body_len; /* HTTPMSG_LENGTH_UNKNOWN: chunked or until the connection
                        closes; in a response to HEAD the Content-Length */
@@ -149,8 +149,8 @@
  * @len: number of bytes
  *
  * Return: SR_OK, SR_EMALFORMED, SR_EFULL when the header exceeds
- * max_header_bytes, or the nonzero value that a callback returned.  After an
- * error each call returns the same error.
+ * max_header_bytes or a stored field HTTPMSG_VALUE_BYTES, or the nonzero value
+ * that a callback returned.  After an error each call returns the same error.
  */
 int httpmsg_feed (struct httpmsg_parser *parser, const void *data, size_t len);
 
