--- a/tests/test_ctl.c
+++ b/tests/test_ctl.c
@@ -272,8 +272,8 @@
 {
   static char document[150000];
   struct stub node = { .responses = { ACCEPTED } };
-  char document_path[] = "build/test_ctl_XXXXXX";
-  char token_path[] = "build/test_ctl_XXXXXX";
+  char document_path[] = "/tmp/test_ctl_XXXXXX";
+  char token_path[] = "/tmp/test_ctl_XXXXXX";
   FILE *example = fopen ("examples/fes.json", "r");
   FILE *document_file = fdopen (mkstemp (document_path), "w");
   FILE *token_file = fdopen (mkstemp (token_path), "w");
