test_gate: late copies of answers, and answers without end

Cause: operators of similar systems report a second copy of an answer that reached the next caller; bytes without end were not played on this edge. Change: the fake server sends each answer again after 0 to 10 ms, interim responses without end, and an endless body.

--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -56,6 +56,8 @@
 /* Requests that are never answered, and those of them whose connection was
    closed.  */
 static atomic_int server_hang_count;
+/* Time after which an answer is sent once more.  */
+static atomic_uint server_copy_delay_us;
 static atomic_int server_cancelled_count;
 static char server_last_request[TEXT_BYTES];
 static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -168,6 +170,15 @@
   send_text (fd, out);
 }
 
+/* Sends TEXT again and again until the connection is closed.  */
+static void
+server_flood (int fd, const char *text, useconds_t pause_us)
+{
+  while (send (fd, text, strlen (text), MSG_NOSIGNAL) > 0)
+    if (pause_us > 0)
+      usleep (pause_us);
+}
+
 static void *
 server_serve_connection (void *arg)
 {
@@ -196,7 +207,33 @@
             server_cancelled_count++;
           break;
         }
+      if (strstr (text, "/interim ") != NULL)
+        {
+          server_flood (fd, "HTTP/1.1 100 Continue\r\n\r\n", 0);
+          break;
+        }
+      if (strstr (text, "/flood ") != NULL)
+        {
+          char head[256];
+          char chunk[1100];
+
+          /* More than the gate buffers before it forwards an answer.  */
+          snprintf (chunk, sizeof chunk, "400\r\n%01024d\r\n", 1);
+          snprintf (head, sizeof head,
+                    "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+                    "X-Sycamorerudder-Response-Seal: s\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n",
+                    id);
+          send_text (fd, head);
+          server_flood (fd, chunk, 500);
+          break;
+        }
       server_send_answer (fd, text, id);
+      if (strstr (text, "/copy ") != NULL)
+        {
+          usleep (server_copy_delay_us);
+          server_send_answer (fd, text, id);
+        }
       if (strstr (text, "/open ") != NULL || strstr (text, "/cut ") != NULL)
         break;
     }
@@ -574,6 +611,70 @@
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "not-run"));
 }
 
+/* Guards against a caller that gets the answer to another request: the server
+   sends each answer once more, some time later, when the connection may be in
+   use again.  */
+static void
+test_late_copies (void)
+{
+  char text[256];
+  char expected[32];
+
+  for (unsigned i = 0; i < 40; i++)
+    {
+      char *answer;
+
+      server_copy_delay_us = i * 250;
+      for (int copied = 1; copied >= 0; copied--)
+        {
+          snprintf (text, sizeof text,
+                    "GET /r/%s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                    "X-Sycamorerudder-Request-Id: %c%u\r\n\r\n",
+                    copied ? "copy" : "ok", copied ? 'c' : 'd', i);
+          snprintf (expected, sizeof expected, "X-Odd: %c%u\r\n",
+                    copied ? 'c' : 'd', i);
+          answer = exchange (GATE_PORT_CALLERS, text);
+          SUITE_SEEDED (strncmp (answer, "HTTP/1.1 200 ", 13) == 0, i);
+          SUITE_SEEDED (strstr (answer, expected) != NULL, i);
+        }
+    }
+}
+
+/* Guards against a server in trouble that sends bytes without end: interim
+   responses must end the request long before its time is over, and an answer
+   that never ends must not look complete when its time is over.  */
+static void
+test_endless_answers (void)
+{
+  static const char request[] = "GET /t/flood HTTP/1.1\r\nHost: h\r\n"
+                                "Connection: close\r\n"
+                                "X-Sycamorerudder-Request-Id: f\r\n\r\n";
+  int requests_before = server_request_count;
+  clk_us start = clk_now ();
+  char bytes[4096];
+  char tail[6] = "";
+  size_t received = 0;
+  ssize_t len;
+  int fd;
+
+  CU_ASSERT_EQUAL (strncmp (get_path ("/o/interim"), "HTTP/1.1 502 ", 13), 0);
+  CU_ASSERT_TRUE (clk_now () - start < clk_ms (1000));
+  CU_ASSERT_EQUAL (server_request_count - requests_before, 1);
+  fd = connect_to (addresses[GATE_PORT_CALLERS]);
+  start = clk_now ();
+  send_text (fd, request);
+  while ((len = read (fd, bytes, sizeof bytes)) > 0)
+    {
+      received += (size_t)len;
+      if (len >= 5)
+        memcpy (tail, bytes + len - 5, 5);
+    }
+  close (fd);
+  CU_ASSERT_TRUE (clk_now () - start < clk_ms (3000));
+  CU_ASSERT_TRUE (received > 64 * 1024);
+  CU_ASSERT_STRING_NOT_EQUAL (tail, "0\r\n\r\n");
+}
+
 /* Guards against a second run of a non-idempotent request after its answer was
    truncated.  */
 static void
@@ -791,6 +892,8 @@
           { "internal route in a 103", test_internal_route_in_103 },
           { "overdue run is cancelled", test_overdue_run_is_cancelled },
           { "broken answers", test_broken_answers },
+          { "late copies of answers", test_late_copies },
+          { "answers without end", test_endless_answers },
           { "non-idempotent request runs once",
             test_non_idempotent_runs_once },
           { "bad input", test_bad_input },
