dispatch: bound the age of a reported queue wait

Cause: an age above the own clock, from an odd peer, put the time of the measurement into the future, and no later report of the service counted. Change: such a report counts as not measured; the formatter knows the loops over JSON. Measured: test_dispatch, report with an impossible age, fails without the change.

--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -539,8 +539,8 @@
   double queue_wait_us = from_downstream
                              ? (double)report->downstream_queue_wait_us
                              : (double)report->internal_queue_wait_us;
-  clk_us measured_at
-      = now - (from_downstream ? report->downstream_queue_wait_age : 0);
+  clk_us age = from_downstream ? report->downstream_queue_wait_age : 0;
+  clk_us measured_at = age < now ? now - age : 0;
   double previous_us = dispatch_downstream_queue_wait_us (service, now);
 
   service->downstream_queue_wait_us
--- a/programs/ctl_show.c
+++ b/programs/ctl_show.c
@@ -51,11 +51,11 @@
       return;
     }
   json_object_foreach ((json_t *)entry, key, value)
-  {
-    fprintf (out, "%s%s=", separator, key);
-    ctl_show_scalar (out, value);
-    separator = " ";
-  }
+    {
+      fprintf (out, "%s%s=", separator, key);
+      ctl_show_scalar (out, value);
+      separator = " ";
+    }
 }
 
 static void
@@ -65,11 +65,11 @@
   json_t *entry;
 
   json_array_foreach (list, i, entry)
-  {
-    fprintf (out, "%*s", indent, "");
-    ctl_show_entry (out, entry);
-    fputc ('\n', out);
-  }
+    {
+      fprintf (out, "%*s", indent, "");
+      ctl_show_entry (out, entry);
+      fputc ('\n', out);
+    }
 }
 
 /* Prints one member of an object.  The members of a nested object get a line
@@ -96,9 +96,9 @@
     }
   fputc ('\n', out);
   json_object_foreach ((json_t *)value, inner_key, inner)
-  {
-    ctl_show_field (out, inner_key, inner, indent + CTL_SHOW_INDENT);
-  }
+    {
+      ctl_show_field (out, inner_key, inner, indent + CTL_SHOW_INDENT);
+    }
 }
 
 void
@@ -113,9 +113,9 @@
       return;
     }
   json_object_foreach ((json_t *)value, key, field)
-  {
-    ctl_show_field (out, key, field, 0);
-  }
+    {
+      ctl_show_field (out, key, field, 0);
+    }
 }
 
 void
@@ -125,15 +125,15 @@
   json_t *fault;
 
   json_array_foreach (faults, i, fault)
-  {
-    const char *path = json_string_value (json_object_get (fault, "path"));
-    const char *text = json_string_value (json_object_get (fault, "text"));
-
-    ctl_show_printable (out, path != NULL ? path : "document");
-    fputs (": ", out);
-    ctl_show_printable (out, text != NULL ? text : "not allowed");
-    fputc ('\n', out);
-  }
+    {
+      const char *path = json_string_value (json_object_get (fault, "path"));
+      const char *text = json_string_value (json_object_get (fault, "text"));
+
+      ctl_show_printable (out, path != NULL ? path : "document");
+      fputs (": ", out);
+      ctl_show_printable (out, text != NULL ? text : "not allowed");
+      fputc ('\n', out);
+    }
 }
 
 void
--- a/programs/load_report.c
+++ b/programs/load_report.c
@@ -172,14 +172,14 @@
 
   printf ("%s", prefix);
   json_object_foreach (object, name, value)
-  {
-    if (json_is_string (value))
-      printf (" %s", json_string_value (value));
-    else if (json_is_real (value))
-      printf (" %s %.3f", name, json_real_value (value));
-    else if (json_is_integer (value))
-      printf (" %s %" JSON_INTEGER_FORMAT, name, json_integer_value (value));
-  }
+    {
+      if (json_is_string (value))
+        printf (" %s", json_string_value (value));
+      else if (json_is_real (value))
+        printf (" %s %.3f", name, json_real_value (value));
+      else if (json_is_integer (value))
+        printf (" %s %" JSON_INTEGER_FORMAT, name, json_integer_value (value));
+    }
   printf ("\n");
 }
 
@@ -192,13 +192,13 @@
   load_report_print_line ("run", result);
   load_report_print_line ("label", json_object_get (result, "all"));
   json_array_foreach (json_object_get (result, "labels"), index, item)
-  {
-    load_report_print_line ("label", item);
-  }
+    {
+      load_report_print_line ("label", item);
+    }
   json_array_foreach (json_object_get (result, "refusals"), index, item)
-  {
-    load_report_print_line ("refused", item);
-  }
+    {
+      load_report_print_line ("refused", item);
+    }
   if (json_object_get (result, "direct") != NULL)
     load_report_print_line ("direct", json_object_get (result, "direct"));
 }
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -356,6 +356,27 @@
     }
 }
 
+/* Guards against a report with an impossible age, after which no other report
+   would count, so that chains would not be limited any more.  */
+static void
+test_impossible_age (void)
+{
+  struct dispatch_report report
+      = { .downstream_queue_wait_us = 200000,
+          .downstream_queue_wait_age = clk_s (1000000),
+          .answered = true };
+
+  set_up ();
+  record_call (&state, now, &report);
+  CU_ASSERT_TRUE (dispatch_max_queue_wait (&state, now).wait_us == 0);
+  report = (struct dispatch_report){ .internal_queue_wait_us = 200000,
+                                     .answered = true };
+  for (int i = 0; i < 100; i++, now += clk_ms (10))
+    record_call (&state, now, &report);
+  CU_ASSERT_TRUE (dispatch_max_queue_wait (&state, now).wait_us > 150000);
+  dispatch_fini (&state);
+}
+
 /* Guards against the queue wait of a service that the backend server has
    stopped calling, or never called: a route that was taken for an internal one
    for a moment must not make its service a downstream one for good.  */
@@ -389,6 +410,7 @@
     { "return of callers before the first configuration", test_not_ready },
     { "route reported as internal", test_reported_route },
     { "old queue wait in a cycle of services", test_cycle_of_services },
+    { "report with an impossible age", test_impossible_age },
     { "queue wait of a service no longer called",
       test_service_no_longer_called },
     { NULL, NULL }
--- a/wire/consoleform.c
+++ b/wire/consoleform.c
@@ -395,15 +395,15 @@
            "<div role=\"alert\">\n<h2>%zu fields need a change</h2>\n<ul>\n",
            json_object_size (form->faults));
   json_object_foreach ((json_t *)form->faults, path, fault)
-  {
-    fputs ("<li><a href=\"#", form->out);
-    html_id (form->out, path, "");
-    fputs ("\">", form->out);
-    html_text (form->out, path);
-    fputs ("</a>: ", form->out);
-    html_text (form->out, json_string_value (fault));
-    fputs ("</li>\n", form->out);
-  }
+    {
+      fputs ("<li><a href=\"#", form->out);
+      html_id (form->out, path, "");
+      fputs ("\">", form->out);
+      html_text (form->out, path);
+      fputs ("</a>: ", form->out);
+      html_text (form->out, json_string_value (fault));
+      fputs ("</li>\n", form->out);
+    }
   fputs ("</ul>\n</div>\n", form->out);
 }
 
--- a/wire/doc.c
+++ b/wire/doc.c
@@ -134,10 +134,10 @@
   if (doc_sort_list (root, "headers") != SR_OK)
     error = SR_ENOMEM;
   json_array_foreach (json_object_get (root, "services"), i, service)
-  {
-    if (doc_sort_list (service, "kinds") != SR_OK)
-      error = SR_ENOMEM;
-  }
+    {
+      if (doc_sort_list (service, "kinds") != SR_OK)
+        error = SR_ENOMEM;
+    }
   if (error == SR_OK)
     out = json_dumps (root, JSON_INDENT (2) | JSON_SORT_KEYS);
   json_decref (root);
--- a/wire/docread.c
+++ b/wire/docread.c
@@ -355,10 +355,10 @@
       return;
     }
   json_object_foreach ((json_t *)object, key, value)
-  {
-    if (schema_find_field (group, key) == NULL)
-      docread_report_unknown_field (reader, group, key);
-  }
+    {
+      if (schema_find_field (group, key) == NULL)
+        docread_report_unknown_field (reader, group, key);
+    }
   docread_fields (reader, group, object, base);
 }
 
