origin, dispatch: routes of callers in a failure domain that lacks a service

Requests stay in their failure domain; one without a node of depots sent none from there, and the routes of callers counted as internal: they were not limited, and made a cycle of services again. In it the old wait hardly aged, because a node does not know the time that a report was on its way. Change: only services with a node in the own failure domain are expected, if there are three; a queue wait ages by 10 ms more with each node.

--- a/controllers/origin.c
+++ b/controllers/origin.c
@@ -9,6 +9,8 @@
    and has sent none, shows that the route is internal.  For an external route
    the probability of this is 1 in 1,000.  */
 #define ORIGIN_EXPECTED_MIN 7.0
+/* Services in the own failure domain from which on only these are expected. */
+#define ORIGIN_NEAR_SERVICES_MIN 3u
 /* Requests after which a route is classified by the number of services that
    request it; before that the report of another node is used.  */
 #define ORIGIN_REQUESTS_MIN 10u
@@ -54,23 +56,37 @@
 {
   origins->service_count = 0;
   origins->node_count = 0;
+  origins->near_service_count = 0;
+  origins->near_node_count = 0;
+}
+
+/* Record of a service; NULL when there are ORIGIN_SERVICES_MAX others.  */
+static struct origin_service *
+origin_get_service (struct origin *origins, uint64_t digest)
+{
+  for (uint32_t i = 0; i < origins->service_count; i++)
+    if (origins->services[i].service == digest)
+      return &origins->services[i];
+  if (origins->service_count == ORIGIN_SERVICES_MAX)
+    return NULL;
+  origins->services[origins->service_count]
+      = (struct origin_service){ .service = digest };
+  return &origins->services[origins->service_count++];
 }
 
 void
-origin_add_node (struct origin *origins, const char *service)
+origin_add_node (struct origin *origins, const char *service, bool near)
 {
-  uint64_t digest = htable_hash_text (service);
+  struct origin_service *record
+      = origin_get_service (origins, htable_hash_text (service));
 
   origins->node_count++;
-  for (uint32_t i = 0; i < origins->service_count; i++)
-    if (origins->services[i].service == digest)
-      {
-        origins->services[i].node_count++;
-        return;
-      }
-  if (origins->service_count < ORIGIN_SERVICES_MAX)
-    origins->services[origins->service_count++]
-        = (struct origin_service){ .service = digest, .node_count = 1 };
+  origins->near_node_count += near;
+  if (record == NULL)
+    return;
+  record->node_count++;
+  if (near && record->near_count++ == 0)
+    origins->near_service_count++;
 }
 
 static struct origin_route *
@@ -100,6 +116,17 @@
   return &record->sources[record->source_count++];
 }
 
+/* Share of the requests for an external route that is expected from the nodes
+   of SERVICE.  */
+static double
+origin_expected_share (const struct origin *origins,
+                       const struct origin_service *service)
+{
+  return origins->near_service_count >= ORIGIN_NEAR_SERVICES_MIN
+             ? (double)service->near_count / origins->near_node_count
+             : (double)service->node_count / origins->node_count;
+}
+
 /* Counts a request from SERVICE.  */
 static void
 origin_count_request (const struct origin *origins,
@@ -116,7 +143,7 @@
       source = origin_get_source (record, origins->services[i].service);
       if (source != NULL)
         source->expected
-            += (double)origins->services[i].node_count / origins->node_count;
+            += origin_expected_share (origins, &origins->services[i]);
     }
 }
 
--- a/controllers/origin.h
+++ b/controllers/origin.h
@@ -8,6 +8,10 @@
  * servers.  Callers run beside every server, so that requests for an external
  * route arrive from the nodes of all services.  A route is internal when no
  * requests for it arrive from the nodes of some service.
+ *
+ * Requests prefer servers of their own failure domain, so that only the
+ * services with a node in the failure domain of this node are expected, if
+ * there are enough of them.
  */
 
 #include <stdbool.h>
@@ -25,6 +29,7 @@
 {
   uint64_t service;    /* digest of the name */
   uint32_t node_count; /* nodes that receive requests from callers */
+  uint32_t near_count; /* of these, nodes in the own failure domain */
 };
 
 struct origin
@@ -33,6 +38,8 @@
   struct origin_service services[ORIGIN_SERVICES_MAX];
   uint32_t service_count;
   uint32_t node_count;
+  uint32_t near_service_count; /* services with a near node */
+  uint32_t near_node_count;
 };
 
 /* Returns SR_OK or SR_ENOMEM.  */
@@ -40,9 +47,10 @@
 void origin_fini (struct origin *origins);
 
 /* Sets the number of nodes of each service: origin_reset_nodes(), then
-   origin_add_node() for each node.  */
+   origin_add_node() for each node; NEAR tells whether it is in the own failure
+   domain.  */
 void origin_reset_nodes (struct origin *origins);
-void origin_add_node (struct origin *origins, const char *service);
+void origin_add_node (struct origin *origins, const char *service, bool near);
 
 enum origin_kind
 {
--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -28,6 +28,9 @@
 /* A queue wait is valid for this time after it was measured, and decays to 0
    within the same time again.  */
 #define DISPATCH_QUEUE_WAIT_TTL_US clk_ms (400)
+/* Age that a queue wait gets with each node, for the time on the way, which
+   the nodes do not know.  Without it a wait would hardly age in a cycle.  */
+#define DISPATCH_QUEUE_WAIT_HOP_US clk_ms (10)
 /* A service counts as downstream of the local backend server for this time
    after a call.  */
 #define DISPATCH_CALLED_TTL_US clk_s (2)
@@ -539,7 +542,9 @@
   double queue_wait_us = from_downstream
                              ? (double)report->downstream_queue_wait_us
                              : (double)report->internal_queue_wait_us;
-  clk_us age = from_downstream ? report->downstream_queue_wait_age : 0;
+  clk_us age = from_downstream ? report->downstream_queue_wait_age
+                                     + DISPATCH_QUEUE_WAIT_HOP_US
+                               : 0;
   clk_us measured_at = age < now ? now - age : 0;
   double previous_us = dispatch_downstream_queue_wait_us (service, now);
 
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -146,7 +146,9 @@
 
       node_count += !record->control_replica;
       if (record->service[0] != '\0' && record->state == MEMBER_SERVING)
-        origin_add_node (&gate->admit.origins, record->service);
+        origin_add_node (
+            &gate->admit.origins, record->service,
+            strcmp (record->failure_domain, gate->opts.failure_domain) == 0);
       gate_apply_member (gate, record, now);
     }
   list_each (node, &gate->dispatch.services)
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -338,7 +338,7 @@
     record_call (&nodes[0], now, &report);
   CU_ASSERT_TRUE (dispatch_max_queue_wait (&nodes[0], now).wait_us > 150000);
   overload_ended = now;
-  for (int i = 0; now < overload_ended + clk_s (2); i++, now += clk_ms (10))
+  for (int i = 0; now < overload_ended + clk_s (2); i++, now += clk_ms (1))
     {
       struct dispatch_queue_wait wait
           = dispatch_max_queue_wait (&nodes[i % 2], now);
@@ -347,6 +347,8 @@
                                          = (uint32_t)wait.wait_us,
                                          .downstream_queue_wait_age = wait.age,
                                          .answered = true };
+      /* Nearly all of the time passes on the way.  */
+      now += clk_ms (9);
       record_call (&nodes[1 - i % 2], now, &report);
     }
   for (int i = 0; i < 2; i++)
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -14,7 +14,7 @@
   CU_ASSERT_EQUAL (origin_init (origins), 0);
   origin_reset_nodes (origins);
   for (size_t i = 0; i < NODES; i++)
-    origin_add_node (origins, node_services[i]);
+    origin_add_node (origins, node_services[i], false);
 }
 
 /* Calls of backend servers must not be classified as external, also when
@@ -93,6 +93,40 @@
   CU_ASSERT_TRUE (misclassified <= 500 * 20 / 100);
 }
 
+/* Requests stay in their failure domain.  When a service has no node there,
+   its nodes elsewhere send no requests to the servers here, and the requests
+   of callers must not count as calls for that reason.  Calls must still count
+   as such.  */
+static void
+test_domain_without_a_service (void)
+{
+  static const char *const near_services[] = { "search", "orders", "marks" };
+  struct origin origins;
+  struct rng rng;
+  enum origin_kind call = ORIGIN_EXTERNAL;
+  uint32_t misclassified = 0;
+
+  rng_seed (&rng, 3);
+  set_nodes (&origins);
+  origin_reset_nodes (&origins);
+  for (size_t i = 0; i < NODES; i++)
+    origin_add_node (&origins, node_services[i], false);
+  for (size_t i = 0; i < 3; i++)
+    origin_add_node (&origins, near_services[i], true);
+  for (int i = 0; i < 400; i++)
+    {
+      misclassified += i >= 20
+                       && origin_record_request (
+                              &origins, 1, near_services[rng_below (&rng, 3)],
+                              ORIGIN_EXTERNAL)
+                              == ORIGIN_INTERNAL;
+      call = origin_record_request (&origins, 2, "sheets", ORIGIN_EXTERNAL);
+    }
+  CU_ASSERT_TRUE (misclassified <= 4);
+  CU_ASSERT_EQUAL (call, ORIGIN_INTERNAL);
+  origin_fini (&origins);
+}
+
 /* A node that has just started has counted no requests.  It must use the
    classification that other nodes report.  */
 static void
@@ -117,6 +151,8 @@
       = { { "route of backend servers is internal", test_internal_route },
           { "route of callers is external", test_external_route },
           { "first requests of callers", test_first_external_requests },
+          { "failure domain without a service",
+            test_domain_without_a_service },
           { "classification by other nodes", test_reported },
           { NULL, NULL } };
 
