fuzz, test_origin: names from platform/wire.h, no second set-up of the nodes

Cause: reading the change once more: the new fuzz target spelled the calls of the platform itself, and a test set up the same nodes twice. Change: the names of platform/wire.h; the repeated loop is gone, with the same nodes and the same assertions.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -5,6 +5,7 @@
 
 #include "core/model.h"
 #include "platform/platform.h"
+#include "platform/wire.h"
 #include "wire/nodehdr.h"
 
 enum decoder
@@ -38,7 +39,7 @@
   struct model *model = NULL;
   char fault[API_FAULT_BYTES] = "";
 
-  decode_call ("/-/Config.Replace", text, len);
+  decode_call (PLATFORM_ENDPOINT_REPLACE_CONFIG, text, len);
   platform_parse_document (text, len, &model, fault);
   model_unref (model);
 }
@@ -74,10 +75,10 @@
   switch ((enum decoder) (data[0] % DECODER_COUNT))
     {
     case DECODE_HEARTBEAT:
-      decode_call ("/-/Instances.Heartbeat/i-7", text, size - 1);
+      decode_call (PLATFORM_ENDPOINT_HEARTBEAT "i-7", text, size - 1);
       break;
     case DECODE_DEREGISTER:
-      decode_call ("/-/Instances.Deregister/i-7", text, size - 1);
+      decode_call (PLATFORM_ENDPOINT_DEREGISTER "i-7", text, size - 1);
       break;
     case DECODE_CHANGE:
       decode_document (text, size - 1);
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -108,9 +108,6 @@
 
   rng_seed (&rng, 3);
   set_nodes (&origins);
-  origin_reset_nodes (&origins);
-  for (size_t i = 0; i < NODES; i++)
-    origin_add_node (&origins, node_services[i], false);
   for (size_t i = 0; i < 3; i++)
     origin_add_node (&origins, near_services[i], true);
   for (int i = 0; i < 400; i++)
