--- a/review/lab/slow_reader.c
+++ b/review/lab/slow_reader.c
@@ -13,8 +13,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define SHEET_BYTES (1200 * 1024)
-#define CLIENTS 6
+#define SHEET_BYTES (6 * 1024 * 1024)
+#define CLIENTS 24
 #define DEADLINE_MS 10000
 
 static struct lab_node *entry;
@@ -108,11 +108,11 @@
   lab_sleep (4);
   for (int i = 0; i < CLIENTS; i++)
     {
-      /* 1.6 to 4.6 s for the answer.  */
-      clients[i].rate = SHEET_BYTES / (1.6 + 0.6 * i);
+      /* 3.2 to 4.4 s for the answer.  */
+      clients[i].rate = SHEET_BYTES / (3.2 + 0.08 * i);
       lab_thread (read_sheet, (void *)(intptr_t)i);
     }
-  lab_sleep (0.4);
+  lab_sleep (0.2);
   stopped_at = lab_now ();
   if (lab_trouble)
     lab_signal (entry, SIGTERM);
