--- a/review/lab/history.c
+++ b/review/lab/history.c
@@ -126,7 +126,6 @@
 
   (void)argc;
   lab_open (argv[1], 115);
-  lab_quiet_configure = true;
   routes_max = lab_trouble ? ROUTES : ROUTES_CALM;
   lab_start_core ();
   lab_sleep (1);
--- a/review/lab/lab.c
+++ b/review/lab/lab.c
@@ -14,6 +14,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/time.h>
@@ -25,7 +26,6 @@
 
 struct lab_node lab_nodes[LAB_NODES_MAX];
 int lab_trouble;
-bool lab_quiet_configure;
 int lab_port_outbound, lab_port_inbound, lab_port_ready, lab_port_control,
     lab_port_app;
 
@@ -110,6 +110,14 @@
   _exit (status);
 }
 
+static void
+lab_on_signal (int signal)
+{
+  (void)signal;
+  lab_clean ();
+  _exit (2);
+}
+
 static void *
 lab_watch (void *arg)
 {
@@ -152,6 +160,9 @@
   struct timespec now;
 
   signal (SIGPIPE, SIG_IGN);
+  signal (SIGTERM, lab_on_signal);
+  signal (SIGINT, lab_on_signal);
+  signal (SIGHUP, lab_on_signal);
   clock_gettime (CLOCK_MONOTONIC, &now);
   lab_started = (double)now.tv_sec + (double)now.tv_nsec / 1e9;
   lab_trouble = trouble == NULL || strcmp (trouble, "0") != 0;
@@ -289,6 +300,11 @@
       char *variables[] = { settings, "LANG=C", NULL };
 
       signal (SIGPIPE, SIG_DFL);
+      signal (SIGTERM, SIG_DFL);
+      signal (SIGINT, SIG_DFL);
+      signal (SIGHUP, SIG_DFL);
+      /* The process ends with the test, however that ends.  */
+      prctl (PR_SET_PDEATHSIG, SIGKILL);
       dup2 (fd, 1);
       dup2 (fd, 2);
       execve (arguments[0], arguments, variables);
@@ -666,9 +682,8 @@
 
       if (status == 200)
         {
-          if (!lab_quiet_configure)
-            lab_record ("configuration r%d acknowledged by %s", version,
-                        node->name);
+          lab_record ("configuration r%d acknowledged by %s", version,
+                      node->name);
           return true;
         }
       if (status >= 400 && status < 500)
--- a/review/lab/lab.h
+++ b/review/lab/lab.h
@@ -107,8 +107,6 @@
                     const char *services, double seconds);
 /* Reads the configuration back; returns the status, 0 without an answer.  */
 int lab_read_configuration (struct lab_node *node);
-/* Leaves acknowledged configurations out of the record.  */
-extern bool lab_quiet_configure;
 /* Waits until the node answers its readiness check with 200.  */
 bool lab_wait_ready (struct lab_node *node, double seconds);
 
--- a/review/lab/twice.c
+++ b/review/lab/twice.c
@@ -122,14 +122,13 @@
       else
         __sync_fetch_and_add (&orders_refused, 1);
       lab_sleep (0.03);
+      lab_record ("%s %s: %d, refused %d, run %d", nodes[machine]->name, id,
+                  answer.status, shed[order], runs[order]);
       if (answer.status == 503 && runs[order] > 0)
         {
           __sync_fetch_and_add (&refused, 1);
           lab_record ("REFUSED: client has 503 for %s, which has run", id);
         }
-      if (runs[order] > 1)
-        lab_record ("client has for %s: status %d, runs %d", id,
-                    answer.status, runs[order]);
       lab_answer_free (&answer);
     }
   return NULL;
@@ -166,6 +165,8 @@
     if (!lab_wait_ready (nodes[i], 10))
       lab_end (2);
   lab_sleep (4);
+  lab_record ("below, for each order: where it was sent, the status that its "
+              "client has, how often a server refused it and ran it");
   for (int i = 0; i < MACHINES; i++)
     lab_thread (send_orders, (void *)(intptr_t)i);
   lab_sleep (SECONDS);
