gate: log the connection of a server's refusal

The lines of a refusal do not tell a second refusal from a late copy of the first: both look alike if the connection and the time since the request was sent are not known. Change: the line has the connection, the number of requests that it has carried, and the time since the request was sent.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -278,6 +278,7 @@
   INVARIANT (outbound != NULL);
   outbound->gate = gate;
   outbound->pool = pool;
+  outbound->serial = ++gate->out_serial;
   outbound->timer.fire = gate_out_handle_timeout;
   if (hconn_connect (&outbound->conn, &opts, pool->address) != SR_OK)
     {
@@ -317,6 +318,7 @@
   outbound->mismatched = false;
   outbound->reusable = false;
   outbound->conn.any_written = false;
+  outbound->request_count++;
   httpmsg_expect_no_body (&outbound->conn.parser, false);
   return outbound;
 }
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -321,8 +321,14 @@
   if (not_run)
     {
       /* Not forwarded; the rest of the answer is read and discarded.  */
-      slog (SLOG_INFO, "backend server refused request id=%s status=%d",
-            gate_request_id (request), head->status);
+      slog (
+          SLOG_INFO,
+          "backend server refused request id=%s status=%d connection=%llu "
+          "requests_on_it=%u after_us=%llu",
+          gate_request_id (request), head->status,
+          (unsigned long long)serve->outbound->serial,
+          serve->outbound->request_count,
+          (unsigned long long)(loop_now (gate->loop) - serve->dispatched_at));
       serve->server_refused = true;
       if (head->status == 421)
         gate_mark_backend_lost (gate, "another-server");
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -176,6 +176,8 @@
   struct list_node node; /* gate_pool->idle while idle */
   struct gate *gate;
   struct gate_pool *pool;
+  uint64_t serial; /* unique in the process; identifies it in log lines */
+  uint32_t request_count; /* requests sent on it */
   enum gate_out_state state;
   union
   {
@@ -242,6 +244,7 @@
   struct list calls;   /* struct gate_call */
   struct list serves;  /* struct gate_serve */
   struct htable pools; /* struct gate_pool */
+  uint64_t out_serial; /* serial of the newest outbound connection */
   /* struct gate_request awaiting a reply of the control task */
   struct list api_requests;
   uint64_t next_api_id;
