gate: a refused request does not return to the connection of its refusal

Cause: a server sends a refusal once more, where the next answer is due. The same request is sent again after 60 ms, mostly on the connection used last, and the copy, which bears its id, is taken for the answer to the second sending, while the server runs it. Change: a connection to the backend server remembers the requests that were refused on it and is not used for them again; it is closed after eight refusals. A request without an id gets a new connection, as no answer tells to which request it belongs. With other ids on a connection a late copy is recognised already, and other failures close the connection.

--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -93,6 +93,9 @@
   struct gate *gate = call->gate;
   struct lb_server *server = call->dispatch.server;
   clk_us now = loop_now (gate->loop);
+  struct gate_out_opts opts
+      = { .address = server->address,
+          .request_id = call->request->head.value[HTTPMSG_REQUEST_ID] };
   struct gate_attempt *attempt = calloc (1, sizeof *attempt);
 
   INVARIANT (attempt != NULL);
@@ -110,7 +113,7 @@
       = strcmp (server->failure_domain, gate->opts.failure_domain) != 0;
   if (attempt->cross_domain)
     counter_add (COUNTER_ATTEMPTS_CROSS_DOMAIN, 1);
-  attempt->outbound = gate_out_acquire (gate, server->address, false, false);
+  attempt->outbound = gate_out_acquire (gate, &opts);
   if (attempt->outbound == NULL)
     {
       gate_attempt_fail (attempt, REASON_CONNECT_FAILED, REASON_NOT_RUN);
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -292,19 +292,57 @@
   return outbound;
 }
 
-struct gate_out *
-gate_out_acquire (struct gate *gate, const char *address, bool to_server,
-                  bool fresh)
+void
+gate_out_record_refusal (struct gate_out *outbound)
+{
+  const struct gate_request *request = gate_out_current_request (outbound);
+
+  INVARIANT (outbound->refused_count < GATE_OUT_REFUSED_MAX);
+  outbound->refused_ids[outbound->refused_count++]
+      = htable_hash_text (request->head.value[HTTPMSG_REQUEST_ID]);
+}
+
+/* Whether the backend server has refused the request with the id of digest
+   REQUEST on this connection.  */
+static bool
+gate_out_has_refused (const struct gate_out *outbound, uint64_t request)
+{
+  for (uint32_t i = 0; i < outbound->refused_count; i++)
+    if (outbound->refused_ids[i] == request)
+      return true;
+  return false;
+}
+
+/* The idle connection of POOL that was used last and may carry the request of
+   OPTS; NULL if there is none.  */
+static struct gate_out *
+gate_out_find_idle (const struct gate *gate, struct gate_pool *pool,
+                    const struct gate_out_opts *opts)
 {
-  struct gate_pool *pool = gate_pool_get (gate, address, to_server);
   clk_us now = loop_now (gate->loop);
-  struct gate_out *outbound = NULL;
+  uint64_t request = htable_hash_text (opts->request_id);
+
+  if (opts->to_server && opts->request_id[0] == '\0')
+    return NULL;
+  list_each (node, &pool->idle)
+    {
+      struct gate_out *outbound = list_entry (node, struct gate_out, node);
+
+      if (opts->fresh && now > outbound->idle_since + GATE_FRESH_IDLE_US)
+        return NULL;
+      if (!gate_out_has_refused (outbound, request))
+        return outbound;
+    }
+  return NULL;
+}
+
+struct gate_out *
+gate_out_acquire (struct gate *gate, const struct gate_out_opts *opts)
+{
+  struct gate_pool *pool
+      = gate_pool_get (gate, opts->address, opts->to_server);
+  struct gate_out *outbound = gate_out_find_idle (gate, pool, opts);
 
-  if (!list_empty (&pool->idle))
-    outbound = list_entry (list_first (&pool->idle), struct gate_out, node);
-  if (outbound != NULL && fresh
-      && now > outbound->idle_since + GATE_FRESH_IDLE_US)
-    outbound = NULL;
   if (outbound == NULL)
     outbound = gate_out_connect (gate, pool);
   else
@@ -334,6 +372,7 @@
      connection in gate_out_handle_head().  */
   if (!keep || !outbound->answer_complete || !outbound->reusable
       || outbound->idle_max == 0 || outbound->conn.send_buf.len > 0
+      || outbound->refused_count == GATE_OUT_REFUSED_MAX
       || outbound->conn.closed)
     {
       loop_cancel_timer (&outbound->timer);
--- a/tasks/gate_probe.c
+++ b/tasks/gate_probe.c
@@ -13,6 +13,10 @@
 {
   const struct model *model = gate->dispatch.model;
   const struct route_service *service;
+  struct gate_out_opts opts = { .address = gate->opts.backend_address,
+                                .to_server = true,
+                                .fresh = true,
+                                .request_id = "" };
   struct buf *buf;
 
   if (gate->probe_done || model == NULL || model->routes == NULL
@@ -25,8 +29,7 @@
   gate->probe_done = true;
   if (gate->admit.backend.heartbeat_at != 0)
     return;
-  gate->probe
-      = gate_out_acquire (gate, gate->opts.backend_address, true, true);
+  gate->probe = gate_out_acquire (gate, &opts);
   if (gate->probe == NULL)
     return;
   gate->probe->state = GATE_OUT_PROBE;
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -189,6 +189,11 @@
   struct gate *gate = serve->gate;
   clk_us now = loop_now (gate->loop);
   enum backend_state state = gate->admit.backend.state;
+  struct gate_out_opts opts
+      = { .address = gate->admit.backend.last_heartbeat.address,
+          .to_server = true,
+          .fresh = !serve->node_request.idempotent,
+          .request_id = serve->request->head.value[HTTPMSG_REQUEST_ID] };
 
   if (state != BACKEND_UP)
     {
@@ -203,9 +208,7 @@
   hist_add (HIST_QUEUE, now - serve->request->arrived_at);
   admit_record_start (&gate->admit, &serve->admit, now);
   counter_add (COUNTER_DISPATCHED, 1);
-  serve->outbound
-      = gate_out_acquire (gate, gate->admit.backend.last_heartbeat.address,
-                          true, !serve->node_request.idempotent);
+  serve->outbound = gate_out_acquire (gate, &opts);
   if (serve->outbound == NULL)
     {
       gate_serve_refuse (serve, REASON_CONNECT_FAILED, REASON_NOT_RUN);
@@ -330,6 +333,7 @@
           serve->outbound->request_count,
           (unsigned long long)(loop_now (gate->loop) - serve->dispatched_at));
       serve->server_refused = true;
+      gate_out_record_refusal (serve->outbound);
       if (head->status == 421)
         gate_mark_backend_lost (gate, "another-server");
       return SR_OK;
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -29,6 +29,9 @@
 /* An answer body up to this size is buffered until it is complete, so that a
    truncated one can be retried and does not reach the caller.  */
 #define GATE_ANSWER_BUFFER_BYTES (64 * 1024)
+/* A connection to the backend server is closed after this many refusals,
+   because it remembers the requests that were refused.  */
+#define GATE_OUT_REFUSED_MAX 8
 /* Buffer for the header fields, or the body, of an answer made by this node.
  */
 #define GATE_TEXT_BYTES 512
@@ -178,6 +181,10 @@
   struct gate_pool *pool;
   uint64_t serial; /* unique in the process; identifies it in log lines */
   uint32_t request_count; /* requests sent on it */
+  /* Digests of the ids of requests that the backend server has refused on this
+     connection.  */
+  uint64_t refused_ids[GATE_OUT_REFUSED_MAX];
+  uint32_t refused_count;
   enum gate_out_state state;
   union
   {
@@ -319,17 +326,32 @@
 void gate_pool_free_unused (struct gate *gate, struct gate_pool *pool);
 
 /* gate_out.c */
+/* What a connection is needed for.  */
+struct gate_out_opts
+{
+  const char *address;    /* IP:PORT */
+  bool to_server;         /* a backend server, not a node, is at @address */
+  bool fresh;             /* do not reuse a connection that was idle for longer
+                             than GATE_FRESH_IDLE_US */
+  const char *request_id; /* of the request to be sent, may be empty */
+};
+
 /**
  * gate_out_acquire() - reuse an idle connection or open a new one
  * @gate: gate
- * @address: IP:PORT
- * @to_server: whether a backend server, not a node, is at @address
- * @fresh: do not reuse a connection idle for longer than GATE_FRESH_IDLE_US
+ * @opts: what it is needed for
+ *
+ * A backend server may send an answer a second time, later, and the id in it
+ * does not tell whether it belongs to the first or to the second sending of a
+ * request.  So a request is not sent again on a connection on which the server
+ * has refused it, and one without an id is sent on a new connection.
  *
  * Return: a connection for one request, or NULL if connect() failed at once.
  */
-struct gate_out *gate_out_acquire (struct gate *gate, const char *address,
-                                   bool to_server, bool fresh);
+struct gate_out *gate_out_acquire (struct gate *gate,
+                                   const struct gate_out_opts *opts);
+/* Records that the backend server has refused the request in progress.  */
+void gate_out_record_refusal (struct gate_out *outbound);
 /* Returns the connection to its pool, or closes it if KEEP is false or the
    answer does not permit reuse.  */
 void gate_out_release (struct gate_out *outbound, bool keep);
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -19,6 +19,10 @@
 #include "wire/nodehdr.h"
 
 #define TEXT_BYTES 65536
+/* Buffer for the id of a request.  */
+#define ID_BYTES 64
+/* Requests that the backend server refuses when they come first.  */
+#define REFUSED_REQUESTS 40
 /* Descriptors that the test opens; more than the gaps between those of the
    process.  */
 #define FILLED_DESCRIPTORS 64
@@ -53,6 +57,8 @@
 static int server_listener;
 static char server_address[NET_ADDRESS_BYTES];
 static atomic_int server_request_count;
+/* Runs of requests that the server refuses when it gets them first.  */
+static atomic_int server_refused_run_count;
 /* Requests that are never answered, and those of them whose connection was
    closed.  */
 static atomic_int server_hang_count;
@@ -127,6 +133,18 @@
     }
 }
 
+static void
+server_send_refusal (int fd, const char *id)
+{
+  char out[256];
+
+  snprintf (out, sizeof out,
+            "HTTP/1.1 503 Busy\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+            "X-Sycamorerudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            id);
+  send_text (fd, out);
+}
+
 /* Sends the answer that the path of the request TEXT selects; ID is the id of
    the request.  */
 static void
@@ -148,12 +166,7 @@
                    "Content-Length: 3\r\n\r\nbad");
   if (strstr (text, "/shed ") != NULL)
     {
-      snprintf (
-          out, sizeof out,
-          "HTTP/1.1 503 Busy\r\nX-Sycamorerudder-Request-Id: %s\r\n"
-          "X-Sycamorerudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-          id);
-      send_text (fd, out);
+      server_send_refusal (fd, id);
       return;
     }
   if (strstr (text, "/noseal ") != NULL)
@@ -170,6 +183,44 @@
   send_text (fd, out);
 }
 
+/* Requests that the server has refused on one connection.  */
+struct server_refusals
+{
+  char ids[REFUSED_REQUESTS][ID_BYTES];
+  int count;
+};
+
+/* Refuses a request that it gets first, and runs one that comes again.  If
+   that is on the connection of the refusal, the server sends the refusal once
+   more, where the answer is due.  Returns whether the request runs.  */
+static bool
+server_refuse_first (int fd, struct server_refusals *refusals, const char *id)
+{
+  static char refused[REFUSED_REQUESTS][ID_BYTES];
+  static int refused_count;
+  bool seen = false;
+
+  for (int i = 0; i < refusals->count; i++)
+    if (strcmp (refusals->ids[i], id) == 0)
+      server_send_refusal (fd, id);
+  pthread_mutex_lock (&server_lock);
+  for (int i = 0; i < refused_count; i++)
+    seen |= strcmp (refused[i], id) == 0;
+  if (!seen && refused_count < REFUSED_REQUESTS)
+    strcpy (refused[refused_count++], id);
+  pthread_mutex_unlock (&server_lock);
+  if (seen)
+    {
+      server_refused_run_count++;
+      usleep (20000);
+      return true;
+    }
+  if (refusals->count < REFUSED_REQUESTS)
+    strcpy (refusals->ids[refusals->count++], id);
+  server_send_refusal (fd, id);
+  return false;
+}
+
 /* Sends TEXT again and again until the connection is closed.  */
 static void
 server_flood (int fd, const char *text, useconds_t pause_us)
@@ -184,10 +235,11 @@
 {
   int fd = (int)(intptr_t)arg;
   char *text = malloc (TEXT_BYTES);
+  struct server_refusals refusals = { .count = 0 };
 
   while (server_read_request (fd, text, TEXT_BYTES))
     {
-      char id[64] = "";
+      char id[ID_BYTES] = "";
       char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
 
       if (id_field != NULL)
@@ -196,6 +248,9 @@
       snprintf (server_last_request, sizeof server_last_request, "%s", text);
       pthread_mutex_unlock (&server_lock);
       server_request_count++;
+      if (strstr (text, "/refused-first ") != NULL
+          && !server_refuse_first (fd, &refusals, id))
+        continue;
       if (strstr (text, "/slow ") != NULL)
         usleep (300000);
       if (strstr (text, "/hang ") != NULL)
@@ -267,6 +322,19 @@
   return NULL;
 }
 
+/* Reads into OUT until the connection ends, and closes it.  */
+static void
+read_to_end (int fd, char *out, size_t size)
+{
+  size_t len = 0;
+  ssize_t received;
+
+  while ((received = read (fd, out + len, size - 1 - len)) > 0)
+    len += (size_t)received;
+  out[len] = '\0';
+  close (fd);
+}
+
 /* Sends TEXT to a port of the gate and reads until the connection ends;
    returns what was read.  */
 static char *
@@ -640,6 +708,69 @@
     }
 }
 
+/* Sends a request that the server refuses when it gets it first; returns the
+   connection.  ID may be NULL.  */
+static int
+send_refused_first (const char *id)
+{
+  char text[256];
+  char field[ID_BYTES + 40] = "";
+  int fd = connect_to (addresses[GATE_PORT_CALLERS]);
+
+  if (id != NULL)
+    snprintf (field, sizeof field, "X-Sycamorerudder-Request-Id: %s\r\n", id);
+  snprintf (text, sizeof text,
+            "POST /o/refused-first HTTP/1.1\r\nHost: h\r\n%s"
+            "Connection: close\r\nContent-Length: 0\r\n\r\n",
+            field);
+  send_text (fd, text);
+  return fd;
+}
+
+/* Reads the answer to a request that the server refused first.  */
+static void
+expect_refused_first_answered (int fd, unsigned seed)
+{
+  char answer[1024];
+
+  read_to_end (fd, answer, sizeof answer);
+  SUITE_SEEDED (strncmp (answer, "HTTP/1.1 200 ", 13) == 0, seed);
+}
+
+/* Guards against a second run of a request, or a false "not run" for one that
+   runs: the server has refused it, and sends the refusal once more where the
+   answer to the same request is due.  Other requests, and many refusals, come
+   in between.  */
+static void
+test_late_copies_of_refusals (void)
+{
+  int runs_before = server_refused_run_count;
+  int fds[REFUSED_REQUESTS / 2];
+  int count = REFUSED_REQUESTS / 2;
+  char id[ID_BYTES];
+
+  expect_refused_first_answered (send_refused_first ("alone"), 0);
+  CU_ASSERT_EQUAL (server_refused_run_count - runs_before, 1);
+  fds[0] = send_refused_first ("between");
+  usleep (10000);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (strncmp (get_path ("/r/ok"), "HTTP/1.1 200 ", 13), 0);
+  expect_refused_first_answered (fds[0], 0);
+  CU_ASSERT_EQUAL (server_refused_run_count - runs_before, 2);
+  for (int i = 0; i < count; i++)
+    {
+      snprintf (id, sizeof id, "many-%d", i);
+      fds[i] = send_refused_first (id);
+      usleep (2000);
+    }
+  for (int i = 0; i < count; i++)
+    expect_refused_first_answered (fds[i], (unsigned)i);
+  CU_ASSERT_EQUAL (server_refused_run_count - runs_before, 2 + count);
+  /* Without an id no answer tells to which request it belongs.  */
+  expect_refused_first_answered (send_refused_first (NULL), 0);
+  CU_ASSERT_EQUAL (server_refused_run_count - runs_before, 3 + count);
+}
+
 /* Guards against a server in trouble that sends bytes without end: interim
    responses must end the request long before its time is over, and an answer
    that never ends must not look complete when its time is over.  */
@@ -789,19 +920,6 @@
   CU_ASSERT_EQUAL (server_request_count, requests_before);
 }
 
-/* Reads into OUT until the connection ends, and closes it.  */
-static void
-read_to_end (int fd, char *out, size_t size)
-{
-  size_t len = 0;
-  ssize_t received;
-
-  while ((received = read (fd, out + len, size - 1 - len)) > 0)
-    len += (size_t)received;
-  out[len] = '\0';
-  close (fd);
-}
-
 /* Sends reads of the configuration from 2.5 s to 3 s after the stop began, so
    that some arrive after the stop message to the control task, which never
    answers in this test.  */
@@ -893,6 +1011,7 @@
           { "overdue run is cancelled", test_overdue_run_is_cancelled },
           { "broken answers", test_broken_answers },
           { "late copies of answers", test_late_copies },
+          { "late copies of refusals", test_late_copies_of_refusals },
           { "answers without end", test_endless_answers },
           { "non-idempotent request runs once",
             test_non_idempotent_runs_once },
