tests: a gate with its backend server as a fixture, for more than one program

Cause: a test of the stop needs a gate of its own, and a second node to which requests can go; test_gate had one gate in its own code. Change: tests/gate_fixture.h starts one or two gates with their servers; sockets of tests are in tests/net.h. The read buffer of hconn belongs to the thread: two gates in a process overwrote each other's.

--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -113,7 +113,7 @@
 hconn_handle_readable (struct loop_io *io)
 {
   struct hconn *conn = list_entry (io, struct hconn, io);
-  static uint8_t buffer[HCONN_READ_BYTES];
+  static _Thread_local uint8_t buffer[HCONN_READ_BYTES];
 
   for (int i = 0; i < HCONN_READS_MAX && !conn->closed && !io->paused; i++)
     {
--- /dev/null
+++ b/tests/gate_fixture.h
@@ -0,0 +1,213 @@
+#ifndef TESTS_GATE_FIXTURE_H
+#define TESTS_GATE_FIXTURE_H
+
+/**
+ * DOC: gate_fixture - a gate task and its backend server in a test
+ *
+ * The gate has the users' platform as adapter.  Its backend server is one of
+ * service "a", and the only one unless there is a second gate with its own.
+ */
+
+#include <pthread.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "platform/platform.h"
+#include "tasks/gate.h"
+#include "tests/net.h"
+
+struct gate_fixture_opts
+{
+  const char *document; /* the configuration */
+  clk_us stop_limit;    /* longest time of a graceful shutdown */
+  uint32_t slots;       /* of each backend server */
+  bool second;          /* start a second gate and server */
+  /* Serves one connection of the backend server and closes it; the argument is
+     its descriptor.  */
+  void *(*serve) (void *fd);
+};
+
+/* A gate and its backend server.  */
+struct gate_fixture_node
+{
+  struct gate_opts opts;
+  struct gate *gate;
+  struct inbox *control; /* messages of the gate, never read */
+  pthread_t thread;
+  char addresses[GATE_PORT_COUNT][NET_ADDRESS_BYTES];
+  int server_listener;
+  char server_address[NET_ADDRESS_BYTES];
+  void *(*serve) (void *fd);
+};
+
+struct gate_fixture
+{
+  struct gate_fixture_opts opts;
+  struct gate_fixture_node nodes[2];
+  struct gate *gate; /* of the first node; below, too */
+  pthread_t gate_thread;
+  char (*addresses)[NET_ADDRESS_BYTES];
+  const char *server_address;
+};
+
+/* Reads a request with its body; returns false when the connection has
+   ended.  */
+static inline bool
+gate_fixture_read_request (int fd, char *text, size_t size)
+{
+  size_t len = 0;
+
+  for (;;)
+    {
+      char *head_end = memmem (text, len, "\r\n\r\n", 4);
+      char *length_field = memmem (text, len, "Content-Length: ", 16);
+      ssize_t received;
+
+      if (head_end != NULL)
+        {
+          size_t head_len = (size_t)(head_end - text) + 4;
+          size_t body_len = length_field != NULL && length_field < head_end
+                                ? strtoul (length_field + 16, NULL, 10)
+                                : 0;
+
+          if (memmem (text, head_len, "chunked", 7) != NULL)
+            body_len = memmem (head_end, len - (size_t)(head_end - text),
+                               "0\r\n\r\n", 5)
+                               != NULL
+                           ? 0
+                           : SIZE_MAX / 2;
+          if (len >= head_len + body_len)
+            {
+              text[len] = '\0';
+              return true;
+            }
+        }
+      received = read (fd, text + len, size - 1 - len);
+      if (received <= 0)
+        return false;
+      len += (size_t)received;
+    }
+}
+
+static inline void *
+gate_fixture_accept_loop (void *arg)
+{
+  struct gate_fixture_node *node = arg;
+
+  for (;;)
+    {
+      int fd = accept (node->server_listener, NULL, NULL);
+      pthread_t thread;
+
+      if (fd < 0)
+        return NULL;
+      pthread_create (&thread, NULL, node->serve, (void *)(intptr_t)fd);
+      pthread_detach (thread);
+    }
+}
+
+static inline void *
+gate_fixture_run (void *arg)
+{
+  struct gate_fixture_node *node = arg;
+
+  gate_run (node->gate);
+  return NULL;
+}
+
+/* Gives the gate its configuration, and the list of members, of which all have
+   a server.  */
+static inline void
+gate_fixture_configure (const struct gate_fixture *fixture,
+                        const struct gate_fixture_node *node)
+{
+  const char *document = fixture->opts.document;
+  struct msg *model = msg_new (MSG_MODEL);
+  struct msg *view = msg_new (MSG_VIEW);
+  char fault[API_FAULT_BYTES];
+
+  CU_ASSERT_EQUAL_FATAL (platform_parse_document (document, strlen (document),
+                                                  &model->u.model.model,
+                                                  fault),
+                         SR_OK);
+  model->u.model.confirmed = true;
+  for (int i = 0; i <= (int)fixture->opts.second; i++)
+    {
+      struct member_record record = { .service = "a",
+                                      .failure_domain = "d",
+                                      .slots = fixture->opts.slots,
+                                      .state = MEMBER_SERVING,
+                                      .incarnation = 1 };
+
+      snprintf (record.instance, sizeof record.instance, "n-%d", i + 1);
+      snprintf (record.address, sizeof record.address, "127.0.0.%d:1", i + 1);
+      member_add_item (&view->u.items, &record);
+    }
+  inbox_put (gate_inbox (node->gate), model);
+  inbox_put (gate_inbox (node->gate), view);
+}
+
+/* Starts the node with INDEX and its backend server.  Nodes find each other at
+   the same port of different addresses.  */
+static inline void
+gate_fixture_start_node (struct gate_fixture *fixture, int index)
+{
+  static const char *const instances[] = { "n-1", "n-2" };
+  struct gate_fixture_node *node = &fixture->nodes[index];
+  struct gate_opts *gate = &node->opts;
+  struct inbox_opts inbox = { .wake = INBOX_WAKE_CONDITION };
+  pthread_t thread;
+
+  node->serve = fixture->opts.serve;
+  node->server_listener = net_bind (node->server_address);
+  listen (node->server_listener, 64);
+  pthread_create (&thread, NULL, gate_fixture_accept_loop, node);
+  pthread_detach (thread);
+  for (int i = 0; i < GATE_PORT_COUNT; i++)
+    {
+      close (net_bind (node->addresses[i]));
+      gate->listen_addresses[i] = node->addresses[i];
+    }
+  if (index > 0)
+    snprintf (node->addresses[GATE_PORT_NODES], NET_ADDRESS_BYTES,
+              "127.0.0.%d%s", index + 1,
+              strchr (fixture->addresses[GATE_PORT_NODES], ':'));
+  gate->instance = instances[index];
+  gate->failure_domain = "d";
+  gate->peer_address = "127.0.0.1:1";
+  gate->service = "a";
+  gate->backend_address = node->server_address;
+  gate->adapter = platform_adapter ();
+  gate->retry_budget = (struct budget_opts){ .ratio = 1,
+                                             .retries_min = 100,
+                                             .window = clk_s (10) };
+  gate->stop_limit = fixture->opts.stop_limit;
+  gate->heartbeat_interval = clk_s (60);
+  gate->descriptors_max = 512;
+  node->gate = gate_new (gate);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node->gate);
+  node->control = inbox_new (&inbox);
+  gate_attach (node->gate, node->control, node->control);
+  gate_fixture_configure (fixture, node);
+  pthread_create (&node->thread, NULL, gate_fixture_run, node);
+}
+
+/* Starts the gates and their backend servers.  FIXTURE must outlive the use
+   of all.  */
+static inline void
+gate_fixture_start (struct gate_fixture *fixture,
+                    const struct gate_fixture_opts *opts)
+{
+  fixture->opts = *opts;
+  fixture->addresses = fixture->nodes[0].addresses;
+  fixture->server_address = fixture->nodes[0].server_address;
+  gate_fixture_start_node (fixture, 0);
+  if (opts->second)
+    gate_fixture_start_node (fixture, 1);
+  fixture->gate = fixture->nodes[0].gate;
+  fixture->gate_thread = fixture->nodes[0].thread;
+}
+
+#endif
--- a/tests/net.h
+++ b/tests/net.h
@@ -5,9 +5,14 @@
  * DOC: net - loopback sockets for tests
  */
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
 
 #include <CUnit/Basic.h>
 
@@ -29,4 +34,58 @@
   return fd;
 }
 
+/* Connects the socket FD to ADDRESS, IP:PORT; returns FD, or -1 after closing
+   it when there is no listener.  Reads fail after 4 s.  */
+static inline int
+net_connect_socket (int fd, const char *address)
+{
+  struct sockaddr_in addr = { .sin_family = AF_INET };
+  struct timeval timeout = { .tv_sec = 4 };
+
+  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  addr.sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1));
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+  if (connect (fd, (struct sockaddr *)&addr, sizeof addr) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* The same with a new socket.  */
+static inline int
+net_try_connect (const char *address)
+{
+  return net_connect_socket (socket (AF_INET, SOCK_STREAM, 0), address);
+}
+
+/* The same; there must be a listener.  */
+static inline int
+net_connect (const char *address)
+{
+  int fd = net_try_connect (address);
+
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  return fd;
+}
+
+/* Sends TEXT; a failure shows in the next read.  */
+static inline void
+net_send_text (int fd, const char *text)
+{
+  (void)!write (fd, text, strlen (text));
+}
+
+/* Reads into OUT until the connection ends, and closes it.  */
+static inline void
+net_read_to_end (int fd, char *out, size_t size)
+{
+  size_t len = 0;
+  ssize_t received;
+
+  while ((received = read (fd, out + len, size - 1 - len)) > 0)
+    len += (size_t)received;
+  out[len] = '\0';
+  close (fd);
+}
+
 #endif
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -1,4 +1,3 @@
-#include <arpa/inet.h>
 #include <errno.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -11,9 +10,8 @@
 
 #include "core/clk.h"
 #include "core/counter.h"
-#include "platform/platform.h"
 #include "sycamorerudder.h"
-#include "tasks/gate.h"
+#include "tests/gate_fixture.h"
 #include "tests/net.h"
 #include "tests/suite.h"
 #include "wire/nodehdr.h"
@@ -52,10 +50,10 @@
       "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
       "\"idle_timeout_s\":15}}";
 
+static struct gate_fixture fixture;
+
 /* Backend server of the test; the last segment of the path selects its
    answer.  */
-static int server_listener;
-static char server_address[NET_ADDRESS_BYTES];
 static atomic_int server_request_count;
 /* Runs of requests that the server refuses when it gets them first.  */
 static atomic_int server_refused_run_count;
@@ -68,71 +66,6 @@
 static char server_last_request[TEXT_BYTES];
 static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
 
-static struct gate *gate;
-static struct inbox *control;
-static pthread_t gate_thread;
-static char addresses[GATE_PORT_COUNT][NET_ADDRESS_BYTES];
-
-static int
-connect_to (const char *address)
-{
-  struct sockaddr_in addr = { .sin_family = AF_INET };
-  struct timeval timeout = { .tv_sec = 4 };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-
-  addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  addr.sin_port = htons ((uint16_t)atoi (strchr (address, ':') + 1));
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
-  CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&addr, sizeof addr),
-                         0);
-  return fd;
-}
-
-static void
-send_text (int fd, const char *text)
-{
-  (void)!write (fd, text, strlen (text));
-}
-
-/* Reads a request with its body; returns false when the connection has
-   ended.  */
-static bool
-server_read_request (int fd, char *text, size_t size)
-{
-  size_t len = 0;
-
-  for (;;)
-    {
-      char *head_end = memmem (text, len, "\r\n\r\n", 4);
-      char *length_field = memmem (text, len, "Content-Length: ", 16);
-      ssize_t received;
-
-      if (head_end != NULL)
-        {
-          size_t head_len = (size_t)(head_end - text) + 4;
-          size_t body_len = length_field != NULL && length_field < head_end
-                                ? strtoul (length_field + 16, NULL, 10)
-                                : 0;
-
-          if (memmem (text, head_len, "chunked", 7) != NULL)
-            body_len = memmem (head_end, len - (size_t)(head_end - text),
-                               "0\r\n\r\n", 5)
-                               != NULL
-                           ? 0
-                           : SIZE_MAX / 2;
-          if (len >= head_len + body_len)
-            {
-              text[len] = '\0';
-              return true;
-            }
-        }
-      received = read (fd, text + len, size - 1 - len);
-      if (received <= 0)
-        return false;
-      len += (size_t)received;
-    }
-}
-
 static void
 server_send_refusal (int fd, const char *id)
 {
@@ -142,7 +75,7 @@
             "HTTP/1.1 503 Busy\r\nX-Sycamorerudder-Request-Id: %s\r\n"
             "X-Sycamorerudder-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
             id);
-  send_text (fd, out);
+  net_send_text (fd, out);
 }
 
 /* Sends the answer that the path of the request TEXT selects; ID is the id of
@@ -156,13 +89,15 @@
 
   if (strstr (text, "GET /health ") != NULL)
     {
-      send_text (fd, "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Instance-Id: i-1\r\n"
+      net_send_text (fd,
+                     "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Instance-Id: i-1\r\n"
                      "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
                      "Content-Length: 0\r\n\r\n");
       return;
     }
   if (strstr (text, "/stray ") != NULL)
-    send_text (fd, "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: other\r\n"
+    net_send_text (fd,
+                   "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: other\r\n"
                    "Content-Length: 3\r\n\r\nbad");
   if (strstr (text, "/shed ") != NULL)
     {
@@ -180,7 +115,7 @@
             "%.20s\r\n%s\r\n\r\n%s",
             id, seal, id, framing,
             strncmp (text, "HEAD ", 5) == 0 ? "" : "hello");
-  send_text (fd, out);
+  net_send_text (fd, out);
 }
 
 /* Requests that the server has refused on one connection.  */
@@ -237,7 +172,7 @@
   char *text = malloc (TEXT_BYTES);
   struct server_refusals refusals = { .count = 0 };
 
-  while (server_read_request (fd, text, TEXT_BYTES))
+  while (gate_fixture_read_request (fd, text, TEXT_BYTES))
     {
       char id[ID_BYTES] = "";
       char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
@@ -279,7 +214,7 @@
                     "X-Sycamorerudder-Response-Seal: s\r\n"
                     "Transfer-Encoding: chunked\r\n\r\n",
                     id);
-          send_text (fd, head);
+          net_send_text (fd, head);
           server_flood (fd, chunk, 500);
           break;
         }
@@ -297,44 +232,6 @@
   return NULL;
 }
 
-static void *
-server_accept_loop (void *arg)
-{
-  (void)arg;
-  for (;;)
-    {
-      int fd = accept (server_listener, NULL, NULL);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      pthread_create (&thread, NULL, server_serve_connection,
-                      (void *)(intptr_t)fd);
-      pthread_detach (thread);
-    }
-}
-
-static void *
-gate_thread_main (void *arg)
-{
-  (void)arg;
-  gate_run (gate);
-  return NULL;
-}
-
-/* Reads into OUT until the connection ends, and closes it.  */
-static void
-read_to_end (int fd, char *out, size_t size)
-{
-  size_t len = 0;
-  ssize_t received;
-
-  while ((received = read (fd, out + len, size - 1 - len)) > 0)
-    len += (size_t)received;
-  out[len] = '\0';
-  close (fd);
-}
-
 /* Sends TEXT to a port of the gate and reads until the connection ends;
    returns what was read.  */
 static char *
@@ -343,9 +240,9 @@
   static char answer[TEXT_BYTES];
   size_t len = 0;
   ssize_t received;
-  int fd = connect_to (addresses[port]);
+  int fd = net_connect (fixture.addresses[port]);
 
-  send_text (fd, text);
+  net_send_text (fd, text);
   while ((received = read (fd, answer + len, sizeof answer - 1 - len)) > 0)
     len += (size_t)received;
   answer[len] = '\0';
@@ -383,7 +280,8 @@
   snprintf (body, sizeof body,
             "{\"service\":\"a\",\"address\":\"%s\",\"slots\":4,\"state\":"
             "\"%s\",\"sequence\":%d,\"born\":%d}",
-            server_address, state, sequence, strcmp (id, "i-1") == 0 ? 1 : 2);
+            fixture.server_address, state, sequence,
+            strcmp (id, "i-1") == 0 ? 1 : 2);
   snprintf (text, sizeof text,
             "POST /-/Instances.Heartbeat/%s HTTP/1.1\r\nHost: n\r\n"
             "Connection: close\r\nContent-Length: %zu\r\n\r\n%s",
@@ -398,57 +296,15 @@
   send_heartbeat_of ("i-1", sequence, state);
 }
 
-/* Starts the backend server, and a gate whose only server it is.  */
 static void
 start_gate (void)
 {
-  static struct gate_opts opts;
-  struct inbox_opts inbox = { .wake = INBOX_WAKE_CONDITION };
-  struct msg *model = msg_new (MSG_MODEL);
-  struct msg *view = msg_new (MSG_VIEW);
-  struct member_record record = { .instance = "n-1",
-                                  .service = "a",
-                                  .failure_domain = "d",
-                                  .slots = 4,
-                                  .state = MEMBER_SERVING,
-                                  .incarnation = 1 };
-  char fault[API_FAULT_BYTES];
-  pthread_t thread;
-
-  server_listener = net_bind (server_address);
-  listen (server_listener, 64);
-  pthread_create (&thread, NULL, server_accept_loop, NULL);
-  for (int i = 0; i < GATE_PORT_COUNT; i++)
-    {
-      close (net_bind (addresses[i]));
-      opts.listen_addresses[i] = addresses[i];
-    }
-  opts.instance = "n-1";
-  opts.failure_domain = "d";
-  opts.peer_address = "127.0.0.1:1";
-  opts.service = "a";
-  opts.backend_address = server_address;
-  opts.adapter = platform_adapter ();
-  opts.retry_budget = (struct budget_opts){ .ratio = 1,
-                                            .retries_min = 100,
-                                            .window = clk_s (10) };
-  opts.stop_limit = clk_s (3);
-  opts.heartbeat_interval = clk_s (60);
-  opts.descriptors_max = 512;
-  gate = gate_new (&opts);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (gate);
-  control = inbox_new (&inbox);
-  gate_attach (gate, control, control);
-  CU_ASSERT_EQUAL_FATAL (platform_parse_document (document, strlen (document),
-                                                  &model->u.model.model,
-                                                  fault),
-                         SR_OK);
-  model->u.model.confirmed = true;
-  snprintf (record.address, sizeof record.address, "127.0.0.1:1");
-  member_add_item (&view->u.items, &record);
-  inbox_put (gate_inbox (gate), model);
-  inbox_put (gate_inbox (gate), view);
-  pthread_create (&gate_thread, NULL, gate_thread_main, NULL);
+  struct gate_fixture_opts opts = { .document = document,
+                                    .stop_limit = clk_s (3),
+                                    .slots = 4,
+                                    .serve = server_serve_connection };
+
+  gate_fixture_start (&fixture, &opts);
 }
 
 /* Guards against a node that serves nothing until the next heartbeat when it
@@ -531,7 +387,7 @@
   size_t len = 0;
   size_t received;
   ssize_t chunk;
-  int fd = connect_to (addresses[GATE_PORT_CALLERS]);
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
 
   for (int i = 0; i < PIPELINED_REQUESTS; i++)
     {
@@ -601,13 +457,13 @@
     {
       ssize_t len;
 
-      fd = connect_to (addresses[GATE_PORT_NODES]);
+      fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
       snprintf (text, sizeof text,
                 "GET /l/hang HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
                 "X-Sycamorerudder-Caller-Service: z\r\n"
                 "X-Sycamorerudder-Deadline-Ms: 200\r\n\r\n",
                 NODEHDR_REQUEST_FIELD, field);
-      send_text (fd, text);
+      net_send_text (fd, text);
       usleep (20000);
       len = recv (fd, answer, sizeof answer - 1, MSG_DONTWAIT);
       answer[len > 0 ? len : 0] = '\0';
@@ -641,7 +497,7 @@
   char field[NODEHDR_TEXT_BYTES];
   char text[TEXT_BYTES];
   int cancelled_before = server_cancelled_count;
-  int fd = connect_to (addresses[GATE_PORT_NODES]);
+  int fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
 
   nodehdr_encode_request (&node_request, field);
   snprintf (text, sizeof text,
@@ -649,7 +505,7 @@
             "X-Sycamorerudder-Deadline-Ms: 200\r\n"
             "X-Sycamorerudder-Request-Id: overdue\r\n\r\n",
             NODEHDR_REQUEST_FIELD, field);
-  send_text (fd, text);
+  net_send_text (fd, text);
   usleep (100000);
   CU_ASSERT_EQUAL (shutdown (fd, SHUT_WR), 0);
   usleep (50000);
@@ -715,7 +571,7 @@
 {
   char text[256];
   char field[ID_BYTES + 40] = "";
-  int fd = connect_to (addresses[GATE_PORT_CALLERS]);
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
 
   if (id != NULL)
     snprintf (field, sizeof field, "X-Sycamorerudder-Request-Id: %s\r\n", id);
@@ -723,7 +579,7 @@
             "POST /o/refused-first HTTP/1.1\r\nHost: h\r\n%s"
             "Connection: close\r\nContent-Length: 0\r\n\r\n",
             field);
-  send_text (fd, text);
+  net_send_text (fd, text);
   return fd;
 }
 
@@ -733,7 +589,7 @@
 {
   char answer[1024];
 
-  read_to_end (fd, answer, sizeof answer);
+  net_read_to_end (fd, answer, sizeof answer);
   SUITE_SEEDED (strncmp (answer, "HTTP/1.1 200 ", 13) == 0, seed);
 }
 
@@ -791,9 +647,9 @@
   CU_ASSERT_EQUAL (strncmp (get_path ("/o/interim"), "HTTP/1.1 502 ", 13), 0);
   CU_ASSERT_TRUE (clk_now () - start < clk_ms (1000));
   CU_ASSERT_EQUAL (server_request_count - requests_before, 1);
-  fd = connect_to (addresses[GATE_PORT_CALLERS]);
+  fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
   start = clk_now ();
-  send_text (fd, request);
+  net_send_text (fd, request);
   while ((len = read (fd, bytes, sizeof bytes)) > 0)
     {
       received += (size_t)len;
@@ -850,9 +706,9 @@
 
   CU_ASSERT_EQUAL (strncmp (get_path ("/t/hang"), "HTTP/1.1 504 ", 13), 0);
   CU_ASSERT_TRUE (clk_now () - start < clk_ms (500));
-  fd = connect_to (addresses[GATE_PORT_CALLERS]);
-  send_text (fd, "GET /r/hang HTTP/1.1\r\nHost: h\r\n"
-                 "X-Sycamorerudder-Request-Id: leaves\r\n\r\n");
+  fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  net_send_text (fd, "GET /r/hang HTTP/1.1\r\nHost: h\r\n"
+                     "X-Sycamorerudder-Request-Id: leaves\r\n\r\n");
   usleep (150000);
   close (fd);
   usleep (300000);
@@ -883,7 +739,7 @@
   setrlimit (RLIMIT_NOFILE, &low_limit);
   close (duplicates[FILLED_DESCRIPTORS - 1]);
   /* This connection uses the last descriptor.  */
-  fd = connect_to (addresses[GATE_PORT_CALLERS]);
+  fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
   cpu_clocks = clock ();
   usleep (400000);
   cpu_clocks = clock () - cpu_clocks;
@@ -891,8 +747,8 @@
   for (int i = 0; i < FILLED_DESCRIPTORS - 1; i++)
     close (duplicates[i]);
   CU_ASSERT_TRUE (cpu_clocks < CLOCKS_PER_SEC / 10);
-  send_text (fd, "GET /r/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-                 "X-Sycamorerudder-Request-Id: waits\r\n\r\n");
+  net_send_text (fd, "GET /r/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                     "X-Sycamorerudder-Request-Id: waits\r\n\r\n");
   while ((received = read (fd, answer + len, sizeof answer - 1 - len)) > 0)
     len += (size_t)received;
   answer[len] = '\0';
@@ -929,8 +785,8 @@
   usleep (1900000);
   for (int i = 0; i < CONFIG_READS; i++)
     {
-      fds[i] = connect_to (addresses[GATE_PORT_CONTROL]);
-      send_text (fds[i], "GET /-/Config.Get HTTP/1.1\r\nHost: n\r\n\r\n");
+      fds[i] = net_connect (fixture.addresses[GATE_PORT_CONTROL]);
+      net_send_text (fds[i], "GET /-/Config.Get HTTP/1.1\r\nHost: n\r\n\r\n");
       usleep (50000);
     }
 }
@@ -967,34 +823,34 @@
   send_heartbeat (3, "ready");
   CU_ASSERT_EQUAL (strncmp (get_path ("/r/ok"), "HTTP/1.1 503 ", 13), 0);
   send_heartbeat_of ("i-2", 1, "ready");
-  pipelined = connect_to (addresses[GATE_PORT_CALLERS]);
-  send_text (pipelined, "GET /l/hang HTTP/1.1\r\nHost: h\r\n"
-                        "X-Sycamorerudder-Request-Id: hangs\r\n\r\n"
-                        "GET /l/ok HTTP/1.1\r\nHost: h\r\n"
-                        "X-Sycamorerudder-Request-Id: ready\r\n\r\n");
-  fd = connect_to (addresses[GATE_PORT_CALLERS]);
-  send_text (fd, "POST /r/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
-                 "X-Sycamorerudder-Request-Id: late\r\n\r\na");
+  pipelined = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  net_send_text (pipelined, "GET /l/hang HTTP/1.1\r\nHost: h\r\n"
+                            "X-Sycamorerudder-Request-Id: hangs\r\n\r\n"
+                            "GET /l/ok HTTP/1.1\r\nHost: h\r\n"
+                            "X-Sycamorerudder-Request-Id: ready\r\n\r\n");
+  fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  net_send_text (fd, "POST /r/ok HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+                     "X-Sycamorerudder-Request-Id: late\r\n\r\na");
   usleep (200000);
-  gate_shut_down (gate);
+  gate_shut_down (fixture.gate);
   usleep (400000);
   CU_ASSERT_PTR_NOT_NULL (strstr (
       exchange (GATE_PORT_HEALTH, "GET /-/readiness HTTP/1.1\r\nHost: n\r\n"
                                   "Connection: close\r\n\r\n"),
       " 503 "));
-  send_text (fd, "b");
-  read_to_end (fd, answer, sizeof answer);
+  net_send_text (fd, "b");
+  net_read_to_end (fd, answer, sizeof answer);
   CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 200 ", 13), 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Connection: close"));
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "hello"));
   read_config_while_stopping (config_reads);
-  read_to_end (pipelined, answer, sizeof answer);
+  net_read_to_end (pipelined, answer, sizeof answer);
   bad_gateway = strstr (answer, "HTTP/1.1 502 ");
   CU_ASSERT_PTR_NOT_NULL (bad_gateway);
   CU_ASSERT_TRUE (close_and_count_refused (config_reads) > 0);
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "HTTP/1.1 200 "));
   CU_ASSERT_PTR_NOT_NULL (strstr (answer, "hello"));
-  pthread_join (gate_thread, NULL);
+  pthread_join (fixture.gate_thread, NULL);
 }
 
 int
