gate, dispatch, admit: no attempt late in a shutdown that would be cut off

Seen by callers: during a planned stop of one node in calm, requests that arrive late are sent to a server and answered 502 at the end, among them requests that must not run twice (a report of operators of similar systems). Cause: new requests are taken until 2.6 s after the signal, whatever is left until the end; a request whose body ends later is sent even after that. Change: before each attempt the node compares the time left with the average duration of such requests, twice that for those that must not run twice, and refuses the request as not run if it is too short. The node beside a server does so with its service time.

--- a/filters/admit.c
+++ b/filters/admit.c
@@ -5,6 +5,9 @@
 #include "core/err.h"
 #include "filters/importance.h"
 
+/* A request that must not run twice is admitted by a node that shuts down if
+   this many times the average service time is left.  */
+#define ADMIT_STOP_RUNS 2.0
 /* Maximum number of queued requests per slot.  */
 #define ADMIT_QUEUE_PER_SLOT 4
 /* Fraction of the slots that is used: many servers slow down when they are
@@ -204,6 +207,20 @@
     }
 }
 
+/* Whether a request may run before the node shuts down.  One that must not run
+   twice is better served by another node if it may be cut off here.  */
+static bool
+admit_can_end (const struct admit_state *state,
+               const struct admit_request *request, clk_us now)
+{
+  double expected_us = request->internal ? state->service_time_us
+                                         : state->external_service_time_us;
+
+  if (state->stop_at == 0 || request->idempotent)
+    return true;
+  return (double)now + expected_us * ADMIT_STOP_RUNS < (double)state->stop_at;
+}
+
 static struct admit_result
 admit_step (struct admit_state *state, struct admit_request *request,
             enum admit_filter filter, clk_us now)
@@ -215,7 +232,8 @@
         return admit_refuse (REASON_NO_BACKEND);
       break;
     case ADMIT_DRAINING:
-      if (state->backend.state == BACKEND_DRAINING || state->stopping)
+      if (state->backend.state == BACKEND_DRAINING || state->stopping
+          || !admit_can_end (state, request, now))
         return admit_refuse (REASON_DRAINING);
       break;
     case ADMIT_SERVICE:
--- a/filters/admit.h
+++ b/filters/admit.h
@@ -43,7 +43,8 @@
 struct admit_state
 {
   struct backend backend;
-  bool stopping; /* the node is shutting down */
+  bool stopping;  /* the node is shutting down, accepts no new requests */
+  clk_us stop_at; /* end of a shutdown at the latest; 0: none is in progress */
   struct slots *slots;
   struct origin origins;
   struct aimd aimd;
@@ -73,6 +74,7 @@
   char service[ROUTE_NAME_BYTES];
   uint8_t importance;
   bool internal;
+  bool idempotent;
   uint64_t route_id;            /* digest of the route's name */
   double timeout_used_fraction; /* of such requests, as reported by the node at
                                    which it arrived */
--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -47,6 +47,11 @@
 #define DISPATCH_READY_AFTER_MS 1300
 /* Range of the random addition to Retry-After until then.  */
 #define DISPATCH_READY_JITTER_MS 300
+/* A node that shuts down sends a request if this many times its average
+   duration is left: more for one that must not run twice, because its caller
+   cannot send it again when it is cut off.  */
+#define DISPATCH_STOP_DURATIONS 1.0
+#define DISPATCH_STOP_DURATIONS_ONCE 2.0
 /* Fraction of the retry budget that external requests may use.  */
 #define DISPATCH_BUDGET_EXTERNAL_FRACTION 0.5
 /* Traffic between failure domains costs money.  The expected time of a server
@@ -405,12 +410,30 @@
          * DISPATCH_TIMEOUT_USED_GAIN;
 }
 
+/* Whether an attempt may start before the node shuts down.  An internal
+   request belongs to a run that would be lost without it.  */
+static bool
+dispatch_can_end (const struct dispatch_state *state,
+                  const struct dispatch_request *request, clk_us now)
+{
+  double expected_us = request->service->timeout_used_fraction
+                       * (double)(request->route_deadline - request->arrived);
+
+  if (state->stop_at == 0 || request->internal)
+    return true;
+  expected_us *= request->route->idempotent ? DISPATCH_STOP_DURATIONS
+                                            : DISPATCH_STOP_DURATIONS_ONCE;
+  return (double)now + expected_us < (double)state->stop_at;
+}
+
 struct dispatch_result
 dispatch_choose_server (struct dispatch_state *state,
                         struct dispatch_request *request, clk_us now)
 {
   struct lb_choice choice;
 
+  if (!dispatch_can_end (state, request, now))
+    return dispatch_refuse (REASON_DRAINING, DISPATCH_RETRY_AFTER_MS);
   request->query.importance = MODEL_IMPORTANCE_MAX;
   request->query.cost = dispatch_cost (request);
   request->query.cross_domain_penalty
--- a/filters/dispatch.h
+++ b/filters/dispatch.h
@@ -83,6 +83,8 @@
   struct rng rng;
   uint32_t node_count; /* nodes that share the retry budget */
   bool stopping;       /* the node is shutting down, accepts no new requests */
+  clk_us stop_at;      /* when the node shuts down, time after which no attempt
+                          starts; else 0 */
 };
 
 struct dispatch_request
@@ -192,7 +194,8 @@
    ones as long, and are measured separately.  */
 enum model_cost dispatch_cost (const struct dispatch_request *request);
 
-/* Chooses a server for an attempt; DISPATCH_REFUSE when there is none.  */
+/* Chooses a server for an attempt; DISPATCH_REFUSE when there is none, or when
+   the node shuts down and would probably cut off the request.  */
 struct dispatch_result
 dispatch_choose_server (struct dispatch_state *state,
                         struct dispatch_request *request, clk_us now);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -505,6 +505,7 @@
           sizeof serve->admit.service);
   serve->admit.importance = (uint8_t)serve->node_request.importance;
   serve->admit.route_id = serve->node_request.route_id;
+  serve->admit.idempotent = serve->node_request.idempotent;
   serve->admit.timeout_used_fraction
       = (double)serve->node_request.timeout_used_fraction
         / NODEHDR_FRACTION_SCALE;
--- a/tasks/gate_stop.c
+++ b/tasks/gate_stop.c
@@ -58,6 +58,8 @@
   for (int step = GATE_STOP_END; step > 0; step--)
     if (stop->due[step - 1] > stop->due[step])
       stop->due[step - 1] = stop->due[step];
+  gate->dispatch.stop_at = stop->due[GATE_STOP_WITHDRAW];
+  gate->admit.stop_at = stop->due[GATE_STOP_END];
 }
 
 static void
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -292,6 +292,37 @@
   admit_fini (&state);
 }
 
+/* A node that shuts down must not admit a request that must not run twice and
+   would probably be cut off: another node can run it.  */
+static void
+test_time_left_in_shutdown (void)
+{
+  struct entry *entry = &requests[0];
+
+  for (int idempotent = 0; idempotent < 2; idempotent++)
+    {
+      clk_us now = clk_s (100);
+      struct admit_result result;
+
+      set_up ();
+      state.external_service_time_us = 500000;
+      state.stop_at = now + clk_ms (900);
+      snprintf (entry->request.service, sizeof entry->request.service,
+                "marks");
+      entry->request.idempotent = idempotent;
+      entry->request.arrived = now;
+      entry->request.deadline = now + clk_s (5);
+      entry->request.target_deadline = now + clk_s (2);
+      result = admit_run_chain (&state, &entry->request, now);
+      CU_ASSERT_EQUAL (result.kind, idempotent ? ADMIT_RUN : ADMIT_REFUSE);
+      if (result.kind == ADMIT_RUN)
+        withdraw (entry, now);
+      else
+        CU_ASSERT_EQUAL (result.reason, REASON_DRAINING);
+      admit_fini (&state);
+    }
+}
+
 int
 main (void)
 {
@@ -304,6 +335,7 @@
           { "request runs after slow ones when nothing is queued",
             test_slow_history },
           { "no request for an unavailable server", test_server_states },
+          { "time left in a shutdown", test_time_left_in_shutdown },
           { NULL, NULL } };
 
   return suite_run ("admit", tests);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -182,6 +182,39 @@
   dispatch_fini (&state);
 }
 
+/* Late in a shutdown a request must not be sent to a server when it would
+   probably be cut off at the end: with twice its average duration left for one
+   that must not run twice, with its average duration for another one.  The
+   first attempt may come long after the request, when its body is complete.
+   Calls of a run are always sent.  */
+static void
+test_time_left_in_shutdown (void)
+{
+  static const char *const paths[] = { "/place/1", "/read/1" };
+  static const int durations[] = { 2, 1 };
+  const clk_us average = clk_ms (250);
+
+  for (int i = 0; i < 2; i++)
+    for (int enough = 0; enough < 2; enough++)
+      {
+        clk_us needed = (clk_us)durations[i] * average;
+        struct dispatch_request request;
+
+        set_up ();
+        dispatch_get_service (&state, "orders", now)->timeout_used_fraction
+            = 0.25;
+        request = run_chain (paths[i], DISPATCH_CONTINUE);
+        state.stop_at = now + needed + clk_ms (enough ? 5 : -5);
+        CU_ASSERT_EQUAL (dispatch_choose_server (&state, &request, now).kind,
+                         enough ? DISPATCH_CONTINUE : DISPATCH_REFUSE);
+        request.internal = true;
+        CU_ASSERT_EQUAL (dispatch_choose_server (&state, &request, now).kind,
+                         DISPATCH_CONTINUE);
+        dispatch_release (&request);
+        dispatch_fini (&state);
+      }
+}
+
 /* Requests must stay in the failure domain of the node as long as its server
    meets the time limit, to save traffic between domains.  When little time is
    left, the faster servers of other domains must be used.  */
@@ -407,6 +440,7 @@
     { "non-idempotent request runs at most once", test_at_most_once },
     { "retry budget when servers refuse", test_servers_refuse },
     { "no requests during shutdown", test_shutdown },
+    { "time left in a shutdown", test_time_left_in_shutdown },
     { "other failure domains only when time is short", test_failure_domains },
     { "refusals without configuration, route or time", test_refusals },
     { "return of callers before the first configuration", test_not_ready },
