--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -517,7 +517,7 @@
   double cost = 1 + request->service->fan_out;
 
   if (now + DISPATCH_ATTEMPT_MIN_US >= request->route_deadline
-      || state->stopping)
+      || (state->stopping && now >= state->stop_at))
     return next;
   if (failure->run == REASON_NOT_RUN)
     {
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -215,6 +215,30 @@
       }
 }
 
+/* A request in progress when the node shuts down must be sent again when its
+   server is lost, as long as there is time before the end: another server of
+   the service can still answer it.  */
+static void
+test_retries_in_shutdown (void)
+{
+  struct dispatch_request request;
+
+  set_up ();
+  state.stop_at = now + clk_ms (500);
+  request = run_chain ("/read/1", DISPATCH_CONTINUE);
+  dispatch_choose_server (&state, &request, now);
+  state.stopping = true;
+  CU_ASSERT_EQUAL (
+      decide_retry (&request, REASON_PEER_LOST, REASON_RUN_UNKNOWN),
+      DISPATCH_RETRY_NOW);
+  now = state.stop_at;
+  CU_ASSERT_EQUAL (
+      decide_retry (&request, REASON_PEER_LOST, REASON_RUN_UNKNOWN),
+      DISPATCH_GIVE_UP);
+  dispatch_release (&request);
+  dispatch_fini (&state);
+}
+
 /* Requests must stay in the failure domain of the node as long as its server
    meets the time limit, to save traffic between domains.  When little time is
    left, the faster servers of other domains must be used.  */
@@ -441,6 +465,7 @@
     { "retry budget when servers refuse", test_servers_refuse },
     { "no requests during shutdown", test_shutdown },
     { "time left in a shutdown", test_time_left_in_shutdown },
+    { "retries in a shutdown", test_retries_in_shutdown },
     { "other failure domains only when time is short", test_failure_domains },
     { "refusals without configuration, route or time", test_refusals },
     { "return of callers before the first configuration", test_not_ready },
