gate: a connection with unsent bytes is not idle in a shutdown

Cause: a request is removed once its answer is in the send buffer of the connection. A stop closes connections without a request each 125 ms, and ends when no request is left, without a look at the send buffers. Change: both await them, until the end of the shutdown.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -515,8 +515,21 @@
       struct gate_in *inbound = list_entry (node, struct gate_in, node);
 
       if (inbound->port == GATE_PORT_CALLERS && !inbound->ended
-          && list_empty (&inbound->requests)
+          && list_empty (&inbound->requests) && inbound->conn.send_buf.len == 0
           && !httpmsg_in_message (&inbound->conn.parser))
         gate_in_close (inbound, false);
     }
 }
+
+bool
+gate_in_has_unsent (const struct gate *gate)
+{
+  list_each (node, &gate->inbound)
+    {
+      const struct gate_in *inbound = list_entry (node, struct gate_in, node);
+
+      if (!inbound->conn.closed && inbound->conn.send_buf.len > 0)
+        return true;
+    }
+  return false;
+}
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -285,8 +285,11 @@
 void gate_in_flush_answers (struct gate_in *inbound);
 /* Drops all requests and closes the connection; RESET sends a TCP reset.  */
 void gate_in_close (struct gate_in *inbound, bool reset);
-/* Closes the idle connections of callers.  */
+/* Closes the idle connections of callers: those without a request and without
+   unsent bytes of an answer.  */
 void gate_in_close_idle (struct gate *gate);
+/* Whether bytes of an answer are unsent on any connection.  */
+bool gate_in_has_unsent (const struct gate *gate);
 /* Request id sent by the caller, or "-".  */
 const char *gate_request_id (const struct gate_request *request);
 
--- a/tasks/gate_stop.c
+++ b/tasks/gate_stop.c
@@ -98,13 +98,14 @@
   return gate->stopping && gate->stop.next > step;
 }
 
-/* Whether no request is open.  After GATE_STOP_GIVE_UP the rest of the time is
-   left for writing the answers.  */
+/* Whether no request is open and all answers were sent.  After
+   GATE_STOP_GIVE_UP the rest of the time is left for sending them.  */
 static bool
 gate_is_idle (const struct gate *gate)
 {
   return !gate_stop_done (gate, GATE_STOP_GIVE_UP) && list_empty (&gate->calls)
-         && list_empty (&gate->serves) && list_empty (&gate->api_requests);
+         && list_empty (&gate->serves) && list_empty (&gate->api_requests)
+         && !gate_in_has_unsent (gate);
 }
 
 bool
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -288,12 +288,68 @@
   await_gate_end ();
 }
 
+/* Reads the answer to one request slowly; returns whether all of it came.  */
+static void *
+read_slowly (void *arg)
+{
+  static char bytes[SLOW_READ_BYTES];
+  int fd = (int)(intptr_t)arg;
+  size_t received = 0;
+  ssize_t len;
+
+  send_head (fd, "GET", "/l/long", 0);
+  while ((len = read (fd, bytes, sizeof bytes)) > 0)
+    {
+      received += (size_t)len;
+      if (received > LONG_ANSWER_BYTES)
+        break;
+      usleep (SLOW_READ_PAUSE_US);
+    }
+  close (fd);
+  return (void *)(intptr_t)(received > LONG_ANSWER_BYTES);
+}
+
+/* Guards against a connection that counts as idle during a stop while the end
+   of an answer is unsent, because its client reads slowly: the client would
+   miss the end.  */
+static void
+test_slow_readers (void)
+{
+  pthread_t clients[SLOW_CLIENTS];
+  int buffer_bytes = SLOW_RECEIVE_BUFFER_BYTES;
+  int segment_bytes = SLOW_SEGMENT_BYTES;
+
+  start_gate ();
+  for (int i = 0; i < SLOW_CLIENTS; i++)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+      setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+                  sizeof buffer_bytes);
+      setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment_bytes,
+                  sizeof segment_bytes);
+      fd = net_connect_socket (fd, fixture->addresses[GATE_PORT_CALLERS]);
+      pthread_create (&clients[i], NULL, read_slowly, (void *)(intptr_t)fd);
+    }
+  usleep (100000);
+  gate_shut_down (fixture->gate);
+  for (int i = 0; i < SLOW_CLIENTS; i++)
+    {
+      void *complete;
+
+      pthread_join (clients[i], &complete);
+      CU_ASSERT_TRUE (complete != NULL);
+    }
+  await_gate_end ();
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "requests until the end", test_requests_until_the_end },
           { "late end of a body", test_late_end_of_body },
+          { "slow readers", test_slow_readers },
           { NULL, NULL } };
 
   return suite_run ("gate_stop", tests);
