gate: close the listeners as soon as the gate task ends

Seen by callers: for about 0.4 s at the end of a stop, connections are accepted by the kernel and nobody reads their requests until the process ends. Cause: the sockets were closed when all other tasks had ended. Change: the gate task closes them when it ends. Measured: test_gate_stop, "listeners are closed", failed before the change (5 of 5 listeners) and passes after it.

--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -282,6 +282,9 @@
 {
   loop_set_timer (gate->loop, &gate->tick_timer, clk_now () + 1);
   loop_run (gate->loop);
+  /* The process may live on while the other tasks end; callers must notice at
+     once that nobody reads their requests.  */
+  loop_close_all (gate->loop);
   return gate->exit_status;
 }
 
--- a/tasks/loop.c
+++ b/tasks/loop.c
@@ -98,13 +98,19 @@
 }
 
 void
-loop_free (struct loop *loop)
+loop_close_all (struct loop *loop)
 {
-  if (loop == NULL)
-    return;
   while (!list_empty (&loop->descriptors))
     loop_forget (
         list_entry (list_first (&loop->descriptors), struct loop_io, node));
+}
+
+void
+loop_free (struct loop *loop)
+{
+  if (loop == NULL)
+    return;
+  loop_close_all (loop);
   if (loop->context != NULL)
     lws_context_destroy (loop->context);
   free (loop);
--- a/tasks/loop.h
+++ b/tasks/loop.h
@@ -53,7 +53,9 @@
 /* NULL if libwebsockets cannot be initialised.  */
 struct loop *loop_new (const struct loop_opts *opts);
 
-/* Closes all descriptors.  */
+/* Closes all descriptors; no callback follows.  */
+void loop_close_all (struct loop *loop);
+/* The same, and frees LOOP.  */
 void loop_free (struct loop *loop);
 
 /* Runs until loop_stop().  */
--- a/tests/test_gate_stop.c
+++ b/tests/test_gate_stop.c
@@ -343,6 +343,15 @@
   await_gate_end ();
 }
 
+/* Guards against callers that wait at a listener that nobody reads any more:
+   the other tasks of the process end after the gate.  */
+static void
+test_listeners_are_closed (void)
+{
+  for (int i = 0; i < GATE_PORT_COUNT; i++)
+    CU_ASSERT_TRUE (net_try_connect (fixture->addresses[i]) < 0);
+}
+
 int
 main (void)
 {
@@ -350,6 +359,7 @@
       = { { "requests until the end", test_requests_until_the_end },
           { "late end of a body", test_late_end_of_body },
           { "slow readers", test_slow_readers },
+          { "listeners are closed", test_listeners_are_closed },
           { NULL, NULL } };
 
   return suite_run ("gate_stop", tests);
