--- a/tasks/gate.h
+++ b/tasks/gate.h
@@ -13,6 +13,11 @@
 #include "core/inbox.h"
 #include "filters/dispatch.h"
 
+/* Time before the end of a shutdown (gate_opts.stop_limit) at which the
+   remaining requests are refused or aborted, so that their answers are still
+   sent.  */
+#define GATE_GIVE_UP_BEFORE_US clk_ms (150)
+
 /* Listeners.  */
 enum gate_port
 {
--- a/tasks/gate_stop.c
+++ b/tasks/gate_stop.c
@@ -20,10 +20,9 @@
 /* The same for a node without callers, which need not wait for the readiness
    checks.  */
 #define GATE_CLOSE_CONTROL_AFTER_US clk_ms (200)
-/* Times before the end at which requests queued at other nodes are withdrawn,
-   and remaining calls are refused or aborted.  */
+/* Time before the end at which requests queued at other nodes are
+   withdrawn.  */
 #define GATE_WITHDRAW_BEFORE_US clk_ms (400)
-#define GATE_GIVE_UP_BEFORE_US clk_ms (150)
 
 static bool
 gate_has_callers (const struct gate *gate)
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -3,6 +3,7 @@
 #include "core/model.h"
 #include "platform/platform.h"
 #include "sycamorerudder.h"
+#include "tasks/gate.h"
 #include "tests/suite.h"
 #include "wire/httpmsg.h"
 
@@ -168,6 +169,27 @@
   CU_ASSERT_TRUE (out.stop_limit_s > 11 && out.stop_limit_s < 12);
 }
 
+/* Guards against a stop that cuts off requests before the last sixth of the
+   grace period, or that lasts longer than it, for any length of it.  */
+static void
+test_stop_limit_of_grace_periods (void)
+{
+  static const char list[] = "[\"grace_s=6\",\"retry_budget_slack=49\"]";
+  struct platform_settings out;
+
+  for (double grace_s = 2; grace_s <= 20; grace_s += 0.5)
+    {
+      char bounds[64];
+
+      snprintf (bounds, sizeof bounds, "{\"grace_s\":%.1f}", grace_s);
+      CU_ASSERT_EQUAL (parse_settings_with (list, bounds, &out), SR_OK);
+      CU_ASSERT_TRUE (out.stop_limit_s
+                          - (double)GATE_GIVE_UP_BEFORE_US / CLK_US_PER_S
+                      >= grace_s * 5 / 6 - 1e-9);
+      CU_ASSERT_TRUE (out.stop_limit_s < grace_s);
+    }
+}
+
 /* Guards against settings of which a part is dropped without a word: bounds
    without a usable value, and seeds beyond the number that is read.  */
 static void
@@ -331,6 +353,7 @@
           { "invalid documents are rejected", test_invalid_documents },
           { "addresses and group of the settings", test_settings },
           { "bounds of the settings", test_bounds },
+          { "stop limit of grace periods", test_stop_limit_of_grace_periods },
           { "invalid settings are rejected", test_invalid_settings },
           { "malformed heartbeats are rejected", test_heartbeats },
           { "odd heartbeats are rejected", test_odd_heartbeats },
