gate_probe: close the health check after the head of its answer

Seen by operators of similar systems: bytes without end in a head or a body, until the caller closes. Here: a node reads the answer to its health check for ever, and a connection without an answer stays open for good. Cause: only connecting had a time limit, and the connection was kept until the end of the body, which is not needed. Change: it is closed after the head, and after 2 s without one, with a line in the log.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -50,6 +50,8 @@
       gate_serve_fail (outbound->user.serve, reason, run);
       break;
     case GATE_OUT_PROBE:
+      slog (SLOG_NOTICE, "health check failed reason=%s",
+            reason_name (reason));
       outbound->gate->probe = NULL;
       break;
     case GATE_OUT_IDLE:
@@ -143,7 +145,7 @@
   struct gate_out *outbound
       = list_entry ((struct hconn *)arg, struct gate_out, conn);
 
-  if (outbound->mismatched || outbound->state == GATE_OUT_PROBE)
+  if (outbound->mismatched)
     return SR_OK;
   if (outbound->state == GATE_OUT_ATTEMPT)
     return gate_attempt_handle_body (outbound->user.attempt, data, len);
@@ -166,9 +168,7 @@
   if (outbound->state == GATE_OUT_IDLE)
     return SR_EMALFORMED;
   outbound->answer_complete = true;
-  if (outbound->state == GATE_OUT_PROBE)
-    gate_probe_handle_end (outbound->gate);
-  else if (outbound->state == GATE_OUT_ATTEMPT)
+  if (outbound->state == GATE_OUT_ATTEMPT)
     gate_attempt_handle_end (outbound->user.attempt);
   else
     gate_serve_handle_end (outbound->user.serve);
@@ -180,7 +180,8 @@
 {
   struct gate_out *outbound = list_entry (conn, struct gate_out, conn);
 
-  loop_cancel_timer (&outbound->timer);
+  if (outbound->state != GATE_OUT_PROBE)
+    loop_cancel_timer (&outbound->timer);
   counter_add (COUNTER_CONNECTIONS, 1);
 }
 
@@ -252,7 +253,7 @@
         .ended = gate_out_handle_close,
         .destroy = gate_out_destroy };
 
-/* Connect timeout, or idle timeout.  */
+/* Connect timeout, idle timeout, or timeout of the health check.  */
 static void
 gate_out_handle_timeout (struct loop_timer *timer)
 {
--- a/tasks/gate_probe.c
+++ b/tasks/gate_probe.c
@@ -8,6 +8,9 @@
 /* A node that starts after its backend server sends it one health check, so
    that it need not wait for the next heartbeat.  */
 
+/* Time for connecting and for the head of the answer.  */
+#define GATE_PROBE_TIMEOUT_US clk_s (2)
+
 void
 gate_probe_start (struct gate *gate)
 {
@@ -33,6 +36,8 @@
   if (gate->probe == NULL)
     return;
   gate->probe->state = GATE_OUT_PROBE;
+  loop_set_timer (gate->loop, &gate->probe->timer,
+                  loop_now (gate->loop) + GATE_PROBE_TIMEOUT_US);
   buf = &gate->probe->conn.send_buf;
   httpmsg_add_request_line (buf, "GET", service->health_path);
   httpmsg_add_field (buf, "Host", gate->opts.backend_address);
@@ -53,8 +58,9 @@
                                                                       : 0;
 }
 
-int
-gate_probe_handle_head (struct gate *gate, struct httpmsg_head *head)
+/* Registers the backend server from the answer to the health check.  */
+static void
+gate_probe_register (struct gate *gate, const struct httpmsg_head *head)
 {
   struct api_heartbeat heartbeat
       = { .state = API_SERVER_READY,
@@ -67,7 +73,7 @@
   if (head->status != 200 || id[0] == '\0'
       || strlen (id) >= sizeof heartbeat.id || heartbeat.slots == 0
       || gate->admit.backend.heartbeat_at != 0)
-    return SR_OK;
+    return;
   memcpy (heartbeat.id, id, strlen (id) + 1);
   memcpy (heartbeat.service, gate->opts.service,
           strnlen (gate->opts.service, sizeof heartbeat.service - 1));
@@ -76,15 +82,15 @@
   gate_handle_backend_change (
       gate, backend_apply_heartbeat (&gate->admit.backend, &heartbeat,
                                      loop_now (gate->loop)));
-  return SR_OK;
 }
 
-void
-gate_probe_handle_end (struct gate *gate)
+int
+gate_probe_handle_head (struct gate *gate, const struct httpmsg_head *head)
 {
   struct gate_out *outbound = gate->probe;
 
+  gate_probe_register (gate, head);
   gate->probe = NULL;
-  if (outbound != NULL)
-    gate_out_release (outbound, false);
+  gate_out_release (outbound, false);
+  return SR_EAGAIN;
 }
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -461,10 +461,11 @@
 /* Starts the health check once a configuration is present; does nothing if it
    was done or is not needed.  */
 void gate_probe_start (struct gate *gate);
-/* Registers the backend server from the answer to the health check.  Always
-   returns SR_OK.  */
-int gate_probe_handle_head (struct gate *gate, struct httpmsg_head *head);
-void gate_probe_handle_end (struct gate *gate);
+/* Registers the backend server from the answer to the health check, and closes
+   the connection, because the body is not needed and may be endless.  Returns
+   SR_EAGAIN, so that no more of it is parsed.  */
+int gate_probe_handle_head (struct gate *gate,
+                            const struct httpmsg_head *head);
 
 /* gate_stop.c */
 /* Starts a graceful shutdown.  */
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -30,6 +30,9 @@
 #define PIPELINED_AT_ONCE_MAX 64
 /* Bytes of more answers than there are requests served at a time.  */
 #define ANSWERS_READ_BYTES 40000
+/* Memory by which endless answers may raise the peak of the process: those
+   that are open at the same time, and the buffers of the test.  */
+#define ENDLESS_MEMORY_KB_MAX 4096
 /* Reads of the configuration during a stop.  */
 #define CONFIG_READS 12
 /* Maximum number of requests from one service until their route counts as
@@ -156,6 +159,88 @@
   return false;
 }
 
+/* An answer that never ends: the bytes of @start, in which the first "%s" is
+   the id of the request, and then @rest again and again.  */
+struct endless_answer
+{
+  const char *path; /* last segment of the path that selects it */
+  const char *start;
+  const char *rest;
+};
+
+#define ENDLESS_HEAD                                                          \
+  "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"                    \
+  "X-Sycamorerudder-Response-Seal: s\r\n"
+#define ENDLESS_CHUNKED ENDLESS_HEAD "Transfer-Encoding: chunked\r\n\r\n"
+#define ENDLESS_FILL                                                          \
+  "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"
+
+static const struct endless_answer endless_answers[] = {
+  { "/e-noise ", "", ENDLESS_FILL },
+  { "/e-blank-lines ", "", "\r\n\r\n\r\n\r\n" },
+  { "/e-reason ", "HTTP/1.1 200 ", ENDLESS_FILL },
+  { "/e-name ", ENDLESS_HEAD, ENDLESS_FILL },
+  { "/e-value ", ENDLESS_HEAD "X: ", ENDLESS_FILL },
+  { "/e-blank-value ", ENDLESS_HEAD "X: ", "                " },
+  { "/e-fields ", ENDLESS_HEAD, "X-A: b\r\nX-C: d\r\n" },
+  { "/e-connection ", ENDLESS_HEAD, "Connection: a, b, c, d, e, f\r\n" },
+  { "/e-interim ", "", "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n" },
+  { "/e-length ", ENDLESS_HEAD "Content-Length: 99999999999999\r\n\r\n",
+    ENDLESS_FILL },
+  { "/e-until-close ", ENDLESS_HEAD "\r\n", ENDLESS_FILL },
+  { "/e-chunks ", ENDLESS_CHUNKED, "8\r\naaaaaaaa\r\n" },
+  { "/e-chunk-size ", ENDLESS_CHUNKED, "0000000000000000" },
+  { "/e-chunk-extension ", ENDLESS_CHUNKED "8;", ENDLESS_FILL },
+  { "/e-trailers ", ENDLESS_CHUNKED "0\r\n", "X-A: b\r\nX-C: d\r\n" },
+  { "/e-trailer ", ENDLESS_CHUNKED "0\r\nX: ", ENDLESS_FILL },
+  { "/e-other ",
+    "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: other\r\n\r\n",
+    ENDLESS_FILL },
+  { "/e-refusal ",
+    "HTTP/1.1 503 Busy\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+    "X-Sycamorerudder-Not-Executed: 1\r\n\r\n",
+    ENDLESS_FILL },
+  { "/e-after ", ENDLESS_HEAD "Content-Length: 5\r\n\r\nhello", ENDLESS_FILL },
+};
+
+#define ENDLESS_COUNT (sizeof endless_answers / sizeof endless_answers[0])
+
+/* The endless answer that the path of the request TEXT selects, or NULL.  */
+static const struct endless_answer *
+endless_answer_of (const char *text)
+{
+  for (size_t i = 0; i < ENDLESS_COUNT; i++)
+    if (strstr (text, endless_answers[i].path) != NULL)
+      return &endless_answers[i];
+  return NULL;
+}
+
+/* Sends an endless answer until the connection is closed.  */
+static void
+server_send_endless (int fd, const struct endless_answer *answer,
+                     const char *id)
+{
+  static const size_t block_bytes = 64 * 1024;
+  const char *mark = strstr (answer->start, "%s");
+  size_t len = strlen (answer->rest);
+  size_t used = 0;
+  char *block = malloc (block_bytes);
+
+  if (mark == NULL)
+    net_send_text (fd, answer->start);
+  else
+    {
+      (void)!write (fd, answer->start, (size_t)(mark - answer->start));
+      net_send_text (fd, id);
+      net_send_text (fd, mark + 2);
+    }
+  for (; used + len <= block_bytes; used += len)
+    memcpy (block + used, answer->rest, len);
+  while (send (fd, block, used, MSG_NOSIGNAL) > 0)
+    ;
+  free (block);
+}
+
 /* Sends TEXT again and again until the connection is closed.  */
 static void
 server_flood (int fd, const char *text, useconds_t pause_us)
@@ -174,6 +259,7 @@
 
   while (gate_fixture_read_request (fd, text, TEXT_BYTES))
     {
+      const struct endless_answer *endless = endless_answer_of (text);
       char id[ID_BYTES] = "";
       char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
 
@@ -186,6 +272,11 @@
       if (strstr (text, "/refused-first ") != NULL
           && !server_refuse_first (fd, &refusals, id))
         continue;
+      if (endless != NULL)
+        {
+          server_send_endless (fd, endless, id);
+          break;
+        }
       if (strstr (text, "/slow ") != NULL)
         usleep (300000);
       if (strstr (text, "/hang ") != NULL)
@@ -662,6 +753,78 @@
   CU_ASSERT_STRING_NOT_EQUAL (tail, "0\r\n\r\n");
 }
 
+/* Options of the address sanitizer: with its usual quarantine of freed memory
+   the peak of the process would say nothing.  */
+const char *__asan_default_options (void);
+
+const char *
+__asan_default_options (void)
+{
+  return "quarantine_size_mb=1";
+}
+
+/* Memory of the process at its peak so far, in KiB.  */
+static long
+peak_memory_kb (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+/* Reads until the connection ends; returns the number of bytes.  */
+static size_t
+count_to_end (int fd)
+{
+  static char bytes[65536];
+  size_t total = 0;
+  ssize_t len;
+
+  while ((len = read (fd, bytes, sizeof bytes)) > 0)
+    total += (size_t)len;
+  return total;
+}
+
+/* Guards against a node that keeps bytes without end which are no answer, in a
+   head or a body, until its memory is exhausted, so that the requests of other
+   callers end with it.  The caller of the endless answer reads it, or does
+   not, or has another request before it that is not answered.  */
+static void
+test_endless_bytes (void)
+{
+  static const char *const firsts[]
+      = { "", "",
+          "GET /t/hang HTTP/1.1\r\nHost: h\r\n"
+          "X-Sycamorerudder-Request-Id: first\r\n\r\n" };
+  long memory_before;
+
+  CU_ASSERT_EQUAL (strncmp (get_path ("/r/ok"), "HTTP/1.1 200 ", 13), 0);
+  memory_before = peak_memory_kb ();
+  for (unsigned i = 0; i < 3 * ENDLESS_COUNT; i++)
+    {
+      const char *path = endless_answers[i / 3].path;
+      bool reads = i % 3 != 1;
+      char text[512];
+      clk_us start = clk_now ();
+      int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+
+      snprintf (text, sizeof text,
+                "%sGET /t%sHTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                "X-Sycamorerudder-Request-Id: e%u\r\n\r\n",
+                firsts[i % 3], path, i);
+      net_send_text (fd, text);
+      SUITE_SEEDED (strncmp (get_path ("/r/ok"), "HTTP/1.1 200 ", 13) == 0, i);
+      if (reads)
+        (void)count_to_end (fd);
+      else
+        usleep (400000);
+      close (fd);
+      SUITE_SEEDED (clk_now () - start < clk_ms (1500), i);
+    }
+  CU_ASSERT_TRUE (peak_memory_kb () - memory_before < ENDLESS_MEMORY_KB_MAX);
+}
+
 /* Guards against a second run of a non-idempotent request after its answer was
    truncated.  */
 static void
@@ -869,6 +1032,7 @@
           { "late copies of answers", test_late_copies },
           { "late copies of refusals", test_late_copies_of_refusals },
           { "answers without end", test_endless_answers },
+          { "bytes without end", test_endless_bytes },
           { "non-idempotent request runs once",
             test_non_idempotent_runs_once },
           { "bad input", test_bad_input },
