gate: stray answers before a request do not count against it

Seen by callers: with a server that now and then sends an answer twice, a request gets 502 though its answer follows, and one that must not run twice cannot be sent again. Cause: at most three stray answers were skipped on a connection, counted over all its requests, so that the fourth one failed the request in progress. Change: they are counted anew for each request.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -24,8 +24,8 @@
    fails; set as TCP_USER_TIMEOUT.  */
 #define GATE_OUT_UNACKED_TIMEOUT_MS 2000
 #define GATE_OUT_HEADER_BYTES_MAX (64 * 1024)
-/* Answers to other requests that are skipped on one connection before it is
-   closed.  */
+/* Answers to other requests that are skipped before the answer to a request;
+   with more the connection fails.  */
 #define GATE_MISMATCHED_MAX 3
 
 /* Closes the connection and fails what it is used for.  */
@@ -355,6 +355,7 @@
     return NULL;
   outbound->answer_complete = false;
   outbound->mismatched = false;
+  outbound->mismatched_count = 0;
   outbound->reusable = false;
   outbound->conn.any_written = false;
   outbound->request_count++;
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -194,7 +194,8 @@
   struct loop_timer timer; /* connect timeout, then idle timeout */
   clk_us idle_since;
   clk_us idle_max; /* from Keep-Alive or the default; 0: not reused */
-  uint32_t mismatched_count; /* answers that belong to other requests */
+  uint32_t mismatched_count; /* answers to other requests that were skipped
+                                before the answer to the current one */
   bool mismatched;           /* the answer being read belongs to another */
   bool answer_complete;
   bool reusable; /* the answer permits keep-alive */
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -655,6 +655,16 @@
     }
 }
 
+/* Guards against requests that fail because stray answers came before, on the
+   connection that they are sent on: each is answered after one of them.  */
+static void
+test_stray_answers (void)
+{
+  for (unsigned i = 0; i < 20; i++)
+    SUITE_SEEDED (strncmp (get_path ("/o/stray"), "HTTP/1.1 200 ", 13) == 0,
+                  i);
+}
+
 /* Sends a request that the server refuses when it gets it first; returns the
    connection.  ID may be NULL.  */
 static int
@@ -1031,6 +1041,7 @@
           { "broken answers", test_broken_answers },
           { "late copies of answers", test_late_copies },
           { "late copies of refusals", test_late_copies_of_refusals },
+          { "stray answers", test_stray_answers },
           { "answers without end", test_endless_answers },
           { "bytes without end", test_endless_bytes },
           { "non-idempotent request runs once",
