gate: a paused read is resumed whenever there is room

Cause: each place that pauses a read awaited a "drained" event, which came only if more than 64 KiB had been left unsent; not if a buffer left in one piece when its request became the first, or when the connection was opened, and not for the body of an operator's call. Change: one function for answers and one for requests compute whether the read is paused, and are called after each change that may matter; a connection tells its owner whenever it can send again. Bodies of API calls are bounded by 16 MiB and not paused. Two counters of pauses.

--- a/core/counter.h
+++ b/core/counter.h
@@ -26,6 +26,10 @@
      "Requests sent to the own server")                                       \
   X (CONNECTIONS, "rudder_backend_connections_total",                         \
      "Connections opened to the own server")                                  \
+  X (ANSWER_READS_PAUSED, "rudder_answer_reads_paused_total",                 \
+     "Pauses in reading an answer because too much of it was unsent")         \
+  X (REQUEST_READS_PAUSED, "rudder_request_reads_paused_total",               \
+     "Pauses in reading requests, for a long body or a long pipeline")        \
   X (CLAIMS_GRANTED, "rudder_claims_granted_total", "Claims granted")         \
   X (CLAIMS_REPLAYED, "rudder_claims_replayed_total",                         \
      "Recorded answers given to a resend")                                    \
--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -85,9 +85,30 @@
   gate_answer_end (request);
 }
 
-bool
+/* Whether too many bytes of the answer are unsent to read more of it.  */
+static bool
 gate_answer_is_full (const struct gate_request *request)
 {
   return request->answer.len > HCONN_HIGH_WATER_BYTES
          || hconn_is_full (&request->inbound->conn);
 }
+
+void
+gate_answer_update_reading (struct gate_request *request)
+{
+  bool full = gate_answer_is_full (request);
+
+  switch (request->kind)
+    {
+    case GATE_KIND_CALL:
+      gate_call_pause_answer (request->u.call, full);
+      break;
+    case GATE_KIND_SERVE:
+      gate_serve_pause_answer (request->u.serve, full);
+      break;
+    case GATE_KIND_API:
+    case GATE_KIND_PENDING:
+    case GATE_KIND_NONE:
+      break;
+    }
+}
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -83,8 +83,7 @@
   node_request.target_ms = dispatch_target_left_ms (&call->dispatch, now);
   nodehdr_encode_request (&node_request, text);
   gate_out_write_request (attempt->outbound, request, &fields);
-  gate_out_write_body (attempt->outbound, request, &attempt->body_sent_bytes,
-                       &attempt->body_done);
+  gate_call_forward_body (call);
 }
 
 void
@@ -212,8 +211,7 @@
     }
   else
     gate_answer_body (request, data, len);
-  if (gate_answer_is_full (request))
-    loop_pause_reading (&attempt->outbound->conn.io, true);
+  gate_answer_update_reading (request);
   return SR_OK;
 }
 
@@ -246,7 +244,6 @@
   struct gate_call *call = attempt->call;
   struct gate_request *request = call->request;
 
-  loop_pause_reading (&attempt->outbound->conn.io, false);
   gate_out_release (attempt->outbound, attempt->body_done);
   attempt->outbound = NULL;
   if (attempt->node_answer.outcome != NODEHDR_ANSWERED)
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -266,7 +266,7 @@
 }
 
 void
-gate_call_resume_answer (struct gate_call *call)
+gate_call_pause_answer (struct gate_call *call, bool paused)
 {
   list_each (node, &call->attempts)
     {
@@ -274,7 +274,7 @@
           = list_entry (node, struct gate_attempt, node);
 
       if (attempt->outbound != NULL)
-        loop_pause_reading (&attempt->outbound->conn.io, false);
+        gate_out_pause_reading (attempt->outbound, paused);
     }
 }
 
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -6,6 +6,8 @@
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
+/* Largest body of an API request, in particular of a configuration.  */
+#define GATE_API_BODY_BYTES_MAX (16 * 1024 * 1024)
 /* Defaults until a configuration is present.  */
 #define GATE_IN_HEADER_BYTES_MAX (32 * 1024)
 #define GATE_HEADER_TIMEOUT_MS 5000
@@ -34,6 +36,20 @@
   return &gate->dispatch.model->routes->limits;
 }
 
+/* Largest body of a request that arrives on INBOUND.  */
+static uint64_t
+gate_in_body_bytes_max (const struct gate_in *inbound)
+{
+  switch (inbound->port)
+    {
+    case GATE_PORT_CALLERS:
+    case GATE_PORT_NODES:
+      return gate_limits (inbound->gate)->body_bytes;
+    default:
+      return GATE_API_BODY_BYTES_MAX;
+    }
+}
+
 const char *
 gate_request_id (const struct gate_request *request)
 {
@@ -89,16 +105,27 @@
   loop_cancel_timer (&inbound->timer);
 }
 
+/* Whether the buffered body of REQUEST is at its limit.  That of an API
+   request is needed as a whole; gate_in_body_bytes_max() bounds it.  */
+static bool
+gate_in_body_is_full (const struct gate_request *request)
+{
+  return request->kind != GATE_KIND_API
+         && request->body.len >= GATE_REPLAY_BODY_BYTES_MAX;
+}
+
 /* Pauses reading while the pipeline or the last request body is at its limit,
    resumes it otherwise.  */
 static void
 gate_in_update_reading (struct gate_in *inbound)
 {
-  loop_pause_reading (&inbound->conn.io,
-                      inbound->request_count >= GATE_PIPELINE_MAX
-                          || (!list_empty (&inbound->requests)
-                              && gate_in_last_request (inbound)->body.len
-                                     >= GATE_REPLAY_BODY_BYTES_MAX));
+  bool paused = inbound->request_count >= GATE_PIPELINE_MAX
+                || (!list_empty (&inbound->requests)
+                    && gate_in_body_is_full (gate_in_last_request (inbound)));
+
+  if (paused && !inbound->conn.io.paused)
+    counter_add (COUNTER_REQUEST_READS_PAUSED, 1);
+  loop_pause_reading (&inbound->conn.io, paused);
 }
 
 void
@@ -136,6 +163,9 @@
   gate_in_start_pending (inbound);
   if (inbound->ended)
     return;
+  /* The first request may have become it just now.  */
+  if (!list_empty (&inbound->requests))
+    gate_answer_update_reading (gate_in_first_request (inbound));
   if (!inbound->no_more_requests)
     gate_in_update_reading (inbound);
   if (list_empty (&inbound->requests) && !inbound->conn.closed)
@@ -245,7 +275,7 @@
   if (request->head.expects_continue
       && list_first (&inbound->requests) == &request->node)
     buf_append (&inbound->conn.send_buf, "HTTP/1.1 100 Continue\r\n\r\n", 25);
-  if (request->head.body_len > (int64_t)gate_limits (gate)->body_bytes)
+  if (request->head.body_len > (int64_t)gate_in_body_bytes_max (inbound))
     {
       request->close_after = true;
       gate_answer_local (request, 413, "", "text/plain", "refused\n", 8);
@@ -344,7 +374,7 @@
   request = gate_in_last_request (inbound);
   if (request->kind == GATE_KIND_NONE)
     return SR_OK;
-  if (buf_end (&request->body) + len > gate_limits (inbound->gate)->body_bytes)
+  if (buf_end (&request->body) + len > gate_in_body_bytes_max (inbound))
     {
       gate_answer_abort (request);
       return SR_EAGAIN;
@@ -378,21 +408,14 @@
   return inbound->ended || inbound->conn.closed ? SR_EAGAIN : SR_OK;
 }
 
-/* Unsent bytes have fallen below the low watermark: resumes reading the answer
-   from its source.  */
+/* Few bytes are unsent: more of the first answer can be read.  */
 static void
 gate_in_handle_drained (struct hconn *conn)
 {
   struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
-  struct gate_request *request;
 
-  if (list_empty (&inbound->requests))
-    return;
-  request = gate_in_first_request (inbound);
-  if (request->kind == GATE_KIND_CALL)
-    gate_call_resume_answer (request->u.call);
-  else if (request->kind == GATE_KIND_SERVE)
-    gate_serve_resume_answer (request->u.serve);
+  if (!list_empty (&inbound->requests))
+    gate_answer_update_reading (gate_in_first_request (inbound));
 }
 
 static void
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -363,6 +363,14 @@
   return outbound;
 }
 
+void
+gate_out_pause_reading (struct gate_out *outbound, bool paused)
+{
+  if (paused && !outbound->conn.io.paused)
+    counter_add (COUNTER_ANSWER_READS_PAUSED, 1);
+  loop_pause_reading (&outbound->conn.io, paused);
+}
+
 void
 gate_out_release (struct gate_out *outbound, bool keep)
 {
@@ -381,6 +389,7 @@
       hconn_close (&outbound->conn, !outbound->answer_complete);
       return;
     }
+  gate_out_pause_reading (outbound, false);
   outbound->idle_since = now;
   list_push_head (&outbound->pool->idle, &outbound->node);
   loop_set_timer (outbound->gate->loop, &outbound->timer,
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -142,6 +142,20 @@
                      "text/plain", "", 0);
 }
 
+/* Writes the buffered part of the body, if there is room, and lets more of it
+   be read.  */
+static void
+gate_serve_send_body (struct gate_serve *serve)
+{
+  struct gate_request *request = serve->request;
+
+  gate_out_write_body (serve->outbound, request, &serve->body_sent_bytes,
+                       &serve->body_done);
+  if (request->body.len >= GATE_REPLAY_BODY_BYTES_MAX)
+    buf_drop_before (&request->body, serve->body_sent_bytes);
+  gate_in_resume_body (request);
+}
+
 /* Writes the request to the backend server.  */
 static void
 gate_serve_send_request (struct gate_serve *serve)
@@ -161,8 +175,7 @@
           .extra_value = gate->admit.backend.last_heartbeat.id };
 
   gate_out_write_request (serve->outbound, request, &fields);
-  gate_out_write_body (serve->outbound, request, &serve->body_sent_bytes,
-                       &serve->body_done);
+  gate_serve_send_body (serve);
 }
 
 /* The other node closes its connection at the deadline.  If that is not
@@ -357,16 +370,15 @@
   if (serve->server_refused)
     return SR_OK;
   gate_answer_body (request, data, len);
-  if (gate_answer_is_full (request))
-    loop_pause_reading (&serve->outbound->conn.io, true);
+  gate_answer_update_reading (request);
   return SR_OK;
 }
 
 void
-gate_serve_resume_answer (struct gate_serve *serve)
+gate_serve_pause_answer (struct gate_serve *serve, bool paused)
 {
   if (serve->outbound != NULL)
-    loop_pause_reading (&serve->outbound->conn.io, false);
+    gate_out_pause_reading (serve->outbound, paused);
 }
 
 void
@@ -376,7 +388,6 @@
   struct gate *gate = serve->gate;
   clk_us now = loop_now (gate->loop);
 
-  loop_pause_reading (&serve->outbound->conn.io, false);
   gate_out_release (serve->outbound, serve->body_done);
   serve->outbound = NULL;
   if (serve->server_refused)
@@ -448,13 +459,8 @@
         gate_serve_admit (serve);
       return;
     }
-  if (serve->outbound == NULL)
-    return;
-  gate_out_write_body (serve->outbound, request, &serve->body_sent_bytes,
-                       &serve->body_done);
-  if (request->body.len >= GATE_REPLAY_BODY_BYTES_MAX)
-    buf_drop_before (&request->body, serve->body_sent_bytes);
-  gate_in_resume_body (request);
+  if (serve->outbound != NULL)
+    gate_serve_send_body (serve);
 }
 
 /* Sends an interim response that marks the route as internal if the other node
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -318,8 +318,10 @@
 void gate_answer_local (struct gate_request *request, int status,
                         const char *lines, const char *type, const char *text,
                         size_t len);
-/* Whether too many bytes of the answer are unsent to read more of it.  */
-bool gate_answer_is_full (const struct gate_request *request);
+/* Pauses reading the answer from its source while too many of its bytes are
+   unsent, resumes it otherwise.  To be called whenever bytes are added, were
+   sent, or can be sent since the request is the first of its connection.  */
+void gate_answer_update_reading (struct gate_request *request);
 
 /* gate_pool.c */
 /* Pool of ADDRESS; created if there is none.  */
@@ -359,6 +361,8 @@
 /* Returns the connection to its pool, or closes it if KEEP is false or the
    answer does not permit reuse.  */
 void gate_out_release (struct gate_out *outbound, bool keep);
+/* Pauses or resumes reading the answer.  */
+void gate_out_pause_reading (struct gate_out *outbound, bool paused);
 /* Writes the request line and header of REQUEST, with FIELDS added.  */
 void gate_out_write_request (struct gate_out *outbound,
                              const struct gate_request *request,
@@ -390,8 +394,9 @@
 /* Refuses or aborts all calls, so that complete answers queued behind them on
    the same connections are sent.  */
 void gate_call_give_up_all (struct gate *gate);
-/* Resumes reading the answer after the inbound send buffer has drained.  */
-void gate_call_resume_answer (struct gate_call *call);
+/* Pauses or resumes reading the answers of the attempts; called by
+   gate_answer_update_reading() only.  */
+void gate_call_pause_answer (struct gate_call *call, bool paused);
 
 /* gate_attempt.c */
 /* Sends the request to the node of the chosen server.  */
@@ -434,8 +439,9 @@
 /* Ends a request whose connection to the backend server failed.  */
 void gate_serve_fail (struct gate_serve *serve, enum reason_refusal reason,
                       enum reason_run run);
-/* Resumes reading the answer after the inbound send buffer has drained.  */
-void gate_serve_resume_answer (struct gate_serve *serve);
+/* Pauses or resumes reading the answer of the backend server; called by
+   gate_answer_update_reading() only.  */
+void gate_serve_pause_answer (struct gate_serve *serve, bool paused);
 /* Dispatches queued requests to free slots, and refuses those that the queue
    drops.  */
 void gate_serve_run_admission (struct gate *gate);
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -180,8 +180,6 @@
         hconn_close (conn, true);
       return;
     }
-  if (conn->send_buf.len > HCONN_HIGH_WATER_BYTES)
-    conn->above_high_water = true;
   if (conn->send_buf.len > 0)
     loop_want_write (&conn->io);
   else if (conn->close_when_flushed)
@@ -210,12 +208,9 @@
         return;
     }
   hconn_flush (conn);
-  if (!conn->closed && conn->above_high_water
+  if (!conn->closed && !conn->lingering
       && conn->send_buf.len <= HCONN_LOW_WATER_BYTES)
-    {
-      conn->above_high_water = false;
-      conn->opts.events->drained (conn);
-    }
+    conn->opts.events->drained (conn);
 }
 
 static void
@@ -256,7 +251,6 @@
   conn->send_buf = (struct buf){ 0 };
   conn->connected = false;
   conn->closed = false;
-  conn->above_high_water = false;
   conn->any_written = false;
   conn->close_when_flushed = false;
   conn->lingering = false;
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -13,8 +13,8 @@
 #include "tasks/loop.h"
 #include "wire/httpmsg.h"
 
-/* Watermarks of unsent bytes: above the first the owner stops reading the
-   source of a body, at the second it resumes.  */
+/* Unsent bytes: above the first number the owner stops reading the source of a
+   body; it is told when there are at most as many as the second.  */
 #define HCONN_HIGH_WATER_BYTES (64 * 1024)
 #define HCONN_LOW_WATER_BYTES (16 * 1024)
 
@@ -36,8 +36,8 @@
   struct httpmsg_sink sink; /* @arg is the struct hconn */
   /* A connection opened by hconn_connect() is established.  */
   void (*connected) (struct hconn *conn);
-  /* Unsent bytes have fallen from above HCONN_HIGH_WATER_BYTES to
-     HCONN_LOW_WATER_BYTES or less.  */
+  /* After bytes could not be sent at once, or the connection was established:
+     HCONN_LOW_WATER_BYTES or less are unsent.  */
   void (*drained) (struct hconn *conn);
   /* The connection has ended; the owner must call hconn_close().  */
   void (*ended) (struct hconn *conn, enum hconn_end end);
@@ -64,7 +64,6 @@
   struct loop_timer close_timer; /* end of lingering, then @destroy */
   bool connected;
   bool closed;             /* hconn_close() was called */
-  bool above_high_water;   /* the owner awaits @drained */
   bool any_written;        /* a byte was sent since the owner cleared this */
   bool close_when_flushed; /* hconn_flush_and_close() was called */
   bool lingering; /* shut down for sending; received bytes are discarded */
