soak-gate: servers that refuse requests and send refusals twice

Change: rudder-fake refuses a part of the requests with a path, and sends a part of these refusals once more when the next request arrives on the connection. The check compares what was reported as not run with the journals of the servers; test_soak_check has a violation of it.

--- a/programs/fake_options.c
+++ b/programs/fake_options.c
@@ -33,6 +33,13 @@
 fake_options_check (struct fake_options *options)
 {
   fake_options_check_fields (options);
+  if (options->refusal_field != NULL
+      && strstr (options->refusal_field, ": ") == NULL)
+    tool_opt_fail (FAKE_OPTIONS_PROGRAM, "refusal-field",
+                   options->refusal_field, "NAME: VALUE");
+  if (options->refuse_path != NULL && options->refusal_field == NULL)
+    tool_opt_fail (FAKE_OPTIONS_PROGRAM, "refusal-field", "",
+                   "NAME: VALUE, required with --refuse-path");
   if (options->listen.port == 0)
     tool_opt_fail (FAKE_OPTIONS_PROGRAM, "listen", "", "IP:PORT, required");
   if (options->admin.port != 0 && options->service == NULL)
@@ -119,6 +126,15 @@
     NUMBER ("late-ms", late_ms, 0, 600000, "N", "delay of late answers"),
     TEXT ("silent-path", silent_path, "PREFIX",
           "path prefix of requests that are never answered"),
+    TEXT ("refuse-path", refuse_path, "PREFIX",
+          "path prefix of requests of which some are refused, not run"),
+    NUMBER ("refuse-percent", refuse_percent, 0, 100, "N",
+            "part of these that is refused"),
+    TEXT ("refusal-field", refusal_field, "NAME: VALUE",
+          "header field that tells a refusal"),
+    NUMBER ("repeat-percent", repeat_percent, 0, 100, "N",
+            "refusals that are sent once more when the next request arrives "
+            "on the connection"),
     NUMBER ("slow-factor", slow_factor, 1, 1000, "N",
             "service time factor between SIGUSR1 and SIGUSR2"),
     NUMBER ("report-lag-ms", report_lag_ms, 0, 600000, "N",
--- a/programs/fake_options.h
+++ b/programs/fake_options.h
@@ -37,6 +37,10 @@
   char *late_path;
   uint64_t late_ms;
   char *silent_path;
+  char *refuse_path;
+  uint64_t refuse_percent; /* of the requests with @refuse_path */
+  char *refusal_field;     /* "NAME: VALUE"; NULL without refusals */
+  uint64_t repeat_percent;
   uint64_t slow_factor;
   uint64_t report_lag_ms;
   char *journal;
--- a/programs/fake_server.c
+++ b/programs/fake_server.c
@@ -13,7 +13,9 @@
 #define FAKE_SERVER_HEAD_BYTES 1024
 #define FAKE_SERVER_REPORT_BYTES 128
 
-/* User data of a connection: its current request, or NULL.  */
+/* User data of a connection: its current request, or NULL.  libwebsockets
+   clears it after each request; the opaque user data, which stays, is a
+   refusal that is sent once more when the next request arrives, or NULL.  */
 struct fake_server_connection
 {
   struct fake_request *request;
@@ -140,6 +142,8 @@
                         struct lws *wsi)
 {
   connection->request = fake_server_new_request (wsi);
+  if (lws_get_opaque_user_data (wsi) != NULL)
+    lws_callback_on_writable (wsi);
   if (!fake_server_has_body (connection->request, wsi))
     fake_work_on_request (connection->request);
   return 0;
@@ -204,6 +208,17 @@
       if (fake_server_add_header (request->wsi, name, colon + 2, at, end))
         return -1;
     }
+  if (request->action.kind == FAKE_ACTION_REFUSE)
+    {
+      char name[TOOL_OPT_FIELD_NAME_BYTES];
+      const char *colon = strchr (options->refusal_field, ':');
+
+      snprintf (name, sizeof name,
+                "%.*s:", (int)(colon - options->refusal_field),
+                options->refusal_field);
+      if (fake_server_add_header (request->wsi, name, colon + 2, at, end))
+        return -1;
+    }
   if (request->request_id[0] == '\0')
     return 0;
   return fake_server_add_header (request->wsi, options->id_field_name,
@@ -237,6 +252,44 @@
   return 0;
 }
 
+/* Draws whether a refusal will be sent once more.  */
+static void
+fake_server_draw_late_copy (const struct fake_request *request)
+{
+  struct fake_state *fake = request->fake;
+  char *copy = NULL;
+
+  if (request->action.kind != FAKE_ACTION_REFUSE
+      || rng_below (&fake->rng, 100) >= fake->options.repeat_percent)
+    return;
+  if (asprintf (&copy,
+                "HTTP/1.1 503 Service Unavailable\r\n%s %s\r\n%s\r\n"
+                "Content-Length: 0\r\n\r\n",
+                fake->options.id_field_name, request->request_id,
+                fake->options.refusal_field)
+      < 0)
+    copy = NULL;
+  lws_set_opaque_user_data (request->wsi, copy);
+}
+
+/* Sends the late copy, before anything of the answer in progress.  */
+static int
+fake_server_send_late_copy (struct lws *wsi)
+{
+  unsigned char buffer[LWS_PRE + FAKE_SERVER_HEAD_BYTES];
+  char *copy = lws_get_opaque_user_data (wsi);
+  size_t len = strnlen (copy, FAKE_SERVER_HEAD_BYTES);
+
+  memcpy (buffer + LWS_PRE, copy, len);
+  free (copy);
+  lws_set_opaque_user_data (wsi, NULL);
+  if (lws_write (wsi, buffer + LWS_PRE, len, LWS_WRITE_HTTP_HEADERS)
+      < (int)len)
+    return -1;
+  lws_callback_on_writable (wsi);
+  return 0;
+}
+
 /* Ends the exchange and keeps the connection open, except after a chunked
    request body, whose end libwebsockets 4.1 does not detect.  */
 static int
@@ -244,6 +297,7 @@
 {
   bool chunked = connection->request->chunked;
 
+  fake_server_draw_late_copy (connection->request);
   fake_server_free_request (connection);
   if (chunked)
     return -1;
@@ -259,6 +313,8 @@
   size_t remaining;
   size_t len;
 
+  if (request != NULL && lws_get_opaque_user_data (wsi) != NULL)
+    return fake_server_send_late_copy (wsi);
   if (request == NULL || request->phase != FAKE_ANSWERING)
     return 0;
   if (!request->head_sent)
@@ -304,6 +360,8 @@
     case LWS_CALLBACK_CLOSED_HTTP:
       if (connection != NULL)
         fake_server_free_request (connection);
+      free (lws_get_opaque_user_data (wsi));
+      lws_set_opaque_user_data (wsi, NULL);
       return 0;
     default:
       return 0;
--- a/programs/fake_state.h
+++ b/programs/fake_state.h
@@ -33,6 +33,7 @@
   FAKE_ACTION_CORRUPT,
   FAKE_ACTION_LATE,
   FAKE_ACTION_SILENT,
+  FAKE_ACTION_REFUSE,
 };
 
 struct fake_action
--- a/programs/fake_work.c
+++ b/programs/fake_work.c
@@ -12,6 +12,7 @@
 #define FAKE_WORK_CRASH_EXIT_STATUS 70
 #define FAKE_WORK_STATUS_OK 200
 #define FAKE_WORK_STATUS_CHILD_FAILED 502
+#define FAKE_WORK_STATUS_REFUSED 503
 #define FAKE_WORK_STATUS_TIMEOUT 504
 
 static void fake_work_start_next (struct fake_state *fake);
@@ -22,12 +23,19 @@
   return prefix != NULL && strncmp (path, prefix, strlen (prefix)) == 0;
 }
 
-/* Chooses the action that the settings name for PATH.  */
+/* Chooses the action that the settings name for PATH, or a refusal.  */
 static struct fake_action
-fake_work_choose_action (const struct fake_options *options, const char *path)
+fake_work_choose_action (struct fake_state *fake, const char *path)
 {
+  const struct fake_options *options = &fake->options;
   struct fake_action act = { .kind = FAKE_ACTION_ANSWER };
 
+  if (fake_work_has_prefix (path, options->refuse_path)
+      && rng_below (&fake->rng, 100) < options->refuse_percent)
+    {
+      act.kind = FAKE_ACTION_REFUSE;
+      return act;
+    }
   if (fake_work_has_prefix (path, options->crash_path))
     act.kind = FAKE_ACTION_CRASH;
   else if (fake_work_has_prefix (path, options->truncate_path))
@@ -259,8 +267,10 @@
   request->echo.body_hash
       = tool_answer_hash (request->body.data, request->body.len);
   request->action
-      = fake_work_choose_action (&request->fake->options, request->echo.path);
-  fake_journal_write_event (request, "start");
+      = fake_work_choose_action (request->fake, request->echo.path);
+  fake_journal_write_event (request, request->action.kind == FAKE_ACTION_REFUSE
+                                         ? "refuse"
+                                         : "start");
   switch (request->action.kind)
     {
     case FAKE_ACTION_CRASH:
@@ -268,6 +278,13 @@
     case FAKE_ACTION_SILENT:
       request->phase = FAKE_SILENT;
       break;
+    case FAKE_ACTION_REFUSE:
+      request->fake->open_requests++;
+      request->phase = FAKE_ANSWERING;
+      request->status = FAKE_WORK_STATUS_REFUSED;
+      tool_buf_addf (&request->answer, "refused\n");
+      fake_server_send_answer (request);
+      break;
     case FAKE_ACTION_ANSWER:
     case FAKE_ACTION_TRUNCATE:
     case FAKE_ACTION_CORRUPT:
--- a/tests/test_soak_check.sh
+++ b/tests/test_soak_check.sh
@@ -13,7 +13,11 @@
   mkdir "$MESH_DIR/run"
   cd "$MESH_DIR/run" || exit 1
   echo "100 start POST /front-once/1 key=- trace=a caller=c" >front-4.journal
-  echo "100 start GET /front/2 key=- trace=b caller=c" >front-5.journal
+  {
+    echo "100 start GET /front/2 key=- trace=b caller=c"
+    echo "100 start POST /front-once/3 key=- trace=00-z-1 caller=c"
+    echo "102 refuse POST /front-once/3 key=- trace=00-y-1 caller=c"
+  } >front-5.journal
   echo "101 start POST /front-once/1 key=- trace=a caller=c" >stock-6.journal
   echo "101 start GET /front/2 key=- trace=b caller=c" >stock-7.journal
   echo "99 110 GET /front/2 key=- trace=b caller=c sent=99 status=200" \
@@ -71,6 +75,10 @@
 check_violation write_gate_run soak-gate-check \
   "at most one run at stock" stock-7.journal \
   "102 start POST /front-once/1 key=- trace=a caller=c"
+check_violation write_gate_run soak-gate-check \
+  "requests reported not-run were not run" burst-1.record \
+  "99 110 POST /front-once/1 key=- trace=00-z-1 caller=c sent=99 status=503 \
+result=refused reason=server-refused run=not-run resends=0 states=n"
 check_violation write_gate_run soak-gate-check \
   "attempts at front" front-4.journal \
   "102 start GET /front/2 key=- trace=b caller=c
