rudder-fake: one function adds a field of the command line to an answer

Cause: the field of refusals was split into name and value by a copy of the code for other fields; a comment of the gate fixture was no longer true. Change: fake_server_add_field(); the comment. No change of behaviour. The whole test command was not run again after this commit.

--- a/programs/fake_server.c
+++ b/programs/fake_server.c
@@ -190,7 +190,19 @@
                                       (int)strlen (value), at, end);
 }
 
-/* Adds the fields of --answer-field and --id-field.  */
+/* Adds FIELD, "NAME: VALUE".  */
+static int
+fake_server_add_field (struct lws *wsi, const char *field, unsigned char **at,
+                       unsigned char *end)
+{
+  char name[TOOL_OPT_FIELD_NAME_BYTES];
+  const char *colon = strchr (field, ':');
+
+  snprintf (name, sizeof name, "%.*s:", (int)(colon - field), field);
+  return fake_server_add_header (wsi, name, colon + 2, at, end);
+}
+
+/* Adds the fields of --answer-field, --refusal-field and --id-field.  */
 static int
 fake_server_add_fields (const struct fake_request *request, unsigned char **at,
                         unsigned char *end)
@@ -199,26 +211,11 @@
   const struct tool_opt_list *fields = &options->answer_fields;
 
   for (size_t i = 0; i < fields->count; i++)
-    {
-      char name[TOOL_OPT_FIELD_NAME_BYTES];
-      const char *colon = strchr (fields->items[i], ':');
-
-      snprintf (name, sizeof name, "%.*s:", (int)(colon - fields->items[i]),
-                fields->items[i]);
-      if (fake_server_add_header (request->wsi, name, colon + 2, at, end))
-        return -1;
-    }
-  if (request->action.kind == FAKE_ACTION_REFUSE)
-    {
-      char name[TOOL_OPT_FIELD_NAME_BYTES];
-      const char *colon = strchr (options->refusal_field, ':');
-
-      snprintf (name, sizeof name,
-                "%.*s:", (int)(colon - options->refusal_field),
-                options->refusal_field);
-      if (fake_server_add_header (request->wsi, name, colon + 2, at, end))
-        return -1;
-    }
+    if (fake_server_add_field (request->wsi, fields->items[i], at, end))
+      return -1;
+  if (request->action.kind == FAKE_ACTION_REFUSE
+      && fake_server_add_field (request->wsi, options->refusal_field, at, end))
+    return -1;
   if (request->request_id[0] == '\0')
     return 0;
   return fake_server_add_header (request->wsi, options->id_field_name,
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -34,7 +34,7 @@
 {
   struct gate_opts opts;
   struct gate *gate;
-  struct inbox *control; /* messages of the gate, never read */
+  struct inbox *control; /* gets the messages of the gate */
   pthread_t thread;
   char addresses[GATE_PORT_COUNT][NET_ADDRESS_BYTES];
   int server_listener;
