control, peer: log contact with the control replicas

Change: lines and a counter for a control replica that stops answering, the state of the connections to control replicas (a ZeroMQ monitor each), the first report of a newer version, the source of an installed version, a push that is ignored, and the acknowledgement of a change. No decision changes.

--- a/core/counter.h
+++ b/core/counter.h
@@ -37,6 +37,8 @@
      "Peer messages dropped because they could not be decoded")               \
   X (PEER_SILENT, "rudder_peer_silent_total",                                 \
      "Peer connections replaced after silence")                               \
+  X (CONTROL_SILENT, "rudder_control_silent_total",                           \
+     "Times that a control replica stopped answering renewals")               \
   X (PEER_SENT_BYTES, "rudder_peer_sent_bytes_total",                         \
      "Bytes of the frames of peer messages sent")                             \
   X (PEER_RECEIVED_BYTES, "rudder_peer_received_bytes_total",                 \
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -329,6 +329,7 @@
     control_renew_all (control, now);
   if (control->members != NULL)
     registry_expire (control->members, now);
+  control_check_replicas (control, now);
   quarantine_expire (control->crash_marks, now);
   control_expire_nodes (control, now);
   control_send_members_notice (control, now);
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/err.h"
+#include "core/slog.h"
 #include "tasks/control_state.h"
 #include "wire/status.h"
 
@@ -243,6 +244,8 @@
   switch (change.kind)
     {
     case CFG_ACCEPTED:
+      slog (SLOG_NOTICE, "change acknowledged version=%llu",
+            (unsigned long long)change.number);
       control_admin_reply (
           control, request_id, 200,
           status_encode_change_result ("accepted", change.number),
--- a/tasks/control_config.c
+++ b/tasks/control_config.c
@@ -47,13 +47,28 @@
   return doc_parse (document, len, NULL, NULL, model);
 }
 
+static const char *
+control_config_source_name (enum control_config_source source)
+{
+  switch (source)
+    {
+    case CONTROL_CONFIG_PUSHED:
+      return "pushed";
+    case CONTROL_CONFIG_READ:
+      return "read";
+    case CONTROL_CONFIG_LOCAL:
+      return "local";
+    }
+  return "unknown";
+}
+
 /* Installs a version that is newer than the current one; marks the current one
    as confirmed when VERSION is equal and CONFIRMED.  */
 void
 control_config_install (struct control *control, const char *document,
                         size_t len,
                         const struct member_config_version *version,
-                        bool confirmed)
+                        bool confirmed, enum control_config_source source)
 {
   struct model *model = NULL;
   char fault[API_FAULT_BYTES] = "";
@@ -85,8 +100,10 @@
   control->document_len = len;
   control->version = *version;
   control->confirmed = control->confirmed || confirmed;
-  slog (SLOG_NOTICE, "configuration in force version=%llu confirmed=%d",
-        (unsigned long long)version->number, (int)control->confirmed);
+  slog (SLOG_NOTICE,
+        "configuration in force version=%llu confirmed=%d source=%s",
+        (unsigned long long)version->number, (int)control->confirmed,
+        control_config_source_name (source));
   control_config_send_front (control);
   if (control->replica != NULL)
     control_push_config (control);
@@ -116,7 +133,8 @@
   if (control->replica == NULL || control_config_awaits_quorum (control, now))
     return;
   replica_config (control->replica, &version, &document, &len);
-  control_config_install (control, document, len, &version, false);
+  control_config_install (control, document, len, &version, false,
+                          CONTROL_CONFIG_LOCAL);
 }
 
 static void
@@ -146,6 +164,21 @@
   control_propose (control, &origin, &propose, now);
 }
 
+/* Logs the first report of a version that is not in force here.  */
+static void
+control_config_log_reported (struct control *control,
+                             const struct control_replica *replica)
+{
+  if (control_version_compare (&replica->config, &control->reported) <= 0)
+    return;
+  control->reported = replica->config;
+  slog (SLOG_INFO,
+        "newer configuration reported version=%llu in_force=%llu "
+        "address=%s",
+        (unsigned long long)replica->config.number,
+        (unsigned long long)control->version.number, replica->address);
+}
+
 /* Reads the configuration while it is unconfirmed, or when a replica reports a
    newer version.  */
 void
@@ -154,13 +187,16 @@
   bool newer = false;
 
   control_config_install_local (control, now);
-  if (control->read_pending || now < control->next_read)
-    return;
   for (uint32_t i = 0; i < control->replica_count; i++)
     if (control_version_compare (&control->replicas[i].config,
                                  &control->version)
         > 0)
-      newer = true;
+      {
+        newer = true;
+        control_config_log_reported (control, &control->replicas[i]);
+      }
+  if (control->read_pending || now < control->next_read)
+    return;
   if (newer || !control->confirmed)
     control_config_start_read (control, now);
 }
@@ -182,7 +218,7 @@
       return;
     }
   control_config_install (control, (const char *)result->data, result->len,
-                          &result->version, confirmed);
+                          &result->version, confirmed, CONTROL_CONFIG_READ);
 }
 
 /* Handles a version pushed by the leader.  It is committed but may not be the
@@ -191,9 +227,15 @@
 control_config_handle_push (struct control *control, struct msg_result *result,
                             clk_us now)
 {
-  if (!control_config_awaits_quorum (control, now))
+  if (control_config_awaits_quorum (control, now))
+    slog (SLOG_NOTICE,
+          "pushed configuration ignored version=%llu in_force=%llu "
+          "reason=\"no quorum has confirmed the version in force\"",
+          (unsigned long long)result->version.number,
+          (unsigned long long)control->version.number);
+  else
     control_config_install (control, (const char *)result->data, result->len,
-                            &result->version, false);
+                            &result->version, false, CONTROL_CONFIG_PUSHED);
 }
 
 /* Marks the configuration as unconfirmed until a quorum confirms it again.
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/counter.h"
 #include "core/err.h"
 #include "core/slog.h"
 #include "tasks/control_state.h"
@@ -23,6 +24,8 @@
   quarantine_export_marks (control->crash_marks, &renew->crash_marks,
                            MEMBER_CRASH_MARKS_MAX, now);
   replica->last_renewal = now;
+  if (replica->first_renewal == 0)
+    replica->first_renewal = now;
   inbox_put (control->peer, msg);
 }
 
@@ -56,6 +59,34 @@
     control_renew (control, &control->replicas[i], now);
 }
 
+/* Returns the time since the last reply of a replica, or since the first
+   renewal when there was none.  */
+static clk_us
+control_replica_silence (const struct control_replica *replica, clk_us now)
+{
+  clk_us since = replica->last_reply != 0 ? replica->last_reply
+                                          : replica->first_renewal;
+
+  return since == 0 ? 0 : now - since;
+}
+
+void
+control_check_replicas (struct control *control, clk_us now)
+{
+  for (uint32_t i = 0; i < control->replica_count; i++)
+    {
+      struct control_replica *replica = &control->replicas[i];
+      clk_us silence = control_replica_silence (replica, now);
+
+      if (replica->silent || silence < CONTROL_SILENT_US)
+        continue;
+      replica->silent = true;
+      counter_add (COUNTER_CONTROL_SILENT, 1);
+      slog (SLOG_WARNING, "control replica silent address=%s silent_ms=%llu",
+            replica->address, (unsigned long long)(silence / CLK_US_PER_MS));
+    }
+}
+
 /* Handles a lease renewal of a node, on a control replica.  */
 void
 control_handle_renew (struct control *control, struct msg *msg, clk_us now)
@@ -181,6 +212,13 @@
 
   if (replica == NULL)
     return;
+  if (replica->silent)
+    slog (SLOG_NOTICE,
+          "control replica answers again address=%s silent_ms=%llu",
+          replica->address,
+          (unsigned long long)(control_replica_silence (replica, now)
+                               / CLK_US_PER_MS));
+  replica->silent = false;
   replica->last_reply = now;
   replica->config = renew_reply->config_version;
   control_update_name_taken (control, renew_reply);
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -30,6 +30,9 @@
 /* Time since its last reply after which a replica that is no longer a member
    is removed.  */
 #define CONTROL_REPLICA_EXPIRY_US clk_s (6)
+/* Time without a reply after which a control replica is logged as silent; two
+   renewals are unanswered then.  */
+#define CONTROL_SILENT_US clk_s (2)
 /* Minimum interval between notices of member changes.  */
 #define CONTROL_NOTICE_INTERVAL_US clk_ms (150)
 /* Request number of a pushed configuration, which answers no request.  */
@@ -44,9 +47,11 @@
 struct control_replica
 {
   char address[MSG_ADDRESS_BYTES];
-  bool configured;                     /* listed in the settings */
-  clk_us last_reply;                   /* 0: none yet */
-  clk_us last_renewal;                 /* sent to the replica */
+  bool configured;      /* listed in the settings */
+  clk_us last_reply;    /* 0: none yet */
+  clk_us last_renewal;  /* sent to the replica */
+  clk_us first_renewal; /* 0: none sent yet */
+  bool silent;          /* logged as silent, and has not replied since */
   struct member_config_version config; /* newest applied */
 };
 
@@ -60,6 +65,14 @@
   clk_us last_renewal;
 };
 
+/* How a node received a version of the configuration.  */
+enum control_config_source
+{
+  CONTROL_CONFIG_PUSHED, /* by the leader */
+  CONTROL_CONFIG_READ,   /* from a control replica, on request */
+  CONTROL_CONFIG_LOCAL,  /* applied by the replica of this node */
+};
+
 /* Origin of a proposal or read, which receives its result.  */
 enum control_origin_kind
 {
@@ -130,6 +143,7 @@
   size_t document_len;
   struct member_config_version version; /* of @model and @document */
   bool confirmed; /* by a quorum since @unconfirmed_since */
+  struct member_config_version reported; /* newest that a replica reported */
   clk_us next_read;
   bool read_pending; /* a configuration read of this task is pending */
 };
@@ -137,6 +151,8 @@
 /* control_member.c: leases and the member list */
 /* Renews the lease at all replicas.  */
 void control_renew_all (struct control *control, clk_us now);
+/* Logs and counts the replicas that have become silent.  */
+void control_check_replicas (struct control *control, clk_us now);
 void control_handle_members_notice (struct control *control,
                                     const char *address, clk_us now);
 void control_handle_renew (struct control *control, struct msg *msg,
@@ -196,7 +212,8 @@
 void control_config_install (struct control *control, const char *document,
                              size_t len,
                              const struct member_config_version *version,
-                             bool confirmed);
+                             bool confirmed,
+                             enum control_config_source source);
 void control_config_install_local (struct control *control, clk_us now);
 void control_config_clear_confirmed (struct control *control, clk_us now);
 void control_config_attach_local (const struct control *control,
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -12,6 +12,7 @@
 #include "core/rng.h"
 #include "core/slog.h"
 #include "tasks/peer_link.h"
+#include "tasks/peer_monitor.h"
 #include "wire/pack.h"
 
 #define PEER_DIALS_MAX 128
@@ -44,6 +45,8 @@
   struct list_node node; /* peer->dials, least recently used first */
   char address[MSG_ADDRESS_BYTES];
   void *socket;
+  void *monitor;  /* events of a connection to a control replica, or NULL */
+  bool connected; /* according to @monitor */
   struct peer_link link;
   bool has_control_traffic; /* used for renewals, proposals or Raft messages */
 };
@@ -179,6 +182,8 @@
   peer->dial_count--;
   peer_link_clear (&dial->link);
   zmq_close (dial->socket);
+  if (dial->monitor != NULL)
+    zmq_close (dial->monitor);
   free (dial);
 }
 
@@ -199,9 +204,28 @@
     }
 }
 
+/* Whether MSG goes to a control replica.  */
+static bool
+peer_is_control_traffic (const struct msg *msg)
+{
+  return msg->kind == MSG_RENEW || msg->kind == MSG_PROPOSE
+         || msg->kind == MSG_RAFT;
+}
+
+static const char *
+peer_dial_state (const struct peer_dial *dial)
+{
+  if (dial->monitor == NULL)
+    return "unknown";
+  return dial->connected ? "established" : "none";
+}
+
+/* Opens the connection for MSG.  Only connections to control replicas are
+   monitored: there are few, and a monitor needs two more sockets.  */
 static struct peer_dial *
-peer_open_dial (struct peer *peer, const char *address, clk_us now)
+peer_open_dial (struct peer *peer, const struct msg *msg, clk_us now)
 {
+  const char *address = msg->endpoint.u.address;
   struct peer_dial *dial = calloc (1, sizeof *dial);
   char endpoint[MSG_ADDRESS_BYTES + 8];
   uint8_t identity[RNG_ID_BYTES + 1] = { 'n' };
@@ -223,10 +247,14 @@
   if (peer->opts.curve_public != NULL)
     zmq_setsockopt (dial->socket, ZMQ_CURVE_SERVERKEY, peer->opts.curve_public,
                     strlen (peer->opts.curve_public) + 1);
+  if (peer_is_control_traffic (msg))
+    dial->monitor = peer_monitor_open (peer->context, dial->socket);
   snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
   if (zmq_connect (dial->socket, endpoint) != 0)
     {
       zmq_close (dial->socket);
+      if (dial->monitor != NULL)
+        zmq_close (dial->monitor);
       free (dial);
       return NULL;
     }
@@ -320,7 +348,7 @@
   struct peer_dial *dial = peer_find_dial (peer, msg->endpoint.u.address);
 
   if (dial == NULL)
-    dial = peer_open_dial (peer, msg->endpoint.u.address, now);
+    dial = peer_open_dial (peer, msg, now);
   if (dial == NULL || peer_send_socket (dial->socket, msg) != SR_OK)
     {
       if (msg->kind == MSG_OPEN)
@@ -330,8 +358,7 @@
   list_remove (&dial->node);
   list_push_tail (&peer->dials, &dial->node);
   dial->link.last_sent = now;
-  if (msg->kind == MSG_RENEW || msg->kind == MSG_PROPOSE
-      || msg->kind == MSG_RAFT)
+  if (peer_is_control_traffic (msg))
     dial->has_control_traffic = true;
   if (msg->kind == MSG_OPEN)
     peer_link_add_stream (&dial->link, msg->stream, now);
@@ -626,8 +653,9 @@
           break;
         case PEER_LINK_LOST:
           counter_add (COUNTER_PEER_SILENT, 1);
-          slog (SLOG_WARNING, "peer timed out, connection replaced peer=%s",
-                dial->address);
+          slog (SLOG_WARNING,
+                "peer timed out, connection replaced peer=%s state=%s",
+                dial->address, peer_dial_state (dial));
           peer_close_dial (peer, dial);
           peer_report_lost (peer, &endpoint);
           break;
@@ -650,6 +678,20 @@
     }
 }
 
+/* Reads the events of a connection.  */
+static void
+peer_read_monitor (struct peer_dial *dial)
+{
+  enum peer_monitor_event event;
+
+  while ((event = peer_monitor_next (dial->monitor)) != PEER_MONITOR_NONE)
+    {
+      dial->connected = event == PEER_MONITOR_ESTABLISHED;
+      slog (SLOG_INFO, "peer connection changed peer=%s state=%s",
+            dial->address, peer_dial_state (dial));
+    }
+}
+
 /* Allocates COUNT poll items.  More than PEER_DIALS_MAX connections are open
    when all have streams; a connection that is not polled would delay its
    answers to the end of the poll timeout.  */
@@ -670,16 +712,21 @@
 {
   int count = 0;
 
-  peer_reserve_poll_items (peer, 2 + peer->dial_count);
+  peer_reserve_poll_items (peer, 2 + 2 * peer->dial_count);
   peer->poll_items[count++]
       = (zmq_pollitem_t){ .fd = inbox_fd (peer->inbox), .events = ZMQ_POLLIN };
   peer->poll_items[count++]
       = (zmq_pollitem_t){ .socket = peer->router, .events = ZMQ_POLLIN };
   list_each (node, &peer->dials)
-    peer->poll_items[count++] = (zmq_pollitem_t){
-      .socket = list_entry (node, struct peer_dial, node)->socket,
-      .events = ZMQ_POLLIN,
-    };
+    {
+      const struct peer_dial *dial = list_entry (node, struct peer_dial, node);
+
+      peer->poll_items[count++]
+          = (zmq_pollitem_t){ .socket = dial->socket, .events = ZMQ_POLLIN };
+      if (dial->monitor != NULL)
+        peer->poll_items[count++] = (zmq_pollitem_t){ .socket = dial->monitor,
+                                                      .events = ZMQ_POLLIN };
+    }
   zmq_poll (peer->poll_items, count, PEER_POLL_TIMEOUT_MS);
 }
 
@@ -697,6 +744,7 @@
     {
       struct peer_dial *dial = list_entry (node, struct peer_dial, node);
 
+      peer_read_monitor (dial);
       for (int i = 0;
            i < PEER_READ_BATCH_MAX && peer_read_dial (peer, dial, now); i++)
         continue;
--- /dev/null
+++ b/tasks/peer_monitor.h
@@ -0,0 +1,33 @@
+#ifndef TASKS_PEER_MONITOR_H
+#define TASKS_PEER_MONITOR_H
+
+/**
+ * DOC: peer_monitor - state of the connection of a ZeroMQ socket
+ *
+ * ZeroMQ connects and reconnects by itself.  A monitor tells when the
+ * connection of a DEALER socket is established and when it ends.
+ */
+
+#include <stdbool.h>
+
+enum peer_monitor_event
+{
+  PEER_MONITOR_NONE,        /* no more events */
+  PEER_MONITOR_ESTABLISHED, /* both sides have completed the handshake */
+  PEER_MONITOR_ENDED,       /* the established connection has ended */
+};
+
+/**
+ * peer_monitor_open() - watch the connection of a socket
+ * @context: context of the socket
+ * @socket: socket that is not connected yet
+ *
+ * Return: socket to poll and to pass to peer_monitor_next(), closed with
+ * zmq_close(); NULL when descriptors or memory are exhausted.
+ */
+void *peer_monitor_open (void *context, void *socket);
+
+/* Returns the next event; @monitor may be NULL.  */
+enum peer_monitor_event peer_monitor_next (void *monitor);
+
+#endif
