test_peer_contact: a node must be in touch again within contact_s

They run the control and the peer task of a node against a stand-in for a replica, the first through a relay that makes the open connection silent, the second at an address that drops SYNs for 7.3 s as a machine without power does.

The bound, 3 s, is the platform's.

--- /dev/null
+++ b/tests/test_peer_contact.c
@@ -0,0 +1,280 @@
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <time.h>
+
+#include "core/inbox.h"
+#include "core/msg.h"
+#include "programs/relay_pump.h"
+#include "sycamorerudder.h"
+#include "tasks/control.h"
+#include "tasks/peer.h"
+#include "tests/net.h"
+#include "tests/suite.h"
+
+/* The bound "contact_s" of the platform: after a silence or an outage of its
+   connections a node is in touch with the replicas again within this time.  */
+#define CONTACT_MAX_US clk_s (3)
+/* Time to establish a connection on a machine that is not busy.  */
+#define START_MAX_US clk_s (5)
+/* With 1, 2, 3, 4, 7 and 11 s, or 1, 3, 7 and 15 s, between the first SYN and
+   its repetitions, the kernel sends none for longer than CONTACT_MAX_US after
+   this time.  */
+#define OUTAGE_MS 7300
+#define POLL_MS 10
+
+static void
+sleep_ms (long ms)
+{
+  struct timespec duration = { ms / 1000, ms % 1000 * 1000000 };
+
+  nanosleep (&duration, NULL);
+}
+
+/* A peer task with the inboxes of its node's other tasks.  */
+struct node
+{
+  char address[NET_ADDRESS_BYTES];
+  struct inbox *front;
+  struct inbox *control; /* of the fake replica only */
+  struct peer *peer;
+};
+
+static void
+start_peer (struct node *node, struct inbox *control)
+{
+  struct peer_opts opts
+      = { .address = node->address, .front = node->front, .control = control };
+
+  node->peer = peer_new (&opts);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node->peer);
+  CU_ASSERT_EQUAL_FATAL (peer_start (node->peer), SR_OK);
+}
+
+static void
+stop_peer (struct node *node)
+{
+  inbox_put (peer_inbox (node->peer), msg_new (MSG_STOP));
+  peer_join (node->peer);
+}
+
+/* Starts a stand-in for a control replica at its address.  */
+static void
+start_replica (struct node *replica)
+{
+  struct inbox_opts inbox = { .wake = INBOX_WAKE_FD };
+
+  replica->front = inbox_new (&inbox);
+  replica->control = inbox_new (&inbox);
+  start_peer (replica, replica->control);
+}
+
+static void
+stop_replica (struct node *replica)
+{
+  stop_peer (replica);
+  inbox_free (replica->front);
+  inbox_free (replica->control);
+}
+
+/* Answers the renewals that the replica has received; returns their
+   number.  */
+static uint32_t
+answer_renewals (struct node *replica)
+{
+  struct list messages;
+  struct list_node *item;
+  uint32_t count = 0;
+
+  list_init (&messages);
+  inbox_drain (replica->control, &messages);
+  while ((item = list_pop_head (&messages)) != NULL)
+    {
+      struct msg *msg = list_entry (item, struct msg, node);
+
+      if (msg->kind == MSG_RENEW)
+        {
+          struct msg *reply = msg_new (MSG_RENEW_REPLY);
+
+          reply->endpoint = msg->endpoint;
+          reply->u.renew_reply.position.epoch = 1;
+          reply->u.renew_reply.full = true;
+          inbox_put (peer_inbox (replica->peer), reply);
+          count++;
+        }
+      msg_free (msg);
+    }
+  return count;
+}
+
+/* Returns the time until the replica receives a renewal, at most MAX.  */
+static clk_us
+wait_for_renewal (struct node *replica, clk_us max)
+{
+  clk_us start = clk_now ();
+
+  while (answer_renewals (replica) == 0 && clk_now () - start < max)
+    sleep_ms (POLL_MS);
+  return clk_now () - start;
+}
+
+/* A node without a replica, whose settings name the one at JOIN.  */
+struct plain
+{
+  struct node node;
+  struct control *control;
+};
+
+static void
+start_plain (struct plain *plain, const char *join)
+{
+  struct inbox_opts inbox = { .wake = INBOX_WAKE_FD };
+  struct control_opts opts
+      = { .instance = "n-1", .failure_domain = "a", .join = join };
+
+  close (net_bind (plain->node.address));
+  plain->node.front = inbox_new (&inbox);
+  opts.address = plain->node.address;
+  opts.front = plain->node.front;
+  plain->control = control_new (&opts);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (plain->control);
+  start_peer (&plain->node, control_inbox (plain->control));
+  control_attach (plain->control, peer_inbox (plain->node.peer), NULL);
+  CU_ASSERT_EQUAL_FATAL (control_start (plain->control), SR_OK);
+}
+
+static void
+stop_plain (struct plain *plain)
+{
+  inbox_put (control_inbox (plain->control), msg_new (MSG_STOP));
+  control_join (plain->control);
+  stop_peer (&plain->node);
+  inbox_free (plain->node.front);
+}
+
+/* A relay with a thread that can make the open connections silent.  */
+struct silencer
+{
+  char address[NET_ADDRESS_BYTES];
+  struct relay relay;
+  atomic_bool stop;
+  atomic_bool blackhole;
+  pthread_t thread;
+};
+
+static void
+set_address (struct tool_opt_address *out, const char *address)
+{
+  const char *port = strchr (address, ':');
+
+  snprintf (out->ip, sizeof out->ip, "%.*s", (int)(port - address), address);
+  out->port = (uint16_t)atoi (port + 1);
+}
+
+static void *
+silencer_main (void *arg)
+{
+  struct silencer *silencer = arg;
+
+  while (!silencer->stop)
+    {
+      relay_poll (&silencer->relay);
+      if (atomic_exchange (&silencer->blackhole, false))
+        relay_blackhole_open (&silencer->relay);
+    }
+  return NULL;
+}
+
+static void
+start_silencer (struct silencer *silencer, const char *target)
+{
+  close (net_bind (silencer->address));
+  set_address (&silencer->relay.listen, silencer->address);
+  set_address (&silencer->relay.target, target);
+  CU_ASSERT_EQUAL_FATAL (relay_open (&silencer->relay), SR_OK);
+  CU_ASSERT_EQUAL_FATAL (
+      pthread_create (&silencer->thread, NULL, silencer_main, silencer), 0);
+}
+
+static void
+stop_silencer (struct silencer *silencer)
+{
+  silencer->stop = true;
+  pthread_join (silencer->thread, NULL);
+  relay_close (&silencer->relay);
+}
+
+/* Guards against a node that misses changes because its open connections to
+   the control replicas are silent for good while new ones work.  */
+static void
+test_silent_connection (void)
+{
+  struct node replica = { 0 };
+  struct silencer silencer = { 0 };
+  struct plain plain = { 0 };
+
+  close (net_bind (replica.address));
+  start_replica (&replica);
+  start_silencer (&silencer, replica.address);
+  start_plain (&plain, silencer.address);
+  CU_ASSERT_TRUE (wait_for_renewal (&replica, START_MAX_US) < START_MAX_US);
+  for (int round = 0; round < 2; round++)
+    {
+      clk_us silent_since;
+
+      CU_ASSERT_TRUE (wait_for_renewal (&replica, START_MAX_US)
+                      < START_MAX_US);
+      silent_since = clk_now ();
+      silencer.blackhole = true;
+      while (silencer.blackhole)
+        sleep_ms (POLL_MS);
+      answer_renewals (&replica);
+      wait_for_renewal (&replica, 4 * CONTACT_MAX_US);
+      CU_ASSERT_TRUE (clk_now () - silent_since < CONTACT_MAX_US);
+    }
+  stop_plain (&plain);
+  stop_silencer (&silencer);
+  stop_replica (&replica);
+}
+
+/* Listens at a free address but drops each SYN, as a machine without power
+   does: the queue of connections is full and none is accepted.  */
+static void
+drop_connects (char address[NET_ADDRESS_BYTES], int fds[2])
+{
+  fds[0] = net_bind (address);
+  CU_ASSERT_EQUAL_FATAL (listen (fds[0], 0), 0);
+  fds[1] = net_connect (address);
+}
+
+/* Guards against a node that, after the control replicas were unreachable,
+   stays out of touch until the kernel repeats its SYN.  */
+static void
+test_unreachable_replica (void)
+{
+  struct node replica = { 0 };
+  struct plain plain = { 0 };
+  int dark[2];
+
+  drop_connects (replica.address, dark);
+  start_plain (&plain, replica.address);
+  sleep_ms (OUTAGE_MS);
+  close (dark[1]);
+  close (dark[0]);
+  start_replica (&replica);
+  CU_ASSERT_TRUE (wait_for_renewal (&replica, 4 * CONTACT_MAX_US)
+                  < CONTACT_MAX_US);
+  stop_plain (&plain);
+  stop_replica (&replica);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "silent connection to a control replica", test_silent_connection },
+          { "control replica that was unreachable", test_unreachable_replica },
+          { NULL, NULL } };
+
+  return suite_run ("peer contact", tests);
+}
