peer: replace connections to control replicas that answer nothing

Cause: a node noticed that it was out of touch with the control replicas, and connected again, by timers that have nothing to do with the bound for it, contact_s (3 s): an open connection that is silent ended with libzmq's heartbeat after 6 to 8 s, a connection to a machine without power was retried with the kernel's next SYN, 1, 3, 7 and 15 s after the first. The replicas meanwhile elected a leader and acknowledged changes.

Change: the peer task knows which messages are owed an answer. After 250 ms it pings, as it does with open streams; after a third of contact_s without any message it closes the connection, twice as late when the one before was silent, too. The control task is told and renews at once, which opens a new connection and asks for the newest version, so that no push that was lost has to be repeated. The answer to a ping is the peer task's, so a busy control task or a node that is no replica keeps its connection.

Evidence: test_peer_contact failed on the code before (renewals after 8.0 and 7.0 s of silence and 4.1 s after an outage; now 2.3, 2.2 and 0.1 s; bound 3 s); it also bounds the connections to a suspended replica.

--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -115,7 +115,9 @@
           .group_exists = node->settings.group_exists,
           .voters_max = 2 * node->settings.replicas_lost_max + 1,
           .replace_timeout = NODE_PLATFORM_REPLACE_TIMEOUT_US };
-  struct peer_opts peer = { .address = node->settings.peer_address };
+  struct peer_opts peer
+      = { .address = node->settings.peer_address,
+          .contact = (clk_us)(node->settings.contact_s * CLK_US_PER_S) };
 
   node->gate = gate_new (&gate);
   if (node->gate == NULL)
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -298,6 +298,9 @@
     case MSG_STORE_DONE:
       replica_handle_store_done (control->replica, msg->u.store_done, now);
       break;
+    case MSG_PEER_LOST:
+      control_handle_peer_lost (control, &msg->endpoint, now);
+      break;
     case MSG_BACKEND:
       control_handle_backend (control, &msg->u.backend, now);
       break;
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -51,6 +51,19 @@
     control_renew (control, replica, now);
 }
 
+void
+control_handle_peer_lost (struct control *control,
+                          const struct msg_endpoint *endpoint, clk_us now)
+{
+  struct control_replica *replica
+      = endpoint->kind == MSG_ENDPOINT_DIAL
+            ? control_find_replica (control, endpoint->u.address)
+            : NULL;
+
+  if (replica != NULL)
+    control_renew (control, replica, now);
+}
+
 void
 control_renew_all (struct control *control, clk_us now)
 {
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -155,6 +155,12 @@
 void control_check_replicas (struct control *control, clk_us now);
 void control_handle_members_notice (struct control *control,
                                     const char *address, clk_us now);
+/* Renews the lease at a replica whose connection was lost, with the messages
+   sent on it: the renewal opens a new one, and its reply names the newest
+   version, in case that a pushed one was lost.  */
+void control_handle_peer_lost (struct control *control,
+                               const struct msg_endpoint *endpoint,
+                               clk_us now);
 void control_handle_renew (struct control *control, struct msg *msg,
                            clk_us now);
 /* Updates the member list from the reply of a replica.  */
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -26,6 +26,13 @@
    libzmq aborts the process as described below when a connection fails whose
    input was stopped at the mark.  */
 #define PEER_RECEIVE_HWM 0
+/* One connection of each node at the target size, all opened at once.  */
+#define PEER_BACKLOG 1024
+/* A node has opts.contact to regain contact.  A third is for the interval
+   between its renewals, a third for the answer to the first one that is lost,
+   and the rest for the new connection.  */
+#define PEER_CONTACT_SHARES 3
+#define PEER_CONTACT_MIN_US clk_s (1)
 /* Heartbeats of DEALER sockets only.  After a handover a ROUTER socket of
    libzmq 4.3.4 keeps the previous connection with its input stopped; once that
    connection fails, its next heartbeat aborts the process (assertion
@@ -44,7 +51,7 @@
 {
   struct list_node node; /* peer->dials, least recently used first */
   char address[MSG_ADDRESS_BYTES];
-  void *socket;
+  void *socket;   /* NULL after a loss, until the next message */
   void *monitor;  /* events of a connection to a control replica, or NULL */
   bool connected; /* according to @monitor */
   struct peer_link link;
@@ -111,6 +118,7 @@
   if (peer->router == NULL)
     return SR_EIO;
   peer_configure (peer, peer->router);
+  peer_set_int (peer->router, ZMQ_BACKLOG, PEER_BACKLOG);
   peer_set_int (peer->router, ZMQ_ROUTER_MANDATORY, 1);
   peer_set_int (peer->router, ZMQ_ROUTER_HANDOVER, 1);
   peer_set_int (peer->router, ZMQ_TCP_KEEPALIVE, 1);
@@ -138,6 +146,10 @@
 
   INVARIANT (peer != NULL);
   peer->opts = *opts;
+  if (peer->opts.contact == 0)
+    peer->opts.contact = PEER_CONTACT_DEFAULT_US;
+  if (peer->opts.contact < PEER_CONTACT_MIN_US)
+    peer->opts.contact = PEER_CONTACT_MIN_US;
   snprintf (peer->address, sizeof peer->address, "%s", opts->address);
   list_init (&peer->dials);
   list_init (&peer->inbound);
@@ -175,15 +187,25 @@
     }
 }
 
+static void
+peer_close_socket (struct peer_dial *dial)
+{
+  if (dial->socket != NULL)
+    zmq_close (dial->socket);
+  if (dial->monitor != NULL)
+    zmq_close (dial->monitor);
+  dial->socket = NULL;
+  dial->monitor = NULL;
+  dial->connected = false;
+}
+
 static void
 peer_close_dial (struct peer *peer, struct peer_dial *dial)
 {
   list_remove (&dial->node);
   peer->dial_count--;
   peer_link_clear (&dial->link);
-  zmq_close (dial->socket);
-  if (dial->monitor != NULL)
-    zmq_close (dial->monitor);
+  peer_close_socket (dial);
   free (dial);
 }
 
@@ -197,7 +219,8 @@
     {
       struct peer_dial *dial = list_entry (node, struct peer_dial, node);
 
-      if (dial->has_control_traffic || !list_empty (&dial->link.streams))
+      if ((dial->has_control_traffic && dial->socket != NULL)
+          || !list_empty (&dial->link.streams))
         continue;
       peer_close_dial (peer, dial);
       return;
@@ -220,21 +243,16 @@
   return dial->connected ? "established" : "none";
 }
 
-/* Opens the connection for MSG.  Only connections to control replicas are
-   monitored: there are few, and a monitor needs two more sockets.  */
-static struct peer_dial *
-peer_open_dial (struct peer *peer, const struct msg *msg, clk_us now)
+/* Opens the socket of a connection for MSG.  Only connections to control
+   replicas are monitored: there are few, and a monitor needs two more
+   sockets.  Returns SR_OK or SR_EIO.  */
+static int
+peer_open_socket (struct peer *peer, struct peer_dial *dial,
+                  const struct msg *msg)
 {
-  const char *address = msg->endpoint.u.address;
-  struct peer_dial *dial = calloc (1, sizeof *dial);
   char endpoint[MSG_ADDRESS_BYTES + 8];
   uint8_t identity[RNG_ID_BYTES + 1] = { 'n' };
 
-  INVARIANT (dial != NULL);
-  if (peer->dial_count >= PEER_DIALS_MAX)
-    peer_evict_dial (peer);
-  snprintf (dial->address, sizeof dial->address, "%s", address);
-  peer_link_init (&dial->link, PEER_LINK_LOST_US, now);
   dial->socket = zmq_socket (peer->context, ZMQ_DEALER);
   INVARIANT (dial->socket != NULL);
   peer_configure (peer, dial->socket);
@@ -249,15 +267,27 @@
                     strlen (peer->opts.curve_public) + 1);
   if (peer_is_control_traffic (msg))
     dial->monitor = peer_monitor_open (peer->context, dial->socket);
-  snprintf (endpoint, sizeof endpoint, "tcp://%s", address);
-  if (zmq_connect (dial->socket, endpoint) != 0)
-    {
-      zmq_close (dial->socket);
-      if (dial->monitor != NULL)
-        zmq_close (dial->monitor);
-      free (dial);
-      return NULL;
-    }
+  snprintf (endpoint, sizeof endpoint, "tcp://%s", dial->address);
+  if (zmq_connect (dial->socket, endpoint) == 0)
+    return SR_OK;
+  peer_close_socket (dial);
+  return SR_EIO;
+}
+
+static struct peer_dial *
+peer_new_dial (struct peer *peer, const char *address, clk_us now)
+{
+  struct peer_dial *dial = calloc (1, sizeof *dial);
+  struct peer_link_opts link
+      = { .lost_after = PEER_LINK_LOST_US,
+          .answer_timeout = peer->opts.contact / PEER_CONTACT_SHARES,
+          .answer_timeout_max = 2 * peer->opts.contact / PEER_CONTACT_SHARES };
+
+  INVARIANT (dial != NULL);
+  if (peer->dial_count >= PEER_DIALS_MAX)
+    peer_evict_dial (peer);
+  snprintf (dial->address, sizeof dial->address, "%s", address);
+  peer_link_init (&dial->link, &link, now);
   list_push_tail (&peer->dials, &dial->node);
   peer->dial_count++;
   return dial;
@@ -348,8 +378,9 @@
   struct peer_dial *dial = peer_find_dial (peer, msg->endpoint.u.address);
 
   if (dial == NULL)
-    dial = peer_open_dial (peer, msg, now);
-  if (dial == NULL || peer_send_socket (dial->socket, msg) != SR_OK)
+    dial = peer_new_dial (peer, msg->endpoint.u.address, now);
+  if ((dial->socket == NULL && peer_open_socket (peer, dial, msg) != SR_OK)
+      || peer_send_socket (dial->socket, msg) != SR_OK)
     {
       if (msg->kind == MSG_OPEN)
         peer_refuse_open (peer, msg);
@@ -359,7 +390,10 @@
   list_push_tail (&peer->dials, &dial->node);
   dial->link.last_sent = now;
   if (peer_is_control_traffic (msg))
-    dial->has_control_traffic = true;
+    {
+      dial->has_control_traffic = true;
+      peer_link_expect_answer (&dial->link, now);
+    }
   if (msg->kind == MSG_OPEN)
     peer_link_add_stream (&dial->link, msg->stream, now);
   if (msg->kind == MSG_CANCEL)
@@ -492,6 +526,7 @@
 peer_update_inbound (struct peer *peer, const struct msg *msg, clk_us now)
 {
   struct peer_inbound *inbound = peer_find_inbound (peer, &msg->endpoint);
+  struct peer_link_opts link = { .lost_after = PEER_LINK_INBOUND_LOST_US };
 
   if (inbound == NULL)
     {
@@ -500,13 +535,13 @@
       inbound = calloc (1, sizeof *inbound);
       INVARIANT (inbound != NULL);
       inbound->endpoint = msg->endpoint;
-      peer_link_init (&inbound->link, PEER_LINK_INBOUND_LOST_US, now);
+      peer_link_init (&inbound->link, &link, now);
       list_push_tail (&peer->inbound, &inbound->node);
       peer->inbound_count++;
     }
   if (msg->kind == MSG_OPEN)
     peer_link_add_stream (&inbound->link, msg->stream, now);
-  inbound->link.last_received = now;
+  peer_link_receive (&inbound->link, now);
   if (msg->kind != MSG_CANCEL)
     return;
   peer_link_remove_stream (&inbound->link, msg->stream);
@@ -607,7 +642,7 @@
   msg = peer_decode (frames, count, PEER_FRAMES - 1);
   if (msg != NULL)
     {
-      dial->link.last_received = now;
+      peer_link_receive (&dial->link, now);
       if (peer_ends_stream (msg))
         peer_link_remove_stream (&dial->link, msg->stream);
       msg->endpoint.kind = MSG_ENDPOINT_DIAL;
@@ -632,8 +667,36 @@
   msg_free (msg);
 }
 
-/* Pings silent connections that have open streams and closes those that are
-   lost; the next request opens a new one.  */
+/* Ends a lost connection; the next message to its node opens a new one.  That
+   to a control replica keeps its record, which counts the losses.  */
+static void
+peer_lose_dial (struct peer *peer, struct peer_dial *dial, clk_us now)
+{
+  struct msg_endpoint endpoint = { .kind = MSG_ENDPOINT_DIAL };
+
+  snprintf (endpoint.u.address, sizeof endpoint.u.address, "%s",
+            dial->address);
+  counter_add (COUNTER_PEER_SILENT, 1);
+  /* One line for each outage.  */
+  if (dial->link.losses == 0)
+    slog (
+        SLOG_WARNING,
+        "peer timed out, connection replaced peer=%s state=%s silent_ms=%llu",
+        dial->address, peer_dial_state (dial),
+        (unsigned long long)(peer_link_silence (&dial->link, now)
+                             / CLK_US_PER_MS));
+  if (dial->has_control_traffic)
+    {
+      peer_close_socket (dial);
+      peer_link_lose (&dial->link, now);
+    }
+  else
+    peer_close_dial (peer, dial);
+  peer_report_lost (peer, &endpoint);
+}
+
+/* Pings silent connections that have open streams or a due answer, and ends
+   those that are lost.  */
 static void
 peer_check_dials (struct peer *peer, clk_us now)
 {
@@ -652,12 +715,7 @@
           peer_send_ping (peer, &endpoint, &dial->link, now);
           break;
         case PEER_LINK_LOST:
-          counter_add (COUNTER_PEER_SILENT, 1);
-          slog (SLOG_WARNING,
-                "peer timed out, connection replaced peer=%s state=%s",
-                dial->address, peer_dial_state (dial));
-          peer_close_dial (peer, dial);
-          peer_report_lost (peer, &endpoint);
+          peer_lose_dial (peer, dial, now);
           break;
         }
     }
@@ -721,6 +779,8 @@
     {
       const struct peer_dial *dial = list_entry (node, struct peer_dial, node);
 
+      if (dial->socket == NULL)
+        continue;
       peer->poll_items[count++]
           = (zmq_pollitem_t){ .socket = dial->socket, .events = ZMQ_POLLIN };
       if (dial->monitor != NULL)
@@ -744,6 +804,8 @@
     {
       struct peer_dial *dial = list_entry (node, struct peer_dial, node);
 
+      if (dial->socket == NULL)
+        continue;
       peer_read_monitor (dial);
       for (int i = 0;
            i < PEER_READ_BATCH_MAX && peer_read_dial (peer, dial, now); i++)
--- a/tasks/peer_link.c
+++ b/tasks/peer_link.c
@@ -5,14 +5,39 @@
 #include "core/err.h"
 
 void
-peer_link_init (struct peer_link *link, clk_us lost_after, clk_us now)
+peer_link_init (struct peer_link *link, const struct peer_link_opts *opts,
+                clk_us now)
 {
-  *link = (struct peer_link){ .last_received = now,
-                              .last_sent = now,
-                              .lost_after = lost_after };
+  *link = (struct peer_link){ .opts = *opts,
+                              .last_received = now,
+                              .last_sent = now };
   list_init (&link->streams);
 }
 
+void
+peer_link_expect_answer (struct peer_link *link, clk_us now)
+{
+  if (link->answer_due_since == 0)
+    link->answer_due_since = now;
+}
+
+void
+peer_link_receive (struct peer_link *link, clk_us now)
+{
+  link->last_received = now;
+  link->answer_due_since = 0;
+  link->losses = 0;
+}
+
+void
+peer_link_lose (struct peer_link *link, clk_us now)
+{
+  peer_link_clear (link);
+  link->last_received = now;
+  link->answer_due_since = 0;
+  link->losses++;
+}
+
 void
 peer_link_add_stream (struct peer_link *link, uint64_t stream, clk_us now)
 {
@@ -52,18 +77,50 @@
     free (list_entry (node, struct peer_link_stream, node));
 }
 
+clk_us
+peer_link_silence (const struct peer_link *link, clk_us now)
+{
+  clk_us since = now;
+
+  if (!list_empty (&link->streams))
+    since = link->last_received;
+  if (link->answer_due_since != 0 && link->answer_due_since < since)
+    since = link->answer_due_since;
+  return now - since;
+}
+
+/* Returns the time after which a due answer counts as lost.  */
+static clk_us
+peer_link_answer_timeout (const struct peer_link *link)
+{
+  clk_us timeout = link->opts.answer_timeout;
+
+  for (uint32_t i = 0;
+       i < link->losses && timeout < link->opts.answer_timeout_max; i++)
+    timeout *= 2;
+  return timeout < link->opts.answer_timeout_max
+             ? timeout
+             : link->opts.answer_timeout_max;
+}
+
 enum peer_link_action
 peer_link_check (const struct peer_link *link, clk_us now)
 {
-  if (list_empty (&link->streams))
+  bool answer_due = link->answer_due_since != 0;
+  bool has_streams = !list_empty (&link->streams);
+
+  if (!has_streams && !answer_due)
     return PEER_LINK_IDLE;
-  if (now - link->last_received >= link->lost_after)
+  if (has_streams && now - link->last_received >= link->opts.lost_after)
+    return PEER_LINK_LOST;
+  if (answer_due
+      && now - link->answer_due_since >= peer_link_answer_timeout (link))
     return PEER_LINK_LOST;
   if (now - link->last_ping < PEER_LINK_PING_US)
     return PEER_LINK_IDLE;
-  if (now - link->last_received >= PEER_LINK_PING_US)
+  if (peer_link_silence (link, now) >= PEER_LINK_PING_US)
     return PEER_LINK_PING;
-  if (now - link->last_sent >= PEER_LINK_KEEPALIVE_US)
+  if (has_streams && now - link->last_sent >= PEER_LINK_KEEPALIVE_US)
     return PEER_LINK_PING;
   return PEER_LINK_IDLE;
 }
--- a/tests/test_peer_contact.c
+++ b/tests/test_peer_contact.c
@@ -3,6 +3,7 @@
 #include <stdatomic.h>
 #include <time.h>
 
+#include "core/counter.h"
 #include "core/inbox.h"
 #include "core/msg.h"
 #include "programs/relay_pump.h"
@@ -22,6 +23,10 @@
    this time.  */
 #define OUTAGE_MS 7300
 #define POLL_MS 10
+#define SUSPENSION_MS 9000
+/* Two thirds of the bound: the interval between connections to a replica that
+   does not answer.  */
+#define RECONNECT_MIN_MS 2000
 
 static void
 sleep_ms (long ms)
@@ -268,12 +273,59 @@
   stop_replica (&replica);
 }
 
+/* Guards against a suspended replica that finds a connection for each moment
+   of its suspension: the kernel accepts them, and nobody answers.  */
+static void
+test_suspended_replica (void)
+{
+  char address[NET_ADDRESS_BYTES];
+  struct plain plain = { 0 };
+  int listener = net_bind (address);
+  int fd;
+  int count = 0;
+
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 128), 0);
+  fcntl (listener, F_SETFL, O_NONBLOCK);
+  start_plain (&plain, address);
+  sleep_ms (SUSPENSION_MS);
+  while ((fd = accept (listener, NULL, NULL)) >= 0)
+    {
+      close (fd);
+      count++;
+    }
+  CU_ASSERT_TRUE (count >= 2);
+  CU_ASSERT_TRUE (count <= 2 + SUSPENSION_MS / RECONNECT_MIN_MS);
+  stop_plain (&plain);
+  close (listener);
+}
+
+/* Guards against a working connection that is replaced because its node is no
+   control replica, or its control task is busy, and answers no renewal.  */
+static void
+test_node_without_answers (void)
+{
+  struct node replica = { 0 };
+  struct plain plain = { 0 };
+  uint64_t lost = counter_get (COUNTER_PEER_SILENT);
+
+  close (net_bind (replica.address));
+  start_replica (&replica);
+  start_plain (&plain, replica.address);
+  sleep_ms (2 * CONTACT_MAX_US / CLK_US_PER_MS);
+  CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_SILENT), lost);
+  CU_ASSERT_TRUE (answer_renewals (&replica) > 1);
+  stop_plain (&plain);
+  stop_replica (&replica);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "silent connection to a control replica", test_silent_connection },
           { "control replica that was unreachable", test_unreachable_replica },
+          { "suspended control replica", test_suspended_replica },
+          { "node that answers no renewal", test_node_without_answers },
           { NULL, NULL } };
 
   return suite_run ("peer contact", tests);
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -1,6 +1,13 @@
 #include "tasks/peer_link.h"
 #include "tests/suite.h"
 
+#define ANSWER_TIMEOUT_US clk_ms (700)
+
+static const struct peer_link_opts opts
+    = { .lost_after = PEER_LINK_LOST_US,
+        .answer_timeout = ANSWER_TIMEOUT_US,
+        .answer_timeout_max = 2 * ANSWER_TIMEOUT_US };
+
 /* Guards against a silent connection that is kept while streams wait for it,
    and against an idle connection that is reported as lost.  */
 static void
@@ -8,7 +15,7 @@
 {
   struct peer_link link;
 
-  peer_link_init (&link, PEER_LINK_LOST_US, 0);
+  peer_link_init (&link, &opts, 0);
   CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60)), PEER_LINK_IDLE);
   peer_link_add_stream (&link, 1, clk_s (60));
   CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60) + PEER_LINK_PING_US),
@@ -18,7 +25,7 @@
                    PEER_LINK_IDLE);
   CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60) + PEER_LINK_LOST_US),
                    PEER_LINK_LOST);
-  link.last_received = clk_s (60) + PEER_LINK_LOST_US;
+  peer_link_receive (&link, clk_s (60) + PEER_LINK_LOST_US);
   CU_ASSERT_NOT_EQUAL (peer_link_check (&link, clk_s (60) + PEER_LINK_LOST_US),
                        PEER_LINK_LOST);
   peer_link_remove_stream (&link, 1);
@@ -33,20 +40,74 @@
 {
   struct peer_link link;
 
-  peer_link_init (&link, PEER_LINK_LOST_US, 0);
+  peer_link_init (&link, &opts, 0);
   peer_link_add_stream (&link, 1, 0);
-  link.last_received = PEER_LINK_KEEPALIVE_US;
+  peer_link_receive (&link, PEER_LINK_KEEPALIVE_US);
   CU_ASSERT_EQUAL (peer_link_check (&link, PEER_LINK_KEEPALIVE_US),
                    PEER_LINK_PING);
   peer_link_clear (&link);
 }
 
+/* Guards against a connection without streams that is silent for good and is
+   kept although the node owes an answer, and against one that is given up
+   although the node answers.  */
+static void
+test_missing_answer_is_lost (void)
+{
+  struct peer_link link;
+
+  peer_link_init (&link, &opts, 0);
+  peer_link_expect_answer (&link, clk_s (5));
+  peer_link_expect_answer (&link, clk_s (5) + PEER_LINK_PING_US - 1);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (5) + PEER_LINK_PING_US - 1),
+                   PEER_LINK_IDLE);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (5) + PEER_LINK_PING_US),
+                   PEER_LINK_PING);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (5) + ANSWER_TIMEOUT_US),
+                   PEER_LINK_LOST);
+  CU_ASSERT_EQUAL (peer_link_silence (&link, clk_s (5) + ANSWER_TIMEOUT_US),
+                   ANSWER_TIMEOUT_US);
+  peer_link_receive (&link, clk_s (5) + ANSWER_TIMEOUT_US);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60)), PEER_LINK_IDLE);
+  CU_ASSERT_EQUAL (peer_link_silence (&link, clk_s (60)), 0);
+}
+
+/* Guards against a node that is suspended and is flooded with connections, and
+   against one that is not tried again soon after it has answered.  */
+static void
+test_losses_extend_the_timeout (void)
+{
+  struct peer_link link;
+  clk_us now = clk_s (5);
+
+  peer_link_init (&link, &opts, 0);
+  for (uint32_t loss = 0; loss < 40; loss++)
+    {
+      clk_us timeout = loss == 0 ? ANSWER_TIMEOUT_US : opts.answer_timeout_max;
+
+      peer_link_expect_answer (&link, now);
+      CU_ASSERT_NOT_EQUAL (peer_link_check (&link, now + timeout - 1),
+                           PEER_LINK_LOST);
+      now += timeout;
+      CU_ASSERT_EQUAL (peer_link_check (&link, now), PEER_LINK_LOST);
+      peer_link_lose (&link, now);
+      CU_ASSERT_EQUAL (peer_link_check (&link, now + clk_s (60)),
+                       PEER_LINK_IDLE);
+    }
+  peer_link_receive (&link, now);
+  peer_link_expect_answer (&link, now);
+  CU_ASSERT_EQUAL (peer_link_check (&link, now + ANSWER_TIMEOUT_US),
+                   PEER_LINK_LOST);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "silent connection is lost", test_silent_connection_is_lost },
           { "keepalive while only receiving", test_keepalive_while_receiving },
+          { "missing answer is lost", test_missing_answer_is_lost },
+          { "losses extend the timeout", test_losses_extend_the_timeout },
           { NULL, NULL } };
 
   return suite_run ("peer_link", tests);
