--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -229,6 +229,60 @@
     }
 }
 
+/* Guards against a head that ends early and is taken for a complete one:
+   whatever it declares, and however its bytes are divided among reads, no part
+   of it may be reported before its empty line, and the end of the connection
+   does not complete it.  */
+static void
+test_truncated_heads (void)
+{
+  struct httpmsg_opts opts = { .role = HTTPMSG_ANSWER,
+                               .names = &names,
+                               .sink = &sink,
+                               .max_header_bytes = 1024 };
+  static const char interim[] = "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\n";
+  static const char *const heads[] = {
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\nX-Seal: s\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "HTTP/1.1 200 OK\r\nX-Id: 7\r\nConnection: close\r\n\r\n",
+    "HTTP/1.0 200 OK\r\nX-Id: 7\r\n\r\n",
+    "HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n",
+    "HTTP/1.1 200 OK\nX-Id: 7\n\n",
+  };
+
+  for (size_t i = 0; i < 2 * sizeof heads / sizeof heads[0]; i++)
+    for (size_t cut = 0; cut < strlen (heads[i / 2]); cut++)
+      for (size_t step = 1; step <= cut + 1; step++)
+        {
+          struct received received = { 0 };
+          struct httpmsg_parser parser;
+          char bytes[128];
+
+          opts.arg = &received;
+          httpmsg_init (&parser, &opts);
+          if (i % 2 != 0)
+            CU_ASSERT_EQUAL (httpmsg_feed (&parser, interim, strlen (interim)),
+                             SR_OK);
+          for (size_t at = 0; at < cut; at += step)
+            {
+              size_t len = cut - at < step ? cut - at : step;
+
+              memcpy (bytes, heads[i / 2] + at, len);
+              SUITE_SEEDED (httpmsg_feed (&parser, bytes, len) == SR_OK,
+                            i * 1000 + cut);
+            }
+          SUITE_SEEDED (httpmsg_in_message (&parser) == (cut > 0),
+                        i * 1000 + cut);
+          SUITE_SEEDED (httpmsg_feed_eof (&parser)
+                            == (cut > 0 ? SR_EMALFORMED : SR_OK),
+                        i * 1000 + cut);
+          SUITE_SEEDED (received.head_count == 0 && received.end_count == 0,
+                        i * 1000 + cut);
+          httpmsg_fini (&parser);
+          received_free (&received);
+        }
+}
+
 /* An interim response must be reported as such, with its own fields.  It must
    not be taken for the final response, nor may its fields appear there.  */
 static void
@@ -387,6 +441,7 @@
           { "limit on headers", test_header_limit },
           { "pipelined requests", test_pipeline },
           { "truncated responses", test_truncated_responses },
+          { "truncated heads", test_truncated_heads },
           { "responses to HEAD", test_head_responses },
           { "interim responses", test_interim_responses },
           { "interim responses without end", test_endless_interim_responses },
