front: a chunked answer ends with its last chunk only

What callers saw: 200 with an empty or short body, and with the last chunk, when the server of the own interface closed or reset the connection after the head of a chunked answer. For a non-idempotent request this answer was recorded for its resends.

Cause: libwebsockets calls back that an answer is completed when its last chunk was read, and also when the connection of an answer without a length ends, "to the best of its knowledge". The node took the callback for a chunked answer as proof of the last chunk.

Change: the read in progress tells the two apart. The last chunk comes with bytes, so that libwebsockets has moved the position in the buffer, or uses its own; at the end of the connection it returns none. An answer that is not completed ends like any other connection that is closed while a request is on it: the server is probed, a lost process counts as a crash, and the caller gets answer-incomplete, unknown. Until now an answer with neither a length nor chunks was refused without the probe.

--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -453,8 +453,8 @@
 front_backend_read_body (struct front_backend_conn *conn, struct lws *wsi)
 {
   char buffer[LWS_PRE + FRONT_BACKEND_READ_BYTES];
-  char *start = buffer + LWS_PRE;
   int len = FRONT_BACKEND_READ_BYTES;
+  int result;
 
   if (conn->serve == NULL)
     return -1;
@@ -463,18 +463,38 @@
       conn->paused = true;
       lws_rx_flow_control (wsi, 0);
     }
-  return lws_http_client_read (wsi, &start, &len) < 0 ? -1 : 0;
+  conn->read_buffer = buffer + LWS_PRE;
+  conn->read_position = conn->read_buffer;
+  result = lws_http_client_read (wsi, &conn->read_position, &len);
+  conn->read_buffer = NULL;
+  conn->read_position = NULL;
+  return result < 0 ? -1 : 0;
+}
+
+/* Ends a request whose answer was not completed on a connection that is about
+   to be closed.  The server may have crashed; probe it.  */
+static void
+front_backend_fail_sent (struct front_serve *serve, bool head_received)
+{
+  serve->refusal
+      = head_received ? REASON_ANSWER_INCOMPLETE : REASON_BACKEND_CLOSED;
+  front_health_await_probe (serve);
 }
 
 /* Handles the end of the answer as seen by libwebsockets.  It is complete only
-   if the declared length or the last chunk was received.  */
+   if the declared length or the last chunk was received.  For an answer
+   without a length, libwebsockets reports the end of the connection as that of
+   the answer, too; only the last chunk comes with bytes of the read in
+   progress.  */
 static void
 front_backend_handle_answer_end (struct front_backend_conn *conn)
 {
   struct front_serve *serve = conn->serve;
-  bool complete = conn->chunked
-                  || (conn->body_len >= 0
-                      && conn->received_bytes == (uint64_t)conn->body_len);
+  bool any_read = conn->read_position != conn->read_buffer;
+  bool complete = conn->chunked ? any_read
+                                : conn->body_len >= 0
+                                      && conn->received_bytes
+                                             == (uint64_t)conn->body_len;
 
   if (serve == NULL)
     return;
@@ -483,7 +503,7 @@
   if (complete)
     front_answer_complete (serve);
   else
-    front_serve_refuse (serve, REASON_ANSWER_INCOMPLETE, REASON_RUN_UNKNOWN);
+    front_backend_fail_sent (serve, true);
 }
 
 /* Handles a failed connection, or one closed before the answer was
@@ -504,10 +524,7 @@
   front_backend_release_conn (conn, false);
   if (serve->sent_to_backend)
     {
-      /* The server may have crashed; probe it.  */
-      serve->refusal
-          = head_received ? REASON_ANSWER_INCOMPLETE : REASON_BACKEND_CLOSED;
-      front_health_await_probe (serve);
+      front_backend_fail_sent (serve, head_received);
       return;
     }
   if (serve->refusal != REASON_NONE)
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -170,6 +170,10 @@
   uint64_t received_bytes;  /* body bytes of the answer */
   uint64_t body_sent_bytes; /* body bytes of the request */
   bool paused;              /* reading waits for room in the answer buffer */
+  /* During a read of the body: the buffer for it, and how far libwebsockets
+     has consumed it, or its own buffer of bytes received before.  */
+  char *read_buffer;
+  char *read_position;
 };
 
 /* The backend server of this node.  */
