peer: stop the monitor of a connection before it is closed

What operators would see: after an outage of control replicas a node, rarely, sends and receives nothing on its peer connections for good, and ends by itself later.

Cause: a connection to a control replica has a monitor, a pair of sockets in the process. peer_close_socket() closed the connection and then the receiving end of the monitor; ZeroMQ's only I/O thread could still report an event of the old connection, and waits without end for a receiver. Since lost connections are replaced this happened whenever a handshake ended in the fraction of a millisecond around the timeout.

Change: peer_monitor_close() stops the monitor first, which waits for a report in progress and prevents further ones.

--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -190,10 +190,10 @@
 static void
 peer_close_socket (struct peer_dial *dial)
 {
-  if (dial->socket != NULL)
-    zmq_close (dial->socket);
-  if (dial->monitor != NULL)
-    zmq_close (dial->monitor);
+  if (dial->socket == NULL)
+    return;
+  peer_monitor_close (dial->monitor, dial->socket);
+  zmq_close (dial->socket);
   dial->socket = NULL;
   dial->monitor = NULL;
   dial->connected = false;
--- a/tasks/peer_monitor.c
+++ b/tasks/peer_monitor.c
@@ -28,6 +28,15 @@
   return NULL;
 }
 
+void
+peer_monitor_close (void *monitor, void *socket)
+{
+  if (monitor == NULL)
+    return;
+  zmq_socket_monitor (socket, NULL, 0);
+  zmq_close (monitor);
+}
+
 /* Reads one event message: a frame with the event number (16 bits) and its
    value, and a frame with the endpoint.  Returns the event number, or 0 when
    there is no message.  */
--- a/tasks/peer_monitor.h
+++ b/tasks/peer_monitor.h
@@ -22,11 +22,16 @@
  * @context: context of the socket
  * @socket: socket that is not connected yet
  *
- * Return: socket to poll and to pass to peer_monitor_next(), closed with
- * zmq_close(); NULL when descriptors or memory are exhausted.
+ * Return: monitor to poll and to pass to peer_monitor_next(), to be closed
+ * with peer_monitor_close(); NULL when descriptors or memory are exhausted.
  */
 void *peer_monitor_open (void *context, void *socket);
 
+/* Closes a monitor, which may be NULL, before its socket is closed.  Without
+   the order of this function an event of the socket would have no receiver,
+   and ZeroMQ's thread would wait for one for good.  */
+void peer_monitor_close (void *monitor, void *socket);
+
 /* Returns the next event; @monitor may be NULL.  */
 enum peer_monitor_event peer_monitor_next (void *monitor);
 
