peer: only an answer shows that a control replica hears this node

What operators would see: a node whose messages to a replica get lost, while those of the replica arrive, loses its lease there, and stays out of touch for longer than contact_s.

Cause: any message counted as the answer that was due, also the changes and notices that a replica sends unasked. So a connection on which only one direction was silent was kept.

Change: the reply to a renewal and that to a ping are answers.

Evidence: test_peer_contact, "replica that only hears nothing": the relay passes nothing to the replica, which sends a notice each 100 ms.

--- a/programs/relay_pump.c
+++ b/programs/relay_pump.c
@@ -20,7 +20,7 @@
 {
   struct list_node node;
   int fds[2]; /* client, target */
-  bool blackholed;
+  enum relay_mode mode;
 };
 
 static struct sockaddr_in
@@ -96,7 +96,7 @@
   INVARIANT (connection != NULL);
   connection->fds[0] = client;
   connection->fds[1] = server;
-  connection->blackholed = relay->blackhole_new;
+  connection->mode = relay->blackhole_new ? RELAY_PASS_NONE : RELAY_PASS_ALL;
   list_push_tail (&relay->connections, &connection->node);
 }
 
@@ -137,13 +137,18 @@
       struct relay_connection *connection
           = list_entry (node, struct relay_connection, node);
 
-      if (connection->blackholed || count + 2 > 1 + 2 * RELAY_CONNECTIONS_MAX)
+      if (connection->mode == RELAY_PASS_NONE
+          || count + 2 > 1 + 2 * RELAY_CONNECTIONS_MAX)
         continue;
       for (int end = 0; end < 2; end++)
         {
+          bool passes = connection->mode == RELAY_PASS_ALL || end == 1;
+
           owners[count] = connection;
-          fds[count++] = (struct pollfd){ .fd = connection->fds[end],
-                                          .events = POLLIN };
+          /* poll() ignores a negative descriptor.  */
+          fds[count++]
+              = (struct pollfd){ .fd = passes ? connection->fds[end] : -1,
+                                 .events = POLLIN };
         }
     }
   if (poll (fds, count, RELAY_POLL_TIMEOUT_MS) <= 0)
@@ -163,10 +168,10 @@
 }
 
 void
-relay_blackhole_open (struct relay *relay)
+relay_set_open (struct relay *relay, enum relay_mode mode)
 {
   list_each (node, &relay->connections)
-    list_entry (node, struct relay_connection, node)->blackholed = true;
+    list_entry (node, struct relay_connection, node)->mode = mode;
 }
 
 void
--- a/programs/relay_pump.h
+++ b/programs/relay_pump.h
@@ -14,6 +14,14 @@
 #include "core/list.h"
 #include "programs/tool_opt.h"
 
+/* What passes on a connection.  */
+enum relay_mode
+{
+  RELAY_PASS_ALL,
+  RELAY_PASS_ANSWERS, /* from the target only */
+  RELAY_PASS_NONE,
+};
+
 struct relay
 {
   struct tool_opt_address listen;
@@ -29,8 +37,8 @@
 /* Waits up to 500 ms for bytes and connections, and handles them once.  */
 void relay_poll (struct relay *relay);
 
-/* Blackholes all connections that are open now.  */
-void relay_blackhole_open (struct relay *relay);
+/* Changes what passes on all connections that are open now.  */
+void relay_set_open (struct relay *relay, enum relay_mode mode);
 
 void relay_close (struct relay *relay);
 
--- a/programs/rudder-relay.c
+++ b/programs/rudder-relay.c
@@ -66,7 +66,7 @@
     {
       relay.blackhole_new = main_blackhole_new;
       if (main_blackhole_open)
-        relay_blackhole_open (&relay);
+        relay_set_open (&relay, RELAY_PASS_NONE);
       main_blackhole_open = 0;
       relay_poll (&relay);
     }
--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -541,7 +541,7 @@
     }
   if (msg->kind == MSG_OPEN)
     peer_link_add_stream (&inbound->link, msg->stream, now);
-  peer_link_receive (&inbound->link, now);
+  peer_link_receive (&inbound->link, true, now);
   if (msg->kind != MSG_CANCEL)
     return;
   peer_link_remove_stream (&inbound->link, msg->stream);
@@ -629,6 +629,14 @@
   return true;
 }
 
+/* Whether MSG answers a message of this node; a replica also sends changes and
+   notices that nobody has asked for.  */
+static bool
+peer_is_answer (const struct msg *msg)
+{
+  return msg->kind == MSG_PONG || msg->kind == MSG_RENEW_REPLY;
+}
+
 /* Reads one message from a DEALER; returns whether there was one.  */
 static bool
 peer_read_dial (struct peer *peer, struct peer_dial *dial, clk_us now)
@@ -642,7 +650,7 @@
   msg = peer_decode (frames, count, PEER_FRAMES - 1);
   if (msg != NULL)
     {
-      peer_link_receive (&dial->link, now);
+      peer_link_receive (&dial->link, peer_is_answer (msg), now);
       if (peer_ends_stream (msg))
         peer_link_remove_stream (&dial->link, msg->stream);
       msg->endpoint.kind = MSG_ENDPOINT_DIAL;
--- a/tasks/peer_link.c
+++ b/tasks/peer_link.c
@@ -22,9 +22,11 @@
 }
 
 void
-peer_link_receive (struct peer_link *link, clk_us now)
+peer_link_receive (struct peer_link *link, bool answers, clk_us now)
 {
   link->last_received = now;
+  if (!answers)
+    return;
   link->answer_due_since = 0;
   link->losses = 0;
 }
--- a/tasks/peer_link.h
+++ b/tasks/peer_link.h
@@ -52,7 +52,7 @@
   clk_us last_sent;
   clk_us last_ping;
   clk_us answer_due_since; /* first message sent that is not answered, or 0 */
-  uint32_t losses;         /* since the last received message */
+  uint32_t losses;         /* since the last answer */
 };
 
 enum peer_link_action
@@ -65,11 +65,12 @@
 void peer_link_init (struct peer_link *link, const struct peer_link_opts *opts,
                      clk_us now);
 
-/* Records a message that the node has to answer; any message answers it.  */
+/* Records a message that the node has to answer.  */
 void peer_link_expect_answer (struct peer_link *link, clk_us now);
 
-/* Records a received message.  */
-void peer_link_receive (struct peer_link *link, clk_us now);
+/* Records a received message.  ANSWERS: it answers one of ours, which tells
+   that those arrive, too.  */
+void peer_link_receive (struct peer_link *link, bool answers, clk_us now);
 
 /* Records the loss of the connection, which ends its streams.  */
 void peer_link_lose (struct peer_link *link, clk_us now);
--- a/tests/test_peer_contact.c
+++ b/tests/test_peer_contact.c
@@ -24,6 +24,7 @@
 #define OUTAGE_MS 7300
 #define POLL_MS 10
 #define SUSPENSION_MS 9000
+#define NOTICE_INTERVAL_MS 100
 /* Two thirds of the bound: the interval between connections to a replica that
    does not answer.  */
 #define RECONNECT_MIN_MS 2000
@@ -82,10 +83,10 @@
   inbox_free (replica->control);
 }
 
-/* Answers the renewals that the replica has received; returns their
-   number.  */
+/* Answers the renewals that the replica has received and copies the endpoint
+   of the last one to SENDER unless that is NULL; returns their number.  */
 static uint32_t
-answer_renewals (struct node *replica)
+answer_renewals (struct node *replica, struct msg_endpoint *sender)
 {
   struct list messages;
   struct list_node *item;
@@ -101,6 +102,8 @@
         {
           struct msg *reply = msg_new (MSG_RENEW_REPLY);
 
+          if (sender != NULL)
+            *sender = msg->endpoint;
           reply->endpoint = msg->endpoint;
           reply->u.renew_reply.position.epoch = 1;
           reply->u.renew_reply.full = true;
@@ -118,7 +121,7 @@
 {
   clk_us start = clk_now ();
 
-  while (answer_renewals (replica) == 0 && clk_now () - start < max)
+  while (answer_renewals (replica, NULL) == 0 && clk_now () - start < max)
     sleep_ms (POLL_MS);
   return clk_now () - start;
 }
@@ -163,7 +166,7 @@
   char address[NET_ADDRESS_BYTES];
   struct relay relay;
   atomic_bool stop;
-  atomic_bool blackhole;
+  atomic_int mode; /* new mode of the open connections, or -1 */
   pthread_t thread;
 };
 
@@ -183,9 +186,13 @@
 
   while (!silencer->stop)
     {
+      int mode;
+
       relay_poll (&silencer->relay);
-      if (atomic_exchange (&silencer->blackhole, false))
-        relay_blackhole_open (&silencer->relay);
+      mode = silencer->mode;
+      if (mode >= 0)
+        relay_set_open (&silencer->relay, (enum relay_mode)mode);
+      silencer->mode = -1;
     }
   return NULL;
 }
@@ -193,6 +200,7 @@
 static void
 start_silencer (struct silencer *silencer, const char *target)
 {
+  silencer->mode = -1;
   close (net_bind (silencer->address));
   set_address (&silencer->relay.listen, silencer->address);
   set_address (&silencer->relay.target, target);
@@ -201,6 +209,16 @@
       pthread_create (&silencer->thread, NULL, silencer_main, silencer), 0);
 }
 
+/* Changes what passes on the open connections; returns the time.  */
+static clk_us
+silence (struct silencer *silencer, enum relay_mode mode)
+{
+  silencer->mode = (int)mode;
+  while (silencer->mode >= 0)
+    sleep_ms (POLL_MS);
+  return clk_now ();
+}
+
 static void
 stop_silencer (struct silencer *silencer)
 {
@@ -229,11 +247,8 @@
 
       CU_ASSERT_TRUE (wait_for_renewal (&replica, START_MAX_US)
                       < START_MAX_US);
-      silent_since = clk_now ();
-      silencer.blackhole = true;
-      while (silencer.blackhole)
-        sleep_ms (POLL_MS);
-      answer_renewals (&replica);
+      silent_since = silence (&silencer, RELAY_PASS_NONE);
+      answer_renewals (&replica, NULL);
       wait_for_renewal (&replica, 4 * CONTACT_MAX_US);
       CU_ASSERT_TRUE (clk_now () - silent_since < CONTACT_MAX_US);
     }
@@ -242,6 +257,42 @@
   stop_replica (&replica);
 }
 
+/* Guards against a node whose messages to a replica get lost while those of
+   the replica, which nobody asked for, arrive: its lease would end.  */
+static void
+test_one_way_silence (void)
+{
+  struct node replica = { 0 };
+  struct silencer silencer = { 0 };
+  struct plain plain = { 0 };
+  struct msg_endpoint sender = { 0 };
+  clk_us start;
+
+  close (net_bind (replica.address));
+  start_replica (&replica);
+  start_silencer (&silencer, replica.address);
+  start_plain (&plain, silencer.address);
+  start = clk_now ();
+  while (answer_renewals (&replica, &sender) == 0
+         && clk_now () - start < START_MAX_US)
+    sleep_ms (POLL_MS);
+  start = silence (&silencer, RELAY_PASS_ANSWERS);
+  answer_renewals (&replica, NULL);
+  while (answer_renewals (&replica, NULL) == 0
+         && clk_now () - start < 4 * CONTACT_MAX_US)
+    {
+      struct msg *notice = msg_new (MSG_CRASH_MARKS);
+
+      notice->endpoint = sender;
+      inbox_put (peer_inbox (replica.peer), notice);
+      sleep_ms (NOTICE_INTERVAL_MS);
+    }
+  CU_ASSERT_TRUE (clk_now () - start < CONTACT_MAX_US);
+  stop_plain (&plain);
+  stop_silencer (&silencer);
+  stop_replica (&replica);
+}
+
 /* Listens at a free address but drops each SYN, as a machine without power
    does: the queue of connections is full and none is accepted.  */
 static void
@@ -313,7 +364,7 @@
   start_plain (&plain, replica.address);
   sleep_ms (2 * CONTACT_MAX_US / CLK_US_PER_MS);
   CU_ASSERT_EQUAL (counter_get (COUNTER_PEER_SILENT), lost);
-  CU_ASSERT_TRUE (answer_renewals (&replica) > 1);
+  CU_ASSERT_TRUE (answer_renewals (&replica, NULL) > 1);
   stop_plain (&plain);
   stop_replica (&replica);
 }
@@ -323,6 +374,7 @@
 {
   static const struct suite_test tests[]
       = { { "silent connection to a control replica", test_silent_connection },
+          { "replica that only hears nothing", test_one_way_silence },
           { "control replica that was unreachable", test_unreachable_replica },
           { "suspended control replica", test_suspended_replica },
           { "node that answers no renewal", test_node_without_answers },
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -25,7 +25,7 @@
                    PEER_LINK_IDLE);
   CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60) + PEER_LINK_LOST_US),
                    PEER_LINK_LOST);
-  peer_link_receive (&link, clk_s (60) + PEER_LINK_LOST_US);
+  peer_link_receive (&link, true, clk_s (60) + PEER_LINK_LOST_US);
   CU_ASSERT_NOT_EQUAL (peer_link_check (&link, clk_s (60) + PEER_LINK_LOST_US),
                        PEER_LINK_LOST);
   peer_link_remove_stream (&link, 1);
@@ -42,7 +42,7 @@
 
   peer_link_init (&link, &opts, 0);
   peer_link_add_stream (&link, 1, 0);
-  peer_link_receive (&link, PEER_LINK_KEEPALIVE_US);
+  peer_link_receive (&link, true, PEER_LINK_KEEPALIVE_US);
   CU_ASSERT_EQUAL (peer_link_check (&link, PEER_LINK_KEEPALIVE_US),
                    PEER_LINK_PING);
   peer_link_clear (&link);
@@ -67,7 +67,10 @@
                    PEER_LINK_LOST);
   CU_ASSERT_EQUAL (peer_link_silence (&link, clk_s (5) + ANSWER_TIMEOUT_US),
                    ANSWER_TIMEOUT_US);
-  peer_link_receive (&link, clk_s (5) + ANSWER_TIMEOUT_US);
+  peer_link_receive (&link, false, clk_s (5) + ANSWER_TIMEOUT_US);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (5) + ANSWER_TIMEOUT_US),
+                   PEER_LINK_LOST);
+  peer_link_receive (&link, true, clk_s (5) + ANSWER_TIMEOUT_US);
   CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60)), PEER_LINK_IDLE);
   CU_ASSERT_EQUAL (peer_link_silence (&link, clk_s (60)), 0);
 }
@@ -94,7 +97,7 @@
       CU_ASSERT_EQUAL (peer_link_check (&link, now + clk_s (60)),
                        PEER_LINK_IDLE);
     }
-  peer_link_receive (&link, now);
+  peer_link_receive (&link, true, now);
   peer_link_expect_answer (&link, now);
   CU_ASSERT_EQUAL (peer_link_check (&link, now + ANSWER_TIMEOUT_US),
                    PEER_LINK_LOST);
