peer: more time for an established connection that was slow before

Cause: the timeout of an answer counts whole messages, and an answer waits behind a long message on a slow link. A document or log entry that needs longer than two thirds of contact_s would be begun again with each replaced connection, for good (argued; no run showed it).

Change: the timeout goes on doubling, up to the time that the longest message needs at 1 Mbit/s, while the connections that are lost were established, so that their node is alive. For one that cannot be reached it stays at two thirds of contact_s.

Evidence: test_peer_link, "slow link gets time", which the code before cannot pass (its timeout never exceeded the maximum).

--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -33,6 +33,8 @@
    and the rest for the new connection.  */
 #define PEER_CONTACT_SHARES 3
 #define PEER_CONTACT_MIN_US clk_s (1)
+/* Time for the longest message, PACK_FRAME_BYTES_MAX, at 1 Mbit/s.  */
+#define PEER_SLOW_TIMEOUT_MAX_US clk_s (17)
 /* Heartbeats of DEALER sockets only.  After a handover a ROUTER socket of
    libzmq 4.3.4 keeps the previous connection with its input stopped; once that
    connection fails, its next heartbeat aborts the process (assertion
@@ -51,9 +53,8 @@
 {
   struct list_node node; /* peer->dials, least recently used first */
   char address[MSG_ADDRESS_BYTES];
-  void *socket;   /* NULL after a loss, until the next message */
-  void *monitor;  /* events of a connection to a control replica, or NULL */
-  bool connected; /* according to @monitor */
+  void *socket;  /* NULL after a loss, until the next message */
+  void *monitor; /* events of a connection to a control replica, or NULL */
   struct peer_link link;
   bool has_control_traffic; /* used for renewals, proposals or Raft messages */
 };
@@ -196,7 +197,6 @@
   zmq_close (dial->socket);
   dial->socket = NULL;
   dial->monitor = NULL;
-  dial->connected = false;
 }
 
 static void
@@ -240,7 +240,7 @@
 {
   if (dial->monitor == NULL)
     return "unknown";
-  return dial->connected ? "established" : "none";
+  return dial->link.connected ? "established" : "none";
 }
 
 /* Opens the socket of a connection for MSG.  Only connections to control
@@ -281,7 +281,8 @@
   struct peer_link_opts link
       = { .lost_after = PEER_LINK_LOST_US,
           .answer_timeout = peer->opts.contact / PEER_CONTACT_SHARES,
-          .answer_timeout_max = 2 * peer->opts.contact / PEER_CONTACT_SHARES };
+          .answer_timeout_max = 2 * peer->opts.contact / PEER_CONTACT_SHARES,
+          .slow_timeout_max = PEER_SLOW_TIMEOUT_MAX_US };
 
   INVARIANT (dial != NULL);
   if (peer->dial_count >= PEER_DIALS_MAX)
@@ -752,7 +753,7 @@
 
   while ((event = peer_monitor_next (dial->monitor)) != PEER_MONITOR_NONE)
     {
-      dial->connected = event == PEER_MONITOR_ESTABLISHED;
+      dial->link.connected = event == PEER_MONITOR_ESTABLISHED;
       slog (SLOG_INFO, "peer connection changed peer=%s state=%s",
             dial->address, peer_dial_state (dial));
     }
--- a/tasks/peer_link.c
+++ b/tasks/peer_link.c
@@ -37,7 +37,9 @@
   peer_link_clear (link);
   link->last_received = now;
   link->answer_due_since = 0;
-  link->losses++;
+  /* Only losses of established connections tell that the link is slow.  */
+  link->losses = link->connected ? link->losses + 1 : 1;
+  link->connected = false;
 }
 
 void
@@ -96,13 +98,12 @@
 peer_link_answer_timeout (const struct peer_link *link)
 {
   clk_us timeout = link->opts.answer_timeout;
+  clk_us max = link->connected ? link->opts.slow_timeout_max
+                               : link->opts.answer_timeout_max;
 
-  for (uint32_t i = 0;
-       i < link->losses && timeout < link->opts.answer_timeout_max; i++)
+  for (uint32_t i = 0; i < link->losses && timeout < max; i++)
     timeout *= 2;
-  return timeout < link->opts.answer_timeout_max
-             ? timeout
-             : link->opts.answer_timeout_max;
+  return timeout < max ? timeout : max;
 }
 
 enum peer_link_action
--- a/tasks/peer_link.h
+++ b/tasks/peer_link.h
@@ -38,10 +38,14 @@
 {
   clk_us lost_after; /* silence with open streams */
   /* Silence without streams while an answer is due.  Doubles with each loss
-     without a message in between, so that a node that is suspended or slow is
-     not flooded with new connections.  */
+     until an answer arrives, so that a node that is suspended is not flooded
+     with new connections.  */
   clk_us answer_timeout;
   clk_us answer_timeout_max;
+  /* The same maximum for an established connection.  Its node is alive; the
+     answer may wait behind a long message on a slow link, and a shorter time
+     would begin that message again and again.  */
+  clk_us slow_timeout_max;
 };
 
 struct peer_link
@@ -53,6 +57,7 @@
   clk_us last_ping;
   clk_us answer_due_since; /* first message sent that is not answered, or 0 */
   uint32_t losses;         /* since the last answer */
+  bool connected;          /* the connection is established */
 };
 
 enum peer_link_action
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -6,7 +6,8 @@
 static const struct peer_link_opts opts
     = { .lost_after = PEER_LINK_LOST_US,
         .answer_timeout = ANSWER_TIMEOUT_US,
-        .answer_timeout_max = 2 * ANSWER_TIMEOUT_US };
+        .answer_timeout_max = 2 * ANSWER_TIMEOUT_US,
+        .slow_timeout_max = 16 * ANSWER_TIMEOUT_US };
 
 /* Guards against a silent connection that is kept while streams wait for it,
    and against an idle connection that is reported as lost.  */
@@ -103,6 +104,37 @@
                    PEER_LINK_LOST);
 }
 
+/* Guards against a long message on a slow link that is begun again for good,
+   because its connection is replaced before it has arrived.  */
+static void
+test_slow_link_gets_time (void)
+{
+  struct peer_link link;
+  clk_us now = clk_s (5);
+
+  peer_link_init (&link, &opts, 0);
+  for (clk_us timeout = ANSWER_TIMEOUT_US; timeout < opts.slow_timeout_max;
+       timeout *= 2)
+    {
+      link.connected = true;
+      peer_link_expect_answer (&link, now);
+      CU_ASSERT_NOT_EQUAL (peer_link_check (&link, now + timeout - 1),
+                           PEER_LINK_LOST);
+      now += timeout;
+      CU_ASSERT_EQUAL (peer_link_check (&link, now), PEER_LINK_LOST);
+      peer_link_lose (&link, now);
+    }
+  /* A node that cannot be reached is tried as often as before.  */
+  peer_link_expect_answer (&link, now);
+  CU_ASSERT_EQUAL (peer_link_check (&link, now + opts.answer_timeout_max),
+                   PEER_LINK_LOST);
+  peer_link_lose (&link, now);
+  link.connected = true;
+  peer_link_expect_answer (&link, now);
+  CU_ASSERT_EQUAL (peer_link_check (&link, now + 2 * ANSWER_TIMEOUT_US),
+                   PEER_LINK_LOST);
+}
+
 int
 main (void)
 {
@@ -111,6 +143,7 @@
           { "keepalive while only receiving", test_keepalive_while_receiving },
           { "missing answer is lost", test_missing_answer_is_lost },
           { "losses extend the timeout", test_losses_extend_the_timeout },
+          { "slow link gets time", test_slow_link_gets_time },
           { NULL, NULL } };
 
   return suite_run ("peer_link", tests);
