peer: do not take the own suspension for the silence of a replica

Cause: after a suspension the peer task checks its timeouts before ZeroMQ's thread has delivered what arrived meanwhile, so connections with an answer due, those between replicas nearly always, were replaced without need.

Change: a check that comes more than 500 ms after the one before restarts the wait for due answers, once for each. The counter, like the log line, counts outages, not attempts.

--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -21,6 +21,8 @@
 #define PEER_READ_BATCH_MAX 256
 /* Maximum interval between checks of the connections.  */
 #define PEER_POLL_TIMEOUT_MS 250
+/* Time between two checks after which this process counts as suspended.  */
+#define PEER_SUSPENDED_MIN_US clk_ms (2 * PEER_POLL_TIMEOUT_MS)
 #define PEER_SEND_HWM 8192
 /* No high-water mark for received messages: the task reads them at once, and
    libzmq aborts the process as described below when a connection fails whose
@@ -80,6 +82,7 @@
   uint32_t inbound_count;
   zmq_pollitem_t *poll_items;  /* for peer_poll() */
   uint32_t poll_item_capacity; /* allocated length of @poll_items */
+  clk_us last_check;           /* of the connections */
   bool stopping;
   pthread_t thread;
 };
@@ -685,15 +688,18 @@
 
   snprintf (endpoint.u.address, sizeof endpoint.u.address, "%s",
             dial->address);
-  counter_add (COUNTER_PEER_SILENT, 1);
-  /* One line for each outage.  */
+  /* One line and count for each outage.  */
   if (dial->link.losses == 0)
-    slog (
-        SLOG_WARNING,
-        "peer timed out, connection replaced peer=%s state=%s silent_ms=%llu",
-        dial->address, peer_dial_state (dial),
-        (unsigned long long)(peer_link_silence (&dial->link, now)
-                             / CLK_US_PER_MS));
+    {
+      clk_us silence = peer_link_silence (&dial->link, now);
+
+      counter_add (COUNTER_PEER_SILENT, 1);
+      slog (SLOG_WARNING,
+            "peer timed out, connection replaced peer=%s state=%s "
+            "silent_ms=%llu",
+            dial->address, peer_dial_state (dial),
+            (unsigned long long)(silence / CLK_US_PER_MS));
+    }
   if (dial->has_control_traffic)
     {
       peer_close_socket (dial);
@@ -709,11 +715,16 @@
 static void
 peer_check_dials (struct peer *peer, clk_us now)
 {
+  bool suspended = now - peer->last_check > PEER_SUSPENDED_MIN_US;
+
+  peer->last_check = now;
   list_each (node, &peer->dials)
     {
       struct peer_dial *dial = list_entry (node, struct peer_dial, node);
       struct msg_endpoint endpoint = { .kind = MSG_ENDPOINT_DIAL };
 
+      if (suspended)
+        peer_link_resume (&dial->link, now);
       snprintf (endpoint.u.address, sizeof endpoint.u.address, "%s",
                 dial->address);
       switch (peer_link_check (&dial->link, now))
--- a/tasks/peer_link.c
+++ b/tasks/peer_link.c
@@ -17,8 +17,10 @@
 void
 peer_link_expect_answer (struct peer_link *link, clk_us now)
 {
-  if (link->answer_due_since == 0)
-    link->answer_due_since = now;
+  if (link->answer_due_since != 0)
+    return;
+  link->answer_due_since = now;
+  link->resumed = false;
 }
 
 void
@@ -81,6 +83,15 @@
     free (list_entry (node, struct peer_link_stream, node));
 }
 
+void
+peer_link_resume (struct peer_link *link, clk_us now)
+{
+  if (link->answer_due_since == 0 || link->resumed)
+    return;
+  link->answer_due_since = now;
+  link->resumed = true;
+}
+
 clk_us
 peer_link_silence (const struct peer_link *link, clk_us now)
 {
--- a/tasks/peer_link.h
+++ b/tasks/peer_link.h
@@ -56,6 +56,7 @@
   clk_us last_sent;
   clk_us last_ping;
   clk_us answer_due_since; /* first message sent that is not answered, or 0 */
+  bool resumed;            /* the wait for it was restarted */
   uint32_t losses;         /* since the last answer */
   bool connected;          /* the connection is established */
 };
@@ -80,6 +81,10 @@
 /* Records the loss of the connection, which ends its streams.  */
 void peer_link_lose (struct peer_link *link, clk_us now);
 
+/* Restarts the wait for a due answer, once, after this process stood still: it
+   may have arrived meanwhile.  */
+void peer_link_resume (struct peer_link *link, clk_us now);
+
 /* Returns the time for which the node has owed a message, or 0.  */
 clk_us peer_link_silence (const struct peer_link *link, clk_us now);
 void peer_link_add_stream (struct peer_link *link, uint64_t stream,
--- a/tests/test_peer_link.c
+++ b/tests/test_peer_link.c
@@ -135,6 +135,27 @@
                    PEER_LINK_LOST);
 }
 
+/* Guards against connections that are replaced because this process was
+   suspended, before it has read the answers that came meanwhile.  */
+static void
+test_resume_restarts_the_wait (void)
+{
+  struct peer_link link;
+
+  peer_link_init (&link, &opts, 0);
+  peer_link_resume (&link, clk_s (4));
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (60)), PEER_LINK_IDLE);
+  peer_link_expect_answer (&link, clk_s (5));
+  peer_link_resume (&link, clk_s (9));
+  /* A process that is always slow still notices a loss.  */
+  peer_link_resume (&link, clk_s (9) + 1);
+  CU_ASSERT_NOT_EQUAL (
+      peer_link_check (&link, clk_s (9) + ANSWER_TIMEOUT_US - 1),
+      PEER_LINK_LOST);
+  CU_ASSERT_EQUAL (peer_link_check (&link, clk_s (9) + ANSWER_TIMEOUT_US),
+                   PEER_LINK_LOST);
+}
+
 int
 main (void)
 {
@@ -144,6 +165,7 @@
           { "missing answer is lost", test_missing_answer_is_lost },
           { "losses extend the timeout", test_losses_extend_the_timeout },
           { "slow link gets time", test_slow_link_gets_time },
+          { "resume restarts the wait", test_resume_restarts_the_wait },
           { NULL, NULL } };
 
   return suite_run ("peer_link", tests);
