test_gate_silent: requests that may be repeated outlive silent connections

Two gates with a backend server each; the accepted ends of open connections drop everything that arrives, acknowledgements included, while new connections work.

Measured: of 18 requests at a time that may be repeated, 7 to 9 get 504 at the timeout_s of their route, 1.2 s, with silent connections to a backend server, as many with those to a node, 3 of 3 runs. The bound is the route's timeout. The third test passes: an order that meets an interruption of 0.9 s runs once and is answered.

--- /dev/null
+++ b/tests/test_gate_silent.c
@@ -0,0 +1,273 @@
+#include <linux/filter.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <time.h>
+
+#include "core/clk.h"
+#include "core/counter.h"
+#include "sycamorerudder.h"
+#include "tests/gate_fixture.h"
+#include "tests/net.h"
+#include "tests/suite.h"
+
+#define TEXT_BYTES 8192
+#define DESCRIPTORS_MAX 1024
+#define BURST_MAX 18
+/* Connections to a backend server, or a node, that a burst leaves idle.  */
+#define IDLE_MIN 4
+/* Time that the backend servers take, so that the requests of a burst use
+   connections of their own.  */
+#define WORK_MS 100
+/* timeout_s of the routes in the document.  */
+#define SHORT_ROUTE_US clk_ms (1200)
+/* A request that takes longer has waited on a silent connection.  */
+#define SLOW_US clk_ms (400)
+/* Interruption after which the kernel repeats a lost segment 1.4 s after it
+   was sent first.  */
+#define INTERRUPTION_MS 900
+
+static const char document[]
+    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
+      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
+      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
+      "[[\"r\",\"h\",\"/r/\",\"idempotent\",1.2,1,2,null,2,\"a\"],"
+      "[\"o\",\"h\",\"/o/\",\"non_idempotent\",4,2,2,null,2,\"a\"]]},"
+      "\"services\":{\"columns\":[\"name\",\"health_path\","
+      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
+      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
+      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
+      "\"idle_timeout_s\":15}}";
+
+static struct gate_fixture fixtures[8];
+static unsigned fixture_count;
+static atomic_int orders_run;
+static atomic_int work_ms;
+
+static void
+sleep_ms (long ms)
+{
+  struct timespec duration = { ms / 1000, ms % 1000 * 1000000 };
+
+  nanosleep (&duration, NULL);
+}
+
+static void *
+server_serve_connection (void *arg)
+{
+  int fd = (int)(intptr_t)arg;
+  char text[TEXT_BYTES];
+
+  while (gate_fixture_read_request (fd, text, sizeof text))
+    {
+      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
+      bool health = strstr (text, "GET /health ") != NULL;
+      char id[64] = "";
+      char out[512];
+
+      orders_run += strncmp (text, "POST /o/", 8) == 0;
+      if (id_field != NULL)
+        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+      sleep_ms (work_ms);
+      snprintf (out, sizeof out,
+                "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n%s"
+                "X-Sycamorerudder-Response-Seal: s\r\n"
+                "Content-Length: 2\r\n\r\nok",
+                id,
+                health ? "X-Sycamorerudder-Instance-Id: i-1\r\n"
+                         "X-Sycamorerudder-Server-Load: 0,0,16,100\r\n"
+                       : "");
+      net_send_text (fd, out);
+    }
+  close (fd);
+  return NULL;
+}
+
+static struct gate_fixture *
+start_gates (void)
+{
+  struct gate_fixture_opts opts = { .document = document,
+                                    .stop_limit = clk_s (1),
+                                    .slots = 16,
+                                    .second = true,
+                                    .serve = server_serve_connection };
+  struct gate_fixture *fixture = &fixtures[fixture_count++];
+
+  gate_fixture_start (fixture, &opts);
+  sleep_ms (300);
+  return fixture;
+}
+
+static void
+stop_gates (struct gate_fixture *fixture)
+{
+  for (int i = 0; i < 2; i++)
+    {
+      gate_shut_down (fixture->nodes[i].gate);
+      pthread_join (fixture->nodes[i].thread, NULL);
+    }
+}
+
+/* Whether the socket FD is a connection that was accepted at ADDRESS.  */
+static bool
+is_accepted_at (int fd, const char *address)
+{
+  struct sockaddr_in local;
+  struct sockaddr_in remote;
+  socklen_t local_len = sizeof local;
+  socklen_t remote_len = sizeof remote;
+  char text[NET_ADDRESS_BYTES];
+  char ip[INET_ADDRSTRLEN];
+
+  if (getsockname (fd, (struct sockaddr *)&local, &local_len) != 0
+      || local.sin_family != AF_INET
+      || getpeername (fd, (struct sockaddr *)&remote, &remote_len) != 0)
+    return false;
+  inet_ntop (AF_INET, &local.sin_addr, ip, sizeof ip);
+  snprintf (text, sizeof text, "%s:%u", ip, ntohs (local.sin_port));
+  return strcmp (text, address) == 0;
+}
+
+/* Makes all connections silent that were accepted at ADDRESS, or ends that.
+   The kernel drops what arrives on them, acknowledgements included; new
+   connections work.  Returns their number.  */
+static int
+set_silent (const char *address, bool silent)
+{
+  struct sock_filter drop = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog filter = { 1, &drop };
+  int count = 0;
+
+  for (int fd = 0; fd < DESCRIPTORS_MAX; fd++)
+    if (is_accepted_at (fd, address)
+        && setsockopt (fd, SOL_SOCKET,
+                       silent ? SO_ATTACH_FILTER : SO_DETACH_FILTER, &filter,
+                       sizeof filter)
+               == 0)
+      count++;
+  return count;
+}
+
+struct request
+{
+  const struct gate_fixture *fixture;
+  const char *head; /* method and path */
+  int status;
+  clk_us duration;
+};
+
+/* Sends a request to the first node on a new connection.  */
+static void *
+send_request (void *arg)
+{
+  static atomic_uint next_id;
+  struct request *request = arg;
+  clk_us start = clk_now ();
+  char text[TEXT_BYTES];
+  int fd = net_connect (request->fixture->addresses[GATE_PORT_CALLERS]);
+
+  snprintf (text, sizeof text,
+            "%s HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            "Content-Length: 0\r\n"
+            "X-Sycamorerudder-Request-Id: q%u\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 6000\r\n\r\n",
+            request->head, ++next_id);
+  net_send_text (fd, text);
+  net_read_to_end (fd, text, sizeof text);
+  request->status = 0;
+  sscanf (text, "HTTP/1.1 %d", &request->status);
+  request->duration = clk_now () - start;
+  return NULL;
+}
+
+/* Sends COUNT requests that may be repeated at the same time; all must be
+   answered before the timeout of their route.  Returns the number of those
+   that have waited on a silent connection.  */
+static int
+send_repeatable (const struct gate_fixture *fixture, int count)
+{
+  struct request requests[BURST_MAX];
+  pthread_t threads[BURST_MAX];
+  int slow_count = 0;
+
+  work_ms = WORK_MS;
+  for (int i = 0; i < count; i++)
+    {
+      requests[i] = (struct request){ .fixture = fixture, .head = "GET /r/" };
+      pthread_create (&threads[i], NULL, send_request, &requests[i]);
+    }
+  for (int i = 0; i < count; i++)
+    {
+      pthread_join (threads[i], NULL);
+      CU_ASSERT_EQUAL (requests[i].status, 200);
+      CU_ASSERT_TRUE (requests[i].duration < SHORT_ROUTE_US);
+      slow_count += requests[i].duration > SLOW_US;
+    }
+  work_ms = 0;
+  return slow_count;
+}
+
+/* Guards against requests that are lost on silent connections to a backend
+   server although they may be repeated: the connection is given up later than
+   the timeout of the route.  */
+static void
+test_silent_backend_server (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+
+  send_repeatable (fixture, BURST_MAX);
+  CU_ASSERT_TRUE (set_silent (fixture->nodes[1].server_address, true)
+                  >= IDLE_MIN);
+  CU_ASSERT_TRUE (send_repeatable (fixture, BURST_MAX) > 0);
+  stop_gates (fixture);
+}
+
+/* The same for connections to another node.  */
+static void
+test_silent_node (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+
+  send_repeatable (fixture, BURST_MAX);
+  CU_ASSERT_TRUE (
+      set_silent (fixture->nodes[1].addresses[GATE_PORT_NODES], true)
+      >= IDLE_MIN);
+  CU_ASSERT_TRUE (send_repeatable (fixture, BURST_MAX) > 0);
+  stop_gates (fixture);
+}
+
+/* Guards against a request that must not run twice and is lost, or runs twice,
+   because of a short interruption: when the kernel repeats the lost segment,
+   the request runs.  */
+static void
+test_interrupted_order (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+  struct request order = { .fixture = fixture, .head = "POST /o/" };
+  pthread_t thread;
+
+  send_repeatable (fixture, BURST_MAX);
+  orders_run = 0;
+  for (int i = 0; i < 2; i++)
+    CU_ASSERT_TRUE (set_silent (fixture->nodes[i].server_address, true) > 0);
+  pthread_create (&thread, NULL, send_request, &order);
+  sleep_ms (INTERRUPTION_MS);
+  for (int i = 0; i < 2; i++)
+    set_silent (fixture->nodes[i].server_address, false);
+  pthread_join (thread, NULL);
+  CU_ASSERT_EQUAL (order.status, 200);
+  CU_ASSERT_EQUAL (orders_run, 1);
+  stop_gates (fixture);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "silent connections to a backend server",
+            test_silent_backend_server },
+          { "silent connections to a node", test_silent_node },
+          { "order during an interruption", test_interrupted_order },
+          { NULL, NULL } };
+
+  return suite_run ("gate_silent", tests);
+}
