gate: give up an unacknowledged connection in time to send the request elsewhere

Cause: a connection to a node or to the own backend server was given up when bytes had not been acknowledged for 2 s, whatever the request. Routes have timeouts of 0.4 to 2.5 s, so that the attempt at a silent connection took all of their time.

Change: a connection that carries a request that can be sent again elsewhere is given up after a third of the time that the request has left, 0.4 to 2 s. It ends as "run unknown", so that the retry needs a repeatable route, an attempt left and the retry budget, as before. Other requests keep the 2 s: the kernel repeats their segments meanwhile. New: the log line "connection silent, closed" and the counter rudder_connections_silent_total.

Evidence: test_gate_silent, 2 of 3 tests failed, passes; of 18 requests at a time 7 to 9 got 504 at 1.2 s, now all are answered before.

--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -508,6 +508,13 @@
                       state->node_count, now);
 }
 
+bool
+dispatch_may_repeat (const struct dispatch_request *request)
+{
+  return request->route->idempotent
+         && request->attempts_maybe_run + 1 < request->route->attempts_max;
+}
+
 struct dispatch_retry_decision
 dispatch_decide_retry (struct dispatch_state *state,
                        struct dispatch_request *request,
--- a/filters/dispatch.h
+++ b/filters/dispatch.h
@@ -200,6 +200,9 @@
 dispatch_choose_server (struct dispatch_state *state,
                         struct dispatch_request *request, clk_us now);
 
+/* Whether an attempt that may have run can be followed by another.  */
+bool dispatch_may_repeat (const struct dispatch_request *request);
+
 /**
  * dispatch_decide_retry() - decide what follows a failed attempt
  * @state: state of the node
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -94,6 +94,9 @@
   clk_us now = loop_now (gate->loop);
   struct gate_out_opts opts
       = { .address = server->address,
+          .replaceable = dispatch_may_repeat (&call->dispatch)
+                         && gate_out_is_replaceable (call->request),
+          .time_left = call->dispatch.route_deadline - now,
           .request_id = call->request->head.value[HTTPMSG_REQUEST_ID] };
   struct gate_attempt *attempt = calloc (1, sizeof *attempt);
 
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -21,8 +21,17 @@
    must not run twice, because the peer may have closed an older one.  */
 #define GATE_FRESH_IDLE_US clk_ms (1500)
 /* Time without an acknowledgement of sent bytes after which a connection
-   fails; set as TCP_USER_TIMEOUT.  */
+   fails; set as TCP_USER_TIMEOUT.  The kernel repeats a lost segment three
+   times before.  */
 #define GATE_OUT_UNACKED_TIMEOUT_MS 2000
+/* The same for a request that can be sent again elsewhere: a fraction of its
+   time, so that enough is left, but not before the kernel has repeated a lost
+   segment, after 200 ms and a round trip between regions, and got its
+   acknowledgement.  */
+#define GATE_OUT_UNACKED_FRACTION 3
+#define GATE_OUT_UNACKED_TIMEOUT_MIN_MS 400
+/* A longer body may wait for the receiver to read.  */
+#define GATE_OUT_REPLACEABLE_BODY_BYTES_MAX (16 * 1024)
 #define GATE_OUT_HEADER_BYTES_MAX (64 * 1024)
 /* Answers to other requests that are skipped before the answer to a request;
    with more the connection fails.  */
@@ -196,6 +205,18 @@
     gate_serve_handle_drained (outbound->user.serve);
 }
 
+static void
+gate_out_record_silence (const struct gate_out *outbound)
+{
+  counter_add (COUNTER_CONNECTIONS_SILENT, 1);
+  slog (SLOG_NOTICE,
+        "connection silent, closed address=%s to=%s connection=%llu "
+        "requests_on_it=%u timeout_ms=%u",
+        outbound->pool->address, outbound->pool->to_server ? "server" : "node",
+        (unsigned long long)outbound->serial, outbound->request_count,
+        outbound->conn.opts.unacked_timeout_ms);
+}
+
 /* The connection ended.  If the answer is incomplete, the request may have run
    unless none of its bytes was written.  */
 static void
@@ -222,6 +243,11 @@
     case HCONN_END_TOO_LONG:
       reason = REASON_ANSWER_INCOMPLETE;
       break;
+    case HCONN_END_SILENT:
+      gate_out_record_silence (outbound);
+      if (!outbound->pool->to_server)
+        reason = REASON_PEER_LOST;
+      break;
     case HCONN_END_ORDERLY:
     case HCONN_END_RESET:
       if (!outbound->pool->to_server)
@@ -337,6 +363,26 @@
   return NULL;
 }
 
+static uint32_t
+gate_out_unacked_timeout_ms (const struct gate_out_opts *opts)
+{
+  clk_us timeout_ms
+      = opts->time_left / GATE_OUT_UNACKED_FRACTION / CLK_US_PER_MS;
+
+  if (!opts->replaceable || timeout_ms > GATE_OUT_UNACKED_TIMEOUT_MS)
+    return GATE_OUT_UNACKED_TIMEOUT_MS;
+  return timeout_ms > GATE_OUT_UNACKED_TIMEOUT_MIN_MS
+             ? (uint32_t)timeout_ms
+             : GATE_OUT_UNACKED_TIMEOUT_MIN_MS;
+}
+
+bool
+gate_out_is_replaceable (const struct gate_request *request)
+{
+  return request->body_complete
+         && buf_end (&request->body) <= GATE_OUT_REPLACEABLE_BODY_BYTES_MAX;
+}
+
 struct gate_out *
 gate_out_acquire (struct gate *gate, const struct gate_out_opts *opts)
 {
@@ -353,6 +399,8 @@
     }
   if (outbound == NULL)
     return NULL;
+  hconn_set_unacked_timeout (&outbound->conn,
+                             gate_out_unacked_timeout_ms (opts));
   outbound->answer_complete = false;
   outbound->mismatched = false;
   outbound->mismatched_count = 0;
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -206,6 +206,10 @@
       = { .address = gate->admit.backend.last_heartbeat.address,
           .to_server = true,
           .fresh = !serve->node_request.idempotent,
+          .replaceable = serve->node_request.idempotent
+                         && !serve->node_request.may_have_run
+                         && gate_out_is_replaceable (serve->request),
+          .time_left = serve->admit.deadline - now,
           .request_id = serve->request->head.value[HTTPMSG_REQUEST_ID] };
 
   if (state != BACKEND_UP)
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -339,6 +339,9 @@
   bool to_server;         /* a backend server, not a node, is at @address */
   bool fresh;             /* do not reuse a connection that was idle for longer
                              than GATE_FRESH_IDLE_US */
+  bool replaceable;       /* the request can be sent again elsewhere if the
+                             connection is silent */
+  clk_us time_left;       /* until the deadline of a replaceable request */
   const char *request_id; /* of the request to be sent, may be empty */
 };
 
@@ -356,6 +359,9 @@
  */
 struct gate_out *gate_out_acquire (struct gate *gate,
                                    const struct gate_out_opts *opts);
+/* Whether REQUEST is short enough to be received without being read, so that
+   only silence delays its acknowledgement.  */
+bool gate_out_is_replaceable (const struct gate_request *request);
 /* Records that the backend server has refused the request in progress.  */
 void gate_out_record_refusal (struct gate_out *outbound);
 /* Returns the connection to its pool, or closes it if KEEP is false or the
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -77,6 +77,12 @@
   return parse_error == SR_EFULL ? HCONN_END_TOO_LONG : HCONN_END_MALFORMED;
 }
 
+static enum hconn_end
+hconn_end_from_errno (int error)
+{
+  return error == ETIMEDOUT ? HCONN_END_SILENT : HCONN_END_RESET;
+}
+
 static void
 hconn_destroy (struct loop_timer *timer)
 {
@@ -130,8 +136,8 @@
         }
       if (len <= 0)
         {
-          hconn_report_end (conn,
-                            len == 0 ? HCONN_END_ORDERLY : HCONN_END_RESET);
+          hconn_report_end (conn, len == 0 ? HCONN_END_ORDERLY
+                                           : hconn_end_from_errno (errno));
           return;
         }
       error = httpmsg_feed (&conn->parser, buffer, (size_t)len);
@@ -218,24 +224,39 @@
 {
   struct hconn *conn = list_entry (io, struct hconn, io);
 
-  (void)error;
   if (conn->lingering)
     hconn_close (conn, false);
   else
-    hconn_report_end (conn, conn->connected ? HCONN_END_RESET
+    hconn_report_end (conn, conn->connected ? hconn_end_from_errno (error)
                                             : HCONN_END_CONNECT_FAILED);
 }
 
+static void
+hconn_apply_unacked_timeout (const struct hconn *conn, int fd)
+{
+  unsigned timeout_ms = conn->opts.unacked_timeout_ms;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
+              sizeof timeout_ms);
+}
+
+void
+hconn_set_unacked_timeout (struct hconn *conn, uint32_t timeout_ms)
+{
+  if (timeout_ms == conn->opts.unacked_timeout_ms || conn->closed)
+    return;
+  conn->opts.unacked_timeout_ms = timeout_ms;
+  hconn_apply_unacked_timeout (conn, conn->io.fd);
+}
+
 static void
 hconn_set_socket_options (struct hconn *conn, int fd)
 {
   int enabled = 1;
-  unsigned unacked_timeout_ms = conn->opts.unacked_timeout_ms;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-  if (unacked_timeout_ms > 0)
-    setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacked_timeout_ms,
-                sizeof unacked_timeout_ms);
+  if (conn->opts.unacked_timeout_ms > 0)
+    hconn_apply_unacked_timeout (conn, fd);
 }
 
 static int
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -25,6 +25,7 @@
 {
   HCONN_END_ORDERLY,       /* the peer has closed it or half-closed it */
   HCONN_END_RESET,         /* reset by the peer, or another socket error */
+  HCONN_END_SILENT,        /* sent bytes were not acknowledged in time */
   HCONN_END_MALFORMED,     /* received bytes are not valid HTTP */
   HCONN_END_TOO_LONG,      /* a header exceeds header_bytes_max */
   HCONN_END_CONNECT_FAILED /* it was never established */
@@ -86,6 +87,9 @@
 int hconn_connect (struct hconn *conn, const struct hconn_opts *opts,
                    const char *address);
 
+/* Changes unacked_timeout_ms of the options.  */
+void hconn_set_unacked_timeout (struct hconn *conn, uint32_t timeout_ms);
+
 /* Writes as much of @send_buf as the socket accepts; the loop writes the rest.
    Does nothing before the connection is established.  */
 void hconn_flush (struct hconn *conn);
