test_gate_silent: a request for which nobody waits must not hold a slot

A request that came from a node is running when the connection to that node falls silent: the node gives the request up at its deadline, and the end of the connection does not arrive.

--- a/tests/test_gate_silent.c
+++ b/tests/test_gate_silent.c
@@ -38,6 +38,12 @@
       "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
       "\"idle_timeout_s\":15}}";
 
+/* Time that a request between nodes has left in the tests that send it
+   themselves.  */
+#define NODE_TIMEOUT_MS 600
+/* A server must not work for longer on a request that nobody waits for.  */
+#define ABANDONED_MAX_US clk_ms (500)
+
 static struct gate_fixture fixtures[8];
 static unsigned fixture_count;
 static atomic_int orders_run;
@@ -51,6 +57,10 @@
   nanosleep (&duration, NULL);
 }
 
+/* When the gate closed the connection of a request that is not answered; 0
+   before.  */
+static _Atomic clk_us hang_ended_at;
+
 static void *
 server_serve_connection (void *arg)
 {
@@ -64,6 +74,12 @@
       char id[64] = "";
       char out[512];
 
+      if (strstr (text, "/hang ") != NULL)
+        {
+          (void)!read (fd, text, 1);
+          hang_ended_at = clk_now ();
+          break;
+        }
       orders_run += strncmp (text, "POST /o/", 8) == 0;
       if (id_field != NULL)
         sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
@@ -259,6 +275,34 @@
   stop_gates (fixture);
 }
 
+/* Guards against slots of a backend server that are held by requests for which
+   nobody waits, because the connection to the node that sent them is silent
+   and its end is not noticed.  */
+static void
+test_silent_sender (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+  clk_us start = clk_now ();
+  char text[512];
+  int fd = net_connect (fixture->addresses[GATE_PORT_NODES]);
+
+  hang_ended_at = 0;
+  snprintf (text, sizeof text,
+            "GET /r/hang HTTP/1.1\r\nHost: h\r\n"
+            "X-Sycamorerudder-Request-Id: s\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 6000\r\n"
+            "Rudder-Request: a 50 %d 0 0 1 1 0 0\r\n\r\n",
+            NODE_TIMEOUT_MS);
+  net_send_text (fd, text);
+  while (hang_ended_at == 0 && clk_now () < start + clk_s (5))
+    sleep_ms (10);
+  CU_ASSERT_TRUE (hang_ended_at >= start + clk_ms (NODE_TIMEOUT_MS));
+  CU_ASSERT_TRUE (hang_ended_at
+                  < start + clk_ms (NODE_TIMEOUT_MS) + ABANDONED_MAX_US);
+  close (fd);
+  stop_gates (fixture);
+}
+
 int
 main (void)
 {
@@ -267,6 +311,7 @@
             test_silent_backend_server },
           { "silent connections to a node", test_silent_node },
           { "order during an interruption", test_interrupted_order },
+          { "silent connection from a node", test_silent_sender },
           { NULL, NULL } };
 
   return suite_run ("gate_silent", tests);
