test_gate_silent: silence within the body of a request must end the connection

A caller, a node and an operator each send the head and a part of the body of a request, and fall silent. The bound is the platform's idle_timeout_s, 2 s in the test.

A second test passes: a body that arrives in 3 s, a byte each half second, is not taken for silent.

--- a/tests/test_gate_silent.c
+++ b/tests/test_gate_silent.c
@@ -35,12 +35,17 @@
       "\"services\":{\"columns\":[\"name\",\"health_path\","
       "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
       "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
-      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
-      "\"idle_timeout_s\":15}}";
+      "\"max_body_bytes\":1000000,\"header_timeout_s\":1,"
+      "\"idle_timeout_s\":2}}";
 
 /* Time that a request between nodes has left in the tests that send it
    themselves.  */
 #define NODE_TIMEOUT_MS 600
+/* idle_timeout_s of the document, and time for the end to arrive.  */
+#define IDLE_MAX_US (clk_s (2) + clk_ms (500))
+/* Time between two bytes of a slow body; six make more than idle_timeout_s and
+   less than timeout_s of the route.  */
+#define SLOW_BODY_STEP_MS 500
 /* A server must not work for longer on a request that nobody waits for.  */
 #define ABANDONED_MAX_US clk_ms (500)
 
@@ -303,6 +308,70 @@
   stop_gates (fixture);
 }
 
+/* A request whose sender falls silent after a part of the body.  */
+struct half_request
+{
+  enum gate_port port;
+  const char *head;
+};
+
+static const struct half_request half_requests[]
+    = { { GATE_PORT_CALLERS, "POST /o/ HTTP/1.1\r\nHost: h\r\n"
+                             "X-Sycamorerudder-Deadline-Ms: 6000\r\n" },
+        { GATE_PORT_NODES, "POST /o/ HTTP/1.1\r\nHost: h\r\n"
+                           "X-Sycamorerudder-Deadline-Ms: 6000\r\n"
+                           "Rudder-Request: a 50 600 0 0 1 0 0 0\r\n" },
+        { GATE_PORT_CONTROL, "POST /-/Config.Replace HTTP/1.1\r\nHost: h\r\n"
+                             "X-Sycamorerudder-Base-Version: r0\r\n" } };
+
+/* Guards against connections that are kept for ever, with what they hold,
+   because their other end has fallen silent within the body of a request.  */
+static void
+test_half_requests (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+
+  for (unsigned i = 0; i < sizeof half_requests / sizeof half_requests[0]; i++)
+    {
+      const struct half_request *half = &half_requests[i];
+      struct timeval timeout = { .tv_sec = 6 };
+      clk_us start = clk_now ();
+      int fd = net_connect (fixture->addresses[half->port]);
+      char text[512];
+
+      setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+      net_send_text (fd, half->head);
+      net_send_text (fd, "X-Sycamorerudder-Request-Id: p\r\n"
+                         "Content-Length: 100\r\n\r\npart");
+      net_read_to_end (fd, text, sizeof text);
+      CU_ASSERT_TRUE (clk_now () - start < IDLE_MAX_US);
+    }
+  stop_gates (fixture);
+}
+
+/* Guards against a body that is taken for silent although it arrives, slower
+   than the timeout as a whole.  */
+static void
+test_slow_body (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+  int fd = net_connect (fixture->addresses[GATE_PORT_CALLERS]);
+  char text[TEXT_BYTES];
+
+  net_send_text (fd, "POST /o/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+                     "X-Sycamorerudder-Request-Id: b\r\n"
+                     "X-Sycamorerudder-Deadline-Ms: 6000\r\n"
+                     "Content-Length: 6\r\n\r\n");
+  for (int i = 0; i < 6; i++)
+    {
+      sleep_ms (SLOW_BODY_STEP_MS);
+      net_send_text (fd, "b");
+    }
+  net_read_to_end (fd, text, sizeof text);
+  CU_ASSERT_TRUE (strncmp (text, "HTTP/1.1 200 ", 13) == 0);
+  stop_gates (fixture);
+}
+
 int
 main (void)
 {
@@ -312,6 +381,8 @@
           { "silent connections to a node", test_silent_node },
           { "order during an interruption", test_interrupted_order },
           { "silent connection from a node", test_silent_sender },
+          { "silence within a body", test_half_requests },
+          { "slow body", test_slow_body },
           { NULL, NULL } };
 
   return suite_run ("gate_silent", tests);
