gate: close accepted connections on which a request body does not go on

Cause: an accepted connection had a timer for its header and one for idle time between requests, and none while a body was read. Only an answer that stayed unacknowledged for 8 s ended it.

Change: the timer runs while a body is read, too, for the platform's idle_timeout_s since the last bytes; a body that this node itself does not read, because what it is sent to is full, does not count. The connection is reset, which cancels the request. New: the log line "connection silent, closed reason=body"; rudder_connections_silent_total counts it.

--- a/core/counter.h
+++ b/core/counter.h
@@ -29,7 +29,7 @@
   X (CONNECTIONS, "rudder_backend_connections_total",                         \
      "Connections opened to the own server")                                  \
   X (CONNECTIONS_SILENT, "rudder_connections_silent_total",                   \
-     "Connections to nodes and the own server closed after silence")          \
+     "Connections closed because the other end fell silent")                  \
   X (ANSWER_READS_PAUSED, "rudder_answer_reads_paused_total",                 \
      "Pauses in reading an answer because too much of it was unsent")         \
   X (REQUEST_READS_PAUSED, "rudder_request_reads_paused_total",               \
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -72,6 +72,15 @@
                   loop_now (inbound->gate->loop) + clk_ms (ms));
 }
 
+/* Sets the time until the next bytes of a request body must have come.  */
+static void
+gate_in_set_body_timeout (struct gate_in *inbound)
+{
+  loop_set_timer (inbound->gate->loop, &inbound->timer,
+                  loop_now (inbound->gate->loop)
+                      + clk_ms (gate_limits (inbound->gate)->idle_timeout_ms));
+}
+
 static struct gate_request *
 gate_in_first_request (struct gate_in *inbound)
 {
@@ -269,7 +278,7 @@
   request->close_after = !request->head.keep_alive;
   inbound->no_more_requests = request->close_after;
   inbound->reading_body = true;
-  loop_cancel_timer (&inbound->timer);
+  gate_in_set_body_timeout (inbound);
   gate_in_add_request (inbound, request);
   gate_in_update_reading (inbound);
   if (request->head.expects_continue
@@ -373,13 +382,17 @@
     return SR_EAGAIN;
   request = gate_in_last_request (inbound);
   if (request->kind == GATE_KIND_NONE)
-    return SR_OK;
+    {
+      gate_in_set_body_timeout (inbound);
+      return SR_OK;
+    }
   if (buf_end (&request->body) + len > gate_in_body_bytes_max (inbound))
     {
       gate_answer_abort (request);
       return SR_EAGAIN;
     }
   buf_append (&request->body, data, len);
+  gate_in_set_body_timeout (inbound);
   gate_in_notify_body (request);
   if (inbound->ended)
     return SR_EAGAIN;
@@ -401,6 +414,7 @@
   request = gate_in_last_request (inbound);
   request->body_complete = true;
   inbound->reading_body = false;
+  loop_cancel_timer (&inbound->timer);
   if (request->kind == GATE_KIND_NONE)
     gate_in_flush_answers (inbound);
   else
@@ -488,6 +502,22 @@
         .ended = gate_in_handle_close,
         .destroy = gate_in_destroy };
 
+/* Closes a connection on which no more of a request body comes, unless it is
+   this node that does not read it.  */
+static void
+gate_in_handle_body_timeout (struct gate_in *inbound)
+{
+  if (inbound->conn.io.paused)
+    {
+      gate_in_set_body_timeout (inbound);
+      return;
+    }
+  counter_add (COUNTER_CONNECTIONS_SILENT, 1);
+  slog (SLOG_NOTICE, "connection silent, closed id=%s port=%d reason=body",
+        gate_request_id (gate_in_last_request (inbound)), (int)inbound->port);
+  gate_in_close (inbound, true);
+}
+
 /* Closes an idle connection, or refuses a header that was not received in
    time.  */
 static void
@@ -495,8 +525,14 @@
 {
   struct gate_in *inbound = list_entry (timer, struct gate_in, timer);
 
-  if (inbound->ended || !list_empty (&inbound->requests))
+  if (inbound->ended)
     return;
+  if (!list_empty (&inbound->requests))
+    {
+      if (inbound->reading_body)
+        gate_in_handle_body_timeout (inbound);
+      return;
+    }
   if (httpmsg_in_message (&inbound->conn.parser))
     gate_in_refuse (inbound, 408);
   else
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -91,7 +91,7 @@
   bool reading_body;       /* of the last request */
   bool no_more_requests;   /* further requests are not accepted */
   bool ended;              /* its requests are dropped, or about to be */
-  struct loop_timer timer; /* header or idle timeout */
+  struct loop_timer timer; /* header, body or idle timeout */
 };
 
 /* One attempt of a call at one server.  */
