--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -657,6 +657,151 @@
   free_fixture (&fixture);
 }
 
+/* A snapshot of three chunks, and the index that it covers.  */
+#define SNAPSHOT_BYTES (2 * RAFT_SNAPSHOT_CHUNK_BYTES_MAX + 100)
+#define SNAPSHOT_INDEX 5
+/* The leader repeats a message that may be lost within this time, so that a
+   replica with an empty disk has its snapshot in time although a connection
+   was replaced.  */
+#define REPEAT_MAX_US clk_ms (300)
+
+/* Starts replica 1 of three with a snapshot and an empty log after it.  */
+static void
+start_with_snapshot (struct fixture *fixture)
+{
+  struct raft_opts opts = { .id = OWN_ID };
+  struct raft_persistent_state loaded;
+
+  raft_opts_default (&opts);
+  raft_persistent_state_init (&loaded);
+  loaded.hard_state.term = 1;
+  loaded.hard_state.commit_index = SNAPSHOT_INDEX;
+  loaded.snapshot = calloc (1, sizeof *loaded.snapshot);
+  loaded.snapshot->index = SNAPSHOT_INDEX;
+  loaded.snapshot->term = 1;
+  loaded.snapshot->members.count = 3;
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      loaded.snapshot->members.list[i].id = 1 + i;
+      loaded.snapshot->members.list[i].address[0] = (char)('a' + i);
+    }
+  loaded.snapshot->data = calloc (1, SNAPSHOT_BYTES);
+  loaded.snapshot->len = SNAPSHOT_BYTES;
+  *fixture = (struct fixture){ .now = clk_s (100) };
+  fixture->raft = raft_new (&opts, &loaded, fixture->now);
+  drain_outputs (fixture);
+  fixture->now += clk_s (5);
+}
+
+/* Runs the leader, with replica 3 answering, until it sends a chunk to replica
+   2; returns the offset of the chunk, or -1 after REPEAT_MAX_US.  */
+static int64_t
+wait_for_chunk (struct fixture *fixture)
+{
+  clk_us start = fixture->now;
+  struct raft_msg *chunk;
+
+  while ((chunk = find_sent (fixture, RAFT_INSTALL_SNAPSHOT, 0)) == NULL)
+    {
+      if (fixture->now >= start + REPEAT_MAX_US)
+        return -1;
+      fixture->now += clk_ms (10);
+      raft_tick (fixture->raft, fixture->now);
+      drain_outputs (fixture);
+      if (find_sent (fixture, RAFT_INSTALL_SNAPSHOT, 0) == NULL)
+        acknowledge (fixture, 3, SNAPSHOT_INDEX + 1, 1000);
+    }
+  CU_ASSERT_EQUAL (chunk->to, 2);
+  return (int64_t)chunk->u.chunk.offset;
+}
+
+/* Replica 2 reports that it has the first LEN bytes of the snapshot.  */
+static void
+confirm_chunk (struct fixture *fixture, uint64_t len)
+{
+  struct raft_msg *reply = new_message (RAFT_INSTALL_SNAPSHOT_REPLY, 2, 2);
+
+  reply->u.chunk_reply.index = SNAPSHOT_INDEX;
+  reply->u.chunk_reply.next_offset = len;
+  deliver (fixture, reply);
+}
+
+/* Guards against a snapshot that is never complete, because a chunk or its
+   confirmation was lost with a connection.  */
+static void
+test_lost_chunks_are_repeated (void)
+{
+  struct fixture fixture;
+
+  start_with_snapshot (&fixture);
+  win_election (&fixture);
+  complete_sync (&fixture);
+  reject_append (&fixture, SNAPSHOT_INDEX, 1, fixture.now);
+  for (int lost_count = 0; lost_count < 20; lost_count++)
+    {
+      CU_ASSERT_EQUAL_FATAL (wait_for_chunk (&fixture), 0);
+      drain_outputs (&fixture);
+    }
+  confirm_chunk (&fixture, RAFT_SNAPSHOT_CHUNK_BYTES_MAX);
+  CU_ASSERT_EQUAL (wait_for_chunk (&fixture), RAFT_SNAPSHOT_CHUNK_BYTES_MAX);
+  drain_outputs (&fixture);
+  /* The replica was restarted and has lost the first chunk.  */
+  confirm_chunk (&fixture, 0);
+  CU_ASSERT_EQUAL (wait_for_chunk (&fixture), 0);
+  free_fixture (&fixture);
+}
+
+/* Returns chunk NTH of the snapshot from replica 2.  */
+static struct raft_msg *
+new_chunk (uint32_t nth)
+{
+  struct raft_msg *msg = new_message (RAFT_INSTALL_SNAPSHOT, 2, 3);
+  struct raft_snapshot_chunk *chunk = &msg->u.chunk;
+
+  chunk->index = SNAPSHOT_INDEX;
+  chunk->term = 2;
+  chunk->total = SNAPSHOT_BYTES;
+  chunk->offset = nth * RAFT_SNAPSHOT_CHUNK_BYTES_MAX;
+  chunk->len = nth == 2 ? 100 : RAFT_SNAPSHOT_CHUNK_BYTES_MAX;
+  chunk->data = calloc (1, chunk->len);
+  return msg;
+}
+
+/* Guards against a replica that takes a repeated chunk for the next one, or a
+   chunk after a lost one, or that does not say what it has.  */
+static void
+test_chunks_repeated_and_lost (void)
+{
+  static const uint32_t chunks[] = { 0, 0, 2, 1, 0 };
+  static const uint32_t has[] = { 1, 1, 1, 2, 2 };
+  struct fixture fixture;
+
+  start_group (&fixture, 3);
+  for (unsigned i = 0; i < sizeof chunks / sizeof chunks[0]; i++)
+    {
+      const struct raft_msg *reply;
+
+      deliver (&fixture, new_chunk (chunks[i]));
+      reply = find_sent (&fixture, RAFT_INSTALL_SNAPSHOT_REPLY, 0);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (reply);
+      CU_ASSERT_FALSE (reply->u.chunk_reply.installed);
+      CU_ASSERT_EQUAL (reply->u.chunk_reply.next_offset,
+                       has[i] * RAFT_SNAPSHOT_CHUNK_BYTES_MAX);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      deliver (&fixture, new_chunk (2));
+      if (i == 0)
+        CU_ASSERT_PTR_NOT_NULL (find_output (&fixture, RAFT_OUT_RESTORE));
+      if (find_sent (&fixture, RAFT_INSTALL_SNAPSHOT_REPLY, 0) == NULL)
+        complete_sync (&fixture);
+      CU_ASSERT_TRUE (find_sent (&fixture, RAFT_INSTALL_SNAPSHOT_REPLY, 0)
+                          ->u.chunk_reply.installed);
+    }
+  CU_ASSERT_EQUAL (get_status (&fixture).commit_index, SNAPSHOT_INDEX);
+  free_fixture (&fixture);
+}
+
 int
 main (void)
 {
@@ -678,6 +823,8 @@
     { "message to a former id", test_message_to_former_id },
     { "leadership transfer", test_leadership_transfer },
     { "follower lost its tail", test_follower_lost_tail },
+    { "lost chunks are repeated", test_lost_chunks_are_repeated },
+    { "chunks repeated and lost", test_chunks_repeated_and_lost },
     { NULL, NULL }
   };
 
