test_gate_silent: a connection that fails in a write has not ended in order

A backend server answers a long request before it has read it, without a length, and resets the connection after a part of the body, while the gate still sends. The same path takes the end of a silent connection, ETIMEDOUT, for an orderly one.

--- a/tests/test_gate_silent.c
+++ b/tests/test_gate_silent.c
@@ -35,7 +35,7 @@
       "\"services\":{\"columns\":[\"name\",\"health_path\","
       "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
       "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
-      "\"max_body_bytes\":1000000,\"header_timeout_s\":1,"
+      "\"max_body_bytes\":8000000,\"header_timeout_s\":1,"
       "\"idle_timeout_s\":2}}";
 
 /* Time that a request between nodes has left in the tests that send it
@@ -43,6 +43,7 @@
 #define NODE_TIMEOUT_MS 600
 /* idle_timeout_s of the document, and time for the end to arrive.  */
 #define IDLE_MAX_US (clk_s (2) + clk_ms (500))
+#define LONG_BODY_BYTES 6000000
 /* Time between two bytes of a slow body; six make more than idle_timeout_s and
    less than timeout_s of the route.  */
 #define SLOW_BODY_STEP_MS 500
@@ -66,11 +67,24 @@
    before.  */
 static _Atomic clk_us hang_ended_at;
 
+/* Sends a part of an answer that has no length, and resets the connection
+   while the gate still sends the request.  */
+static void
+server_reset_answer (int fd)
+{
+  struct linger reset = { .l_onoff = 1 };
+
+  net_send_text (fd, "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: l\r\n"
+                     "X-Sycamorerudder-Response-Seal: s\r\n\r\npart");
+  sleep_ms (200);
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 static void *
 server_serve_connection (void *arg)
 {
   int fd = (int)(intptr_t)arg;
-  char text[TEXT_BYTES];
+  char text[TEXT_BYTES] = "";
 
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
@@ -99,6 +113,9 @@
                        : "");
       net_send_text (fd, out);
     }
+  /* A longer request than TEXT holds.  */
+  if (strncmp (text, "POST /o/reset ", 14) == 0)
+    server_reset_answer (fd);
   close (fd);
   return NULL;
 }
@@ -372,6 +389,37 @@
   stop_gates (fixture);
 }
 
+/* Guards against a part of an answer that is taken for the whole, because the
+   end of the connection shows in a write, and looks orderly in the next read;
+   the same holds when the connection is silent.  */
+static void
+test_reset_while_sending (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+  int receive_bytes = 4096;
+  char *body = calloc (1, LONG_BODY_BYTES + 1);
+  char text[TEXT_BYTES];
+  int fd = net_connect (fixture->addresses[GATE_PORT_CALLERS]);
+
+  /* So small that the gate cannot send all of the request.  */
+  for (int i = 0; i < 2; i++)
+    setsockopt (fixture->nodes[i].server_listener, SOL_SOCKET, SO_RCVBUF,
+                &receive_bytes, sizeof receive_bytes);
+  memset (body, 'b', LONG_BODY_BYTES);
+  snprintf (text, sizeof text,
+            "POST /o/reset HTTP/1.1\r\nHost: h\r\n"
+            "X-Sycamorerudder-Request-Id: l\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 6000\r\n"
+            "Content-Length: %d\r\n\r\n",
+            LONG_BODY_BYTES);
+  net_send_text (fd, text);
+  net_send_text (fd, body);
+  net_read_to_end (fd, text, sizeof text);
+  CU_ASSERT_PTR_NULL (strstr (text, "HTTP/1.1 200 "));
+  free (body);
+  stop_gates (fixture);
+}
+
 int
 main (void)
 {
@@ -383,6 +431,7 @@
           { "silent connection from a node", test_silent_sender },
           { "silence within a body", test_half_requests },
           { "slow body", test_slow_body },
+          { "reset while a request is sent", test_reset_while_sending },
           { NULL, NULL } };
 
   return suite_run ("gate_silent", tests);
