--- a/core/counter.h
+++ b/core/counter.h
@@ -24,8 +24,12 @@
   X (SERVES, "rudder_serves_total", "Requests received for the own server")   \
   X (DISPATCHED, "rudder_dispatched_total",                                   \
      "Requests sent to the own server")                                       \
+  X (SERVES_OVERDUE, "rudder_serves_overdue_total",                           \
+     "Running requests ended because the node that sent them fell silent")    \
   X (CONNECTIONS, "rudder_backend_connections_total",                         \
      "Connections opened to the own server")                                  \
+  X (CONNECTIONS_SILENT, "rudder_connections_silent_total",                   \
+     "Connections closed because the other end fell silent")                  \
   X (ANSWER_READS_PAUSED, "rudder_answer_reads_paused_total",                 \
      "Pauses in reading an answer because too much of it was unsent")         \
   X (REQUEST_READS_PAUSED, "rudder_request_reads_paused_total",               \
