hconn: a connection whose write has failed has not ended in order

Cause: the kernel reports a reset, or a timeout without acknowledgement, once. When a write got it, the next read found the end of the stream, and an answer without a length ends with its connection. It takes a request body that is still being sent while the answer arrives.

Change: the error of a failed write is kept, and the end of the connection is a reset, or silence, whatever the next read returns.

--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -83,6 +83,16 @@
   return error == ETIMEDOUT ? HCONN_END_SILENT : HCONN_END_RESET;
 }
 
+/* After a failed write the kernel has reported the error, and the next read
+   finds an end that looks orderly.  ERROR is that of the read, 0 for none.  */
+static enum hconn_end
+hconn_end_from_read (const struct hconn *conn, int error)
+{
+  if (conn->write_error != 0)
+    error = conn->write_error;
+  return error == 0 ? HCONN_END_ORDERLY : hconn_end_from_errno (error);
+}
+
 static void
 hconn_destroy (struct loop_timer *timer)
 {
@@ -136,8 +146,8 @@
         }
       if (len <= 0)
         {
-          hconn_report_end (conn, len == 0 ? HCONN_END_ORDERLY
-                                           : hconn_end_from_errno (errno));
+          hconn_report_end (conn,
+                            hconn_end_from_read (conn, len == 0 ? 0 : errno));
           return;
         }
       error = httpmsg_feed (&conn->parser, buffer, (size_t)len);
@@ -165,7 +175,10 @@
       if (len < 0 && (errno == EAGAIN || errno == EINTR))
         break;
       if (len < 0)
-        return false;
+        {
+          conn->write_error = errno;
+          return false;
+        }
       conn->any_written = true;
       sent += (size_t)len;
     }
@@ -270,6 +283,7 @@
 
   conn->opts = *opts;
   conn->send_buf = (struct buf){ 0 };
+  conn->write_error = 0;
   conn->connected = false;
   conn->closed = false;
   conn->any_written = false;
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -63,6 +63,7 @@
   struct httpmsg_parser parser;
   struct buf send_buf;           /* unsent bytes */
   struct loop_timer close_timer; /* end of lingering, then @destroy */
+  int write_error; /* errno of a failed write; the kernel reports it once */
   bool connected;
   bool closed;             /* hconn_close() was called */
   bool any_written;        /* a byte was sent since the owner cleared this */
