node_tasks: free the control task after the tasks that send to it

Cause: control_join() freed the control task with its inbox while the store and the peer task still ran and sent to it. The store's answer to a write then locked a mutex of freed memory. The same happened on SIGTERM.

Change: waiting for the control task and freeing it are two functions; node_tasks_end() frees it once the store and the peer task have ended.

--- a/programs/node_tasks.c
+++ b/programs/node_tasks.c
@@ -55,5 +55,7 @@
     store_stop (tasks->store);
   inbox_put (peer_inbox (tasks->peer), msg_new (MSG_STOP));
   peer_join (tasks->peer);
+  /* The store and peer tasks have sent to the control task until now.  */
+  control_free (tasks->control);
   return failed;
 }
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -412,10 +412,13 @@
 int
 control_join (struct control *control)
 {
-  bool failed;
-
   pthread_join (control->thread, NULL);
-  failed = control->failed;
+  return control->failed ? 1 : 0;
+}
+
+void
+control_free (struct control *control)
+{
   control_expire_nodes (control, UINT64_MAX);
   htable_fini (&control->node_table);
   replica_free (control->replica);
@@ -426,5 +429,4 @@
   free (control->document);
   inbox_free (control->inbox);
   free (control);
-  return failed ? 1 : 0;
 }
--- a/tasks/control.h
+++ b/tasks/control.h
@@ -53,7 +53,7 @@
 int control_start (struct control *control);
 
 /**
- * control_join() - wait for the task to end, and free it
+ * control_join() - wait for the task to end
  * @control: task; has failed, or has a MSG_STOP in its inbox
  *
  * On MSG_STOP the task transfers leadership of its log groups, ends the lease
@@ -63,4 +63,7 @@
  */
 int control_join (struct control *control);
 
+/* Frees a task that has ended.  No other task may send to it any more.  */
+void control_free (struct control *control);
+
 #endif
--- a/tests/test_control.c
+++ b/tests/test_control.c
@@ -55,6 +55,7 @@
     }
   inbox_put (control_inbox (control), msg_new (MSG_STOP));
   CU_ASSERT_EQUAL (control_join (control), 0);
+  control_free (control);
   CU_ASSERT_TRUE (clk_now () - start < STOP_MAX_US);
   CU_ASSERT_EQUAL (count_replies (front, 503), 3);
   inbox_free (front);
--- a/tests/test_peer_contact.c
+++ b/tests/test_peer_contact.c
@@ -154,6 +154,7 @@
   inbox_put (control_inbox (plain->control), msg_new (MSG_STOP));
   control_join (plain->control);
   stop_peer (&plain->node);
+  control_free (plain->control);
   inbox_free (plain->node.front);
 }
 
