--- a/tests/test_gate_silent.c
+++ b/tests/test_gate_silent.c
@@ -43,6 +43,11 @@
 #define NODE_TIMEOUT_MS 600
 /* idle_timeout_s of the document, and time for the end to arrive.  */
 #define IDLE_MAX_US (clk_s (2) + clk_ms (500))
+/* Time in which a client expects a connection, and the bound "contact_s" of
+   the platform.  */
+#define CONNECT_MAX_US clk_s (1)
+#define CONTACT_MAX_US clk_s (3)
+#define DARK_ROUNDS 6
 #define LONG_BODY_BYTES 6000000
 /* Time between two bytes of a slow body; six make more than idle_timeout_s and
    less than timeout_s of the route.  */
@@ -145,26 +150,44 @@
     }
 }
 
-/* Whether the socket FD is a connection that was accepted at ADDRESS.  */
+/* Whether ADDRESS is the local one of the socket FD.  */
 static bool
-is_accepted_at (int fd, const char *address)
+has_address (int fd, const char *address)
 {
   struct sockaddr_in local;
-  struct sockaddr_in remote;
   socklen_t local_len = sizeof local;
-  socklen_t remote_len = sizeof remote;
   char text[NET_ADDRESS_BYTES];
   char ip[INET_ADDRSTRLEN];
 
   if (getsockname (fd, (struct sockaddr *)&local, &local_len) != 0
-      || local.sin_family != AF_INET
-      || getpeername (fd, (struct sockaddr *)&remote, &remote_len) != 0)
+      || local.sin_family != AF_INET)
     return false;
   inet_ntop (AF_INET, &local.sin_addr, ip, sizeof ip);
   snprintf (text, sizeof text, "%s:%u", ip, ntohs (local.sin_port));
   return strcmp (text, address) == 0;
 }
 
+/* Whether the socket FD is a connection that was accepted at ADDRESS.  */
+static bool
+is_accepted_at (int fd, const char *address)
+{
+  struct sockaddr_in remote;
+  socklen_t remote_len = sizeof remote;
+
+  return has_address (fd, address)
+         && getpeername (fd, (struct sockaddr *)&remote, &remote_len) == 0;
+}
+
+static int
+count_accepted (const char *address)
+{
+  int count = 0;
+
+  for (int fd = 0; fd < DESCRIPTORS_MAX; fd++)
+    count += is_accepted_at (fd, address);
+  return count;
+}
+
 /* Makes all connections silent that were accepted at ADDRESS, or ends that.
    The kernel drops what arrives on them, acknowledgements included; new
    connections work.  Returns their number.  */
@@ -185,6 +208,31 @@
   return count;
 }
 
+/* Makes a listener at ADDRESS drop each SYN, as a machine without power does,
+   or ends that.  */
+static void
+set_dark (const char *address, bool dark)
+{
+  struct sock_filter drop = BPF_STMT (BPF_RET | BPF_K, 0);
+  struct sock_fprog filter = { 1, &drop };
+  int count = 0;
+
+  for (int fd = 0; fd < DESCRIPTORS_MAX; fd++)
+    {
+      int listening = 0;
+      socklen_t len = sizeof listening;
+
+      if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listening, &len) == 0
+          && listening != 0 && has_address (fd, address)
+          && setsockopt (fd, SOL_SOCKET,
+                         dark ? SO_ATTACH_FILTER : SO_DETACH_FILTER, &filter,
+                         sizeof filter)
+                 == 0)
+        count++;
+    }
+  CU_ASSERT_EQUAL (count, 1);
+}
+
 struct request
 {
   const struct gate_fixture *fixture;
@@ -297,6 +345,35 @@
   stop_gates (fixture);
 }
 
+/* Guards against requests that wait for a node without power, and against a
+   node that is not used again, once it is back, before the kernel repeats a
+   SYN.  */
+static void
+test_dark_node (void)
+{
+  struct gate_fixture *fixture = start_gates ();
+  const char *address = fixture->nodes[1].addresses[GATE_PORT_NODES];
+
+  set_dark (address, true);
+  for (int round = 0; round < DARK_ROUNDS; round++)
+    {
+      struct request order = { .fixture = fixture, .head = "POST /o/" };
+
+      send_repeatable (fixture, BURST_MAX);
+      send_request (&order);
+      CU_ASSERT_EQUAL (order.status, 200);
+      CU_ASSERT_TRUE (order.duration < CONNECT_MAX_US);
+      sleep_ms (500);
+    }
+  CU_ASSERT_EQUAL (count_accepted (address), 0);
+  set_dark (address, false);
+  for (clk_us start = clk_now ();
+       count_accepted (address) == 0 && clk_now () < start + CONTACT_MAX_US;)
+    send_repeatable (fixture, BURST_MAX);
+  CU_ASSERT_TRUE (count_accepted (address) > 0);
+  stop_gates (fixture);
+}
+
 /* Guards against slots of a backend server that are held by requests for which
    nobody waits, because the connection to the node that sent them is silent
    and its end is not noticed.  */
@@ -428,6 +505,7 @@
             test_silent_backend_server },
           { "silent connections to a node", test_silent_node },
           { "order during an interruption", test_interrupted_order },
+          { "node without power", test_dark_node },
           { "silent connection from a node", test_silent_sender },
           { "silence within a body", test_half_requests },
           { "slow body", test_slow_body },
