--- a/Makefile
+++ b/Makefile
@@ -23,6 +23,8 @@
 SOURCES = $(wildcard include/*.h core/*.[ch] filters/*.[ch] \
 	controllers/*.[ch] log/*.[ch] wire/*.[ch] tasks/*.[ch] platform/*.[ch] \
 	programs/*.[ch] bench/*.[ch] tests/*.[ch] fuzz/*.[ch])
+# Preloaded into nodes by scripts/mesh_relay.sh, never linked.
+REDIRECT = $(BUILD)/tests/redirect_connect.so
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
 
 all: $(LIB) $(PROGRAM_BIN)
@@ -55,10 +57,14 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(LIB)
 	$(CC) $(CFLAGS) $< $(LIB) $(LIBS) -lcunit -o $@
 
+$(BUILD)/tests/%.so: tests/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CSTD) $(WARN) $(OPT) -shared -fPIC $< -o $@
+
 $(BUILD)/rudder-bench: $(BENCH_OBJ) $(LIB)
 	$(CC) $(CFLAGS) $(BENCH_OBJ) $(LIB) $(LIBS) -o $@
 
-tests: $(TEST_BIN)
+tests: $(TEST_BIN) $(REDIRECT)
 
 setup:
 	@scripts/setup
@@ -76,11 +82,11 @@
 # SEED is the seed of the random numbers; SECONDS is the duration (for "fuzz"
 # that of all targets together).
 soak: setup
-	@$(MAKE) --no-print-directory all
+	@$(MAKE) --no-print-directory all $(REDIRECT)
 	@scripts/soak "$(or $(SEED),1)" "$(or $(SECONDS),60)"
 
 soak-gate: setup
-	@$(MAKE) --no-print-directory all
+	@$(MAKE) --no-print-directory all $(REDIRECT)
 	@scripts/soak-gate "$(or $(SEED),1)" "$(or $(SECONDS),60)"
 
 fuzz: setup
--- a/programs/relay_pump.c
+++ b/programs/relay_pump.c
@@ -33,6 +33,21 @@
   return address;
 }
 
+/* Fills the queue of the listener with an own connection, which is never
+   accepted.  The kernel drops each SYN while the queue is full.  */
+static int
+relay_fill_queue (struct relay *relay)
+{
+  struct sockaddr_in address = relay_sockaddr (&relay->listen);
+
+  relay->queued = socket (AF_INET, SOCK_STREAM, 0);
+  if (relay->queued < 0
+      || connect (relay->queued, (struct sockaddr *)&address, sizeof address)
+             != 0)
+    return SR_EIO;
+  return SR_OK;
+}
+
 int
 relay_open (struct relay *relay)
 {
@@ -40,14 +55,16 @@
   int on = 1;
 
   list_init (&relay->connections);
+  relay->queued = -1;
   relay->listener = socket (AF_INET, SOCK_STREAM, 0);
   if (relay->listener < 0)
     return SR_EIO;
   setsockopt (relay->listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (bind (relay->listener, (struct sockaddr *)&address, sizeof address) != 0
-      || listen (relay->listener, RELAY_BACKLOG) != 0)
+      || listen (relay->listener, relay->drop_connects ? 0 : RELAY_BACKLOG)
+             != 0)
     return SR_EIO;
-  return SR_OK;
+  return relay->drop_connects ? relay_fill_queue (relay) : SR_OK;
 }
 
 static void
@@ -131,7 +148,9 @@
   struct relay_connection *closed = NULL;
   nfds_t count = 1;
 
-  fds[0] = (struct pollfd){ .fd = relay->listener, .events = POLLIN };
+  /* poll() skips a negative descriptor.  */
+  fds[0] = (struct pollfd){ .fd = relay->drop_connects ? -1 : relay->listener,
+                            .events = POLLIN };
   list_each (node, &relay->connections)
     {
       struct relay_connection *connection
@@ -176,5 +195,7 @@
 
   while ((node = list_first (&relay->connections)) != NULL)
     relay_close_connection (list_entry (node, struct relay_connection, node));
+  if (relay->queued >= 0)
+    close (relay->queued);
   close (relay->listener);
 }
--- a/programs/relay_pump.h
+++ b/programs/relay_pump.h
@@ -6,7 +6,8 @@
  *
  * Forwards bytes between clients and one target.  A blackholed connection
  * stays open at both ends, but no byte passes any more, as after the loss of
- * its state in a NAT gateway or firewall.
+ * its state in a NAT gateway or firewall.  A relay that drops connects has no
+ * target: it stands for a machine without power.
  */
 
 #include <stdbool.h>
@@ -18,7 +19,9 @@
 {
   struct tool_opt_address listen;
   struct tool_opt_address target;
+  bool drop_connects; /* drop each SYN, so that connects time out */
   int listener;
+  int queued; /* own connection that fills the queue of @listener, or -1 */
   bool blackhole_new;      /* new connections are blackholed as well */
   struct list connections; /* struct relay_connection */
 };
--- a/programs/rudder-relay.c
+++ b/programs/rudder-relay.c
@@ -45,15 +45,21 @@
       .arg = "IP:PORT",
       .help = "target; SIGUSR1 blackholes all open connections permanently, "
               "SIGUSR2 also new ones until the next SIGUSR2" },
+    { .name = "drop-connects",
+      .kind = TOOL_OPT_FLAG,
+      .dest.flag = &relay.drop_connects,
+      .help = "drop each SYN instead, as a machine without power does; "
+              "without --to" },
     { .kind = TOOL_OPT_END },
   };
 
   slog_init ("rudder-relay", SLOG_INFO);
   slog_set_fd (STDERR_FILENO);
   tool_opt_parse ("rudder-relay", specs, argc, argv);
-  if (relay.listen.port == 0 || relay.target.port == 0)
-    tool_opt_fail ("rudder-relay", relay.target.port == 0 ? "to" : "listen",
-                   "", "IP:PORT");
+  if (relay.listen.port == 0)
+    tool_opt_fail ("rudder-relay", "listen", "", "IP:PORT");
+  if ((relay.target.port == 0) != relay.drop_connects)
+    tool_opt_fail ("rudder-relay", "to", "", "IP:PORT, or --drop-connects");
   tool_signal_catch (main_on_signal, main_signals,
                      sizeof main_signals / sizeof main_signals[0]);
   if (relay_open (&relay) != SR_OK)
