soak: silent connections and power loss of the control replicas

Change: the connections between nodes pass relays. Every 2.5 to 7.5 s one of four events in turn, beside those drawn until now: the open connections of all nodes, of one node or of a pair go silent, or the control replicas lose power (killed, each SYN dropped for 1 to 12 s). A race of changes follows, which is repeated until a version is known. The check reads the nodes' logs: a version must be in force 2 s after its ack at each node that has been in touch for 3 s, and a confirmed one never goes back. test_soak_check has cases of both.

--- a/scripts/soak-events.sh
+++ b/scripts/soak-events.sh
@@ -1,7 +1,27 @@
 # Fault events of soak runs.  Sourced by soak-run.sh.  "action_due_ms" holds
 # the due times of scheduled actions (see now_ms) under the keys ACTION:NAME,
 # "stop_deadline_ms" the deadlines of graceful stops, "fault_of" the kind of
-# fault of processes that are killed, frozen, leaving, stopping or crashed.
+# fault of processes that are killed, frozen, leaving, stopping, crashed or
+# without power.
+
+# record_contact TEXT: appends "MS TEXT" to "contact".  The events there tell the
+# check which nodes are in touch with the control replicas: "down NAME", "up
+# NAME", "wiped NAME" (started without its disk), "silent all", "silent NAME
+# [NAME]" and "end".
+record_contact () {
+  echo "$(date +%s%3N) $1" >>"$MESH_DIR/contact"
+}
+
+# set_fault NAME KIND
+set_fault () {
+  fault_of[$1]=$2
+  record_contact "down $1"
+}
+
+clear_fault () {
+  unset "fault_of[$1]"
+  record_contact "up $1"
+}
 
 # schedule_action MS ACTION NAME: runs the function action_ACTION with NAME
 # after MS milliseconds.
@@ -27,7 +47,7 @@
 
 action_resume () {
   mesh_signal "$1" CONT
-  unset "fault_of[$1]"
+  clear_fault "$1"
   log_event "resume $1"
 }
 
@@ -92,8 +112,8 @@
   draw_running "$@" || return
   local delay_ms=$((200 + RANDOM % 4000))
   log_event "kill $REPLY, start after $delay_ms ms"
+  set_fault "$REPLY" killed
   mesh_kill "$REPLY"
-  fault_of[$REPLY]=killed
   schedule_action "$delay_ms" start "$REPLY"
 }
 
@@ -102,8 +122,8 @@
   draw_running "$@" || return
   local delay_ms=$((1000 + RANDOM % 3000))
   log_event "freeze $REPLY for $delay_ms ms"
+  set_fault "$REPLY" frozen
   mesh_signal "$REPLY" STOP
-  fault_of[$REPLY]=frozen
   schedule_action "$delay_ms" resume "$REPLY"
 }
 
@@ -121,8 +141,82 @@
 event_graceful_restart () {
   draw_running "$@" || return
   log_event "graceful restart $REPLY"
+  set_fault "$REPLY" stopping
   mesh_signal "$REPLY" TERM
-  fault_of[$REPLY]=stopping
   stop_deadline_ms[$REPLY]=$(($(now_ms) + stop_limit_s * 1000))
   schedule_action 200 check_stop "$REPLY"
 }
+
+# run_contact_event SEED: one of the events that cut nodes off from the control
+# replicas, each kind in turn; SEED selects the first one.  A race follows, which
+# changes the configuration before or after the nodes must be in touch again.
+run_contact_event () {
+  local race_delay_ms=$((300 + RANDOM % 4000))
+  case $((($1 + contact_count) % 4)) in
+    0) event_silent_all ;;
+    1) event_power_loss ;;
+    2) event_silent_node ;;
+    3) event_silent_pair ;;
+  esac
+  contact_count=$((contact_count + 1))
+  schedule_action "$race_delay_ms" race "$contact_count"
+}
+contact_count=0
+
+# Repeats a race until a version is known.
+action_race () {
+  event_race || schedule_action 500 race "$1"
+}
+
+# The open connections between all nodes go silent for good; new ones work.
+event_silent_all () {
+  log_event "silent connections of all nodes"
+  relay_silence_all
+  record_contact "silent all"
+}
+
+# The same for those of one node.
+event_silent_node () {
+  draw_one "${RELAY_NODES[@]}"
+  log_event "silent connections of $REPLY"
+  relay_silence_node "$REPLY"
+  record_contact "silent $REPLY"
+}
+
+# The same for those between a control replica and another node.
+event_silent_pair () {
+  local replica
+  draw_one $control_nodes
+  replica=$REPLY
+  while [ "$REPLY" = "$replica" ]; do draw_one "${RELAY_NODES[@]}"; done
+  log_event "silent connections between $replica and $REPLY"
+  relay_silence_pair "$replica" "$REPLY"
+  record_contact "silent $replica $REPLY"
+}
+
+# Kills the control replicas, also those that are frozen, and starts them after
+# 1 to 12 s, together with those that were killed before.  Meanwhile each SYN to
+# them is dropped.  Replicas that are stopping are left out.
+event_power_loss () {
+  local delay_ms=$((1000 + RANDOM % 11000)) name lost=
+  for name in $control_nodes; do
+    case ${fault_of[$name]:-} in stopping | powerless) ;; *) lost="$lost $name" ;; esac
+  done
+  [ -n "$lost" ] || return
+  log_event "power loss of$lost for $delay_ms ms"
+  for name in $lost; do
+    unset "action_due_ms[start:$name]" "action_due_ms[resume:$name]"
+    set_fault "$name" powerless
+  done
+  for name in $lost; do
+    mesh_kill "$name"
+    relay_drop_connects "$name"
+    schedule_action "$delay_ms" power_on "$name"
+  done
+  schedule_action $((delay_ms + 500 + RANDOM % 3500)) race "power-$contact_count"
+}
+
+action_power_on () {
+  relay_restore "$1" || fail "no relays to $1"
+  action_start "$1"
+}
--- a/scripts/soak-run.sh
+++ b/scripts/soak-run.sh
@@ -1,9 +1,10 @@
 # Main loop of scripts/soak and scripts/soak-gate.  Sourced by them after
-# mesh.sh.  They set control_nodes, service_nodes (nodes beside a backend
+# mesh.sh and mesh_relay.sh.  They set control_nodes, service_nodes (nodes beside a backend
 # server), backends (backend servers), all lists of process names;
 # recovery_limit_s; and, for another value than the default, stop_limit_s.  They
 # define start_mesh, start_process, stop_process, start_due_burst,
-# poll_one_version, run_random_event, all_calls_succeed and resend_changes.
+# poll_one_version, run_random_event, event_race, all_calls_succeed and
+# resend_changes.
 
 . scripts/soak-events.sh
 declare -A fault_of action_due_ms
@@ -61,7 +62,7 @@
         ;;
     esac
     mesh_kill "$name"
-    fault_of[$name]=crashed
+    set_fault "$name" crashed
     schedule_action 500 start "$name"
   done
 }
@@ -99,7 +100,7 @@
 # its files.  Prints the schedule and the result; exits non-zero after a
 # failure.  The files of a failed run are kept.
 soak_run () {
-  local next_event_ms ends_ms name
+  local next_event_ms next_contact_ms ends_ms name
   started_ms=$(date +%s%3N)
   echo "seed $1, $2 s"
   start_mesh || {
@@ -109,6 +110,7 @@
   }
   RANDOM=$1
   next_event_ms=$(now_ms)
+  next_contact_ms=$((next_event_ms + 1000))
   ends_ms=$((next_event_ms + $2 * 1000))
   log_event "started"
   while [ "$(now_ms)" -lt "$ends_ms" ]; do
@@ -120,11 +122,16 @@
       run_random_event
       next_event_ms=$(($(now_ms) + 300 + RANDOM % 2000))
     fi
+    if [ "$(now_ms)" -ge "$next_contact_ms" ]; then
+      run_contact_event "$1"
+      next_contact_ms=$(($(now_ms) + 2500 + RANDOM % 5000))
+    fi
     sleep "$poll_interval_s"
   done
   check_recovery
   check_bursts
   resend_changes
+  record_contact end
   for name in $backends $service_nodes $control_nodes; do
     stop_process "$name"
   done
--- a/tests/mesh_soak.sh
+++ b/tests/mesh_soak.sh
@@ -1,4 +1,5 @@
 #!/bin/bash
 # A short soak run with a fixed seed; see scripts/soak.  Guards against
-# failures that need several faults at the same time.
-exec "$(dirname "$0")/../scripts/soak" "${1:-1}" "${2:-12}"
+# failures that need several faults at the same time.  In 26 s the mesh loses
+# contact with the control replicas in each of the four ways.
+exec "$(dirname "$0")/../scripts/soak" "${1:-1}" "${2:-26}"
--- a/tests/test_soak_check.sh
+++ b/tests/test_soak_check.sh
@@ -27,7 +27,9 @@
     echo "change 100 120 5 2 412 race1-b"
     echo "read 130 140 5"
     echo "change 200 220 5 2 200 race1-a"
+    echo "change 2000 2100 5 2 200 race1-a"
   } >operations
+  write_contact c1 c2 c3
   cd - >/dev/null || exit 1
 }
 
@@ -41,10 +43,36 @@
   echo "99 110 POST /orders/1 key=k trace=00-a-1 caller=c sent=99 status=200" \
     "result=whole reason=- run=ran resends=0 states=r" >burst-1.record
   echo "n1 1 2" >versions
-  echo "2 r1-a accepted" >changes
+  echo "2 r1-a accepted 2000 5" >changes
+  write_contact n1 n2 n3
   cd - >/dev/null || exit 1
 }
 
+# write_contact REPLICA...: writes the log of node n4 and the contact of a run
+# with these control replicas in which version 5, acknowledged at 2000 and 2100
+# ms, is in force at n4 in time.
+write_contact () {
+  local name
+  for name in "$@" n4; do
+    echo "1000 up $name" >>contact
+    echo "time=1.010 severity=notice program=p node=$name msg=\"started\" v=1"
+    write_in_force 1.100 "$name" 3
+    [ "$name" = n4 ] || write_in_force 2.000 "$name" 5
+  done >n.log
+  write_in_force 6.800 n4 5 >>n.log
+  {
+    echo "2100 silent $1 n4"
+    echo "4000 silent n4"
+    echo "20000 end"
+  } >>contact
+}
+
+# write_in_force TIME NODE VERSION: prints the log line of a version in force.
+write_in_force () {
+  echo "time=$1 severity=notice program=p node=$2" \
+    "msg=\"configuration in force\" version=$3 confirmed=1 source=read"
+}
+
 # expect_pass CHECK: expects that the script exits with status 0.
 expect_pass () {
   scripts/"$1" "$MESH_DIR/run" >"$MESH_DIR/out" 2>&1 \
@@ -112,4 +140,43 @@
   "no request started after the server has left" orders-4.journal \
   "200 left
 4000 start GET /orders/2 key=- trace=00-b-1"
+# in_force_late CHECK WRITE LATE [EVENT]: writes a run in which version 5 is in
+# force at n4 at LATE, after the further EVENT of the file "contact".
+in_force_late () {
+  "$2"
+  sed -i "s/^time=6.800/time=$3/" "$MESH_DIR/run/n.log"
+  [ $# -lt 4 ] || echo "$4" >>"$MESH_DIR/run/contact"
+}
+
+# check_in_force CHECK WRITE REPLICA REPLICA: cases of nodes in and out of touch.
+check_in_force () {
+  local late="accepted versions are in force in time" event
+  in_force_late "$1" "$2" 7.050
+  expect_violation "$1" "$late"
+  # Neither a loss of one replica, more than 3 s before, nor the silence between
+  # other nodes cuts n4 off.
+  for event in "3900 down $3" "6900 silent $3 $4" "6900 silent n5"; do
+    in_force_late "$1" "$2" 7.050 "$event"
+    expect_violation "$1" "$late"
+  done
+  for event in "5000 silent all" "5000 silent n4 $3" "5000 silent $3" \
+    "6000 down $3" "6000 down n4"; do
+    in_force_late "$1" "$2" 7.050 "$event"
+    expect_pass "$1"
+  done
+  # Without a quorum no node is in touch, and again 3 s after its return.
+  in_force_late "$1" "$2" 12.950 "4100 down $3
+4200 down $4
+10000 up $4"
+  expect_pass "$1"
+  in_force_late "$1" "$2" 13.050 "4100 down $3
+4200 down $4
+10000 up $4"
+  expect_violation "$1" "$late"
+  check_violation "$2" "$1" "confirmed versions in force do not decrease" n.log \
+    "$(write_in_force 9.000 n4 4)"
+}
+
+check_in_force soak-gate-check write_gate_run c1 c2
+check_in_force soak-check write_soak_run n1 n2
 mesh_finish
