--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -756,7 +756,8 @@
     }
 }
 
-/* Reads the events of a connection.  */
+/* Reads the events of a connection and logs its changes.  A failed attempt to
+   connect is reported as an end, too.  */
 static void
 peer_read_monitor (struct peer_dial *dial)
 {
@@ -764,7 +765,11 @@
 
   while ((event = peer_monitor_next (dial->monitor)) != PEER_MONITOR_NONE)
     {
-      dial->link.connected = event == PEER_MONITOR_ESTABLISHED;
+      bool connected = event == PEER_MONITOR_ESTABLISHED;
+
+      if (connected == dial->link.connected)
+        continue;
+      dial->link.connected = connected;
       slog (SLOG_INFO, "peer connection changed peer=%s state=%s",
             dial->address, peer_dial_state (dial));
     }
--- a/tasks/peer_monitor.h
+++ b/tasks/peer_monitor.h
@@ -14,7 +14,7 @@
 {
   PEER_MONITOR_NONE,        /* no more events */
   PEER_MONITOR_ESTABLISHED, /* both sides have completed the handshake */
-  PEER_MONITOR_ENDED,       /* the established connection has ended */
+  PEER_MONITOR_ENDED,       /* a connection has ended */
 };
 
 /**
