mesh_torn_files: the file size limit of the node must not cut its log

Cause: the test simulates a full disk by a file size limit of 1 KiB, which applies to the log file, too.

Change: the log goes through a pipe; what is expected of it stays the same.

--- a/tests/mesh_torn_files.sh
+++ b/tests/mesh_torn_files.sh
@@ -98,11 +98,13 @@
   expect_start_failure "read-only file system" a "a.data"
   rm "$data_dir"
 fi
-# A full disk, simulated by the file size limit of the process.
+# A full disk, simulated by the file size limit of the process.  Its log goes
+# through a pipe, to which the limit does not apply.
 state_kill c
 mkdir -p "$data_dir"
 : >"$MESH_DIR/a.log"
-mesh_start_process a bash -c 'trap "" XFSZ; ulimit -f 1; exec "$0" "$@"' \
+mesh_start_process a bash -c 'exec > >(cat) 2>&1; trap "" XFSZ; ulimit -f 1
+  exec "$0" "$@"' \
   "$MESH_BIN/sycamorerudder-node" --listen "${MESH_LISTEN[a]}" \
   --admin "${MESH_ADMIN[a]}" --peer "${MESH_PEER[a]}" --instance a \
   --failure-domain domain-a --join "$MESH_JOIN" --control \
@@ -112,6 +114,7 @@
   wait "${MESH_PID[a]}"
   status=$?
   unset "MESH_PID[a]"
+  mesh_wait_until 2 grep -q 'store failed" error=".*a.data' "$MESH_DIR/a.log"
   echo "full disk: status $status, $(grep -o 'error=.*' "$MESH_DIR/a.log" \
     | head -n 1 | sed "s#$MESH_DIR/##g")"
   [ "$status" -eq 1 ] || state_fail "full disk: exit status $status"
