test_gate: count cancellations of one test only

Cause: "timeout and disconnect" expects two cancelled runs, and counts from its start.

Change: the test first waits until the server has seen the end of each request that it does not answer. The two cancellations are still expected exactly.

--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -868,15 +868,28 @@
   CU_ASSERT_EQUAL (strncmp (get_path ("/none/"), "HTTP/1.1 404 ", 13), 0);
 }
 
+/* Waits until the server has seen the end of each request that it does not
+   answer, those of earlier tests included.  */
+static void
+wait_for_cancellations (void)
+{
+  for (int i = 0; i < 100 && server_cancelled_count != server_hang_count; i++)
+    usleep (10000);
+  CU_ASSERT_EQUAL (server_cancelled_count, server_hang_count);
+}
+
 /* Guards against a caller that waits longer than the route's timeout, and
    against work that goes on after the caller has disconnected.  */
 static void
 test_timeout_and_disconnect (void)
 {
-  clk_us start = clk_now ();
-  int cancelled_before = server_cancelled_count;
+  clk_us start;
+  int cancelled_before;
   int fd;
 
+  wait_for_cancellations ();
+  start = clk_now ();
+  cancelled_before = server_cancelled_count;
   CU_ASSERT_EQUAL (strncmp (get_path ("/t/hang"), "HTTP/1.1 504 ", 13), 0);
   CU_ASSERT_TRUE (clk_now () - start < clk_ms (500));
   fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
