raft: a replica that stops hands over its vote; a silent one is replaced in time

Cause: a replica that ended kept its vote. It was taken out after 6 s of silence, a constant longer than the platform's catch_up_s (4 s), and each new leader counted that time from its own election. A stop handed over the leadership only.

Change: a replica that stops sends RAFT_LEAVE; the leader promotes a learner that has caught up and then demotes the leaving voter, which ends when it knows. Promotion comes first while the leaving voter still votes, removal first for one that is silent. Without a learner the vote stays. A silent voter is replaced after half of catch_up_s; RAFT_SILENT_PEERS lets a new leader take over what the last one knew. A member without a leader asks for its group after 1.5 s. "log members" lines show voters and learners.

Why it works: the vote of a process that ends is moved while it can still confirm the change, and for one that cannot, the wait is bounded by the time after which its loss no longer counts, whatever the number of elections.

--- a/core/raftmsg.h
+++ b/core/raftmsg.h
@@ -83,6 +83,8 @@
   RAFT_TIMEOUT_NOW,
   RAFT_HELLO, /* asks a replica for its group, see log/boot.h */
   RAFT_HELLO_REPLY,
+  RAFT_LEAVE,        /* the sender stops and hands over its vote */
+  RAFT_SILENT_PEERS, /* leader to followers: members that do not reply */
   RAFT_MSG_COUNT,
 };
 
@@ -158,6 +160,18 @@
   char leader_address[RAFT_ADDRESS_BYTES]; /* empty when not known */
 };
 
+struct raft_silent_peer
+{
+  uint64_t id;
+  uint64_t silent_us; /* since the last message of the member */
+};
+
+struct raft_silent_peers
+{
+  uint32_t count;
+  struct raft_silent_peer list[RAFT_MEMBERS_MAX];
+};
+
 struct raft_msg
 {
   enum raft_msg_kind kind;
@@ -175,6 +189,7 @@
     struct raft_snapshot_chunk_reply chunk_reply;
     struct raft_hello hello;
     struct raft_hello_reply hello_reply;
+    struct raft_silent_peers silent_peers;
   } u;
 };
 
--- a/log/raft.c
+++ b/log/raft.c
@@ -56,6 +56,7 @@
     case RAFT_OUT_REFUSED:
     case RAFT_OUT_READ_CONFIRMED:
     case RAFT_OUT_ROLE_CHANGED:
+    case RAFT_OUT_MEMBERS_CHANGED:
     case RAFT_OUT_TAKE_SNAPSHOT:
     case RAFT_OUT_ENTRIES_LOST:
       break;
@@ -232,6 +233,7 @@
   raft->role = RAFT_LEADER;
   raft->leader_id = raft->opts.id;
   raft->term_start_index = raft->log.last_index + 1;
+  raft->leader_since = now;
   raft->heartbeat_deadline = now + raft->opts.heartbeat_interval;
   list_each (node, &raft->peers)
     {
@@ -243,9 +245,9 @@
       peer->inflight_bytes = 0;
       peer->acked_round = 0;
       peer->acked_sent_at = now;
-      peer->last_contact = now;
       peer->snapshot_index = 0;
     }
+  raft_adopt_silence (raft);
   raft_append_new_entry (raft, raft_entry_new (RAFT_ENTRY_NOOP));
   raft->broadcast_pending = true;
   raft_add_output (raft, RAFT_OUT_ROLE_CHANGED);
@@ -514,6 +516,7 @@
         {
           raft->broadcast_pending = true;
           raft->heartbeat_deadline = now + raft->opts.heartbeat_interval;
+          raft_send_silent_peers (raft, now);
           raft_manage_members (raft, now);
         }
       return raft->heartbeat_deadline;
@@ -585,6 +588,12 @@
             && raft_is_voter (raft, raft->opts.id))
           raft_start_election (raft, true, now);
         break;
+      case RAFT_LEAVE:
+        raft_on_leave (raft, msg, now);
+        break;
+      case RAFT_SILENT_PEERS:
+        raft_on_silent_peers (raft, msg, now);
+        break;
       case RAFT_HELLO:
       case RAFT_HELLO_REPLY: /* for log/boot */
       case RAFT_MSG_COUNT:
@@ -725,6 +734,21 @@
                     index < raft->written_index ? index : raft->written_index);
 }
 
+/* Whether PEER is a better target of a leadership transfer than BEST, which
+   may be NULL.  A peer that leaves itself would hand over at once.  */
+static bool
+raft_is_better_target (const struct raft *raft, const struct raft_peer *peer,
+                       const struct raft_peer *best)
+{
+  bool leaves = raft_peer_leaves (raft, peer);
+
+  if (best == NULL)
+    return true;
+  if (leaves != raft_peer_leaves (raft, best))
+    return !leaves;
+  return peer->match_index > best->match_index;
+}
+
 int
 raft_transfer_leadership (struct raft *raft, clk_us now)
 {
@@ -741,7 +765,7 @@
 
       if (!peer->member.learner
           && peer->last_contact + raft->opts.lease_duration > now
-          && (target == NULL || peer->match_index > target->match_index))
+          && raft_is_better_target (raft, peer, target))
         target = peer;
     }
   if (target == NULL)
@@ -779,6 +803,7 @@
     .is_voter = self != NULL && !self->learner,
     .last_leader_contact
     = raft->role == RAFT_LEADER ? raft->now : raft->last_leader_contact,
+    .members_index = raft->members_index,
     .members = raft->members,
   };
   raft_leader_address (raft, status->leader_address);
--- a/log/raft.h
+++ b/log/raft.h
@@ -36,7 +36,7 @@
   clk_us election_timeout_min;
   clk_us election_timeout_max;
   clk_us lease_duration;  /* shorter than @election_timeout_min */
-  clk_us replace_timeout; /* silence after which a member is replaced */
+  clk_us replace_timeout; /* silence after which a voter is replaced */
   uint32_t voters_max;    /* further members stay learners */
 };
 
@@ -54,11 +54,12 @@
   RAFT_OUT_WRITE,
   RAFT_OUT_APPLY,
   RAFT_OUT_RESTORE,
-  RAFT_OUT_REFUSED,        /* a proposal or a read has failed */
-  RAFT_OUT_READ_CONFIRMED, /* the state machine may be read */
-  RAFT_OUT_ROLE_CHANGED,   /* role, term or leader has changed */
-  RAFT_OUT_TAKE_SNAPSHOT,  /* the host calls raft_store_snapshot() */
-  RAFT_OUT_ENTRIES_LOST,   /* a member has lost acknowledged entries */
+  RAFT_OUT_REFUSED,         /* a proposal or a read has failed */
+  RAFT_OUT_READ_CONFIRMED,  /* the state machine may be read */
+  RAFT_OUT_ROLE_CHANGED,    /* role, term or leader has changed */
+  RAFT_OUT_MEMBERS_CHANGED, /* see raft_get_status() */
+  RAFT_OUT_TAKE_SNAPSHOT,   /* the host calls raft_store_snapshot() */
+  RAFT_OUT_ENTRIES_LOST,    /* a member has lost acknowledged entries */
 };
 
 struct raft_out_apply
@@ -114,6 +115,7 @@
   bool is_voter;
   clk_us last_leader_contact; /* time of the last message of a leader; on
                                  the leader, of its newest input */
+  uint64_t members_index;     /* log index of @members */
   struct raft_members members;
 };
 
@@ -176,6 +178,13 @@
    SR_ENOENT when no other voter is alive.  */
 int raft_transfer_leadership (struct raft *raft, clk_us now);
 
+/* Hands over the vote of this replica, whose process stops, to a learner that
+   has caught up.  Returns whether the handover is still open; without a
+   learner, or once this replica has no vote, it is not.  To be called until
+   the process ends; the leader forgets the request when the calls end and the
+   replica still replies.  */
+bool raft_leave (struct raft *raft, clk_us now);
+
 /* Returns the address of the member ID, or NULL.  */
 const char *raft_member_address (const struct raft *raft, uint64_t id);
 
--- a/log/raft_impl.h
+++ b/log/raft_impl.h
@@ -9,12 +9,17 @@
 #include "core/rng.h"
 #include "log/raft.h"
 
+/* A report of silent peers counts for this many heartbeat intervals.  */
+#define RAFT_SILENT_PEERS_HEARTBEATS 3
 /* Limits of one AppendEntries message.  */
 #define RAFT_APPEND_BYTES_MAX (64 * 1024)
 #define RAFT_APPEND_ENTRIES_MAX 256
 /* Limit of entry bytes in flight to one peer: enough for the bandwidth between
    failure domains, and a bound on what is queued for a dead peer.  */
 #define RAFT_INFLIGHT_BYTES_MAX (1024 * 1024)
+/* A silent learner is removed after this many replace timeouts: it delays
+   nothing, and one that returns as a member catches up sooner.  */
+#define RAFT_LEARNER_TIMEOUTS 3
 /* A learner that lacks at most this many entries counts as caught up.  */
 #define RAFT_CAUGHT_UP_ENTRIES 64
 /* A snapshot is taken once the entries since the last one have at least its
@@ -51,6 +56,7 @@
   uint64_t acked_round;     /* last broadcast that it replied to */
   clk_us acked_sent_at;     /* send time of the newest message replied to */
   clk_us last_contact;      /* time of its last reply */
+  clk_us left_at;           /* time of its last RAFT_LEAVE, 0 for none */
   uint64_t snapshot_index;  /* snapshot being sent, 0 for none */
   uint64_t snapshot_offset; /* of the next chunk */
   clk_us chunk_sent_at;
@@ -123,6 +129,7 @@
   uint64_t matched_index;    /* follower: last index that matches the leader */
   uint64_t acked_index;      /* follower: highest match index acknowledged */
   uint64_t term_start_index; /* leader: index of its first entry */
+  clk_us leader_since;       /* leader: time of its election */
   uint64_t round;            /* leader: number of the newest broadcast */
   bool broadcast_pending;
   uint64_t transfer_target_id;
@@ -130,6 +137,9 @@
   bool snapshot_requested;
   uint64_t bytes_since_snapshot; /* entry bytes committed since the last */
   struct raft_incoming_snapshot incoming_snapshot;
+  struct raft_silent_peers silent_peers; /* newest report of a leader */
+  clk_us silent_peers_at;                /* when it arrived */
+  clk_us leave_sent_at;                  /* of the last RAFT_LEAVE */
 
   struct list pending_proposals; /* struct raft_pending_proposal, by index */
   struct list pending_reads;     /* struct raft_pending_read, by round */
@@ -244,9 +254,20 @@
 void raft_update_members (struct raft *raft, clk_us now);
 /* Whether the leader may propose a membership now.  */
 bool raft_member_change_allowed (const struct raft *raft);
-/* Proposes at most one membership change: promotes a learner, or removes a
-   voter that a learner replaces, or a silent learner.  */
+/* Proposes at most one membership change: promotes a learner, or takes the
+   vote of a voter that a learner replaces, or removes a silent learner.  */
 void raft_manage_members (struct raft *raft, clk_us now);
+/* Whether PEER hands over its vote, or did so last before it fell silent.  */
+bool raft_peer_leaves (const struct raft *raft, const struct raft_peer *peer);
+/* Tells the followers which members are silent, so that a new leader need not
+   wait for the replace timeout anew.  */
+void raft_send_silent_peers (struct raft *raft, clk_us now);
+void raft_on_silent_peers (struct raft *raft, const struct raft_msg *msg,
+                           clk_us now);
+/* On a new leader: sets the last contact of the peers to that of the last
+   leader.  */
+void raft_adopt_silence (struct raft *raft);
+void raft_on_leave (struct raft *raft, const struct raft_msg *msg, clk_us now);
 void raft_on_hello (struct raft *raft, const struct raft_msg *msg, clk_us now);
 
 #endif
--- a/log/raft_member.c
+++ b/log/raft_member.c
@@ -55,6 +55,7 @@
   while ((node = list_pop_head (&raft->peers)) != NULL)
     free (list_entry (node, struct raft_peer, node));
   list_splice_tail (&raft->peers, &peers);
+  raft_add_output (raft, RAFT_OUT_MEMBERS_CHANGED);
 }
 
 /* Only one change at a time, and none before an entry of the leader's term is
@@ -133,65 +134,132 @@
   return SR_OK;
 }
 
-/* Proposes that the learner ID becomes a voter.  */
+/* Proposes that the member ID becomes a learner, or else a voter.  */
 static void
-raft_propose_promotion (struct raft *raft, uint64_t id)
+raft_propose_role (struct raft *raft, uint64_t id, bool learner)
 {
   struct raft_members members = raft->members;
 
   for (uint32_t i = 0; i < members.count; i++)
     if (members.list[i].id == id)
-      members.list[i].learner = false;
+      members.list[i].learner = learner;
   raft_propose_members (raft, &members);
 }
 
+bool
+raft_peer_leaves (const struct raft *raft, const struct raft_peer *peer)
+{
+  return peer->left_at != 0
+         && peer->last_contact
+                < peer->left_at + raft->opts.election_timeout_min;
+}
+
 /* Whether PEER is a live learner that may become a voter.  */
 static bool
 raft_learner_caught_up (const struct raft *raft, const struct raft_peer *peer,
                         clk_us now)
 {
-  return peer->member.learner
+  return peer->member.learner && !raft_peer_leaves (raft, peer)
          && peer->match_index + RAFT_CAUGHT_UP_ENTRIES >= raft->log.last_index
          && peer->match_index >= raft->term_start_index
          && peer->last_contact + raft->opts.lease_duration > now;
 }
 
-/* Returns a voter that the learner replaces, or NULL: one with the same
-   address, which has lost its disk, or when SILENT is set one without contact
-   for the replace timeout.  */
+/* Whether the vote of PEER is lost: it was silent for the replace timeout, or
+   has announced that it leaves and is silent.  A new leader first gives all
+   peers the time of an election to reply.  */
+static bool
+raft_peer_gone (const struct raft *raft, const struct raft_peer *peer,
+                clk_us now)
+{
+  clk_us limit = raft_peer_leaves (raft, peer)
+                     ? raft->opts.election_timeout_min
+                     : raft->opts.replace_timeout;
+
+  return peer->last_contact + limit <= now
+         && raft->leader_since + raft->opts.election_timeout_min <= now;
+}
+
+/* Returns the voter with ADDRESS, which has lost its disk when a learner has
+   the same address, or NULL.  */
 static const struct raft_peer *
-raft_find_replaced_voter (const struct raft *raft,
-                          const struct raft_peer *learner, bool silent,
-                          clk_us now)
+raft_find_voter_at (const struct raft *raft, const char *address)
 {
   list_each (node, &raft->peers)
     {
       const struct raft_peer *peer = list_entry (node, struct raft_peer, node);
 
-      if (peer->member.learner)
-        continue;
-      if (strcmp (peer->member.address, learner->member.address) == 0)
+      if (!peer->member.learner && strcmp (peer->member.address, address) == 0)
+        return peer;
+    }
+  return NULL;
+}
+
+/* Returns a voter whose vote is lost, or NULL.  */
+static const struct raft_peer *
+raft_find_gone_voter (const struct raft *raft, clk_us now)
+{
+  list_each (node, &raft->peers)
+    {
+      const struct raft_peer *peer = list_entry (node, struct raft_peer, node);
+
+      if (!peer->member.learner && raft_peer_gone (raft, peer, now))
         return peer;
-      if (silent && peer->last_contact + raft->opts.replace_timeout <= now)
+    }
+  return NULL;
+}
+
+/* Returns a voter that leaves and still replies, or NULL.  */
+static const struct raft_peer *
+raft_find_leaving_voter (const struct raft *raft, clk_us now)
+{
+  list_each (node, &raft->peers)
+    {
+      const struct raft_peer *peer = list_entry (node, struct raft_peer, node);
+
+      if (!peer->member.learner && raft_peer_leaves (raft, peer)
+          && !raft_peer_gone (raft, peer, now))
         return peer;
     }
   return NULL;
 }
 
-/* Proposes one step that makes a caught-up learner a voter; returns false when
-   none is needed.  A replaced voter is removed first: its vote is lost in any
-   case, and the quorum of the remaining voters does not depend on it.
-   CAUGHT_UP_COUNT: number of caught-up learners.  */
+/* Takes the vote of one voter out of an even number of four or more, which
+   tolerates no more failures than one voter fewer.  A leaving voter becomes a
+   learner, so that it receives the entry and knows that it may end.  */
+static bool
+raft_vacate_vote (struct raft *raft, clk_us now)
+{
+  const struct raft_peer *voter = raft_find_gone_voter (raft, now);
+
+  if (voter != NULL)
+    {
+      raft_propose_removal (raft, voter->member.id, now);
+      return true;
+    }
+  voter = raft_find_leaving_voter (raft, now);
+  if (voter != NULL)
+    raft_propose_role (raft, voter->member.id, true);
+  return voter != NULL;
+}
+
+/* Proposes one step that makes the caught-up LEARNER a voter; returns false
+   when none is needed.  A voter whose vote is lost is removed first: the
+   quorum of the remaining voters does not depend on it.  A leaving voter
+   still votes, so the learner is promoted first: with one voter more, the
+   group tolerates the loss of any one meanwhile.  CAUGHT_UP_COUNT: number of
+   caught-up learners.  */
 static bool
 raft_place_learner (struct raft *raft, const struct raft_peer *learner,
                     uint32_t caught_up_count, clk_us now)
 {
   uint32_t voter_count = raft_count_voters (&raft->members);
   const struct raft_peer *replaced
-      = raft_find_replaced_voter (raft, learner, false, now);
+      = raft_find_voter_at (raft, learner->member.address);
+  bool promote;
 
   if (replaced == NULL && voter_count % 2 == 1)
-    replaced = raft_find_replaced_voter (raft, learner, true, now);
+    replaced = raft_find_gone_voter (raft, now);
   if (replaced != NULL)
     {
       raft_propose_removal (raft, replaced->member.id, now);
@@ -199,22 +267,27 @@
     }
   /* An even number of voters tolerates no more failures than one voter fewer,
      so an odd number grows only when two learners are ready.  */
-  if (voter_count % 2 == 0
-      || (caught_up_count >= 2 && voter_count + 2 <= raft->opts.voters_max))
-    {
-      raft_propose_promotion (raft, learner->member.id);
-      return true;
-    }
-  return false;
+  if (voter_count % 2 == 0)
+    promote = voter_count < raft->opts.voters_max;
+  else
+    promote = raft_find_leaving_voter (raft, now) != NULL
+              || (caught_up_count >= 2
+                  && voter_count + 2 <= raft->opts.voters_max);
+  if (promote)
+    raft_propose_role (raft, learner->member.id, false);
+  return promote;
 }
 
 void
 raft_manage_members (struct raft *raft, clk_us now)
 {
+  uint32_t voter_count = raft_count_voters (&raft->members);
   uint32_t caught_up_count = 0;
 
   if (!raft_member_change_allowed (raft))
     return;
+  if (voter_count % 2 == 0 && voter_count >= 4 && raft_vacate_vote (raft, now))
+    return;
   list_each (node, &raft->peers)
     caught_up_count += raft_learner_caught_up (
         raft, list_entry (node, struct raft_peer, node), now);
@@ -226,7 +299,9 @@
           && raft_place_learner (raft, peer, caught_up_count, now))
         return;
       if (peer->member.learner
-          && peer->last_contact + raft->opts.replace_timeout <= now)
+          && peer->last_contact
+                     + RAFT_LEARNER_TIMEOUTS * raft->opts.replace_timeout
+                 <= now)
         {
           raft_propose_removal (raft, peer->member.id, now);
           return;
@@ -234,6 +309,112 @@
     }
 }
 
+bool
+raft_leave (struct raft *raft, clk_us now)
+{
+  bool has_learner = false;
+
+  raft->now = now;
+  list_each (node, &raft->peers)
+    has_learner |= list_entry (node, struct raft_peer, node)->member.learner;
+  /* Also without a vote, which the leader must not give back.  */
+  if (raft->role != RAFT_LEADER && raft->leader_id != 0
+      && raft->leave_sent_at + raft->opts.heartbeat_interval <= now)
+    {
+      raft->leave_sent_at = now;
+      raft_send (raft, raft_msg_new_to (raft, RAFT_LEAVE, raft->leader_id));
+    }
+  return has_learner && raft_is_voter (raft, raft->opts.id);
+}
+
+void
+raft_on_leave (struct raft *raft, const struct raft_msg *msg, clk_us now)
+{
+  struct raft_peer *peer = raft_peer_find (raft, msg->from);
+
+  if (raft->role != RAFT_LEADER || peer == NULL)
+    return;
+  peer->left_at = now;
+  raft_manage_members (raft, now);
+}
+
+void
+raft_send_silent_peers (struct raft *raft, clk_us now)
+{
+  struct raft_silent_peers silent = { 0 };
+
+  list_each (node, &raft->peers)
+    {
+      const struct raft_peer *peer = list_entry (node, struct raft_peer, node);
+
+      if (peer->last_contact + raft->opts.lease_duration > now)
+        continue;
+      silent.list[silent.count++]
+          = (struct raft_silent_peer){ .id = peer->member.id,
+                                       .silent_us = now - peer->last_contact };
+    }
+  if (silent.count == 0)
+    return;
+  list_each (node, &raft->peers)
+    {
+      const struct raft_peer *peer = list_entry (node, struct raft_peer, node);
+      struct raft_msg *msg;
+
+      if (peer->last_contact + raft->opts.lease_duration <= now)
+        continue;
+      msg = raft_msg_new_to (raft, RAFT_SILENT_PEERS, peer->member.id);
+      msg->u.silent_peers = silent;
+      raft_send (raft, msg);
+    }
+}
+
+void
+raft_on_silent_peers (struct raft *raft, const struct raft_msg *msg,
+                      clk_us now)
+{
+  if (msg->from != raft->leader_id || msg->term != raft->hard_state.term)
+    return;
+  raft->silent_peers = msg->u.silent_peers;
+  raft->silent_peers_at = now;
+}
+
+/* Returns the time of the last contact of a leader with the member ID as
+   reported, or 0 when it was not reported as silent.  */
+static clk_us
+raft_reported_contact (const struct raft *raft, uint64_t id)
+{
+  const struct raft_silent_peers *silent = &raft->silent_peers;
+
+  for (uint32_t i = 0; i < silent->count; i++)
+    if (silent->list[i].id == id
+        && silent->list[i].silent_us < raft->silent_peers_at)
+      return raft->silent_peers_at - silent->list[i].silent_us;
+  return 0;
+}
+
+void
+raft_adopt_silence (struct raft *raft)
+{
+  clk_us report_age_max
+      = RAFT_SILENT_PEERS_HEARTBEATS * raft->opts.heartbeat_interval;
+  bool reported
+      = raft->silent_peers_at != 0
+        && raft->silent_peers_at + report_age_max > raft->last_leader_contact;
+
+  list_each (node, &raft->peers)
+    {
+      struct raft_peer *peer = list_entry (node, struct raft_peer, node);
+      clk_us contact
+          = reported ? raft_reported_contact (raft, peer->member.id) : 0;
+
+      if (contact != 0)
+        peer->last_contact = contact;
+      else if (peer->last_contact < raft->last_leader_contact)
+        peer->last_contact = raft->last_leader_contact;
+    }
+  raft->silent_peers_at = 0;
+}
+
 /* Proposes the sender as a learner, which replaces learners with the same
    address, or proposes the new address of a member.  */
 static void
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -15,10 +15,14 @@
 /* Exit statuses of the process.  */
 #define NODE_PLATFORM_EXIT_FAILED 1
 #define NODE_PLATFORM_EXIT_USAGE 2
-/* Silence after which a standby replica replaces a voter.  Longer than a
-   restart of the node takes, and short enough to replace the voter before the
-   next failure.  */
-#define NODE_PLATFORM_REPLACE_TIMEOUT_US clk_s (6)
+/* A voter that is lost no longer counts as lost once its successor has run for
+   catch_up_s.  A standby replica replaces it within half of that, which leaves
+   the rest for an election, for the last entries and for the membership
+   changes.  */
+#define NODE_PLATFORM_REPLACE_SHARES 2
+#define NODE_PLATFORM_REPLACE_DEFAULT_US clk_s (2)
+/* Longer than an election.  */
+#define NODE_PLATFORM_REPLACE_MIN_US clk_ms (1500)
 
 struct node_platform
 {
@@ -102,6 +106,19 @@
   return opts;
 }
 
+/* Returns the silence after which a standby replica replaces a voter.  */
+static clk_us
+node_platform_replace_timeout (const struct platform_settings *settings)
+{
+  clk_us timeout = (clk_us)(settings->catch_up_s * CLK_US_PER_S)
+                   / NODE_PLATFORM_REPLACE_SHARES;
+
+  if (timeout == 0)
+    return NODE_PLATFORM_REPLACE_DEFAULT_US;
+  return timeout < NODE_PLATFORM_REPLACE_MIN_US ? NODE_PLATFORM_REPLACE_MIN_US
+                                                : timeout;
+}
+
 static int
 node_platform_open (struct node_platform *node)
 {
@@ -114,7 +131,7 @@
           .parse = platform_parse_document,
           .group_exists = node->settings.group_exists,
           .voters_max = 2 * node->settings.replicas_lost_max + 1,
-          .replace_timeout = NODE_PLATFORM_REPLACE_TIMEOUT_US };
+          .replace_timeout = node_platform_replace_timeout (&node->settings) };
   struct peer_opts peer
       = { .address = node->settings.peer_address,
           .contact = (clk_us)(node->settings.contact_s * CLK_US_PER_S) };
--- a/scripts/mesh_platform.sh
+++ b/scripts/mesh_platform.sh
@@ -29,7 +29,7 @@
  "seeds": [$PLATFORM_SEEDS],
  "bootstrap": $4, "serves": ["$3"], "service": "$6",
  "app_addr": "$2:$PLATFORM_SERVER_PORT", "data_dir": "$MESH_DIR/$1.data",
- "heartbeat_s": 1.5, "bounds": ["grace_s=6"], "listen": {$5},
+ "heartbeat_s": 1.5, "bounds": ["grace_s=6", "catch_up_s=4"], "listen": {$5},
  "limits": {"max_fds": 1000}, "fault_tolerance": {"machines": 1}}
 JSON
 }
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -15,8 +15,8 @@
 #define CONTROL_QUARANTINE_DURATION_US clk_s (300)
 /* Time for sending the last renewal, which ends the lease.  */
 #define CONTROL_STOP_DELAY_US clk_ms (500)
-/* Maximum time after that for transferring leadership and recording the last
-   responses.  */
+/* Maximum time after that for transferring leadership and votes and recording
+   the last responses.  */
 #define CONTROL_STOP_LIMIT_US clk_ms (1500)
 #define CONTROL_STOP_POLL_US clk_ms (20)
 
@@ -229,17 +229,20 @@
 static bool
 control_check_stop (struct control *control, clk_us now)
 {
+  bool leads;
+  bool votes;
   bool busy;
 
   if (!control->stopping)
     return false;
-  busy = control_transfer_leadership (control, now)
-         || control_has_pending_claims (control);
+  leads = control_transfer_leadership (control, now);
+  votes = control->replica != NULL && replica_leave (control->replica, now);
+  busy = leads || votes || control_has_pending_claims (control);
   if (now >= control->stop_not_before + CONTROL_STOP_LIMIT_US)
     {
       if (busy)
-        slog (SLOG_WARNING,
-              "stop limit reached as leader or with unrecorded responses");
+        slog (SLOG_WARNING, "stop limit reached leads=%d votes=%d", (int)leads,
+              (int)votes);
       return true;
     }
   return now >= control->stop_not_before && !busy;
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -11,7 +11,7 @@
 
 /* A member without messages of a leader for this long sends hello messages,
    because it may have been removed while it was unreachable.  */
-#define REPLICA_LEADER_SILENCE_US (clk_s (3))
+#define REPLICA_LEADER_SILENCE_US (clk_ms (1500))
 /* Maximum sender addresses kept; it only bounds memory.  */
 #define REPLICA_SENDERS_MAX 32
 
@@ -27,6 +27,7 @@
 {
   struct raft *raft;
   struct boot *boot;
+  uint64_t members_logged; /* log index of the membership logged last */
 };
 
 struct replica_out_item
@@ -355,6 +356,16 @@
   raft_handle_synced (replica->groups[done->group].raft, done->sequence, now);
 }
 
+bool
+replica_leave (struct replica *replica, clk_us now)
+{
+  bool open = false;
+
+  for (uint32_t i = 0; i < MSG_GROUP_COUNT && !replica->failed; i++)
+    open |= raft_leave (replica->groups[i].raft, now);
+  return open;
+}
+
 int
 replica_transfer_leadership (struct replica *replica, clk_us now)
 {
@@ -518,6 +529,38 @@
         group, names[status.role], status.term, status.leader_address);
 }
 
+/* Appends the addresses of the voters or of the learners to TEXT.  */
+static void
+replica_list_members (const struct raft_members *members, bool learners,
+                      char *text, size_t size)
+{
+  size_t len = 0;
+
+  text[0] = '\0';
+  for (uint32_t i = 0; i < members->count && len < size; i++)
+    if (members->list[i].learner == learners)
+      len += (size_t)snprintf (text + len, size - len, "%s%s",
+                               len == 0 ? "" : ",", members->list[i].address);
+}
+
+static void
+replica_log_members (struct replica *replica, uint32_t group)
+{
+  char voters[RAFT_MEMBERS_MAX * RAFT_ADDRESS_BYTES];
+  char learners[RAFT_MEMBERS_MAX * RAFT_ADDRESS_BYTES];
+  struct raft_status status;
+
+  raft_get_status (replica->groups[group].raft, &status);
+  if (status.members_index == replica->groups[group].members_logged)
+    return;
+  replica->groups[group].members_logged = status.members_index;
+  replica_list_members (&status.members, false, voters, sizeof voters);
+  replica_list_members (&status.members, true, learners, sizeof learners);
+  slog (SLOG_INFO,
+        "log members group=%u index=%" PRIu64 " voters=%s learners=%s", group,
+        status.members_index, voters, learners);
+}
+
 /* Processes one output of a Raft group.  */
 static void
 replica_handle_output (struct replica *replica, uint32_t group,
@@ -556,6 +599,9 @@
     case RAFT_OUT_ROLE_CHANGED:
       replica_log_role (replica, group);
       break;
+    case RAFT_OUT_MEMBERS_CHANGED:
+      replica_log_members (replica, group);
+      break;
     case RAFT_OUT_TAKE_SNAPSHOT:
       replica_take_snapshot (replica, group, out->u.snapshot_index);
       break;
--- a/tasks/replica.h
+++ b/tasks/replica.h
@@ -128,6 +128,11 @@
  */
 int replica_transfer_leadership (struct replica *replica, clk_us now);
 
+/* Hands over the votes of this replica before its process ends, see
+   raft_leave().  Returns whether the handover is still open in a group:
+   process the outputs and call again.  */
+bool replica_leave (struct replica *replica, clk_us now);
+
 void replica_status (const struct replica *replica, enum msg_group group,
                      struct raft_status *status);
 
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -561,6 +561,131 @@
   free_fixture (&fixture);
 }
 
+/* Guards against a replica that stops for good and keeps its vote although a
+   learner has caught up, against a group with one voter less meanwhile, and
+   against a replica that is not told that it may end.  */
+static void
+test_leaving_voter_hands_over (void)
+{
+  struct fixture fixture;
+
+  start_group (&fixture, 3);
+  win_election (&fixture);
+  complete_sync (&fixture);
+  acknowledge (&fixture, 2, 2, 1);
+  acknowledge (&fixture, 3, 2, 1);
+  acknowledge (&fixture, 9, 2, 1);
+  CU_ASSERT_FALSE (is_voter (&fixture, 9));
+  deliver (&fixture, new_message (RAFT_LEAVE, 3, 2));
+  CU_ASSERT_TRUE (is_voter (&fixture, 9));
+  CU_ASSERT_TRUE (is_voter (&fixture, 3));
+  commit_log (&fixture);
+  CU_ASSERT_FALSE (is_voter (&fixture, 3));
+  CU_ASSERT_EQUAL (get_status (&fixture).members.count, 4);
+  commit_log (&fixture);
+  CU_ASSERT_EQUAL (get_status (&fixture).members.count, 4);
+  CU_ASSERT_FALSE (is_voter (&fixture, 3));
+  free_fixture (&fixture);
+}
+
+/* Guards against a restart that shrinks the group: without a learner, a
+   replica that stops keeps its vote.  */
+static void
+test_leaving_voter_without_learner (void)
+{
+  struct fixture fixture;
+
+  start_group (&fixture, 3);
+  win_election (&fixture);
+  complete_sync (&fixture);
+  acknowledge (&fixture, 2, 2, 1);
+  /* Replica 9 lags.  */
+  acknowledge (&fixture, 9, 0, 1);
+  for (int i = 0; i < 20; i++)
+    {
+      fixture.now += clk_ms (100);
+      deliver (&fixture, new_message (RAFT_LEAVE, 3, 2));
+      raft_tick (fixture.raft, fixture.now);
+      drain_outputs (&fixture);
+      acknowledge (&fixture, 2, 2, 1);
+    }
+  CU_ASSERT_TRUE (is_voter (&fixture, 3));
+  CU_ASSERT_FALSE (is_voter (&fixture, 9));
+  free_fixture (&fixture);
+}
+
+/* Runs the leader for DURATION, with replies of replicas 2 and 9.  */
+static void
+run_without_replica_3 (struct fixture *fixture, clk_us duration)
+{
+  clk_us end = fixture->now + duration;
+
+  while (fixture->now < end)
+    {
+      fixture->now += clk_ms (100);
+      raft_tick (fixture->raft, fixture->now);
+      drain_outputs (fixture);
+      commit_log (fixture);
+    }
+}
+
+/* Guards against elections that restart the wait for a silent voter: a new
+   leader takes over what the last one knew.  Without its report, the whole
+   replace timeout (60 s) passes.  */
+static void
+test_silence_survives_election (void)
+{
+  struct fixture fixture;
+  struct raft_msg *msg;
+
+  for (int reported = 0; reported < 2; reported++)
+    {
+      start_group (&fixture, 3);
+      msg = new_message (RAFT_APPEND, 2, 1);
+      msg->u.append.prev_index = 1;
+      msg->u.append.prev_term = 1;
+      deliver (&fixture, msg);
+      msg = new_message (RAFT_SILENT_PEERS, 2, 1);
+      msg->u.silent_peers.count = (uint32_t)reported;
+      msg->u.silent_peers.list[0]
+          = (struct raft_silent_peer){ .id = 3, .silent_us = clk_s (59) };
+      deliver (&fixture, msg);
+      fixture.now += clk_s (2);
+      win_election (&fixture);
+      complete_sync (&fixture);
+      run_without_replica_3 (&fixture, clk_ms (400));
+      CU_ASSERT_TRUE (is_voter (&fixture, 3));
+      run_without_replica_3 (&fixture, clk_s (1));
+      CU_ASSERT_EQUAL (is_voter (&fixture, 3), !reported);
+      CU_ASSERT_EQUAL (is_voter (&fixture, 9), reported);
+      free_fixture (&fixture);
+    }
+}
+
+/* Guards against a leader that does not tell its followers which members are
+   silent.  */
+static void
+test_silence_is_reported (void)
+{
+  struct fixture fixture;
+  const struct raft_msg *report;
+
+  start_group (&fixture, 3);
+  win_election (&fixture);
+  complete_sync (&fixture);
+  run_without_replica_3 (&fixture, clk_s (1));
+  fixture.now += clk_ms (100);
+  raft_tick (fixture.raft, fixture.now);
+  drain_outputs (&fixture);
+  report = find_sent (&fixture, RAFT_SILENT_PEERS, 0);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (report);
+  CU_ASSERT_NOT_EQUAL (report->to, 3);
+  CU_ASSERT_EQUAL (report->u.silent_peers.count, 1);
+  CU_ASSERT_EQUAL (report->u.silent_peers.list[0].id, 3);
+  CU_ASSERT_TRUE (report->u.silent_peers.list[0].silent_us >= clk_s (1));
+  free_fixture (&fixture);
+}
+
 /* Guards against a replica with a new disk, and so a new id, that handles
    messages to its former id.  */
 static void
@@ -820,6 +945,10 @@
     { "read needs a quorum", test_read_needs_quorum },
     { "one membership change at a time", test_one_membership_change },
     { "learner replaces a dead voter", test_learner_replaces_dead_voter },
+    { "leaving voter hands over", test_leaving_voter_hands_over },
+    { "leaving voter without a learner", test_leaving_voter_without_learner },
+    { "silence survives an election", test_silence_survives_election },
+    { "silence is reported", test_silence_is_reported },
     { "message to a former id", test_message_to_former_id },
     { "leadership transfer", test_leadership_transfer },
     { "follower lost its tail", test_follower_lost_tail },
--- a/tests/test_raftpack.c
+++ b/tests/test_raftpack.c
@@ -67,6 +67,11 @@
                                                         .round = 4,
                                                         .sent_us = 5 };
       break;
+    case RAFT_SILENT_PEERS:
+      msg->u.silent_peers = (struct raft_silent_peers){
+        .count = 2, .list = { { 21, 1000000 }, { 22, UINT64_MAX } }
+      };
+      break;
     default:
       break;
     }
--- a/wire/raftpack.c
+++ b/wire/raftpack.c
@@ -101,6 +101,18 @@
   msgpack_pack_uint64 (packer, reply->sent_us);
 }
 
+static void
+raftpack_put_silent_peers (msgpack_packer *packer,
+                           const struct raft_silent_peers *peers)
+{
+  msgpack_pack_array (packer, 2 * peers->count);
+  for (uint32_t i = 0; i < peers->count; i++)
+    {
+      msgpack_pack_uint64 (packer, peers->list[i].id);
+      msgpack_pack_uint64 (packer, peers->list[i].silent_us);
+    }
+}
+
 static void
 raftpack_put_body (msgpack_packer *packer, const struct raft_msg *msg)
 {
@@ -137,6 +149,10 @@
       msgpack_pack_uint64 (packer, msg->u.hello_reply.peers_digest);
       packio_put_text (packer, msg->u.hello_reply.leader_address);
       break;
+    case RAFT_SILENT_PEERS:
+      raftpack_put_silent_peers (packer, &msg->u.silent_peers);
+      break;
+    case RAFT_LEAVE:
     case RAFT_TIMEOUT_NOW:
     case RAFT_MSG_COUNT:
       break;
@@ -156,6 +172,8 @@
   [RAFT_TIMEOUT_NOW] = 0,
   [RAFT_HELLO] = 1,
   [RAFT_HELLO_REPLY] = 3,
+  [RAFT_LEAVE] = 0,
+  [RAFT_SILENT_PEERS] = 1,
 };
 
 /* Transfers the ownership of the bytes in BUFFER to *OUT.  */
@@ -388,6 +406,28 @@
     reader->failed = true;
 }
 
+static void
+raftpack_get_silent_peers (struct packio_reader *reader,
+                           struct raft_silent_peers *peers)
+{
+  struct packio_reader nested = packio_get_array (reader);
+
+  if (!packio_ok (&nested) || nested.count % 2 != 0
+      || nested.count > 2 * RAFT_MEMBERS_MAX)
+    {
+      reader->failed = true;
+      return;
+    }
+  peers->count = nested.count / 2;
+  for (uint32_t i = 0; i < peers->count; i++)
+    {
+      peers->list[i].id = packio_get_u64 (&nested);
+      peers->list[i].silent_us = packio_get_u64 (&nested);
+    }
+  if (!packio_ok (&nested))
+    reader->failed = true;
+}
+
 static void
 raftpack_get_body (struct packio_reader *reader, struct raft_msg *msg)
 {
@@ -429,6 +469,10 @@
       packio_get_text (reader, msg->u.hello_reply.leader_address,
                        RAFT_ADDRESS_BYTES);
       break;
+    case RAFT_SILENT_PEERS:
+      raftpack_get_silent_peers (reader, &msg->u.silent_peers);
+      break;
+    case RAFT_LEAVE:
     case RAFT_TIMEOUT_NOW:
     case RAFT_MSG_COUNT:
       break;
