backend: a deregistration counts for a server known from its health check

Cause: after its start the node knows the server from the health check, which gives no start time. backend_apply_deregister() compared the start time of the deregistration with 0, took it for that of another start and changed nothing; the gate answered 200 all the same. A deregistration before the answer to the health check was ignored as well.

Change: what a server says of its end is recorded for its id and start, whether the node knows it or not, so that no later heartbeat or health check of that start makes it available.

Evidence: "call of a server that is not current" logs what is acknowledged without a change of the current server.

--- a/controllers/backend.h
+++ b/controllers/backend.h
@@ -43,7 +43,7 @@
 
 enum backend_change
 {
-  BACKEND_STALE,     /* an outdated heartbeat; nothing changed */
+  BACKEND_STALE,     /* not of the current incarnation, or outdated */
   BACKEND_UNCHANGED, /* nothing changed except the time of the last report */
   BACKEND_STARTED,   /* a new incarnation, or available again */
   BACKEND_UPDATED,   /* slots or address changed */
@@ -55,7 +55,8 @@
 backend_apply_heartbeat (struct backend *backend,
                          const struct api_heartbeat *heartbeat, clk_us now);
 
-/* Applies the deregistration of a server that shuts down.  */
+/* Applies the deregistration of a server that shuts down.  That incarnation is
+   not used from then on, whether it was known or not.  */
 enum backend_change
 backend_apply_deregister (struct backend *backend,
                           const struct api_deregister *deregister);
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -65,6 +65,22 @@
   gate_report_backend (gate);
 }
 
+/* Applies a heartbeat or a deregistration of the server ID.  What concerns a
+   server that is not current is recorded, and acknowledged like the rest.  */
+static void
+gate_api_apply_backend (struct gate *gate, const char *call, const char *id,
+                        uint64_t started_ms, enum backend_change change)
+{
+  if (change == BACKEND_STALE)
+    slog (SLOG_INFO,
+          "call of a server that is not current call=%s id=%s born_ms=%llu "
+          "current=%s current_born_ms=%llu",
+          call, id, (unsigned long long)started_ms,
+          gate->admit.backend.last_heartbeat.id,
+          (unsigned long long)gate->admit.backend.last_heartbeat.started_ms);
+  gate_handle_backend_change (gate, change);
+}
+
 void
 gate_mark_backend_lost (struct gate *gate, const char *reason)
 {
@@ -174,14 +190,17 @@
       gate_api_answer (request, gate_is_ready (gate) ? 200 : 503, "{}");
       break;
     case API_HEARTBEAT:
-      gate_handle_backend_change (
-          gate, backend_apply_heartbeat (backend, &call.u.heartbeat,
-                                         loop_now (gate->loop)));
+      gate_api_apply_backend (
+          gate, "heartbeat", call.u.heartbeat.id, call.u.heartbeat.started_ms,
+          backend_apply_heartbeat (backend, &call.u.heartbeat,
+                                   loop_now (gate->loop)));
       gate_api_answer (request, 200, "{}");
       break;
     case API_DEREGISTER:
-      gate_handle_backend_change (
-          gate, backend_apply_deregister (backend, &call.u.deregister));
+      gate_api_apply_backend (
+          gate, "deregister", call.u.deregister.id,
+          call.u.deregister.started_ms,
+          backend_apply_deregister (backend, &call.u.deregister));
       gate_api_answer (request, 200, "{}");
       break;
     case API_APPLY_CONFIG:
--- a/tests/test_gate_probe.c
+++ b/tests/test_gate_probe.c
@@ -47,7 +47,7 @@
 
 #define HEALTH_COUNT (sizeof health_answers / sizeof health_answers[0])
 
-static struct gate_fixture fixtures[HEALTH_COUNT];
+static struct gate_fixture fixtures[HEALTH_COUNT + 1];
 static const struct health_answer *health_answer;
 static atomic_bool check_ended;
 
@@ -131,11 +131,59 @@
     }
 }
 
+/* Sends one request to the PORT of the gate; returns whether it is answered
+   200.  */
+static bool
+gate_answers_ok (const struct gate_fixture *fixture, enum gate_port port,
+                 const char *request)
+{
+  int fd = net_connect (fixture->addresses[port]);
+  char answer[512];
+
+  net_send_text (fd, request);
+  net_read_to_end (fd, answer, sizeof answer);
+  return strncmp (answer, "HTTP/1.1 200 ", 13) == 0;
+}
+
+/* Guards against a deregistration that is acknowledged although the server
+   goes on getting requests: the gate knows the server from the health check,
+   without its start time.  */
+static void
+test_deregistration_after_check (void)
+{
+  struct gate_fixture_opts opts = { .document = document,
+                                    .stop_limit = clk_s (1),
+                                    .slots = 4,
+                                    .serve = server_serve_connection };
+  struct gate_fixture *fixture = &fixtures[HEALTH_COUNT];
+  clk_us start = clk_now ();
+  static const char request[]
+      = "GET /r/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+        "X-Sycamorerudder-Request-Id: q\r\n\r\n";
+  static const char deregister[]
+      = "POST /-/Instances.Deregister/i-1 HTTP/1.1\r\nHost: n\r\n"
+        "Connection: close\r\nContent-Type: application/json\r\n"
+        "Content-Length: 22\r\n\r\n{\"born\":1700000000000}";
+
+  health_answer = &health_answers[0];
+  gate_fixture_start (fixture, &opts);
+  while (!gate_answers_ok (fixture, GATE_PORT_CALLERS, request)
+         && clk_now () < start + CHECK_ENDS_US)
+    usleep (20000);
+  CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CALLERS, request));
+  CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CONTROL, deregister));
+  CU_ASSERT_FALSE (gate_answers_ok (fixture, GATE_PORT_CALLERS, request));
+  gate_shut_down (fixture->gate);
+  pthread_join (fixture->gate_thread, NULL);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "health check without end", test_endless_health_check },
+          { "deregistration after the check",
+            test_deregistration_after_check },
           { NULL, NULL } };
 
   return suite_run ("gate_probe", tests);
