--- a/controllers/backend.c
+++ b/controllers/backend.c
@@ -65,6 +65,22 @@
   return heartbeat->started_ms <= backend->last_heartbeat.started_ms;
 }
 
+bool
+backend_is_succeeded (const struct backend *backend,
+                      const struct api_heartbeat *heartbeat)
+{
+  const struct api_heartbeat *last = &backend->last_heartbeat;
+
+  /* After a health check only the id is known of the current one.  */
+  if (last->id[0] == '\0'
+      || (strcmp (last->id, heartbeat->id) == 0
+          && (last->started_ms == 0
+              || last->started_ms == heartbeat->started_ms)))
+    return false;
+  return !backend_is_past (backend, heartbeat->id, heartbeat->started_ms)
+         && !backend_earlier_incarnation (backend, heartbeat);
+}
+
 /* Records that the current incarnation accepts no new requests.  */
 static enum backend_change
 backend_withdraw (struct backend *backend)
--- a/controllers/backend.h
+++ b/controllers/backend.h
@@ -50,6 +50,10 @@
   BACKEND_WITHDRAWN, /* it accepts no new requests from now on */
 };
 
+/* Whether HEARTBEAT is of a later incarnation than the current one.  */
+bool backend_is_succeeded (const struct backend *backend,
+                           const struct api_heartbeat *heartbeat);
+
 /* Applies a heartbeat of the server.  */
 enum backend_change
 backend_apply_heartbeat (struct backend *backend,
--- a/controllers/quarantine.c
+++ b/controllers/quarantine.c
@@ -6,12 +6,11 @@
 
 #include "core/err.h"
 
-/* Marks stored per fingerprint; QUARANTINE_SERVERS_MIN of them cause a
-   quarantine, so that more are not needed.  */
-#define QUARANTINE_MARKS_MAX 4
 /* The age of an imported mark lacks its time of transit.  A mark that seems
    later than a clear by less than this is taken for an earlier one.  */
 #define QUARANTINE_TRANSIT_US clk_s (1)
+/* Age up to which a clear is exported: several renewals of a lease.  */
+#define QUARANTINE_CLEAR_AGE_MAX_US clk_s (5)
 
 struct quarantine_server_loss
 {
@@ -40,6 +39,16 @@
   struct list *buckets; /* mask + 1 lists */
 };
 
+static void
+quarantine_set_opts (struct quarantine *quarantine,
+                     const struct quarantine_opts *opts)
+{
+  quarantine->opts = *opts;
+  if (quarantine->opts.servers_min == 0)
+    quarantine->opts.servers_min = QUARANTINE_SERVERS_MIN;
+  INVARIANT (quarantine->opts.servers_min <= QUARANTINE_MARKS_MAX);
+}
+
 struct quarantine *
 quarantine_new (const struct quarantine_opts *opts)
 {
@@ -50,7 +59,7 @@
     return NULL;
   while (buckets < opts->fingerprints_max && buckets < 1u << 16)
     buckets *= 2;
-  quarantine->opts = *opts;
+  quarantine_set_opts (quarantine, opts);
   quarantine->mask = buckets - 1;
   list_init (&quarantine->entries);
   quarantine->buckets = malloc (buckets * sizeof *quarantine->buckets);
@@ -101,7 +110,7 @@
 quarantine_configure (struct quarantine *quarantine,
                       const struct quarantine_opts *opts)
 {
-  quarantine->opts = *opts;
+  quarantine_set_opts (quarantine, opts);
   entries_trim (quarantine, opts->fingerprints_max);
 }
 
@@ -173,7 +182,7 @@
       snprintf (loss->instance, sizeof loss->instance, "%s", instance);
       loss->lost_at = lost_at;
     }
-  if (entry->mark_count >= QUARANTINE_SERVERS_MIN
+  if (entry->mark_count >= quarantine->opts.servers_min
       && entry->blocked_until < lost_at + quarantine->opts.duration)
     entry->blocked_until = lost_at + quarantine->opts.duration;
 }
@@ -211,27 +220,52 @@
   return SR_OK;
 }
 
-void
+/* Removes the marks of ENTRY up to CLEARED_AT; returns whether there were
+   any.  */
+static bool
+entry_clear (struct quarantine *quarantine, struct quarantine_entry *entry,
+             clk_us cleared_at)
+{
+  uint32_t kept_count = 0;
+  bool removed;
+
+  for (uint32_t i = 0; i < entry->mark_count; i++)
+    if (entry->marks[i].lost_at > cleared_at)
+      entry->marks[kept_count++] = entry->marks[i];
+  removed = kept_count < entry->mark_count;
+  entry->mark_count = kept_count;
+  if (kept_count < quarantine->opts.servers_min)
+    entry->blocked_until = 0;
+  entry->cleared_at = cleared_at;
+  entry_touch (quarantine, entry, cleared_at);
+  return removed;
+}
+
+bool
 quarantine_clear_marks (struct quarantine *quarantine, uint64_t fingerprint,
                         clk_us now)
 {
   struct quarantine_entry *entry = entry_find (quarantine, fingerprint);
 
-  if (entry == NULL)
-    return;
-  entry->mark_count = 0;
-  entry->blocked_until = 0;
-  entry->cleared_at = now;
-  entry_touch (quarantine, entry, now);
+  return entry != NULL && entry_clear (quarantine, entry, now);
+}
+
+clk_us
+quarantine_time_left (struct quarantine *quarantine, uint64_t fingerprint,
+                      clk_us now)
+{
+  const struct quarantine_entry *entry = entry_find (quarantine, fingerprint);
+
+  return entry != NULL && now < entry->blocked_until
+             ? entry->blocked_until - now
+             : 0;
 }
 
 bool
 quarantine_is_blocked (struct quarantine *quarantine, uint64_t fingerprint,
                        clk_us now)
 {
-  const struct quarantine_entry *entry = entry_find (quarantine, fingerprint);
-
-  return entry != NULL && now < entry->blocked_until;
+  return quarantine_time_left (quarantine, fingerprint, now) != 0;
 }
 
 bool
@@ -240,7 +274,7 @@
 {
   const struct quarantine_entry *entry = entry_find (quarantine, fingerprint);
 
-  return entry != NULL && entry->mark_count > 0
+  return entry != NULL && entry->mark_count + 1 >= quarantine->opts.servers_min
          && now < entry->changed_at + quarantine->opts.duration;
 }
 
@@ -259,45 +293,80 @@
     }
 }
 
-/* Appends a copy of LOSS to OUT; false without memory.  */
+/* Appends a mark of INSTANCE, or a clear, that was made at AT to OUT; false
+   without memory.  */
 static bool
-mark_copy (struct list *out, const struct quarantine_entry *entry,
-           const struct quarantine_server_loss *loss, clk_us now)
+mark_copy (struct list *out, uint64_t fingerprint, const char *instance,
+           clk_us at, clk_us now)
 {
   struct quarantine_mark *mark = calloc (1, sizeof *mark);
 
   if (mark == NULL)
     return false;
-  mark->fingerprint = entry->fingerprint;
-  memcpy (mark->instance, loss->instance, sizeof mark->instance);
-  mark->age_ms = now > loss->lost_at
-                     ? (uint32_t)((now - loss->lost_at) / CLK_US_PER_MS)
-                     : 0;
+  mark->fingerprint = fingerprint;
+  snprintf (mark->instance, sizeof mark->instance, "%s", instance);
+  mark->age_ms = now > at ? (uint32_t)((now - at) / CLK_US_PER_MS) : 0;
   list_push_tail (out, &mark->node);
   return true;
 }
 
+/* Appends copies of the clear and the marks of ENTRY to OUT until COUNT is
+   COUNT_MAX; returns the new count.  */
+static uint32_t
+entry_export (const struct quarantine_entry *entry, struct list *out,
+              uint32_t count, uint32_t count_max, clk_us now)
+{
+  if (entry->cleared_at != 0 && count < count_max
+      && now < entry->cleared_at + QUARANTINE_CLEAR_AGE_MAX_US
+      && mark_copy (out, entry->fingerprint, "", entry->cleared_at, now))
+    count++;
+  for (uint32_t i = entry->mark_count; i-- > 0 && count < count_max;)
+    if (mark_copy (out, entry->fingerprint, entry->marks[i].instance,
+                   entry->marks[i].lost_at, now))
+      count++;
+  return count;
+}
+
 uint32_t
 quarantine_export_marks (struct quarantine *quarantine, struct list *out,
                          uint32_t count_max, clk_us now)
 {
-  struct list_node *node = quarantine->entries.head.prev;
   uint32_t count = 0;
 
-  for (; node != &quarantine->entries.head; node = node->prev)
-    {
-      struct quarantine_entry *entry
-          = list_entry (node, struct quarantine_entry, node);
-
-      marks_expire (quarantine, entry, now);
-      for (uint32_t i = entry->mark_count; i-- > 0; count++)
-        if (count == count_max
-            || !mark_copy (out, entry, &entry->marks[i], now))
-          return count;
-    }
+  for (int several = 1; several >= 0; several--)
+    for (struct list_node *node = quarantine->entries.head.prev;
+         node != &quarantine->entries.head && count < count_max;
+         node = node->prev)
+      {
+        struct quarantine_entry *entry
+            = list_entry (node, struct quarantine_entry, node);
+
+        marks_expire (quarantine, entry, now);
+        if ((entry->mark_count > 1) == several)
+          count = entry_export (entry, out, count, count_max, now);
+      }
   return count;
 }
 
+/* Adds a clear received from another node.  A clear of an unknown fingerprint
+   is recorded, as marks from before it may still arrive.  */
+static int
+quarantine_import_clear (struct quarantine *quarantine, uint64_t fingerprint,
+                         clk_us cleared_at)
+{
+  struct quarantine_entry *entry = entry_find (quarantine, fingerprint);
+
+  if (entry != NULL && cleared_at <= entry->cleared_at + QUARANTINE_TRANSIT_US)
+    return SR_EEXIST;
+  if (entry == NULL)
+    entry = entry_new (quarantine, fingerprint);
+  if (entry == NULL)
+    return SR_ENOMEM;
+  entry_clear (quarantine, entry, cleared_at);
+  entries_trim (quarantine, quarantine->opts.fingerprints_max);
+  return SR_OK;
+}
+
 int
 quarantine_import_mark (struct quarantine *quarantine,
                         const struct quarantine_mark *mark, clk_us now)
@@ -308,6 +377,8 @@
 
   if (age >= quarantine->opts.duration)
     return SR_EEXIST;
+  if (mark->instance[0] == '\0')
+    return quarantine_import_clear (quarantine, mark->fingerprint, lost_at);
   if (entry != NULL)
     marks_expire (quarantine, entry, now);
   /* The age of a known mark is not updated: marks that circulate between nodes
--- a/filters/admit.c
+++ b/filters/admit.c
@@ -44,8 +44,9 @@
 #define ADMIT_RETRY_AFTER_MAX_MS 2000
 
 static const enum admit_filter admit_chain[]
-    = { ADMIT_BACKEND,     ADMIT_DRAINING, ADMIT_SERVICE, ADMIT_DEADLINE,
-        ADMIT_CONCURRENCY, ADMIT_TARGET,   ADMIT_SLOT,    ADMIT_END };
+    = { ADMIT_BACKEND,  ADMIT_DRAINING,   ADMIT_SERVICE,
+        ADMIT_DEADLINE, ADMIT_QUARANTINE, ADMIT_CONCURRENCY,
+        ADMIT_TARGET,   ADMIT_SLOT,       ADMIT_END };
 
 int
 admit_init (struct admit_state *state)
@@ -221,6 +222,23 @@
   return (double)now + expected_us * ADMIT_STOP_RUNS < (double)state->stop_at;
 }
 
+static struct admit_result
+admit_check_quarantine (struct admit_state *state,
+                        struct admit_request *request, clk_us now)
+{
+  enum reason_refusal reason;
+
+  if (state->suspects == NULL)
+    return (struct admit_result){ .kind = ADMIT_RUN };
+  reason = suspects_check (state->suspects, request->fingerprint, now);
+  if (reason == REASON_NONE)
+    reason = suspects_enter (state->suspects, request->fingerprint, false,
+                             &request->suspect_counted, now);
+  if (reason != REASON_NONE)
+    return admit_refuse (reason);
+  return (struct admit_result){ .kind = ADMIT_RUN };
+}
+
 static struct admit_result
 admit_step (struct admit_state *state, struct admit_request *request,
             enum admit_filter filter, clk_us now)
@@ -245,6 +263,8 @@
       if (request->deadline < now + ADMIT_ANSWER_MARGIN_US + ADMIT_RUN_MIN_US)
         return admit_refuse (REASON_DEADLINE_QUEUED);
       break;
+    case ADMIT_QUARANTINE:
+      return admit_check_quarantine (state, request, now);
     case ADMIT_CONCURRENCY:
       if (request->internal
           || admit_fan_out (state, now) < IMPORTANCE_CHAIN_FAN_OUT_MIN)
@@ -331,6 +351,8 @@
   else if (request->counted)
     state->external_in_flight--;
   request->counted = false;
+  if (state->suspects != NULL)
+    suspects_leave (state->suspects, &request->suspect_counted);
   if (request->aimd_route == NULL)
     return;
   aimd_release (request->aimd_route, outcome, now - request->arrived,
--- a/filters/admit.h
+++ b/filters/admit.h
@@ -27,6 +27,7 @@
 #include "controllers/aimd.h"
 #include "core/clk.h"
 #include "core/reason.h"
+#include "filters/quarantine.h"
 
 enum admit_filter
 {
@@ -34,6 +35,8 @@
   ADMIT_DRAINING,    /* the server and the node accept new requests */
   ADMIT_SERVICE,     /* the server belongs to the service of the request */
   ADMIT_DEADLINE,    /* enough time is left until the deadline */
+  ADMIT_QUARANTINE,  /* it has not crashed several servers, and no other
+                        suspect runs */
   ADMIT_CONCURRENCY, /* the AIMD limit of the route is not reached */
   ADMIT_TARGET,      /* the latency target can be met */
   ADMIT_SLOT,        /* a slot is free, or the request is queued */
@@ -45,6 +48,7 @@
   struct backend backend;
   bool stopping;  /* the node is shutting down, accepts no new requests */
   clk_us stop_at; /* end of a shutdown at the latest; 0: none is in progress */
+  struct suspects *suspects; /* of the node; NULL: no quarantine */
   struct slots *slots;
   struct origin origins;
   struct aimd aimd;
@@ -76,6 +80,7 @@
   bool internal;
   bool idempotent;
   uint64_t route_id;            /* digest of the route's name */
+  uint64_t fingerprint;         /* for the quarantine */
   double timeout_used_fraction; /* of such requests, as reported by the node at
                                    which it arrived */
   clk_us arrived;
@@ -85,6 +90,7 @@
   struct aimd_route *aimd_route; /* admitted under its limit while set */
   struct slots_ticket ticket;
   bool counted; /* counted in internal_in_flight or external_in_flight */
+  bool suspect_counted; /* counted in suspects.running */
 };
 
 enum admit_result_kind
--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -74,6 +74,9 @@
     = { DISPATCH_READY, DISPATCH_ROUTE,      DISPATCH_DEADLINE,
         DISPATCH_SPLIT, DISPATCH_DOWNSTREAM, DISPATCH_END };
 
+static const enum dispatch_filter dispatch_attempt_chain[]
+    = { DISPATCH_QUARANTINE, DISPATCH_STOP, DISPATCH_SERVER, DISPATCH_END };
+
 int
 dispatch_init (struct dispatch_state *state, const struct dispatch_opts *opts)
 {
@@ -313,51 +316,6 @@
   return left_ms + rng_below (&state->rng, DISPATCH_READY_JITTER_MS);
 }
 
-static struct dispatch_result
-dispatch_step (struct dispatch_state *state, struct dispatch_request *request,
-               enum dispatch_filter filter, clk_us now)
-{
-  switch (filter)
-    {
-    case DISPATCH_READY:
-      if (state->model == NULL || state->model->routes == NULL)
-        return dispatch_refuse (REASON_NOT_READY,
-                                dispatch_ready_retry_after_ms (state, now));
-      if (state->stopping)
-        return dispatch_refuse (REASON_DRAINING, DISPATCH_RETRY_AFTER_MS);
-      break;
-    case DISPATCH_ROUTE:
-      return dispatch_find_route (state, request);
-    case DISPATCH_DEADLINE:
-      return dispatch_set_deadline (request, now);
-    case DISPATCH_SPLIT:
-      request->service = dispatch_get_service (
-          state, split_pick (state->split, request->route, &state->rng)->name,
-          now);
-      if (request->internal)
-        request->service->called_at = now;
-      budget_count_request (&request->service->budget, now);
-      break;
-    case DISPATCH_DOWNSTREAM:
-      return dispatch_check_downstream (state, request, now);
-    case DISPATCH_END:
-      break;
-    }
-  return (struct dispatch_result){ .kind = DISPATCH_CONTINUE };
-}
-
-struct dispatch_result
-dispatch_run_chain (struct dispatch_state *state,
-                    struct dispatch_request *request, clk_us now)
-{
-  struct dispatch_result result = { .kind = DISPATCH_CONTINUE };
-
-  for (const enum dispatch_filter *filter = dispatch_chain;
-       *filter != DISPATCH_END && result.kind == DISPATCH_CONTINUE; filter++)
-    result = dispatch_step (state, request, *filter, now);
-  return result;
-}
-
 /* Fraction by which the expected time of a server of another failure domain is
    increased.  */
 static double
@@ -426,14 +384,13 @@
   return (double)now + expected_us < (double)state->stop_at;
 }
 
-struct dispatch_result
-dispatch_choose_server (struct dispatch_state *state,
-                        struct dispatch_request *request, clk_us now)
+/* Chooses the server of an attempt.  */
+static struct dispatch_result
+dispatch_pick_server (struct dispatch_state *state,
+                      struct dispatch_request *request, clk_us now)
 {
   struct lb_choice choice;
 
-  if (!dispatch_can_end (state, request, now))
-    return dispatch_refuse (REASON_DRAINING, DISPATCH_RETRY_AFTER_MS);
   request->query.importance = MODEL_IMPORTANCE_MAX;
   request->query.cost = dispatch_cost (request);
   request->query.cross_domain_penalty
@@ -451,6 +408,89 @@
   return (struct dispatch_result){ .kind = DISPATCH_CONTINUE };
 }
 
+/* Refuses a quarantined request until its quarantine ends.  */
+static struct dispatch_result
+dispatch_check_quarantine (const struct dispatch_state *state,
+                           const struct dispatch_request *request, clk_us now)
+{
+  const struct suspects *suspects = state->opts.suspects;
+  clk_us left;
+
+  if (suspects == NULL
+      || suspects_check (suspects, request->fingerprint, now) == REASON_NONE)
+    return (struct dispatch_result){ .kind = DISPATCH_CONTINUE };
+  left = quarantine_time_left (suspects->marks, request->fingerprint, now);
+  return dispatch_refuse (REASON_QUARANTINED,
+                          (uint32_t)(left / CLK_US_PER_MS));
+}
+
+static struct dispatch_result
+dispatch_step (struct dispatch_state *state, struct dispatch_request *request,
+               enum dispatch_filter filter, clk_us now)
+{
+  switch (filter)
+    {
+    case DISPATCH_READY:
+      if (state->model == NULL || state->model->routes == NULL)
+        return dispatch_refuse (REASON_NOT_READY,
+                                dispatch_ready_retry_after_ms (state, now));
+      if (state->stopping)
+        return dispatch_refuse (REASON_DRAINING, DISPATCH_RETRY_AFTER_MS);
+      break;
+    case DISPATCH_ROUTE:
+      return dispatch_find_route (state, request);
+    case DISPATCH_DEADLINE:
+      return dispatch_set_deadline (request, now);
+    case DISPATCH_SPLIT:
+      request->service = dispatch_get_service (
+          state, split_pick (state->split, request->route, &state->rng)->name,
+          now);
+      if (request->internal)
+        request->service->called_at = now;
+      budget_count_request (&request->service->budget, now);
+      break;
+    case DISPATCH_DOWNSTREAM:
+      return dispatch_check_downstream (state, request, now);
+    case DISPATCH_QUARANTINE:
+      return dispatch_check_quarantine (state, request, now);
+    case DISPATCH_STOP:
+      if (!dispatch_can_end (state, request, now))
+        return dispatch_refuse (REASON_DRAINING, DISPATCH_RETRY_AFTER_MS);
+      break;
+    case DISPATCH_SERVER:
+      return dispatch_pick_server (state, request, now);
+    case DISPATCH_END:
+      break;
+    }
+  return (struct dispatch_result){ .kind = DISPATCH_CONTINUE };
+}
+
+static struct dispatch_result
+dispatch_run (const enum dispatch_filter *chain, struct dispatch_state *state,
+              struct dispatch_request *request, clk_us now)
+{
+  struct dispatch_result result = { .kind = DISPATCH_CONTINUE };
+
+  for (const enum dispatch_filter *filter = chain;
+       *filter != DISPATCH_END && result.kind == DISPATCH_CONTINUE; filter++)
+    result = dispatch_step (state, request, *filter, now);
+  return result;
+}
+
+struct dispatch_result
+dispatch_run_chain (struct dispatch_state *state,
+                    struct dispatch_request *request, clk_us now)
+{
+  return dispatch_run (dispatch_chain, state, request, now);
+}
+
+struct dispatch_result
+dispatch_choose_server (struct dispatch_state *state,
+                        struct dispatch_request *request, clk_us now)
+{
+  return dispatch_run (dispatch_attempt_chain, state, request, now);
+}
+
 /* Whether an available server has not been tried yet.  */
 static bool
 dispatch_has_untried_server (const struct dispatch_request *request)
@@ -515,6 +555,17 @@
          && request->attempts_maybe_run + 1 < request->route->attempts_max;
 }
 
+/* Whether one more lost server quarantines the request.  It may have lost one
+   just now.  */
+static bool
+dispatch_is_suspect (const struct dispatch_state *state,
+                     const struct dispatch_request *request, clk_us now)
+{
+  return state->opts.suspects != NULL
+         && quarantine_is_suspect (state->opts.suspects->marks,
+                                   request->fingerprint, now);
+}
+
 struct dispatch_retry_decision
 dispatch_decide_retry (struct dispatch_state *state,
                        struct dispatch_request *request,
@@ -538,7 +589,8 @@
     }
   request->attempts_maybe_run++;
   if (!request->route->idempotent
-      || request->attempts_maybe_run >= request->route->attempts_max)
+      || request->attempts_maybe_run >= request->route->attempts_max
+      || dispatch_is_suspect (state, request, now))
     return next;
   if (!dispatch_take_budget (state, request, cost, now))
     return next;
--- a/filters/dispatch.h
+++ b/filters/dispatch.h
@@ -5,9 +5,9 @@
  * DOC: dispatch - routing, load balancing and retries at the node of arrival
  *
  * A filter chain finds the route, the deadline and the service of a request,
- * and refuses requests that could not be served.  dispatch_choose_server()
- * chooses the server of an attempt; dispatch_decide_retry() decides what
- * follows a failed attempt.
+ * and refuses requests that could not be served.  A second chain, run by
+ * dispatch_choose_server(), chooses the server of an attempt;
+ * dispatch_decide_retry() decides what follows a failed attempt.
  *
  * Internal requests are calls that backend servers make while they run a
  * request; external requests come from callers.
@@ -26,6 +26,7 @@
 #include "core/model.h"
 #include "core/reason.h"
 #include "core/rng.h"
+#include "filters/quarantine.h"
 
 enum dispatch_filter
 {
@@ -34,6 +35,9 @@
   DISPATCH_DEADLINE,   /* enough time is left until the deadline */
   DISPATCH_SPLIT,      /* one of the services of the route is chosen */
   DISPATCH_DOWNSTREAM, /* the services downstream are not overloaded */
+  DISPATCH_QUARANTINE, /* the request has not crashed several servers */
+  DISPATCH_STOP,       /* it can end before the node shuts down */
+  DISPATCH_SERVER,     /* a server is chosen */
   DISPATCH_END,
 };
 
@@ -67,8 +71,9 @@
 
 struct dispatch_opts
 {
-  const char *failure_domain; /* of this node */
-  clk_us started_at;          /* start of the process */
+  const char *failure_domain;      /* of this node */
+  const struct suspects *suspects; /* of the node; NULL: no quarantine */
+  clk_us started_at;               /* start of the process */
   struct budget_opts budget;
 };
 
@@ -106,6 +111,8 @@
                                          internal requests */
   uint64_t body_bytes;                /* declared size of the body, set by the
                                          gate task */
+  uint64_t fingerprint;               /* for the quarantine, set by the gate
+                                         task before the first attempt */
   clk_us caller_deadline;             /* when the caller stops waiting */
   clk_us route_deadline; /* time limit of the route, at most caller_deadline */
   struct lb_query query; /* holds the servers tried */
@@ -194,8 +201,9 @@
    ones as long, and are measured separately.  */
 enum model_cost dispatch_cost (const struct dispatch_request *request);
 
-/* Chooses a server for an attempt; DISPATCH_REFUSE when there is none, or when
-   the node shuts down and would probably cut off the request.  */
+/* Chooses a server for an attempt; DISPATCH_REFUSE when there is none, when
+   the request is quarantined, or when the node shuts down and would probably
+   cut it off.  */
 struct dispatch_result
 dispatch_choose_server (struct dispatch_state *state,
                         struct dispatch_request *request, clk_us now);
--- a/filters/filter.c
+++ b/filters/filter.c
@@ -125,9 +125,7 @@
 filter_release_counts (struct filter_state *state,
                        struct filter_request *request)
 {
-  if (request->suspect_counted)
-    state->suspects_running--;
-  request->suspect_counted = false;
+  suspects_leave (&state->suspects, &request->suspect_counted);
   if (request->caller_counted)
     share_release (state->caller_shares, filter_caller_hash (request));
   request->caller_counted = false;
--- a/filters/filter.h
+++ b/filters/filter.h
@@ -19,7 +19,6 @@
 #include "controllers/slots.h"
 #include "controllers/lb.h"
 #include "controllers/hop.h"
-#include "controllers/quarantine.h"
 #include "controllers/retry.h"
 #include "controllers/share.h"
 #include "core/clk.h"
@@ -27,6 +26,7 @@
 #include "core/msg.h"
 #include "core/reason.h"
 #include "core/rng.h"
+#include "filters/quarantine.h"
 
 /* Maximum depth of a call chain; a deeper one is taken for a loop.  */
 #define FILTER_DEPTH_MAX 64
@@ -134,7 +134,7 @@
   struct slots_ticket ticket;
   enum filter_claim_state claim_state;
   bool suspect; /* a server was lost while this request was in flight */
-  bool suspect_counted; /* counted in suspects_running */
+  bool suspect_counted; /* counted in suspects.running */
   bool caller_counted;  /* counted in caller_shares */
 };
 
@@ -154,11 +154,10 @@
   struct list services; /* struct filter_service */
   struct hop_table *hops;
   struct retry_table *call_chains; /* started at this node */
-  struct quarantine *quarantine;
+  struct suspects suspects;
   struct slots *slots;
   struct share *caller_shares;
   struct rng rng;
-  uint32_t suspects_running; /* suspect requests at the local server */
   bool draining;
   bool backend_up;
   char backend_service[MODEL_NAME_BYTES]; /* service of the local server */
--- a/filters/quarantine.c
+++ b/filters/quarantine.c
@@ -1,48 +1,92 @@
+#include "filters/quarantine.h"
+
 #include <string.h>
 
 #include "core/digest.h"
 #include "filters/filter.h"
 
 uint64_t
-filter_fingerprint (const struct filter_request *request)
+suspects_fingerprint (const struct suspects_identity *identity)
 {
   struct digest_part parts[] = {
-    { request->caller, strlen (request->caller) },
-    { request->service_name, strlen (request->service_name) },
-    { request->method, strlen (request->method) },
-    { request->path, strlen (request->path) },
-    { &request->body_hash, sizeof request->body_hash },
+    { identity->caller, strlen (identity->caller) },
+    { identity->target, strlen (identity->target) },
+    { identity->method, strlen (identity->method) },
+    { identity->path, strlen (identity->path) },
+    { &identity->body_hash, sizeof identity->body_hash },
   };
 
   return digest_64 (parts, sizeof parts / sizeof parts[0]);
 }
 
+enum reason_refusal
+suspects_check (const struct suspects *suspects, uint64_t fingerprint,
+                clk_us now)
+{
+  return quarantine_is_blocked (suspects->marks, fingerprint, now)
+             ? REASON_QUARANTINED
+             : REASON_NONE;
+}
+
+enum reason_refusal
+suspects_enter (struct suspects *suspects, uint64_t fingerprint,
+                bool is_suspect, bool *counted, clk_us now)
+{
+  if (*counted)
+    return REASON_NONE;
+  if (!is_suspect
+      && !quarantine_is_suspect (suspects->marks, fingerprint, now))
+    return REASON_NONE;
+  if (suspects->running > 0)
+    return REASON_SUSPECT_RUNNING;
+  suspects->running++;
+  *counted = true;
+  return REASON_NONE;
+}
+
+void
+suspects_leave (struct suspects *suspects, bool *counted)
+{
+  if (*counted)
+    suspects->running--;
+  *counted = false;
+}
+
+uint64_t
+filter_fingerprint (const struct filter_request *request)
+{
+  struct suspects_identity identity = { .caller = request->caller,
+                                        .target = request->service_name,
+                                        .method = request->method,
+                                        .path = request->path,
+                                        .body_hash = request->body_hash };
+
+  return suspects_fingerprint (&identity);
+}
+
+/* Continues unless there is a reason to refuse.  */
+static struct filter_result
+filter_unless (enum reason_refusal reason)
+{
+  return reason == REASON_NONE ? filter_continue ()
+                               : filter_refuse (reason, REASON_NOT_RUN);
+}
+
 struct filter_result
 filter_quarantine (struct filter_state *state, struct filter_request *request,
                    clk_us now)
 {
   if (request->fingerprint == 0)
     request->fingerprint = filter_fingerprint (request);
-  if (quarantine_is_blocked (state->quarantine, request->fingerprint, now))
-    return filter_refuse (REASON_QUARANTINED, REASON_NOT_RUN);
-  return filter_continue ();
+  return filter_unless (
+      suspects_check (&state->suspects, request->fingerprint, now));
 }
 
-/* Requests that were in flight when a server was lost run one at a time at a
-   server.  Otherwise a harmless one could be in flight with the one that
-   crashes servers a second time, and both would be quarantined.  */
 struct filter_result
 filter_suspect (struct filter_state *state, struct filter_request *request,
                 clk_us now)
 {
-  if (request->suspect_counted)
-    return filter_continue ();
-  if (!request->suspect
-      && !quarantine_is_suspect (state->quarantine, request->fingerprint, now))
-    return filter_continue ();
-  if (state->suspects_running > 0)
-    return filter_refuse (REASON_SUSPECT_RUNNING, REASON_NOT_RUN);
-  state->suspects_running++;
-  request->suspect_counted = true;
-  return filter_continue ();
+  return filter_unless (suspects_enter (&state->suspects, request->fingerprint,
+                                        request->suspect,
+                                        &request->suspect_counted, now));
 }
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -339,6 +339,7 @@
   quarantine_expire (control->crash_marks, now);
   control_expire_nodes (control, now);
   control_send_members_notice (control, now);
+  control_push_crash_marks (control, now);
   if (control->replica != NULL && now >= control->next_replica_tick)
     control->next_replica_tick = replica_tick (control->replica, now);
   control_process_replica_outputs (control, now);
--- a/tasks/control_marks.c
+++ b/tasks/control_marks.c
@@ -92,11 +92,16 @@
   return msg;
 }
 
-/* Sends the crash marks to all nodes without waiting for their next renewals,
-   because the caller may resend the request through any of them.  */
-static void
+/* Sends changed crash marks to all nodes without waiting for their next
+   renewals, because the caller may resend the request through any of them.
+   Changes that follow soon are sent together.  */
+void
 control_push_crash_marks (struct control *control, clk_us now)
 {
+  if (!control->crash_marks_changed || now < control->next_crash_marks)
+    return;
+  control->crash_marks_changed = false;
+  control->next_crash_marks = now + CONTROL_NOTICE_INTERVAL_US;
   list_each (item, &control->nodes)
     {
       struct msg *msg = control_new_crash_marks_msg (control, now);
@@ -168,6 +173,7 @@
   if (!control_import_crash_marks (control, marks, now))
     return;
   inbox_put (control->opts.front, control_new_crash_marks_msg (control, now));
+  control->crash_marks_changed = true;
   control_push_crash_marks (control, now);
 }
 
@@ -179,5 +185,6 @@
   if (!control_import_crash_marks (control, marks, now))
     return;
   control_renew_all (control, now);
+  control->crash_marks_changed = true;
   control_push_crash_marks (control, now);
 }
--- a/tasks/control_state.h
+++ b/tasks/control_state.h
@@ -136,6 +136,8 @@
   uint64_t members_change;      /* number of the newest member change */
   uint64_t members_change_sent; /* of the last notice to the nodes */
   clk_us next_notice;
+  bool crash_marks_changed; /* since they were sent to the nodes */
+  clk_us next_crash_marks;  /* earliest time to send them again */
   clk_us next_renew;
   clk_us next_replica_tick;
   struct model *model;
@@ -176,6 +178,7 @@
 /* control_marks.c: crash marks, and messages that a control replica pushes to
    nodes */
 void control_push_config (struct control *control);
+void control_push_crash_marks (struct control *control, clk_us now);
 void control_send_members_notice (struct control *control, clk_us now);
 void control_update_node (struct control *control, const char *instance,
                           const struct msg_endpoint *endpoint, clk_us now);
--- a/tasks/front.c
+++ b/tasks/front.c
@@ -115,11 +115,11 @@
   list_init (&front->state.services);
   front->state.slots = slots_new (&admission);
   front->state.caller_shares = share_new (&caller_shares);
-  front->state.quarantine = quarantine_new (&quarantine);
+  front->state.suspects.marks = quarantine_new (&quarantine);
   front->state.call_chains = retry_table_new (&chains);
   front->state.hops = hop_table_new ();
   INVARIANT (front->state.caller_shares != NULL);
-  INVARIANT (front->state.slots != NULL && front->state.quarantine != NULL
+  INVARIANT (front->state.slots != NULL && front->state.suspects.marks != NULL
              && front->state.call_chains != NULL && front->state.hops != NULL);
 }
 
@@ -231,7 +231,7 @@
 {
   struct msg *msg = msg_new (MSG_CRASH_MARKS);
 
-  quarantine_export_marks (front->state.quarantine, &msg->u.items,
+  quarantine_export_marks (front->state.suspects.marks, &msg->u.items,
                            MEMBER_CRASH_MARKS_MAX, clk_now ());
   inbox_put (front->control, msg);
 }
@@ -303,7 +303,7 @@
   front->state.model = model_ref (model_msg->model);
   counter_add (COUNTER_CONFIG_CHANGES, 1);
   quarantine.duration = clk_s (model_msg->model->quarantine_s);
-  quarantine_configure (front->state.quarantine, &quarantine);
+  quarantine_configure (front->state.suspects.marks, &quarantine);
   list_each (node, &model_msg->model->services)
     front_configure_service (
         front, list_entry (node, struct model_service, node), now);
@@ -388,7 +388,7 @@
   clk_us now = clk_now ();
 
   list_each (node, marks)
-    quarantine_import_mark (front->state.quarantine,
+    quarantine_import_mark (front->state.suspects.marks,
                             list_entry (node, struct quarantine_mark, node),
                             now);
 }
@@ -524,7 +524,7 @@
 
   front_health_check_announcement (front, now);
   hop_expire (front->state.hops, now);
-  quarantine_expire (front->state.quarantine, now);
+  quarantine_expire (front->state.suspects.marks, now);
   front_serve_run_admission (front);
   front_check_stop (front, now);
   lws_sul_schedule (front->context, 0, &front->tick_timer, front_handle_tick,
@@ -577,7 +577,7 @@
     msg_free (list_entry (node, struct msg, node));
   slots_free (front->state.slots);
   share_free (front->state.caller_shares);
-  quarantine_free (front->state.quarantine);
+  quarantine_free (front->state.suspects.marks);
   retry_table_free (front->state.call_chains);
   hop_table_free (front->state.hops);
   model_unref (front->state.model);
--- a/tasks/front_answer.c
+++ b/tasks/front_answer.c
@@ -94,8 +94,8 @@
   if (serve->req.ticket.state == SLOTS_RUNNING)
     slots_finish (front->state.slots, &serve->req.ticket, true, clk_now ());
   if (serve->req.fingerprint != 0)
-    quarantine_clear_marks (front->state.quarantine, serve->req.fingerprint,
-                            clk_now ());
+    quarantine_clear_marks (front->state.suspects.marks,
+                            serve->req.fingerprint, clk_now ());
   if (front_answer_needs_record (serve))
     {
       serve->awaiting_record = true;
--- a/tasks/front_attempt.c
+++ b/tasks/front_attempt.c
@@ -66,7 +66,7 @@
   open->depth = call->req.depth;
   open->retry_allowance = attempt->retry_allowance;
   open->remaining_us = call->req.deadline > now ? call->req.deadline - now : 0;
-  open->suspect = quarantine_is_suspect (call->front->state.quarantine,
+  open->suspect = quarantine_is_suspect (call->front->state.suspects.marks,
                                          call->req.fingerprint, now);
   open->body_len = call->body_len;
   front_send (call->front, msg);
@@ -222,8 +222,9 @@
   /* The serving node reports the crash mark as well, but this node must have
      it before it sends a retry elsewhere.  */
   if (refuse->reason == REASON_BACKEND_CRASHED)
-    quarantine_add_mark (call->front->state.quarantine, call->req.fingerprint,
-                         attempt->server->instance, clk_now ());
+    quarantine_add_mark (call->front->state.suspects.marks,
+                         call->req.fingerprint, attempt->server->instance,
+                         clk_now ());
   front_attempt_end (attempt, front_attempt_lb_result (&copy), &copy.trailer);
   front_call_handle_attempt_failure (call, winner, &copy);
 }
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -369,8 +369,8 @@
 front_call_complete (struct front_call *call, struct front_attempt *attempt,
                      const struct msg_trailer *trailer)
 {
-  quarantine_clear_marks (call->front->state.quarantine, call->req.fingerprint,
-                          clk_now ());
+  quarantine_clear_marks (call->front->state.suspects.marks,
+                          call->req.fingerprint, clk_now ());
   front_attempt_end (attempt, LB_ANSWERED, trailer);
   call->answer.complete = true;
   counter_add (COUNTER_ANSWERS, 1);
--- a/tasks/front_health.c
+++ b/tasks/front_health.c
@@ -29,7 +29,7 @@
 
   snprintf (server_name, sizeof server_name, "%s%.57s",
             serve->req.suspect_counted ? "again/" : "", front->opts.instance);
-  quarantine_add_mark (front->state.quarantine, serve->req.fingerprint,
+  quarantine_add_mark (front->state.suspects.marks, serve->req.fingerprint,
                        server_name, clk_now ());
 }
 
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -49,6 +49,7 @@
   struct inbox_opts inbox_opts
       = { .wake = INBOX_WAKE_CALLBACK, .callback = gate_wake, .arg = gate };
   struct dispatch_opts dispatch = { .failure_domain = opts->failure_domain,
+                                    .suspects = &gate->suspects,
                                     .started_at = clk_now (),
                                     .budget = opts->retry_budget };
 
@@ -64,6 +65,8 @@
   INVARIANT (gate->loop != NULL && gate->inbox != NULL);
   INVARIANT (dispatch_init (&gate->dispatch, &dispatch) == SR_OK);
   INVARIANT (admit_init (&gate->admit) == SR_OK);
+  gate->admit.suspects = &gate->suspects;
+  INVARIANT (gate_crash_init (gate) == SR_OK);
   INVARIANT (htable_init (&gate->pools) == SR_OK);
   gate->tick_timer.fire = gate_handle_tick;
   if (gate_listen (gate) == SR_OK)
@@ -82,6 +85,7 @@
   htable_fini (&gate->pools);
   dispatch_fini (&gate->dispatch);
   admit_fini (&gate->admit);
+  gate_crash_fini (gate);
   free (gate);
 }
 
@@ -188,6 +192,9 @@
     case MSG_VIEW:
       gate_handle_view (gate, &msg->u.items);
       break;
+    case MSG_CRASH_MARKS:
+      gate_crash_import (gate, &msg->u.items);
+      break;
     case MSG_ADMIN_REPLY:
       gate_api_handle_reply (gate, &msg->u.admin_reply);
       break;
@@ -265,6 +272,7 @@
         gate->opts.reload (gate->opts.reload_arg, &gate->opts);
     }
   gate_check_heartbeat (gate, now);
+  gate_crash_tick (gate, now);
   gate_log_traffic (gate, now);
   admit_update_slot_shares (&gate->admit);
   if (gate->stopping && gate_stop_run (gate, now))
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -86,6 +86,7 @@
 {
   if (gate->admit.backend.state != BACKEND_UP)
     return;
+  gate_crash_confirm (gate);
   slog (SLOG_WARNING, "backend server lost id=%s reason=%s heard_ms=%llu",
         gate->admit.backend.last_heartbeat.id, reason,
         (unsigned long long)((loop_now (gate->loop)
@@ -190,6 +191,8 @@
       gate_api_answer (request, gate_is_ready (gate) ? 200 : 503, "{}");
       break;
     case API_HEARTBEAT:
+      if (backend_is_succeeded (backend, &call.u.heartbeat))
+        gate_crash_confirm (gate);
       gate_api_apply_backend (
           gate, "heartbeat", call.u.heartbeat.id, call.u.heartbeat.started_ms,
           backend_apply_heartbeat (backend, &call.u.heartbeat,
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -311,6 +311,8 @@
       if (request->body_complete || request->body.len >= GATE_BODY_START_BYTES)
         {
           call->started = true;
+          call->dispatch.fingerprint
+              = gate_crash_fingerprint (request, call->gate->opts.service);
           gate_call_next_attempt (call);
         }
       return;
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -206,6 +206,7 @@
   struct gate *gate = serve->gate;
   clk_us now = loop_now (gate->loop);
   enum backend_state state = gate->admit.backend.state;
+  enum reason_refusal reason;
   struct gate_out_opts opts
       = { .address = gate->admit.backend.last_heartbeat.address,
           .to_server = true,
@@ -224,6 +225,13 @@
                          REASON_NOT_RUN);
       return;
     }
+  /* It may have been quarantined while it was queued.  */
+  reason = suspects_check (&gate->suspects, serve->admit.fingerprint, now);
+  if (reason != REASON_NONE)
+    {
+      gate_serve_refuse (serve, reason, REASON_NOT_RUN);
+      return;
+    }
   serve->running = true;
   serve->dispatched_at = now;
   hist_add (HIST_QUEUE, now - serve->request->arrived_at);
@@ -302,6 +310,8 @@
 
   if (reason == REASON_CONNECT_FAILED)
     gate_mark_backend_lost (gate, "connect-failed");
+  else if (reason == REASON_BACKEND_CLOSED && run == REASON_RUN_UNKNOWN)
+    gate_crash_add_candidate (serve);
   if (serve->request->head_written)
     {
       struct gate_request *request = serve->request;
@@ -402,6 +412,7 @@
     gate_serve_refuse (serve, REASON_SERVER_REFUSED, REASON_NOT_RUN);
   else
     {
+      gate_crash_record_answer (serve);
       hist_add (HIST_RUN, now - serve->dispatched_at);
       admit_record_end (&gate->admit, &serve->admit,
                         now - serve->dispatched_at);
@@ -438,9 +449,12 @@
 gate_serve_admit (struct gate_serve *serve)
 {
   struct gate *gate = serve->gate;
-  struct admit_result result
-      = admit_run_chain (&gate->admit, &serve->admit, loop_now (gate->loop));
+  struct admit_result result;
 
+  serve->admit.fingerprint = gate_crash_fingerprint (
+      serve->request, serve->request->head.value[HTTPMSG_CALLER_SERVICE]);
+  result
+      = admit_run_chain (&gate->admit, &serve->admit, loop_now (gate->loop));
   serve->admitted = true;
   switch (result.kind)
     {
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -201,6 +201,15 @@
   bool reusable; /* the answer permits keep-alive */
 };
 
+/* A request that ran at the backend server when its connection ended.  */
+struct gate_crash_candidate
+{
+  struct list_node node; /* gate->crash_candidates */
+  uint64_t fingerprint;
+  clk_us dispatched_at;
+  clk_us lost_at;
+};
+
 /* Header fields that this node adds to a request that it forwards.  */
 struct gate_added_fields
 {
@@ -248,11 +257,16 @@
   struct gate_listener listeners[GATE_PORT_COUNT];
   struct dispatch_state dispatch;
   struct admit_state admit;
-  struct list inbound; /* struct gate_in */
-  struct list calls;   /* struct gate_call */
-  struct list serves;  /* struct gate_serve */
-  struct htable pools; /* struct gate_pool */
-  uint64_t out_serial; /* serial of the newest outbound connection */
+  struct suspects suspects;
+  struct list crash_candidates; /* struct gate_crash_candidate of the current
+                                   server, by dispatch time */
+  uint32_t crash_candidate_count;
+  bool crash_marks_changed; /* since they were sent to the control task */
+  struct list inbound;      /* struct gate_in */
+  struct list calls;        /* struct gate_call */
+  struct list serves;       /* struct gate_serve */
+  struct htable pools;      /* struct gate_pool */
+  uint64_t out_serial;      /* serial of the newest outbound connection */
   /* struct gate_request awaiting a reply of the control task */
   struct list api_requests;
   uint64_t next_api_id;
@@ -480,6 +494,27 @@
 int gate_probe_handle_head (struct gate *gate,
                             const struct httpmsg_head *head);
 
+/* gate_crash.c: which requests crash the backend server */
+int gate_crash_init (struct gate *gate);
+void gate_crash_fini (struct gate *gate);
+/* Fingerprint of REQUEST, which CALLER_SERVICE sends: over the body, or over
+   the first GATE_BODY_START_BYTES of a long one.  To be called before any of
+   the body is dropped.  */
+uint64_t gate_crash_fingerprint (const struct gate_request *request,
+                                 const char *caller_service);
+/* Records that the connection of SERVE to the server has ended without an
+   answer.  */
+void gate_crash_add_candidate (struct gate_serve *serve);
+/* Records that the server has answered SERVE: it is alive, and the request is
+   harmless.  */
+void gate_crash_record_answer (struct gate_serve *serve);
+/* Marks the candidates, because their server is lost.  */
+void gate_crash_confirm (struct gate *gate);
+/* Imports marks of other nodes.  */
+void gate_crash_import (struct gate *gate, const struct list *marks);
+/* Periodic work: sends changed marks to the control task.  */
+void gate_crash_tick (struct gate *gate, clk_us now);
+
 /* gate_stop.c */
 /* Starts a graceful shutdown.  */
 void gate_stop_begin (struct gate *gate);
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -323,6 +323,57 @@
     }
 }
 
+/* Submits a request with FINGERPRINT.  */
+static struct admit_result
+submit_suspect (struct admit_request *request, uint64_t fingerprint)
+{
+  memset (request, 0, sizeof *request);
+  snprintf (request->service, sizeof request->service, "marks");
+  request->fingerprint = fingerprint;
+  request->arrived = clk_s (1);
+  request->deadline = clk_s (2);
+  return admit_run_chain (&state, request, clk_s (1));
+}
+
+/* Guards against a harmless suspect that is quarantined because it runs beside
+   the request that crashes servers: suspects run one at a time; and against a
+   quarantined request at the server.  */
+static void
+test_suspects (void)
+{
+  struct quarantine_opts opts
+      = { .duration = clk_s (300), .fingerprints_max = 8, .servers_min = 3 };
+  struct suspects suspects = { .marks = quarantine_new (&opts) };
+  struct admit_request first;
+  struct admit_request second;
+  struct admit_request other;
+  struct admit_result result;
+
+  set_up ();
+  state.suspects = &suspects;
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      quarantine_add_mark (suspects.marks, i, "a", clk_s (1));
+      quarantine_add_mark (suspects.marks, i, "b", clk_s (1));
+    }
+  CU_ASSERT_EQUAL (submit_suspect (&first, 1).kind, ADMIT_RUN);
+  result = submit_suspect (&second, 2);
+  CU_ASSERT_EQUAL (result.kind, ADMIT_REFUSE);
+  CU_ASSERT_EQUAL (result.reason, REASON_SUSPECT_RUNNING);
+  admit_release (&state, &second, AIMD_IGNORED, 0, clk_s (1));
+  CU_ASSERT_EQUAL (submit_suspect (&other, 9).kind, ADMIT_RUN);
+  admit_release (&state, &first, AIMD_IGNORED, 0, clk_s (1));
+  CU_ASSERT_EQUAL (submit_suspect (&second, 2).kind, ADMIT_RUN);
+  admit_release (&state, &second, AIMD_IGNORED, 0, clk_s (1));
+  CU_ASSERT_EQUAL (suspects.running, 0);
+  quarantine_add_mark (suspects.marks, 1, "c", clk_s (1));
+  result = submit_suspect (&first, 1);
+  CU_ASSERT_EQUAL (result.kind, ADMIT_REFUSE);
+  CU_ASSERT_EQUAL (result.reason, REASON_QUARANTINED);
+  admit_fini (&state);
+  quarantine_free (suspects.marks);
+}
+
 int
 main (void)
 {
@@ -336,6 +387,7 @@
             test_slow_history },
           { "no request for an unavailable server", test_server_states },
           { "time left in a shutdown", test_time_left_in_shutdown },
+          { "suspects run one at a time", test_suspects },
           { NULL, NULL } };
 
   return suite_run ("admit", tests);
--- a/tests/test_dispatch.c
+++ b/tests/test_dispatch.c
@@ -456,6 +456,47 @@
   dispatch_fini (&state);
 }
 
+/* Guards against a request that has crashed several servers and is sent to the
+   next one: no attempt starts, and a suspect is not sent again after a run
+   that may have lost a server.  */
+static void
+test_quarantined_request (void)
+{
+  struct quarantine_opts quarantine
+      = { .duration = clk_s (300), .fingerprints_max = 8, .servers_min = 3 };
+  struct dispatch_failure lost
+      = { .reason = REASON_BACKEND_CLOSED, .run = REASON_RUN_UNKNOWN };
+  struct suspects suspects = { .marks = quarantine_new (&quarantine) };
+  struct dispatch_request request;
+  struct dispatch_result result;
+
+  set_up ();
+  state.opts.suspects = &suspects;
+  add_server ("s-1", "near");
+  add_server ("s-2", "near");
+  add_server ("s-3", "near");
+  request = run_chain ("/read/1", DISPATCH_CONTINUE);
+  request.fingerprint = 5;
+  quarantine_add_mark (suspects.marks, 5, "a", now);
+  CU_ASSERT_EQUAL (dispatch_choose_server (&state, &request, now).kind,
+                   DISPATCH_CONTINUE);
+  CU_ASSERT_EQUAL (dispatch_decide_retry (&state, &request, &lost, now).kind,
+                   DISPATCH_RETRY_NOW);
+  quarantine_add_mark (suspects.marks, 5, "b", now);
+  CU_ASSERT_EQUAL (dispatch_choose_server (&state, &request, now).kind,
+                   DISPATCH_CONTINUE);
+  CU_ASSERT_EQUAL (dispatch_decide_retry (&state, &request, &lost, now).kind,
+                   DISPATCH_GIVE_UP);
+  quarantine_add_mark (suspects.marks, 5, "c", now);
+  result = dispatch_choose_server (&state, &request, now);
+  CU_ASSERT_EQUAL (result.kind, DISPATCH_REFUSE);
+  CU_ASSERT_EQUAL (result.reason, REASON_QUARANTINED);
+  CU_ASSERT_EQUAL (result.retry_after_ms, 300000);
+  dispatch_release (&request);
+  dispatch_fini (&state);
+  quarantine_free (suspects.marks);
+}
+
 int
 main (void)
 {
@@ -466,6 +507,7 @@
     { "no requests during shutdown", test_shutdown },
     { "time left in a shutdown", test_time_left_in_shutdown },
     { "retries in a shutdown", test_retries_in_shutdown },
+    { "quarantined request", test_quarantined_request },
     { "other failure domains only when time is short", test_failure_domains },
     { "refusals without configuration, route or time", test_refusals },
     { "return of callers before the first configuration", test_not_ready },
--- a/tests/test_filters.c
+++ b/tests/test_filters.c
@@ -48,7 +48,7 @@
   list_init (&state->services);
   state->slots = slots_new (&slots);
   state->caller_shares = share_new (&shares);
-  state->quarantine = quarantine_new (&quarantine);
+  state->suspects.marks = quarantine_new (&quarantine);
   state->call_chains = retry_table_new (&retry_table);
   state->hops = hop_table_new ();
   state->backend_up = true;
@@ -75,7 +75,7 @@
   lb_free (fixture->service.servers);
   slots_free (fixture->state.slots);
   share_free (fixture->state.caller_shares);
-  quarantine_free (fixture->state.quarantine);
+  quarantine_free (fixture->state.suspects.marks);
   retry_table_free (fixture->state.call_chains);
   hop_table_free (fixture->state.hops);
   model_unref (fixture->state.model);
@@ -305,11 +305,11 @@
 
   set_up (&fixture, "GET");
   CU_ASSERT_EQUAL (run_call_chain (&fixture, 10).kind, FILTER_CONTINUE);
-  quarantine_add_mark (fixture.state.quarantine, fixture.request.fingerprint,
-                       "n2", 11);
+  quarantine_add_mark (fixture.state.suspects.marks,
+                       fixture.request.fingerprint, "n2", 11);
   CU_ASSERT_EQUAL (run_call_chain (&fixture, 12).kind, FILTER_CONTINUE);
-  quarantine_add_mark (fixture.state.quarantine, fixture.request.fingerprint,
-                       "n3", 13);
+  quarantine_add_mark (fixture.state.suspects.marks,
+                       fixture.request.fingerprint, "n3", 13);
   CU_ASSERT_EQUAL (run_call_chain (&fixture, 14).u.refuse.reason,
                    REASON_QUARANTINED);
   tear_down (&fixture);
@@ -326,20 +326,20 @@
   set_up (&fixture, "GET");
   fixture.request.deadline = 1000;
   fixture.request.suspect = true;
-  fixture.state.suspects_running = 1;
+  fixture.state.suspects.running = 1;
   filter_start_chain (&fixture.request, filter_serve_chain);
   CU_ASSERT_EQUAL (
       filter_run_chain (&fixture.state, &fixture.request, 10).u.refuse.reason,
       REASON_SUSPECT_RUNNING);
-  fixture.state.suspects_running = 0;
+  fixture.state.suspects.running = 0;
   filter_start_chain (&fixture.request, filter_serve_chain);
   CU_ASSERT_EQUAL (
       filter_run_chain (&fixture.state, &fixture.request, 10).kind,
       FILTER_CONTINUE);
-  CU_ASSERT_EQUAL (fixture.state.suspects_running, 1);
+  CU_ASSERT_EQUAL (fixture.state.suspects.running, 1);
   slots_finish (fixture.state.slots, &fixture.request.ticket, true, 20);
   filter_release (&fixture.state, &fixture.request, 20);
-  CU_ASSERT_EQUAL (fixture.state.suspects_running, 0);
+  CU_ASSERT_EQUAL (fixture.state.suspects.running, 0);
   tear_down (&fixture);
 }
 
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -109,6 +109,103 @@
   quarantine_free (nodes[1]);
 }
 
+/* Guards against a threshold of the platform that is not used: three servers
+   quarantine a fingerprint, and with two it is suspect.  */
+static void
+test_three_servers (void)
+{
+  struct quarantine_opts three = opts;
+  struct quarantine *quarantine;
+  clk_us now = clk_s (10);
+
+  three.servers_min = 3;
+  quarantine = quarantine_new (&three);
+  quarantine_add_mark (quarantine, 1, "a", now);
+  CU_ASSERT_FALSE (quarantine_is_suspect (quarantine, 1, now));
+  quarantine_add_mark (quarantine, 1, "b", now);
+  CU_ASSERT_TRUE (quarantine_is_suspect (quarantine, 1, now));
+  CU_ASSERT_FALSE (quarantine_is_blocked (quarantine, 1, now));
+  quarantine_add_mark (quarantine, 1, "c", now);
+  CU_ASSERT_TRUE (quarantine_is_blocked (quarantine, 1, now));
+  CU_ASSERT_EQUAL (quarantine_time_left (quarantine, 1, now + clk_s (100)),
+                   clk_s (200));
+  quarantine_free (quarantine);
+}
+
+/* Sends at most COUNT_MAX marks and clears of FROM to TO; returns how many
+   were new there.  */
+static uint32_t
+send_marks (struct quarantine *from, struct quarantine *to, uint32_t count_max,
+            clk_us now)
+{
+  struct list marks;
+  uint32_t new_count = 0;
+
+  list_init (&marks);
+  quarantine_export_marks (from, &marks, count_max, now);
+  list_each (node, &marks)
+    new_count += quarantine_import_mark (
+                     to, list_entry (node, struct quarantine_mark, node),
+                     now + 20000)
+                 == SR_OK;
+  free_marks (&marks);
+  return new_count;
+}
+
+/* Guards against a harmless request that is quarantined at nodes which have
+   not seen its answer: the answer at one node clears the marks at the others,
+   and marks from before it do not come back.  */
+static void
+test_exchanged_clear (void)
+{
+  struct quarantine *answered = quarantine_new (&opts);
+  struct quarantine *other = quarantine_new (&opts);
+  struct quarantine *late = quarantine_new (&opts);
+  clk_us now = clk_s (10);
+
+  quarantine_add_mark (answered, 1, "a", now);
+  quarantine_add_mark (answered, 1, "b", now);
+  CU_ASSERT_EQUAL (send_marks (answered, other, 16, now), 2);
+  CU_ASSERT_EQUAL (send_marks (answered, late, 16, now), 2);
+  CU_ASSERT_TRUE (quarantine_is_blocked (other, 1, now));
+  now += clk_s (2);
+  CU_ASSERT_TRUE (quarantine_clear_marks (answered, 1, now));
+  CU_ASSERT_FALSE (quarantine_clear_marks (answered, 1, now));
+  CU_ASSERT_EQUAL (send_marks (answered, other, 16, now), 1);
+  CU_ASSERT_FALSE (quarantine_is_blocked (other, 1, now));
+  CU_ASSERT_EQUAL (send_marks (answered, other, 16, now), 0);
+  CU_ASSERT_EQUAL (send_marks (late, other, 16, now), 0);
+  CU_ASSERT_FALSE (quarantine_is_blocked (other, 1, now));
+  /* Marks from after the answer count.  */
+  now += clk_s (2);
+  quarantine_add_mark (other, 1, "a", now);
+  quarantine_add_mark (other, 1, "b", now);
+  CU_ASSERT_TRUE (quarantine_is_blocked (other, 1, now));
+  quarantine_free (answered);
+  quarantine_free (other);
+  quarantine_free (late);
+}
+
+/* Guards against a request that crashes servers and is not reported, because
+   many harmless ones were in flight with it: those with several marks go
+   first.  */
+static void
+test_export_order (void)
+{
+  struct quarantine *quarantine = quarantine_new (&opts);
+  struct quarantine *other = quarantine_new (&opts);
+  clk_us now = clk_s (10);
+
+  quarantine_add_mark (quarantine, 7, "a", now);
+  quarantine_add_mark (quarantine, 7, "b", now);
+  for (uint64_t i = 100; i < 140; i++)
+    quarantine_add_mark (quarantine, i, "b", now + i);
+  send_marks (quarantine, other, 16, now + 1000);
+  CU_ASSERT_TRUE (quarantine_is_blocked (other, 7, now + 1000));
+  quarantine_free (quarantine);
+  quarantine_free (other);
+}
+
 /* Compares random marks and clears with a model.  A fingerprint must be
    quarantined only with marks of two servers.  The table must not grow beyond
    its limit, and must drop the oldest fingerprints first.  */
@@ -162,6 +259,9 @@
       = { { "quarantine with marks of two servers", test_two_servers },
           { "cleared marks are not imported again", test_cleared_marks },
           { "exchanged marks expire", test_exchanged_marks },
+          { "quarantine with marks of three servers", test_three_servers },
+          { "answer at another node", test_exchanged_clear },
+          { "order of exported marks", test_export_order },
           { "random marks against a model", test_random_marks },
           { NULL, NULL } };
 
