--- a/filters/admit.h
+++ b/filters/admit.h
@@ -27,7 +27,7 @@
 #include "controllers/aimd.h"
 #include "core/clk.h"
 #include "core/reason.h"
-#include "filters/quarantine.h"
+#include "filters/suspects.h"
 
 enum admit_filter
 {
--- a/filters/dispatch.h
+++ b/filters/dispatch.h
@@ -26,7 +26,7 @@
 #include "core/model.h"
 #include "core/reason.h"
 #include "core/rng.h"
-#include "filters/quarantine.h"
+#include "filters/suspects.h"
 
 enum dispatch_filter
 {
--- a/filters/filter.h
+++ b/filters/filter.h
@@ -26,7 +26,7 @@
 #include "core/msg.h"
 #include "core/reason.h"
 #include "core/rng.h"
-#include "filters/quarantine.h"
+#include "filters/suspects.h"
 
 /* Maximum depth of a call chain; a deeper one is taken for a loop.  */
 #define FILTER_DEPTH_MAX 64
--- a/filters/quarantine.h
+++ b/filters/suspects.h
@@ -1,5 +1,5 @@
-#ifndef FILTERS_QUARANTINE_H
-#define FILTERS_QUARANTINE_H
+#ifndef FILTERS_SUSPECTS_H
+#define FILTERS_SUSPECTS_H
 
 /**
  * DOC: suspects - filter for requests that crash backend servers
--- a/log/raft_impl.h
+++ b/log/raft_impl.h
@@ -137,7 +137,7 @@
   bool snapshot_requested;
   uint64_t bytes_since_snapshot; /* entry bytes committed since the last */
   struct raft_incoming_snapshot incoming_snapshot;
-  struct raft_silent_peers silent_peers; /* newest report of a leader */
+  struct raft_silent_peers silent_peers; /* newest report of the leader */
   clk_us silent_peers_at;                /* when it arrived */
   clk_us leave_sent_at;                  /* of the last RAFT_LEAVE */
 
@@ -259,6 +259,10 @@
 void raft_manage_members (struct raft *raft, clk_us now);
 /* Whether PEER hands over its vote, or did so last before it fell silent.  */
 bool raft_peer_leaves (const struct raft *raft, const struct raft_peer *peer);
+void raft_on_leave (struct raft *raft, const struct raft_msg *msg, clk_us now);
+void raft_on_hello (struct raft *raft, const struct raft_msg *msg, clk_us now);
+
+/* raft_silence.c: members that do not reply */
 /* Tells the followers which members are silent, so that a new leader need not
    wait for the replace timeout anew.  */
 void raft_send_silent_peers (struct raft *raft, clk_us now);
@@ -267,7 +271,5 @@
 /* On a new leader: sets the last contact of the peers to that of the last
    leader.  */
 void raft_adopt_silence (struct raft *raft);
-void raft_on_leave (struct raft *raft, const struct raft_msg *msg, clk_us now);
-void raft_on_hello (struct raft *raft, const struct raft_msg *msg, clk_us now);
 
 #endif
