gate: after its start a node believes the health check, not a late heartbeat

What callers saw: a node that is killed after it has acknowledged that its server leaves has forgotten it; a ready heartbeat that is late by seconds brought the server back, and requests reached it later than drain_s.

Cause: the start-up health check was not sent once a heartbeat had come, and a failed one had no consequence.

Change: the check is always sent. A check that is refused for lack of a slot does not count.

Why it works: PROTOCOL.md has a leaving server fail its health check, and the check is sent after the restart, so it cannot be older than that.

--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -191,6 +191,11 @@
       gate_api_answer (request, gate_is_ready (gate) ? 200 : 503, "{}");
       break;
     case API_HEARTBEAT:
+      if (gate_probe_hold (gate, &call.u.heartbeat))
+        {
+          gate_api_answer (request, 200, "{}");
+          break;
+        }
       if (backend_is_succeeded (backend, &call.u.heartbeat))
         gate_crash_confirm (gate);
       gate_api_apply_backend (
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -61,7 +61,7 @@
     case GATE_OUT_PROBE:
       slog (SLOG_NOTICE, "health check failed reason=%s",
             reason_name (reason));
-      outbound->gate->probe = NULL;
+      outbound->gate->probe.outbound = NULL;
       break;
     case GATE_OUT_IDLE:
       break;
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -201,6 +201,18 @@
   bool reusable; /* the answer permits keep-alive */
 };
 
+/* Health checks of the backend server after the start of the node.  */
+struct gate_probe
+{
+  bool started;              /* the first one is sent, or none is needed */
+  struct gate_out *outbound; /* connection of the one in progress, or NULL */
+  /* Server that has failed the newest one, empty for none.  */
+  char failed_id[API_ID_BYTES];
+  /* Its newest heartbeat with the state "ready", which counts if the next
+     check is passed; its id is empty when there is none.  */
+  struct api_heartbeat held;
+};
+
 /* A request that ran at the backend server when its connection ended.  */
 struct gate_crash_candidate
 {
@@ -270,10 +282,9 @@
   /* struct gate_request awaiting a reply of the control task */
   struct list api_requests;
   uint64_t next_api_id;
-  bool config_confirmed;  /* a quorum has confirmed the configuration */
-  bool probe_done;        /* the start-up health check is sent or not needed */
-  struct gate_out *probe; /* connection of the health check in progress */
-  char node_port[16];     /* port of GATE_PORT_NODES, the same on all nodes */
+  bool config_confirmed; /* a quorum has confirmed the configuration */
+  struct gate_probe probe;
+  char node_port[16]; /* port of GATE_PORT_NODES, the same on all nodes */
   struct loop_timer tick_timer;
   struct loop_timer admission_timer;
   bool admission_running;               /* in gate_serve_run_admission() */
@@ -485,12 +496,17 @@
 void gate_report_backend (struct gate *gate);
 
 /* gate_probe.c */
-/* Starts the health check once a configuration is present; does nothing if it
-   was done or is not needed.  */
+/* Starts the first health check once a configuration is present; does nothing
+   if it was done or is not needed.  */
 void gate_probe_start (struct gate *gate);
-/* Registers the backend server from the answer to the health check, and closes
-   the connection, because the body is not needed and may be endless.  Returns
-   SR_EAGAIN, so that no more of it is parsed.  */
+/* Whether HEARTBEAT contradicts a failed health check soon after the start of
+   the node.  It is held back then, and applied if the server passes another
+   check, which is started.  */
+bool gate_probe_hold (struct gate *gate,
+                      const struct api_heartbeat *heartbeat);
+/* Handles the answer to a health check, and closes the connection, because the
+   body is not needed and may be endless.  Returns SR_EAGAIN, so that no more
+   of it is parsed.  */
 int gate_probe_handle_head (struct gate *gate,
                             const struct httpmsg_head *head);
 
--- a/tasks/store.c
+++ b/tasks/store.c
@@ -19,6 +19,8 @@
 /* Maximum time of one wait; the thread has no timers and wakes only for
    messages.  */
 #define STORE_WAIT_MAX_US (clk_s (3600))
+/* Half of the shortest election timeout.  */
+#define STORE_SLOW_SYNC_US clk_ms (250)
 
 struct store_group
 {
@@ -258,6 +260,22 @@
     }
 }
 
+/* Syncs the files of a group, and logs a slow sync: votes and commits wait for
+   it.  */
+static int
+store_sync (const struct store_group *group, uint32_t group_id)
+{
+  clk_us started_at = clk_now ();
+  int status = wal_sync (group->wal);
+  clk_us duration = clk_now () - started_at;
+
+  hist_add (HIST_SYNC, duration);
+  if (duration > STORE_SLOW_SYNC_US)
+    slog (SLOG_WARNING, "log sync was slow group=%u ms=%llu", group_id,
+          (unsigned long long)(duration / CLK_US_PER_MS));
+  return status;
+}
+
 /* Syncs each group with new writes and reports to the control task.  */
 static void
 store_sync_groups (struct store *store)
@@ -270,12 +288,7 @@
       if (group->unsynced_sequence == 0)
         continue;
       if (store->status == SR_OK)
-        {
-          clk_us started_at = clk_now ();
-
-          store_record_failure (store, group, wal_sync (group->wal));
-          hist_add (HIST_SYNC, clk_now () - started_at);
-        }
+        store_record_failure (store, group, store_sync (group, i));
       msg = msg_new (MSG_STORE_DONE);
       msg->u.store_done
           = raft_write_done_new (i, group->unsynced_sequence, store->status);
--- a/tests/test_gate_probe.c
+++ b/tests/test_gate_probe.c
@@ -47,16 +47,35 @@
 
 #define HEALTH_COUNT (sizeof health_answers / sizeof health_answers[0])
 
-static struct gate_fixture fixtures[HEALTH_COUNT + 1];
-static const struct health_answer *health_answer;
+static struct gate_fixture fixtures[HEALTH_COUNT + 3];
+static const struct health_answer *health_answer; /* NULL: see below */
 static atomic_bool check_ended;
+/* Status line and further fields of the answer, and time until it is sent.  */
+static const char *_Atomic health_status;
+static atomic_int health_delay_ms;
+static atomic_int check_count;
 
 static void
 server_answer_health (int fd)
 {
-  const char *rest = health_answer->rest;
+  const char *rest;
   char byte;
 
+  check_count++;
+  if (health_answer == NULL)
+    {
+      char out[256];
+
+      usleep ((useconds_t)health_delay_ms * 1000);
+      snprintf (out, sizeof out,
+                "HTTP/1.1 %s\r\nX-Sycamorerudder-Instance-Id: i-1\r\n"
+                "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
+                "Content-Length: 0\r\n\r\n",
+                health_status);
+      net_send_text (fd, out);
+      return;
+    }
+  rest = health_answer->rest;
   net_send_text (fd, health_answer->start);
   if (rest == NULL)
     (void)!read (fd, &byte, 1);
@@ -145,6 +164,117 @@
   return strncmp (answer, "HTTP/1.1 200 ", 13) == 0;
 }
 
+static const char probe_request[]
+    = "GET /r/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+      "X-Sycamorerudder-Request-Id: q\r\n\r\n";
+
+/* Starts a gate whose server answers the health check with STATUS after
+   DELAY_MS.  */
+static struct gate_fixture *
+start_with_health (unsigned number, const char *status, int delay_ms)
+{
+  struct gate_fixture_opts opts = { .document = document,
+                                    .stop_limit = clk_s (1),
+                                    .slots = 4,
+                                    .serve = server_serve_connection };
+  struct gate_fixture *fixture = &fixtures[HEALTH_COUNT + number];
+
+  health_answer = NULL;
+  health_status = status;
+  health_delay_ms = delay_ms;
+  check_count = 0;
+  gate_fixture_start (fixture, &opts);
+  return fixture;
+}
+
+static void
+stop_gate (struct gate_fixture *fixture)
+{
+  gate_shut_down (fixture->gate);
+  pthread_join (fixture->gate_thread, NULL);
+}
+
+/* Waits until a request is answered 200, or not any more.  */
+static bool
+wait_until_served (const struct gate_fixture *fixture, bool served)
+{
+  clk_us start = clk_now ();
+
+  while (clk_now () < start + CHECK_ENDS_US)
+    {
+      if (gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request)
+          == served)
+        return true;
+      usleep (20000);
+    }
+  return false;
+}
+
+/* Sends a heartbeat of server i-1 with the state "ready".  */
+static void
+send_ready (const struct gate_fixture *fixture, int sequence)
+{
+  char body[256];
+  char call[512];
+  int len = snprintf (body, sizeof body,
+                      "{\"service\":\"a\",\"address\":\"%s\",\"zone\":\"z\","
+                      "\"version\":\"1\",\"slots\":4,\"state\":\"ready\","
+                      "\"cold_remaining_s\":0,\"sequence\":%d,"
+                      "\"born\":1700000000000}",
+                      fixture->server_address, sequence);
+
+  snprintf (call, sizeof call,
+            "POST /-/Instances.Heartbeat/i-1 HTTP/1.1\r\nHost: n\r\n"
+            "Connection: close\r\nContent-Type: application/json\r\n"
+            "Content-Length: %d\r\n\r\n%s",
+            len, body);
+  CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CONTROL, call));
+}
+
+/* Guards against a late heartbeat that brings a leaving server back at a node
+   that has just started and has forgotten that the server leaves; and against
+   a server that stays unused although it passes the check.  */
+static void
+test_late_heartbeat_of_leaving_server (void)
+{
+  struct gate_fixture *fixture
+      = start_with_health (1, "503 Service Unavailable", 0);
+
+  while (check_count == 0)
+    usleep (1000);
+  usleep (100000);
+  send_ready (fixture, 7);
+  usleep (200000);
+  CU_ASSERT_FALSE (
+      gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request));
+  CU_ASSERT_EQUAL (check_count, 2);
+  health_status = "200 OK";
+  send_ready (fixture, 8);
+  CU_ASSERT_TRUE (wait_until_served (fixture, true));
+  stop_gate (fixture);
+}
+
+/* Guards against the same where the heartbeat comes before the answer to the
+   health check; a check that is refused for lack of a slot does not count.  */
+static void
+test_late_heartbeat_before_check (void)
+{
+  struct gate_fixture *fixture
+      = start_with_health (2, "503 Service Unavailable", 500);
+
+  send_ready (fixture, 7);
+  CU_ASSERT_TRUE (wait_until_served (fixture, true));
+  CU_ASSERT_TRUE (wait_until_served (fixture, false));
+  health_status = "503 Full\r\nX-Sycamorerudder-Not-Executed: 1";
+  health_delay_ms = 0;
+  send_ready (fixture, 8);
+  usleep (200000);
+  CU_ASSERT_FALSE (
+      gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request));
+  CU_ASSERT_EQUAL (check_count, 2);
+  stop_gate (fixture);
+}
+
 /* Guards against a deregistration that is acknowledged although the server
    goes on getting requests: the gate knows the server from the health check,
    without its start time.  */
@@ -157,9 +287,6 @@
                                     .serve = server_serve_connection };
   struct gate_fixture *fixture = &fixtures[HEALTH_COUNT];
   clk_us start = clk_now ();
-  static const char request[]
-      = "GET /r/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
-        "X-Sycamorerudder-Request-Id: q\r\n\r\n";
   static const char deregister[]
       = "POST /-/Instances.Deregister/i-1 HTTP/1.1\r\nHost: n\r\n"
         "Connection: close\r\nContent-Type: application/json\r\n"
@@ -167,12 +294,13 @@
 
   health_answer = &health_answers[0];
   gate_fixture_start (fixture, &opts);
-  while (!gate_answers_ok (fixture, GATE_PORT_CALLERS, request)
+  while (!gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request)
          && clk_now () < start + CHECK_ENDS_US)
     usleep (20000);
-  CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CALLERS, request));
+  CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request));
   CU_ASSERT_TRUE (gate_answers_ok (fixture, GATE_PORT_CONTROL, deregister));
-  CU_ASSERT_FALSE (gate_answers_ok (fixture, GATE_PORT_CALLERS, request));
+  CU_ASSERT_FALSE (
+      gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request));
   gate_shut_down (fixture->gate);
   pthread_join (fixture->gate_thread, NULL);
 }
@@ -180,11 +308,14 @@
 int
 main (void)
 {
-  static const struct suite_test tests[]
-      = { { "health check without end", test_endless_health_check },
-          { "deregistration after the check",
-            test_deregistration_after_check },
-          { NULL, NULL } };
+  static const struct suite_test tests[] = {
+    { "health check without end", test_endless_health_check },
+    { "deregistration after the check", test_deregistration_after_check },
+    { "late heartbeat of a leaving server",
+      test_late_heartbeat_of_leaving_server },
+    { "late heartbeat before the check", test_late_heartbeat_before_check },
+    { NULL, NULL }
+  };
 
   return suite_run ("gate_probe", tests);
 }
