raft: an election waits for the votes that are being synced

Cause: votes are synced before they are sent. A candidate whose own vote, or whose voters' votes, took longer to sync than the election timeout began a new term, which discarded them.

Change: a replica whose vote is not durable begins no election, and the timeout starts when the requests for votes are sent. Each lost election doubles the timeout, three times at most, until there is a leader.

Why it works: an election that a quorum takes part in ends with its votes, however slow the disks are, and two candidates with slow disks part by the backoff.

--- a/log/raft.c
+++ b/log/raft.c
@@ -159,9 +159,15 @@
 {
   clk_us range
       = raft->opts.election_timeout_max - raft->opts.election_timeout_min;
+  clk_us timeout = raft->opts.election_timeout_min
+                   + rng_below (&raft->rng, (uint32_t)range + 1);
+  uint32_t doublings = raft->elections_lost < RAFT_ELECTION_BACKOFF_MAX
+                           ? raft->elections_lost
+                           : RAFT_ELECTION_BACKOFF_MAX;
 
-  raft->election_deadline = now + raft->opts.election_timeout_min
-                            + rng_below (&raft->rng, (uint32_t)range + 1);
+  /* Votes are synced before they are sent.  With syncs slower than the timeout
+     no election would end without the backoff.  */
+  raft->election_deadline = now + (timeout << doublings);
 }
 
 /* Refuses the pending proposals and reads of a former leader.  SR_EAGAIN: a
@@ -218,6 +224,8 @@
     }
   raft->role = RAFT_FOLLOWER;
   raft->leader_id = leader_id;
+  if (leader_id != 0)
+    raft->elections_lost = 0;
   raft->transfer_target_id = 0;
   raft_refuse_pending (raft);
   raft_reset_election_timer (raft, now);
@@ -234,6 +242,7 @@
   raft->leader_id = raft->opts.id;
   raft->term_start_index = raft->log.last_index + 1;
   raft->leader_since = now;
+  raft->elections_lost = 0;
   raft->heartbeat_deadline = now + raft->opts.heartbeat_interval;
   list_each (node, &raft->peers)
     {
@@ -495,6 +504,14 @@
     raft_become_follower (raft, raft->hard_state.term, 0, now);
 }
 
+/* Whether the vote of this replica in the current term is not durable yet.  */
+static bool
+raft_awaits_vote_sync (const struct raft *raft)
+{
+  return raft->hard_state.voted_for != 0
+         && raft->vote_write_sequence > raft->synced_sequence;
+}
+
 clk_us
 raft_tick (struct raft *raft, clk_us now)
 {
@@ -523,10 +540,11 @@
     }
   if (now >= raft->election_deadline)
     {
-      if (raft_is_voter (raft, raft->opts.id))
-        raft_start_prevote (raft, now);
-      else
+      /* A new term would discard the vote that is being synced.  */
+      if (!raft_is_voter (raft, raft->opts.id) || raft_awaits_vote_sync (raft))
         raft_reset_election_timer (raft, now);
+      else
+        raft_start_prevote (raft, now);
     }
   return raft->election_deadline < now + raft->opts.heartbeat_interval
              ? raft->election_deadline
@@ -665,6 +683,8 @@
 void
 raft_handle_synced (struct raft *raft, uint64_t sequence, clk_us now)
 {
+  bool awaited_vote_sync = raft_awaits_vote_sync (raft);
+
   raft_begin_input (raft, now);
   INVARIANT (sequence <= raft->write_sequence);
   list_each (node, &raft->pending_writes)
@@ -689,6 +709,9 @@
       raft_update_commit_index (raft, now);
       break;
     case RAFT_CANDIDATE:
+      /* The requests for votes are sent now.  */
+      if (awaited_vote_sync && !raft_awaits_vote_sync (raft))
+        raft_reset_election_timer (raft, now);
       raft_count_votes (raft, now);
       break;
     case RAFT_FOLLOWER:
--- a/log/raft_impl.h
+++ b/log/raft_impl.h
@@ -9,6 +9,8 @@
 #include "core/rng.h"
 #include "log/raft.h"
 
+/* The election timeout is doubled at most this many times.  */
+#define RAFT_ELECTION_BACKOFF_MAX 3
 /* A report of silent peers counts for this many heartbeat intervals.  */
 #define RAFT_SILENT_PEERS_HEARTBEATS 3
 /* Limits of one AppendEntries message.  */
@@ -112,6 +114,7 @@
   uint64_t leader_id; /* 0 when not known */
   clk_us last_leader_contact;
   clk_us election_deadline;
+  uint32_t elections_lost; /* in a row, started here without a leader since */
   clk_us heartbeat_deadline;
 
   uint64_t written_index;   /* last index that is part of a write */
@@ -125,7 +128,8 @@
   struct raft_snapshot *new_snapshot; /* for the next write */
   struct list pending_writes;         /* struct raft_pending_write */
 
-  uint64_t vote_write_sequence; /* write that makes the own vote durable */
+  uint64_t vote_write_sequence; /* write that makes the vote of this replica in
+                                   the current term durable */
   uint64_t matched_index;    /* follower: last index that matches the leader */
   uint64_t acked_index;      /* follower: highest match index acknowledged */
   uint64_t term_start_index; /* leader: index of its first entry */
--- a/log/raft_vote.c
+++ b/log/raft_vote.c
@@ -60,6 +60,7 @@
 raft_start_election (struct raft *raft, bool transfer, clk_us now)
 {
   raft_become_follower (raft, raft->hard_state.term + 1, 0, now);
+  raft->elections_lost++;
   raft->role = RAFT_CANDIDATE;
   raft->hard_state.voted_for = raft->opts.id;
   raft->vote_write_sequence = raft_last_write_sequence (raft);
@@ -126,6 +127,7 @@
     {
       raft->hard_state.voted_for = msg->from;
       raft->hard_state_dirty = true;
+      raft->vote_write_sequence = raft_last_write_sequence (raft);
     }
   raft_reset_election_timer (raft, now);
   raft_send_after_sync (raft, reply);
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -72,8 +72,9 @@
   uint32_t seeds; /* the first nodes, which create the group */
   uint32_t voters_max;
   clk_us replace_timeout;
-  bool join_running; /* nodes that start join those that run */
-  bool calm_network; /* no message is duplicated or late */
+  bool join_running;     /* nodes that start join those that run */
+  bool calm_network;     /* no message is duplicated or late */
+  uint32_t slow_sync_us; /* average duration of a sync; 0: a few ms */
   struct sim_node node[SIM_NODES_MAX];
   bool link_cut[SIM_NODES_MAX][SIM_NODES_MAX]; /* [from][to] */
   clk_us partition_until;
@@ -368,6 +369,8 @@
 static inline clk_us
 sim_sync_duration (struct sim *sim)
 {
+  if (sim->slow_sync_us != 0)
+    return sim->slow_sync_us / 2 + rng_below (&sim->rng, sim->slow_sync_us);
   if (sim->crash_before_sync && rng_below (&sim->rng, 3) == 0)
     return rng_below (&sim->rng, 150000);
   return 200 + rng_below (&sim->rng, 4000);
--- a/tests/test_raft.c
+++ b/tests/test_raft.c
@@ -240,6 +240,34 @@
   free_fixture (&fixture);
 }
 
+/* Guards against a candidate that begins a new term while its own vote is
+   being synced: with slow disks it would never ask for votes.  */
+static void
+test_election_waits_for_own_vote (void)
+{
+  struct fixture fixture;
+  struct raft_msg *reply;
+
+  start_group (&fixture, 3);
+  raft_tick (fixture.raft, fixture.now);
+  drain_outputs (&fixture);
+  reply = new_message (RAFT_PREVOTE_REPLY, 2, 1);
+  reply->u.vote_reply = (struct raft_vote_reply){ 2, true };
+  deliver (&fixture, reply);
+  for (int i = 0; i < 50; i++)
+    {
+      fixture.now += clk_ms (100);
+      raft_tick (fixture.raft, fixture.now);
+      drain_outputs (&fixture);
+      CU_ASSERT_PTR_NULL (find_sent (&fixture, RAFT_PREVOTE, 0));
+      CU_ASSERT_PTR_NULL (find_sent (&fixture, RAFT_VOTE, 0));
+    }
+  CU_ASSERT_EQUAL (get_status (&fixture).term, 2);
+  complete_sync (&fixture);
+  CU_ASSERT_PTR_NOT_NULL (find_sent (&fixture, RAFT_VOTE, 0));
+  free_fixture (&fixture);
+}
+
 /* Guards against a vote for a candidate whose log is behind: as leader it
    could lack committed entries.  */
 static void
@@ -933,6 +961,7 @@
   static const struct suite_test tests[] = {
     { "vote is synced before the reply", test_vote_is_synced_before_reply },
     { "vote survives a restart", test_vote_survives_restart },
+    { "election waits for the own vote", test_election_waits_for_own_vote },
     { "vote needs a current log", test_vote_needs_current_log },
     { "no vote against a live leader", test_no_vote_against_live_leader },
     { "follower syncs before the reply", test_follower_syncs_before_reply },
--- a/tests/test_raft_sim.c
+++ b/tests/test_raft_sim.c
@@ -206,11 +206,40 @@
     CU_ASSERT_EQUAL (sim_run (seed), 0);
 }
 
+/* Time within which a group with slow disks must accept a command, and
+   duration of a sync there: more than the longest election timeout.  */
+#define SIM_SLOW_START_US clk_s (20)
+#define SIM_SLOW_SYNC_US 1200000
+
+/* Guards against a group that elects no leader because syncs take longer than
+   the election timeout: each candidate begins a new term before its own vote,
+   or that of another replica, is durable.  */
+static void
+test_slow_syncs (void)
+{
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      struct sim *sim = sim_new (seed, seed % 2 == 0 ? 5 : 3);
+      clk_us start = sim->now;
+
+      sim->faults_off = true;
+      sim->slow_sync_us = SIM_SLOW_SYNC_US;
+      while (sim->acknowledged_count == 0
+             && sim->now < start + SIM_SLOW_START_US)
+        sim_step (sim);
+      SUITE_SEEDED (sim->acknowledged_count > 0, seed);
+      SUITE_SEEDED (sim->failure_count == 0, seed);
+      sim_free (sim);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   static const struct suite_test tests[]
-      = { { "combined faults", test_combined_faults }, { NULL, NULL } };
+      = { { "combined faults", test_combined_faults },
+          { "slow syncs", test_slow_syncs },
+          { NULL, NULL } };
 
   slog_init ("test_raft_sim", SLOG_ERR);
   if (argc > 1)
