peer: take back that long messages wait behind short ones

Cause: sent one long message in each round of the peer task, so that a version reached 78 nodes late.

--- a/tasks/peer.c
+++ b/tasks/peer.c
@@ -23,8 +23,6 @@
 #define PEER_POLL_TIMEOUT_MS 250
 /* Time between two checks after which this process counts as suspended.  */
 #define PEER_SUSPENDED_MIN_US clk_ms (2 * PEER_POLL_TIMEOUT_MS)
-/* Messages of more bytes than this wait for shorter ones.  */
-#define PEER_LONG_BYTES (64 * 1024)
 #define PEER_SEND_HWM 8192
 /* No high-water mark for received messages: the task reads them at once, and
    libzmq aborts the process as described below when a connection fails whose
@@ -78,7 +76,6 @@
   struct inbox *inbox;
   void *context;
   void *router;
-  struct list deferred; /* long messages to be sent, struct msg */
   struct list dials;
   struct list inbound;
   uint32_t dial_count;
@@ -158,7 +155,6 @@
   if (peer->opts.contact < PEER_CONTACT_MIN_US)
     peer->opts.contact = PEER_CONTACT_MIN_US;
   snprintf (peer->address, sizeof peer->address, "%s", opts->address);
-  list_init (&peer->deferred);
   list_init (&peer->dials);
   list_init (&peer->inbound);
   peer->inbox = inbox_new (&inbox);
@@ -464,28 +460,6 @@
     }
 }
 
-/* Whether MSG may wait behind messages that come later: a pushed or read
-   configuration, which no other message depends on.  */
-static bool
-peer_is_deferrable (const struct msg *msg)
-{
-  return msg->kind == MSG_RESULT && msg->u.result.len > PEER_LONG_BYTES;
-}
-
-/* Sends one long message.  Encoding and sending a large configuration to all
-   nodes at once would delay the heartbeats of the log for longer than a
-   leader's lease.  */
-static void
-peer_send_deferred (struct peer *peer)
-{
-  struct list_node *node = list_pop_head (&peer->deferred);
-
-  if (node == NULL)
-    return;
-  peer_send (peer, list_entry (node, struct msg, node), clk_now ());
-  msg_free (list_entry (node, struct msg, node));
-}
-
 /* Sends the queued messages of other tasks.  */
 static void
 peer_handle_inbox (struct peer *peer)
@@ -500,11 +474,6 @@
     {
       struct msg *msg = list_entry (node, struct msg, node);
 
-      if (peer_is_deferrable (msg))
-        {
-          list_push_tail (&peer->deferred, node);
-          continue;
-        }
       if (msg->kind == MSG_STOP)
         peer->stopping = true;
       else
@@ -843,8 +812,7 @@
         peer->poll_items[count++] = (zmq_pollitem_t){ .socket = dial->monitor,
                                                       .events = ZMQ_POLLIN };
     }
-  zmq_poll (peer->poll_items, count,
-            list_empty (&peer->deferred) ? PEER_POLL_TIMEOUT_MS : 0);
+  zmq_poll (peer->poll_items, count, PEER_POLL_TIMEOUT_MS);
 }
 
 static void
@@ -854,7 +822,6 @@
 
   peer_poll (peer);
   peer_handle_inbox (peer);
-  peer_send_deferred (peer);
   now = clk_now ();
   for (int i = 0; i < PEER_READ_BATCH_MAX && peer_read_router (peer, now); i++)
     continue;
@@ -896,8 +863,6 @@
   struct list_node *node;
 
   pthread_join (peer->thread, NULL);
-  while ((node = list_pop_head (&peer->deferred)) != NULL)
-    msg_free (list_entry (node, struct msg, node));
   while ((node = list_first (&peer->dials)) != NULL)
     peer_close_dial (peer, list_entry (node, struct peer_dial, node));
   while ((node = list_first (&peer->inbound)) != NULL)
