soak-check: a call made again by a retried run is not a retry

Cause: the check is wrong. It allowed two starts for each attempt of the caller and three retries, but a run of orders that is a retry calls stock like every other run: one retry then counts as two starts.

A trace with truncated answers: 1 attempt, 2 runs of orders, 4 of stock; the nodes themselves count 1 and 2 retries.

--- a/tests/test_soak_check.sh
+++ b/tests/test_soak_check.sh
@@ -134,6 +134,35 @@
   "102 start POST /orders/1 key=k trace=00-a-1"
 check_violation write_soak_run soak-check \
   "versions do not decrease" versions "n1 1 1"
+# retried_run ORDERS STOCK RESENDS: writes a run in which a caller's request with
+# RESENDS resends ran ORDERS times at orders and STOCK times at stock.
+retried_run () {
+  local run
+  write_soak_run
+  for run in $(seq "$1"); do
+    echo "20$run start GET /orders/2 key=- trace=00-r-$run"
+  done >>"$MESH_DIR/run/orders-4.journal"
+  for run in $(seq "$2"); do
+    echo "20$run start GET /orders/2 key=- trace=00-r-$run"
+  done >>"$MESH_DIR/run/stock-6.journal"
+  echo "200 210 GET /orders/2 key=- trace=00-r-0 caller=c sent=200 status=200" \
+    "result=whole reason=- run=ran resends=$3 states=r" \
+    >>"$MESH_DIR/run/burst-1.record"
+}
+
+# One retry of orders, whose run calls stock like every other, is one retry and
+# not two; retries at both services count together.
+for runs in "1 4 0" "4 4 0" "4 1 0" "2 4 0" "4 4 1" "5 5 1" "1 4 2"; do
+  # shellcheck disable=SC2086
+  retried_run $runs
+  expect_pass soak-check
+done
+for runs in "1 5 0" "5 5 0" "5 1 0" "2 5 0" "3 5 0" "6 6 1" "5 6 1" "1 5 1" \
+  "0 4 0"; do
+  # shellcheck disable=SC2086
+  retried_run $runs
+  expect_violation soak-check "attempts within the retry allowance"
+done
 check_violation write_soak_run soak-check \
   "results of changes" changes "2 r1-b accepted"
 check_violation write_soak_run soak-check \
