front: the list of requests is searched anew after each that a lost node ends

What operators saw: a node of the own interface that resumed after 2.6 s of suspension ended with signal 11; all its requests in flight were lost.

Cause: front_serve_handle_peer_lost() kept the next position of the list while it ended a request. The slot that becomes free lets admission refuse others, whose time is over; when the next one of the list was among them, the loop went on in freed memory.

--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -422,9 +422,10 @@
     front_serve_refuse (serve, reason, REASON_NOT_RUN);
 }
 
-void
-front_serve_handle_peer_lost (struct front *front,
-                              const struct msg_endpoint *endpoint)
+/* Returns the first request of the lost node that was not ended, or NULL.  */
+static struct front_serve *
+front_serve_first_of_peer (struct front *front,
+                           const struct msg_endpoint *endpoint)
 {
   list_each (node, &front->serves)
     {
@@ -432,6 +433,18 @@
 
       if (front_serve_endpoint_equal (&serve->endpoint, endpoint)
           && !serve->detached)
-        front_serve_abandon (serve);
+        return serve;
     }
+  return NULL;
+}
+
+void
+front_serve_handle_peer_lost (struct front *front,
+                              const struct msg_endpoint *endpoint)
+{
+  struct front_serve *serve;
+
+  /* The slot that one frees may end others, so no list position is kept.  */
+  while ((serve = front_serve_first_of_peer (front, endpoint)) != NULL)
+    front_serve_abandon (serve);
 }
