lb: a server that has stopped answering does not look as fast as its last answers

What callers saw: one of two servers of a service on the platform took requests and answered none; all calls to the service failed at their deadline for more than 15 s, although the other server was healthy and idle.

Cause: the choice by expected time knows a server by its last answers and by a load report that is ignored after 0.4 s. Without one a silent server looked as fast as before; its own requests in flight count only from a load of 0.85 on. The ejection of outliers needs five answers of the others to compare with, and a server that is a little slower gets no request and so has none.

Why it works: without a recent report the expected time is at least the time that attempts have been unanswered, and only while some are, so that the server is tried again.

--- a/controllers/lb.c
+++ b/controllers/lb.c
@@ -1,5 +1,6 @@
 #include "controllers/lb.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -507,6 +508,12 @@
   return score_a <= score_b ? a : b;
 }
 
+static bool
+server_has_recent_report (const struct lb_server *server, clk_us now)
+{
+  return server->load_at != 0 && now <= server->load_at + LB_LOAD_TTL_US;
+}
+
 /* Load of a server in requests per slot: the reported load, but at least the
    requests that this node has in flight there.  An outdated report is
    ignored.  */
@@ -515,30 +522,38 @@
 {
   double own_load = (double)server->in_flight / server->slots;
 
-  if (server->load_at == 0 || now > server->load_at + LB_LOAD_TTL_US)
+  if (!server_has_recent_report (server, now))
     return own_load;
   return server->load > own_load ? server->load : own_load;
 }
 
 /* Expected time of one more request: its service time, which grows when the
-   server is nearly full, and the wait for a slot.  */
+   server is nearly full, and the wait for a slot.  Without a recent report it
+   is at least the time that attempts have been unanswered: a server that has
+   stopped answering would otherwise look as fast as its last answers.  */
 static double
 server_expected_us (const struct lb_server *server, enum model_cost cost,
                     double default_us, clk_us now)
 {
+  bool has_report = server_has_recent_report (server, now);
   double load = server_load (server, now);
   double service_time_us = server->service_time_us[cost] > 0
                                ? server->service_time_us[cost]
                                : default_us;
   double queue_wait_us = 0;
+  double expected_us;
 
   if (load > LB_SLOWDOWN_LOAD)
     service_time_us *= 1 + (load - LB_SLOWDOWN_LOAD);
-  if (cost == MODEL_COST_SHORT && now <= server->load_at + LB_LOAD_TTL_US)
+  if (cost == MODEL_COST_SHORT && has_report)
     queue_wait_us = (double)server->queue_wait;
   else if (load > 1)
     queue_wait_us = (load - 1) * service_time_us;
-  return (service_time_us + queue_wait_us) / lb_ramp_weight (server, now);
+  expected_us = service_time_us + queue_wait_us;
+  if (!has_report)
+    expected_us
+        = fmax (expected_us, latency_silence_us (&server->latency[cost], now));
+  return expected_us / lb_ramp_weight (server, now);
 }
 
 /* Whether SERVER is in the failure domain of this node.  */
--- a/tests/test_lb.c
+++ b/tests/test_lb.c
@@ -21,6 +21,7 @@
   struct lb *lb;
   struct rng rng;
   clk_us now;
+  clk_us interval;              /* between two requests */
   clk_us service_time[SERVERS]; /* mean service time of each server */
   uint32_t picks[SERVERS];
   struct attempt attempts[ATTEMPTS_MAX];
@@ -75,6 +76,7 @@
   memset (sim, 0, sizeof *sim);
   sim->now = clk_s (100);
   sim->lb = make_lb (SERVERS, 25, sim->now);
+  sim->interval = clk_ms (1);
   rng_seed (&sim->rng, seed);
   for (int i = 0; i < SERVERS; i++)
     sim->service_time[i] = 10000;
@@ -102,23 +104,31 @@
 sim_end_attempt (struct sim *sim, struct attempt *attempt,
                  enum lb_result result)
 {
+  struct lb_server *server = attempt->server;
+  clk_us latency = sim->now - attempt->started_at;
+
   lb_watch_end (&attempt->watch, sim->now);
-  lb_attempt_end (sim->lb, attempt->server, result, MODEL_COST_SHORT,
-                  sim->now - attempt->started_at, NULL, sim->now);
+  lb_attempt_end (sim->lb, server, result, MODEL_COST_SHORT, latency, NULL,
+                  sim->now);
+  if (result == LB_ANSWERED)
+    {
+      lb_record_service_time (server, MODEL_COST_SHORT, latency);
+      lb_record_load (server, (double)server->in_flight / server->slots, 0,
+                      sim->now);
+    }
   attempt->server = NULL;
 }
 
-/* Sends a request every millisecond for DURATION.  Attempts are given up after
-   one second.  */
+/* Sends requests for DURATION.  Attempts are given up after one second.  */
 static void
 sim_run (struct sim *sim, clk_us duration)
 {
   clk_us end = sim->now + duration;
 
   memset (sim->picks, 0, sizeof sim->picks);
-  for (; sim->now < end; sim->now += 1000)
+  for (; sim->now < end; sim->now += clk_ms (1))
     {
-      bool attempt_started = false;
+      bool attempt_started = sim->now % sim->interval != 0;
 
       for (int i = 0; i < ATTEMPTS_MAX; i++)
         {
@@ -195,6 +205,56 @@
   sim_free (&sim);
 }
 
+/* Chooses by the expected time.  One server is faster than the others, which
+   have restarted, so that it gets all requests and the others have no answers
+   to compare with.  The requests in flight stay below its slots.  */
+static void
+sim_init_fastest (struct sim *sim, uint32_t ejected_percent)
+{
+  struct lb_opts opts = { .max_ejected_percent = ejected_percent,
+                          .failure_domain = "d0",
+                          .by_expected_time = true };
+
+  sim_init (sim, 1);
+  lb_configure (sim->lb, &opts);
+  sim->interval = clk_ms (100);
+  sim->service_time[1] = 5000;
+  sim_run (sim, clk_s (3));
+  for (int i = 0; i < SERVERS; i++)
+    {
+      struct lb_server update = make_server (i);
+
+      update.incarnation += i != 1;
+      lb_update (sim->lb, &update, sim->now);
+    }
+  sim_run (sim, clk_s (3));
+  CU_ASSERT_EQUAL (sim->picks[1], 30);
+}
+
+/* The server that was the fastest must not get all requests any more when it
+   stops answering, for its last answers say nothing of it then.  */
+static void
+test_silent_fastest_server (void)
+{
+  static const uint32_t ejected_percents[] = { 25, 0 };
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct sim sim;
+
+      sim_init_fastest (&sim, ejected_percents[i]);
+      sim.service_time[1] = clk_s (1000);
+      sim_run (&sim, clk_s (1));
+      sim_run (&sim, clk_s (10));
+      CU_ASSERT_TRUE (sim.picks[1] <= 20);
+      sim.service_time[1] = 5000;
+      sim_run (&sim, clk_s (20));
+      sim_run (&sim, clk_s (3));
+      CU_ASSERT_TRUE (sim.picks[1] > 20);
+      sim_free (&sim);
+    }
+}
+
 static uint32_t
 ejected_count (const struct lb *lb)
 {
@@ -359,6 +419,8 @@
   static const struct suite_test tests[]
       = { { "slow server is ejected and reinstated", test_slow_server },
           { "server that stops answering is ejected", test_silent_server },
+          { "fastest server that stops answering",
+            test_silent_fastest_server },
           { "limit on ejected servers", test_max_ejected },
           { "shedding by admission levels", test_shedding },
           { "tried, draining and absent servers", test_unusable_servers },
