--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -18,6 +18,19 @@
 #include "tasks/gate.h"
 #include "tests/net.h"
 
+/* A configuration with one route, /r/ of host "h", whose requests can be sent
+   again.  */
+static const char gate_fixture_document[]
+    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
+      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
+      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
+      "[[\"r\",\"h\",\"/r/\",\"idempotent\",2,2,2,null,2,\"a\"]]},"
+      "\"services\":{\"columns\":[\"name\",\"health_path\","
+      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
+      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
+      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
+      "\"idle_timeout_s\":15}}";
+
 struct gate_fixture_opts
 {
   const char *document; /* the configuration */
@@ -39,7 +52,6 @@
   char addresses[GATE_PORT_COUNT][NET_ADDRESS_BYTES];
   int server_listener;
   char server_address[NET_ADDRESS_BYTES];
-  void *(*serve) (void *fd);
 };
 
 struct gate_fixture
@@ -91,21 +103,24 @@
     }
 }
 
-static inline void *
-gate_fixture_accept_loop (void *arg)
+/* Answers REQUEST with 200 and the body "ok".  */
+static inline void
+gate_fixture_answer (int fd, const char *request)
 {
-  struct gate_fixture_node *node = arg;
-
-  for (;;)
-    {
-      int fd = accept (node->server_listener, NULL, NULL);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      pthread_create (&thread, NULL, node->serve, (void *)(intptr_t)fd);
-      pthread_detach (thread);
-    }
+  const char *id_field = strstr (request, "X-Sycamorerudder-Request-Id: ");
+  char id[64] = "";
+  char out[256];
+
+  if (id_field != NULL)
+    sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+  snprintf (out, sizeof out,
+            "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+            "X-Sycamorerudder-Instance-Id: i-1\r\n"
+            "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
+            "X-Sycamorerudder-Response-Seal: s\r\n"
+            "Content-Length: 2\r\n\r\nok",
+            id);
+  net_send_text (fd, out);
 }
 
 static inline void *
@@ -158,13 +173,9 @@
   struct gate_fixture_node *node = &fixture->nodes[index];
   struct gate_opts *gate = &node->opts;
   struct inbox_opts inbox = { .wake = INBOX_WAKE_CONDITION };
-  pthread_t thread;
 
-  node->serve = fixture->opts.serve;
   node->server_listener = net_bind (node->server_address);
-  listen (node->server_listener, 64);
-  pthread_create (&thread, NULL, gate_fixture_accept_loop, node);
-  pthread_detach (thread);
+  net_serve (node->server_listener, fixture->opts.serve);
   for (int i = 0; i < GATE_PORT_COUNT; i++)
     {
       close (net_bind (node->addresses[i]));
--- a/tests/net.h
+++ b/tests/net.h
@@ -7,6 +7,8 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <pthread.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -34,6 +36,48 @@
   return fd;
 }
 
+/* A listener and what serves each of its connections.  */
+struct net_server
+{
+  int listener;
+  /* Serves one connection and closes it; the argument is its descriptor.  */
+  void *(*serve) (void *fd);
+};
+
+static inline void *
+net_accept_loop (void *arg)
+{
+  struct net_server server = *(struct net_server *)arg;
+
+  free (arg);
+  for (;;)
+    {
+      int fd = accept (server.listener, NULL, NULL);
+      pthread_t thread;
+
+      if (fd < 0)
+        return NULL;
+      pthread_create (&thread, NULL, server.serve, (void *)(intptr_t)fd);
+      pthread_detach (thread);
+    }
+}
+
+/* Listens on the bound socket LISTENER and calls SERVE in a thread for each
+   connection, until the socket is shut down.  */
+static inline void
+net_serve (int listener, void *(*serve) (void *fd))
+{
+  struct net_server *server = malloc (sizeof *server);
+  pthread_t thread;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+  server->listener = listener;
+  server->serve = serve;
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 64), 0);
+  pthread_create (&thread, NULL, net_accept_loop, server);
+  pthread_detach (thread);
+}
+
 /* Connects the socket FD to ADDRESS, IP:PORT; returns FD, or -1 after closing
    it when there is no listener.  Reads fail after 4 s.  */
 static inline int
--- a/tests/test_front_head.c
+++ b/tests/test_front_head.c
@@ -206,23 +206,6 @@
   return NULL;
 }
 
-static void *
-accept_connections (void *arg)
-{
-  int listener = (int)(intptr_t)arg;
-
-  for (;;)
-    {
-      int fd = accept (listener, NULL, NULL);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      pthread_create (&thread, NULL, serve_connection, (void *)(intptr_t)fd);
-      pthread_detach (thread);
-    }
-}
-
 /* Plays the control task: applies the commands of claims at once.  */
 static void *
 run_control (void *arg)
@@ -330,7 +313,6 @@
   pthread_t thread;
   int listener = net_bind (server_address);
 
-  CU_ASSERT_EQUAL_FATAL (listen (listener, 64), 0);
   close (net_bind (listen_address));
   close (net_bind (admin_address));
   opts.listen_address = listen_address;
@@ -343,9 +325,7 @@
                          SR_OK);
   model->u.model.confirmed = true;
   inbox_put (front_inbox (front), model);
-  pthread_create (&thread, NULL, accept_connections,
-                  (void *)(intptr_t)listener);
-  pthread_detach (thread);
+  net_serve (listener, serve_connection);
   pthread_create (&thread, NULL, run_control, control);
   pthread_detach (thread);
   pthread_create (&thread, NULL, run_front, NULL);
--- a/tests/test_front_lost.c
+++ b/tests/test_front_lost.c
@@ -56,23 +56,6 @@
   return NULL;
 }
 
-static void *
-accept_connections (void *arg)
-{
-  int listener = (int)(intptr_t)arg;
-
-  for (;;)
-    {
-      int fd = accept (listener, NULL, NULL);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      pthread_create (&thread, NULL, serve_connection, (void *)(intptr_t)fd);
-      pthread_detach (thread);
-    }
-}
-
 static void *
 run_front (void *arg)
 {
@@ -186,10 +169,8 @@
   struct inbox_opts inbox_opts = { .wake = INBOX_WAKE_CONDITION };
   struct sigaction action = { .sa_handler = handle_suspension };
   struct msg *model = msg_new (MSG_MODEL);
-  pthread_t thread;
   int listener = net_bind (server_address);
 
-  CU_ASSERT_EQUAL_FATAL (listen (listener, 64), 0);
   close (net_bind (listen_address));
   close (net_bind (admin_address));
   sigaction (SIGUSR1, &action, NULL);
@@ -202,9 +183,7 @@
                          SR_OK);
   model->u.model.confirmed = true;
   inbox_put (front_inbox (front), model);
-  pthread_create (&thread, NULL, accept_connections,
-                  (void *)(intptr_t)listener);
-  pthread_detach (thread);
+  net_serve (listener, serve_connection);
   pthread_create (&front_thread, NULL, run_front, NULL);
   usleep (100000);
   announce_server ();
--- a/tests/test_gate_crash.c
+++ b/tests/test_gate_crash.c
@@ -13,17 +13,6 @@
 #define TEXT_BYTES 8192
 #define WAIT_MAX_US clk_s (6)
 
-static const char document[]
-    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
-      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
-      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
-      "[[\"r\",\"h\",\"/r/\",\"idempotent\",2,2,2,null,2,\"a\"]]},"
-      "\"services\":{\"columns\":[\"name\",\"health_path\","
-      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
-      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
-      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
-      "\"idle_timeout_s\":15}}";
-
 /* The backend server: a request for /r/crash ends it, with its listener; one
    for /r/drop ends the connection only.  */
 static struct gate_fixture fixtures[4];
@@ -39,10 +28,6 @@
 
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
-      char id[64] = "";
-      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
-      char out[256];
-
       if (strstr (text, "GET /r/crash") != NULL)
         {
           crash_count++;
@@ -55,16 +40,7 @@
         }
       if (strstr (text, "GET /r/drop") != NULL)
         break;
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
-      snprintf (out, sizeof out,
-                "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
-                "X-Sycamorerudder-Instance-Id: i-1\r\n"
-                "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
-                "X-Sycamorerudder-Response-Seal: s\r\n"
-                "Content-Length: 2\r\n\r\nok",
-                id);
-      net_send_text (fd, out);
+      gate_fixture_answer (fd, text);
     }
   close (fd);
   return NULL;
@@ -112,7 +88,7 @@
 static void
 start (int number)
 {
-  struct gate_fixture_opts opts = { .document = document,
+  struct gate_fixture_opts opts = { .document = gate_fixture_document,
                                     .stop_limit = clk_s (1),
                                     .slots = 4,
                                     .serve = server_serve_connection };
--- a/tests/test_gate_head.c
+++ b/tests/test_gate_head.c
@@ -446,23 +446,6 @@
     }
 }
 
-static void *
-accept_as_node (void *arg)
-{
-  int listener = (int)(intptr_t)arg;
-
-  for (;;)
-    {
-      int fd = accept (listener, NULL, NULL);
-      pthread_t thread;
-
-      if (fd < 0)
-        return NULL;
-      pthread_create (&thread, NULL, serve_as_node, (void *)(intptr_t)fd);
-      pthread_detach (thread);
-    }
-}
-
 /* Replaces the backend server of the gate, in its list of members, with one
    beside another node, which the test plays.  */
 static void
@@ -479,15 +462,12 @@
   const char *node_address = fixture.addresses[GATE_PORT_NODES];
   struct msg *view = msg_new (MSG_VIEW);
   int listener = socket (AF_INET, SOCK_STREAM, 0);
-  pthread_t thread;
 
   addr.sin_addr.s_addr = htonl (INADDR_LOOPBACK + 1);
   addr.sin_port = htons ((uint16_t)atoi (strchr (node_address, ':') + 1));
   CU_ASSERT_EQUAL_FATAL (
       bind (listener, (struct sockaddr *)&addr, sizeof addr), 0);
-  CU_ASSERT_EQUAL_FATAL (listen (listener, 64), 0);
-  pthread_create (&thread, NULL, accept_as_node, (void *)(intptr_t)listener);
-  pthread_detach (thread);
+  net_serve (listener, serve_as_node);
   member_add_item (&view->u.items, &record);
   inbox_put (gate_inbox (fixture.gate), view);
   usleep (100000);
--- a/tests/test_gate_probe.c
+++ b/tests/test_gate_probe.c
@@ -14,17 +14,6 @@
 /* Time in which a health check must have ended.  */
 #define CHECK_ENDS_US clk_s (4)
 
-static const char document[]
-    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
-      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
-      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
-      "[[\"r\",\"h\",\"/r/\",\"idempotent\",2,2,2,null,2,\"a\"]]},"
-      "\"services\":{\"columns\":[\"name\",\"health_path\","
-      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
-      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
-      "\"max_body_bytes\":1000000,\"header_timeout_s\":3,"
-      "\"idle_timeout_s\":15}}";
-
 #define HEALTH_HEAD                                                           \
   "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Instance-Id: i-1\r\n"                  \
   "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
@@ -93,23 +82,12 @@
 
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
-      char id[64] = "";
-      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
-      char out[256];
-
       if (strstr (text, "GET /health ") != NULL)
         {
           server_answer_health (fd);
           break;
         }
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
-      snprintf (out, sizeof out,
-                "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
-                "X-Sycamorerudder-Response-Seal: s\r\n"
-                "Content-Length: 2\r\n\r\nok",
-                id);
-      net_send_text (fd, out);
+      gate_fixture_answer (fd, text);
     }
   close (fd);
   return NULL;
@@ -123,7 +101,7 @@
 {
   for (unsigned i = 0; i < HEALTH_COUNT; i++)
     {
-      struct gate_fixture_opts opts = { .document = document,
+      struct gate_fixture_opts opts = { .document = gate_fixture_document,
                                         .stop_limit = clk_s (1),
                                         .slots = 4,
                                         .serve = server_serve_connection };
@@ -173,7 +151,7 @@
 static struct gate_fixture *
 start_with_health (unsigned number, const char *status, int delay_ms)
 {
-  struct gate_fixture_opts opts = { .document = document,
+  struct gate_fixture_opts opts = { .document = gate_fixture_document,
                                     .stop_limit = clk_s (1),
                                     .slots = 4,
                                     .serve = server_serve_connection };
@@ -281,7 +259,7 @@
 static void
 test_deregistration_after_check (void)
 {
-  struct gate_fixture_opts opts = { .document = document,
+  struct gate_fixture_opts opts = { .document = gate_fixture_document,
                                     .stop_limit = clk_s (1),
                                     .slots = 4,
                                     .serve = server_serve_connection };
