lb: only a server that has been silent for 1 s is taken for one

A node that sends few requests to a server has no younger report, so ordinary waits were taken for silence, and requests went to other zones.

Now the time counts from the first attempt since the last report of the server, and only above 1 s.

--- a/controllers/latency.c
+++ b/controllers/latency.c
@@ -89,12 +89,6 @@
          + (outstanding - average->average_us) * LATENCY_GAIN;
 }
 
-double
-latency_silence_us (const struct lb_latency *average, clk_us now)
-{
-  return average->unanswered > 0 ? latency_outstanding_us (average, now) : 0;
-}
-
 static int
 compare_doubles (const void *a, const void *b)
 {
--- a/controllers/latency.h
+++ b/controllers/latency.h
@@ -33,10 +33,6 @@
    unknown.  */
 double latency_estimate (const struct lb_latency *average, clk_us now);
 
-/* Sum of the times that attempts have been unanswered since the last answer,
-   in microseconds; 0 while none is.  */
-double latency_silence_us (const struct lb_latency *average, clk_us now);
-
 /* Median of VALUES, which are reordered; 0 when COUNT is 0.  */
 double latency_median (double *values, uint32_t count);
 
--- a/controllers/lb.c
+++ b/controllers/lb.c
@@ -1,6 +1,5 @@
 #include "controllers/lb.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -52,6 +51,9 @@
 #define LB_SLOWDOWN_LOAD 0.85
 /* Weight of an answer in the moving average of the service time.  */
 #define LB_SERVICE_TIME_GAIN 0.1
+/* Attempts that are unanswered for longer show that a server has stopped
+   answering; shorter times are waits for a slot.  */
+#define LB_SILENCE_MIN_US clk_s (1)
 /* Random fraction added to an expected time.  */
 #define LB_JITTER 0.15
 /* Maximum number of draws of a server.  A drawn server is accepted with the
@@ -126,6 +128,7 @@
     latency_reset (&server->latency[cost], now);
   memset (server->service_time_us, 0, sizeof server->service_time_us);
   server->load_at = 0;
+  server->unheard_since = 0;
 
   server->failure_share = 0;
   server->ejected = false;
@@ -508,12 +511,6 @@
   return score_a <= score_b ? a : b;
 }
 
-static bool
-server_has_recent_report (const struct lb_server *server, clk_us now)
-{
-  return server->load_at != 0 && now <= server->load_at + LB_LOAD_TTL_US;
-}
-
 /* Load of a server in requests per slot: the reported load, but at least the
    requests that this node has in flight there.  An outdated report is
    ignored.  */
@@ -522,37 +519,47 @@
 {
   double own_load = (double)server->in_flight / server->slots;
 
-  if (!server_has_recent_report (server, now))
+  if (server->load_at == 0 || now > server->load_at + LB_LOAD_TTL_US)
     return own_load;
   return server->load > own_load ? server->load : own_load;
 }
 
+/* Time for which attempts at the server have been unanswered; 0 while none is,
+   or not for long.  */
+static clk_us
+server_silence (const struct lb_server *server, clk_us now)
+{
+  if (server->in_flight == 0 || server->unheard_since == 0
+      || now <= server->unheard_since + LB_SILENCE_MIN_US)
+    return 0;
+  return now - server->unheard_since;
+}
+
 /* Expected time of one more request: its service time, which grows when the
-   server is nearly full, and the wait for a slot.  Without a recent report it
-   is at least the time that attempts have been unanswered: a server that has
-   stopped answering would otherwise look as fast as its last answers.  */
+   server is nearly full, and the wait for a slot.  A server that has stopped
+   answering would look as fast as its last answers; its expected time is that
+   for which it has been silent.  */
 static double
 server_expected_us (const struct lb_server *server, enum model_cost cost,
                     double default_us, clk_us now)
 {
-  bool has_report = server_has_recent_report (server, now);
   double load = server_load (server, now);
   double service_time_us = server->service_time_us[cost] > 0
                                ? server->service_time_us[cost]
                                : default_us;
+  double silence_us = (double)server_silence (server, now);
   double queue_wait_us = 0;
   double expected_us;
 
   if (load > LB_SLOWDOWN_LOAD)
     service_time_us *= 1 + (load - LB_SLOWDOWN_LOAD);
-  if (cost == MODEL_COST_SHORT && has_report)
+  if (cost == MODEL_COST_SHORT && now <= server->load_at + LB_LOAD_TTL_US)
     queue_wait_us = (double)server->queue_wait;
   else if (load > 1)
     queue_wait_us = (load - 1) * service_time_us;
   expected_us = service_time_us + queue_wait_us;
-  if (!has_report)
-    expected_us
-        = fmax (expected_us, latency_silence_us (&server->latency[cost], now));
+  if (silence_us > expected_us)
+    expected_us = silence_us;
   return expected_us / lb_ramp_weight (server, now);
 }
 
@@ -614,6 +621,7 @@
   server->load = load;
   server->queue_wait = queue_wait;
   server->load_at = now;
+  server->unheard_since = 0;
 }
 
 void
@@ -659,7 +667,8 @@
 lb_attempt_start (struct lb *lb, struct lb_server *server, clk_us now)
 {
   (void)lb;
-  (void)now;
+  if (server->unheard_since == 0)
+    server->unheard_since = now;
   server->in_flight++;
   server->refs++;
 }
--- a/controllers/lb.h
+++ b/controllers/lb.h
@@ -76,6 +76,8 @@
   double load;       /* running and queued requests per slot, as reported */
   clk_us queue_wait; /* expected time in the queue of a short request */
   clk_us load_at;    /* time of that report, 0 for none */
+  /* Start of the first attempt since that report, 0 for none.  */
+  clk_us unheard_since;
 
   double service_time_us[LB_COSTS]; /* moving average of the service time; 0
                                        when unknown */
