gate: logs tell when a request is sent again on a connection to the server

The logs could not tell on which connection to the server a request went, whether its id had been there before, nor that an answer had been passed on to a node that was gone, so they could not tell the hypotheses of docs/incidents/answer-of-an-earlier-sending.md apart.

controllers/carried remembers which ids each connection has carried, for as long as a request can be sent again, at most 16384 ids. The node beside the server logs "request sent again on a connection" from it, and "answer may be lost" when a connection of another node fails right after an answer was written to it. No decision changes.

--- a/core/route.c
+++ b/core/route.c
@@ -115,6 +115,22 @@
   out[len] = '\0';
 }
 
+uint32_t
+route_timeout_max_ms (const struct route_table *table)
+{
+  uint32_t timeout_ms = 0;
+
+  list_each (node, &table->routes)
+    {
+      const struct route_entry *route
+          = list_entry (node, struct route_entry, node);
+
+      if (route->timeout_ms > timeout_ms)
+        timeout_ms = route->timeout_ms;
+    }
+  return timeout_ms;
+}
+
 struct route_entry *
 route_find (struct route_table *table, const char *host, const char *path)
 {
--- a/core/route.h
+++ b/core/route.h
@@ -90,6 +90,9 @@
 int route_add_target (struct route_entry *route, struct route_service *service,
                       uint32_t weight);
 
+/* Longest timeout of a route, 0 without routes.  */
+uint32_t route_timeout_max_ms (const struct route_table *table);
+
 /**
  * route_find() - select the route of a request
  * @table: routing table
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -52,6 +52,8 @@
                                     .suspects = &gate->suspects,
                                     .started_at = clk_now (),
                                     .budget = opts->retry_budget };
+  struct carried_opts carried = { .retention = GATE_CARRIED_RETENTION_US,
+                                  .ids_max = GATE_CARRIED_IDS_MAX };
 
   INVARIANT (gate != NULL);
   gate->opts = *opts;
@@ -68,6 +70,7 @@
   gate->admit.suspects = &gate->suspects;
   INVARIANT (gate_crash_init (gate) == SR_OK);
   INVARIANT (htable_init (&gate->pools) == SR_OK);
+  INVARIANT (carried_init (&gate->carried, &carried) == SR_OK);
   gate->tick_timer.fire = gate_handle_tick;
   if (gate_listen (gate) == SR_OK)
     return gate;
@@ -83,6 +86,7 @@
   loop_free (gate->loop);
   inbox_free (gate->inbox);
   htable_fini (&gate->pools);
+  carried_fini (&gate->carried);
   dispatch_fini (&gate->dispatch);
   admit_fini (&gate->admit);
   gate_crash_fini (gate);
@@ -178,6 +182,9 @@
         (int)regained);
   counter_add (COUNTER_CONFIG_CHANGES, 1);
   dispatch_configure (&gate->dispatch, model_ref (msg->model));
+  if (msg->model->routes != NULL)
+    carried_extend_retention (
+        &gate->carried, clk_ms (route_timeout_max_ms (msg->model->routes)));
   gate_probe_start (gate);
 }
 
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -432,6 +432,34 @@
     gate_answer_update_reading (gate_in_first_request (inbound));
 }
 
+void
+gate_in_record_passed (const struct gate_serve *serve)
+{
+  struct gate_passed *passed = &serve->request->inbound->passed;
+  const char *id = serve->request->head.value[HTTPMSG_REQUEST_ID];
+
+  memcpy (passed->id, id, strlen (id) + 1);
+  passed->status = serve->answer_status;
+  passed->connection = serve->outbound->serial;
+  passed->at = loop_now (serve->gate->loop);
+}
+
+/* Logs that the other node may not have got the last answer: the connection
+   has failed, and no request that came after that answer is in progress.  */
+static void
+gate_in_log_passed (const struct gate_in *inbound)
+{
+  const struct gate_passed *passed = &inbound->passed;
+
+  if (passed->id[0] == '\0' || !list_empty (&inbound->requests))
+    return;
+  slog (SLOG_INFO,
+        "answer may be lost id=%s status=%d connection=%llu age_ms=%llu",
+        passed->id, passed->status, (unsigned long long)passed->connection,
+        (unsigned long long)((loop_now (inbound->gate->loop) - passed->at)
+                             / CLK_US_PER_MS));
+}
+
 static void
 gate_in_handle_close (struct hconn *conn, enum hconn_end end)
 {
@@ -445,6 +473,10 @@
     }
   switch (end)
     {
+    case HCONN_END_RESET:
+    case HCONN_END_SILENT:
+      gate_in_log_passed (inbound);
+      break;
     case HCONN_END_MALFORMED:
     case HCONN_END_TOO_LONG:
       if (inbound->no_more_requests || inbound->reading_body)
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -266,6 +266,7 @@
 
   list_remove (&outbound->node);
   loop_cancel_timer (&outbound->timer);
+  carried_conn_fini (&outbound->gate->carried, &outbound->carried);
   outbound->pool->open_count--;
   gate_pool_free_unused (outbound->gate, outbound->pool);
   free (outbound);
@@ -307,6 +308,7 @@
   outbound->pool = pool;
   outbound->serial = ++gate->out_serial;
   outbound->timer.fire = gate_out_handle_timeout;
+  carried_conn_init (&outbound->carried);
   if (hconn_connect (&outbound->conn, &opts, pool->address) != SR_OK)
     {
       gate_pool_free_unused (gate, pool);
@@ -383,6 +385,28 @@
          && buf_end (&request->body) <= GATE_OUT_REPLACEABLE_BODY_BYTES_MAX;
 }
 
+/* Records that OUTBOUND carries the request of OPTS to the backend server, and
+   logs if it has carried it before.  */
+static void
+gate_out_record_carried (struct gate_out *outbound,
+                         const struct gate_out_opts *opts)
+{
+  struct gate *gate = outbound->gate;
+  uint64_t id = htable_hash_text (opts->request_id);
+  clk_us now = loop_now (gate->loop);
+
+  if (!opts->to_server || opts->request_id[0] == '\0')
+    return;
+  if (carried_has (&gate->carried, &outbound->carried, id, now))
+    slog (SLOG_NOTICE,
+          "request sent again on a connection id=%s connection=%llu "
+          "requests_on_it=%u idle_us=%llu",
+          opts->request_id, (unsigned long long)outbound->serial,
+          outbound->request_count,
+          (unsigned long long)(now - outbound->idle_since));
+  carried_add (&gate->carried, &outbound->carried, id, now);
+}
+
 struct gate_out *
 gate_out_acquire (struct gate *gate, const struct gate_out_opts *opts)
 {
@@ -407,6 +431,7 @@
   outbound->reusable = false;
   outbound->conn.any_written = false;
   outbound->request_count++;
+  gate_out_record_carried (outbound, opts);
   httpmsg_expect_no_body (&outbound->conn.parser, false);
   return outbound;
 }
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -406,6 +406,8 @@
   struct gate *gate = serve->gate;
   clk_us now = loop_now (gate->loop);
 
+  if (!serve->server_refused)
+    gate_in_record_passed (serve);
   gate_out_release (serve->outbound, serve->body_done);
   serve->outbound = NULL;
   if (serve->server_refused)
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -13,6 +13,7 @@
 
 #include <signal.h>
 
+#include "controllers/carried.h"
 #include "core/err.h"
 #include "core/htable.h"
 #include "filters/admit.h"
@@ -24,6 +25,11 @@
 /* A request body is buffered up to this size so that a failed attempt can be
    retried.  */
 #define GATE_REPLAY_BODY_BYTES_MAX (1024 * 1024)
+/* Request ids that the connections to the backend server remember together. */
+#define GATE_CARRIED_IDS_MAX 16384
+/* Time for which they are remembered at least, until a configuration with its
+   timeouts is present.  */
+#define GATE_CARRIED_RETENTION_US clk_s (10)
 /* A longer request body is forwarded before all of it has been received.  */
 #define GATE_BODY_START_BYTES (256 * 1024)
 /* An answer body up to this size is buffered until it is complete, so that a
@@ -78,6 +84,16 @@
   bool close_after; /* close the connection after the answer */
 };
 
+/* The last answer of the backend server that was written to a connection of
+   another node, for the log.  */
+struct gate_passed
+{
+  char id[HTTPMSG_VALUE_BYTES]; /* of the request; empty before the first */
+  int status;
+  uint64_t connection; /* serial of the connection to the server */
+  clk_us at;
+};
+
 /* An inbound connection.  */
 struct gate_in
 {
@@ -85,7 +101,8 @@
   struct list_node node; /* gate->inbound */
   struct gate *gate;
   enum gate_port port;
-  struct list requests; /* struct gate_request in order of arrival */
+  struct gate_passed passed; /* last answer on a connection of a node */
+  struct list requests;      /* struct gate_request in order of arrival */
   uint32_t request_count;
   bool starting_pending;   /* in gate_in_start_pending() */
   bool reading_body;       /* of the last request */
@@ -180,7 +197,8 @@
   struct gate *gate;
   struct gate_pool *pool;
   uint64_t serial; /* unique in the process; identifies it in log lines */
-  uint32_t request_count; /* requests sent on it */
+  uint32_t request_count;      /* requests sent on it */
+  struct carried_conn carried; /* of a connection to the backend server */
   /* Digests of the ids of requests that the backend server has refused on this
      connection.  */
   uint64_t refused_ids[GATE_OUT_REFUSED_MAX];
@@ -279,6 +297,7 @@
   struct list serves;       /* struct gate_serve */
   struct htable pools;      /* struct gate_pool */
   uint64_t out_serial;      /* serial of the newest outbound connection */
+  struct carried carried;   /* requests on connections to the server */
   /* struct gate_request awaiting a reply of the control task */
   struct list api_requests;
   uint64_t next_api_id;
@@ -316,6 +335,8 @@
 void gate_in_close_idle (struct gate *gate);
 /* Whether bytes of an answer are unsent on any connection.  */
 bool gate_in_has_unsent (const struct gate *gate);
+/* Records that the answer of SERVE was written to its connection.  */
+void gate_in_record_passed (const struct gate_serve *serve);
 /* Request id sent by the caller, or "-".  */
 const char *gate_request_id (const struct gate_request *request);
 
