--- /dev/null
+++ b/tests/test_gate_copies.c
@@ -0,0 +1,214 @@
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "sycamorerudder.h"
+#include "tests/gate_fixture.h"
+#include "tests/net.h"
+#include "tests/suite.h"
+#include "wire/nodehdr.h"
+
+#define TEXT_BYTES 4096
+#define ID_BYTES 64
+/* Requests that are sent twice.  */
+#define REPEATED_REQUESTS 12
+/* Other requests between the two sendings of a request.  */
+#define REQUESTS_BETWEEN_MAX 40
+/* Time after which the server sends an answer once more.  */
+#define COPY_DELAY_US 250000
+/* Time for which the server works on a request that comes again.  */
+#define REPEAT_WORK_US 400000
+
+static struct gate_fixture fixture;
+
+/* Ids that the server has seen.  */
+static char server_ids[4096][ID_BYTES];
+static int server_id_count;
+static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
+
+/* Records the id of a request; returns whether it came before.  */
+static bool
+server_has_seen (const char *id)
+{
+  bool seen = false;
+
+  pthread_mutex_lock (&server_lock);
+  for (int i = 0; i < server_id_count; i++)
+    seen |= strcmp (server_ids[i], id) == 0;
+  if (!seen)
+    strcpy (server_ids[server_id_count++], id);
+  pthread_mutex_unlock (&server_lock);
+  return seen;
+}
+
+/* Reads the id of a request.  */
+static void
+server_parse_id (const char *text, char id[ID_BYTES])
+{
+  const char *field = strstr (text, "X-Sycamorerudder-Request-Id: ");
+
+  id[0] = '\0';
+  if (field != NULL)
+    sscanf (field, "X-Sycamorerudder-Request-Id: %63s", id);
+}
+
+/* Backend server.  It answers a request with 200.  Of one whose id begins with
+   "r" it sends the answer once more after COPY_DELAY_US, and it answers with
+   500 when the request comes again.  */
+static void *
+server_serve_connection (void *arg)
+{
+  int fd = (int)(intptr_t)arg;
+  char text[TEXT_BYTES];
+  char id[ID_BYTES];
+  char out[256];
+
+  while (gate_fixture_read_request (fd, text, sizeof text))
+    {
+      server_parse_id (text, id);
+      if (id[0] != 'r')
+        gate_fixture_answer (fd, text);
+      else if (server_has_seen (id))
+        {
+          usleep (REPEAT_WORK_US - COPY_DELAY_US);
+          snprintf (out, sizeof out,
+                    "HTTP/1.1 500 Failed\r\nX-Sycamorerudder-Request-Id: %s"
+                    "\r\nContent-Length: 0\r\n\r\n",
+                    id);
+          net_send_text (fd, out);
+        }
+      else
+        {
+          gate_fixture_answer (fd, text);
+          usleep (COPY_DELAY_US);
+          gate_fixture_answer (fd, text);
+        }
+    }
+  close (fd);
+  return NULL;
+}
+
+static void
+start_gate (void)
+{
+  struct gate_fixture_opts opts = { .document = gate_fixture_document,
+                                    .stop_limit = clk_s (3),
+                                    .slots = 64,
+                                    .serve = server_serve_connection };
+
+  gate_fixture_start (&fixture, &opts);
+  usleep (200000);
+}
+
+/* Opens a connection as another node and sends the request ID on it.  */
+static int
+send_request (const char *id, bool may_have_run)
+{
+  struct nodehdr_request node_request = { .service = "a",
+                                          .timeout_ms = 2000,
+                                          .idempotent = true,
+                                          .may_have_run = may_have_run };
+  int fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
+  char field[NODEHDR_TEXT_BYTES];
+  char text[512];
+
+  nodehdr_encode_request (&node_request, field);
+  snprintf (text, sizeof text,
+            "GET /r/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
+            "X-Sycamorerudder-Caller-Service: z\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 2000\r\n"
+            "X-Sycamorerudder-Request-Id: %s\r\n\r\n",
+            NODEHDR_REQUEST_FIELD, field, id);
+  net_send_text (fd, text);
+  return fd;
+}
+
+/* Reads the head of an answer; returns its status, 0 without one.  */
+static int
+read_status (int fd)
+{
+  char text[TEXT_BYTES];
+  ssize_t len = read (fd, text, sizeof text - 1);
+  int status = 0;
+
+  text[len > 0 ? len : 0] = '\0';
+  sscanf (text, "HTTP/1.1 %d", &status);
+  return status;
+}
+
+/* Ends a connection with a reset.  */
+static void
+reset_connection (int fd)
+{
+  struct linger reset = { .l_onoff = 1 };
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  close (fd);
+}
+
+/* Sends a request, loses its answer, sends OTHERS other requests and then the
+   first one again.  Expects the answer to the second sending.  */
+static void
+expect_answer_to_repeat (unsigned index, unsigned others, bool may_have_run)
+{
+  char id[ID_BYTES];
+  char other[2 * ID_BYTES];
+  int fd;
+
+  snprintf (id, sizeof id, "r-%u-%u-%d", index, others, (int)may_have_run);
+  fd = send_request (id, false);
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  reset_connection (fd);
+  for (unsigned i = 0; i < others; i++)
+    {
+      snprintf (other, sizeof other, "o-%s-%u", id, i);
+      fd = send_request (other, false);
+      CU_ASSERT_EQUAL (read_status (fd), 200);
+      close (fd);
+    }
+  fd = send_request (id, may_have_run);
+  SUITE_SEEDED (read_status (fd) == 500, index);
+  close (fd);
+}
+
+/* Guards against a caller that gets a success where the server has failed: the
+   answer to the first sending of a request is lost behind this node, and the
+   server sends it once more when the request has been sent again.  */
+static void
+test_copy_after_lost_answer (void)
+{
+  for (unsigned i = 0; i < REPEATED_REQUESTS; i++)
+    expect_answer_to_repeat (i, 0, true);
+}
+
+/* The same for a request that this node cannot know to be sent again: its id
+   comes from another node, or from a server that makes a call again.  */
+static void
+test_copy_of_another_source (void)
+{
+  for (unsigned i = 0; i < REPEATED_REQUESTS; i++)
+    expect_answer_to_repeat (i, 0, false);
+}
+
+/* The same when the connection has carried other requests in between.  */
+static void
+test_copy_after_other_requests (void)
+{
+  for (unsigned i = 1; i <= REQUESTS_BETWEEN_MAX; i += 13)
+    expect_answer_to_repeat (i, i, true);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "start", start_gate },
+          { "copy after a lost answer", test_copy_after_lost_answer },
+          { "copy of another source", test_copy_of_another_source },
+          { "copy after other requests", test_copy_after_other_requests },
+          { NULL, NULL } };
+
+  return suite_run ("gate_copies", tests);
+}
