gate: a connection to the server carries each request id once

Cause: an answer was passed on and lost behind the node beside the server, the request came again, and that node sent it on the same connection to the server. A late copy of the first answer bears the right id and arrives where the answer to the second sending is due. Only requests that the server had refused were kept off their connection.

Evidence: test_gate_copies, whose log shows the two sendings on one connection. The requests bear the mark of an internal route, so that no interim response comes before the answer.

Why it works: controllers/carried remembers all ids of a connection for as long as they can come again, and replaces the list of refused ids. Whoever sends an id again, a connection that has carried it is not used.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -321,35 +321,14 @@
   return outbound;
 }
 
-void
-gate_out_record_refusal (struct gate_out *outbound)
-{
-  const struct gate_request *request = gate_out_current_request (outbound);
-
-  INVARIANT (outbound->refused_count < GATE_OUT_REFUSED_MAX);
-  outbound->refused_ids[outbound->refused_count++]
-      = htable_hash_text (request->head.value[HTTPMSG_REQUEST_ID]);
-}
-
-/* Whether the backend server has refused the request with the id of digest
-   REQUEST on this connection.  */
-static bool
-gate_out_has_refused (const struct gate_out *outbound, uint64_t request)
-{
-  for (uint32_t i = 0; i < outbound->refused_count; i++)
-    if (outbound->refused_ids[i] == request)
-      return true;
-  return false;
-}
-
 /* The idle connection of POOL that was used last and may carry the request of
    OPTS; NULL if there is none.  */
 static struct gate_out *
-gate_out_find_idle (const struct gate *gate, struct gate_pool *pool,
+gate_out_find_idle (struct gate *gate, struct gate_pool *pool,
                     const struct gate_out_opts *opts)
 {
   clk_us now = loop_now (gate->loop);
-  uint64_t request = htable_hash_text (opts->request_id);
+  uint64_t id = htable_hash_text (opts->request_id);
 
   if (opts->to_server && opts->request_id[0] == '\0')
     return NULL;
@@ -359,12 +338,33 @@
 
       if (opts->fresh && now > outbound->idle_since + GATE_FRESH_IDLE_US)
         return NULL;
-      if (!gate_out_has_refused (outbound, request))
+      if (!opts->to_server
+          || !carried_has (&gate->carried, &outbound->carried, id, now))
         return outbound;
+      slog (SLOG_INFO,
+            "connection not reused id=%s connection=%llu requests_on_it=%u "
+            "reason=%s",
+            opts->request_id, (unsigned long long)outbound->serial,
+            outbound->request_count,
+            outbound->carried.incomplete ? "ids-dropped" : "id-carried");
     }
   return NULL;
 }
 
+/* Closes the connection to the backend server that was idle for longest, if
+   there are as many as it has slots: requests whose ids repeat could otherwise
+   open more than the server accepts.  */
+static void
+gate_out_limit_open (const struct gate *gate, const struct gate_pool *pool)
+{
+  struct list_node *oldest = list_last (&pool->idle);
+
+  if (pool->to_server && oldest != NULL
+      && pool->open_count >= gate->admit.backend.last_heartbeat.slots)
+    gate_out_fail (list_entry (oldest, struct gate_out, node),
+                   REASON_BACKEND_CLOSED, REASON_NOT_RUN);
+}
+
 static uint32_t
 gate_out_unacked_timeout_ms (const struct gate_out_opts *opts)
 {
@@ -385,28 +385,6 @@
          && buf_end (&request->body) <= GATE_OUT_REPLACEABLE_BODY_BYTES_MAX;
 }
 
-/* Records that OUTBOUND carries the request of OPTS to the backend server, and
-   logs if it has carried it before.  */
-static void
-gate_out_record_carried (struct gate_out *outbound,
-                         const struct gate_out_opts *opts)
-{
-  struct gate *gate = outbound->gate;
-  uint64_t id = htable_hash_text (opts->request_id);
-  clk_us now = loop_now (gate->loop);
-
-  if (!opts->to_server || opts->request_id[0] == '\0')
-    return;
-  if (carried_has (&gate->carried, &outbound->carried, id, now))
-    slog (SLOG_NOTICE,
-          "request sent again on a connection id=%s connection=%llu "
-          "requests_on_it=%u idle_us=%llu",
-          opts->request_id, (unsigned long long)outbound->serial,
-          outbound->request_count,
-          (unsigned long long)(now - outbound->idle_since));
-  carried_add (&gate->carried, &outbound->carried, id, now);
-}
-
 struct gate_out *
 gate_out_acquire (struct gate *gate, const struct gate_out_opts *opts)
 {
@@ -415,7 +393,10 @@
   struct gate_out *outbound = gate_out_find_idle (gate, pool, opts);
 
   if (outbound == NULL)
-    outbound = gate_out_connect (gate, pool);
+    {
+      gate_out_limit_open (gate, pool);
+      outbound = gate_out_connect (gate, pool);
+    }
   else
     {
       list_remove (&outbound->node);
@@ -431,7 +412,9 @@
   outbound->reusable = false;
   outbound->conn.any_written = false;
   outbound->request_count++;
-  gate_out_record_carried (outbound, opts);
+  if (opts->to_server && opts->request_id[0] != '\0')
+    carried_add (&gate->carried, &outbound->carried,
+                 htable_hash_text (opts->request_id), loop_now (gate->loop));
   httpmsg_expect_no_body (&outbound->conn.parser, false);
   return outbound;
 }
@@ -455,8 +438,7 @@
      connection in gate_out_handle_head().  */
   if (!keep || !outbound->answer_complete || !outbound->reusable
       || outbound->idle_max == 0 || outbound->conn.send_buf.len > 0
-      || outbound->refused_count == GATE_OUT_REFUSED_MAX
-      || outbound->conn.closed)
+      || outbound->carried.incomplete || outbound->conn.closed)
     {
       loop_cancel_timer (&outbound->timer);
       hconn_close (&outbound->conn, !outbound->answer_complete);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -364,7 +364,6 @@
           serve->outbound->request_count,
           (unsigned long long)(loop_now (gate->loop) - serve->dispatched_at));
       serve->server_refused = true;
-      gate_out_record_refusal (serve->outbound);
       if (head->status == 421)
         gate_mark_backend_lost (gate, "another-server");
       return SR_OK;
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -35,9 +35,6 @@
 /* An answer body up to this size is buffered until it is complete, so that a
    truncated one can be retried and does not reach the caller.  */
 #define GATE_ANSWER_BUFFER_BYTES (64 * 1024)
-/* A connection to the backend server is closed after this many refusals,
-   because it remembers the requests that were refused.  */
-#define GATE_OUT_REFUSED_MAX 8
 /* Buffer for the header fields, or the body, of an answer made by this node.
  */
 #define GATE_TEXT_BYTES 512
@@ -199,10 +196,6 @@
   uint64_t serial; /* unique in the process; identifies it in log lines */
   uint32_t request_count;      /* requests sent on it */
   struct carried_conn carried; /* of a connection to the backend server */
-  /* Digests of the ids of requests that the backend server has refused on this
-     connection.  */
-  uint64_t refused_ids[GATE_OUT_REFUSED_MAX];
-  uint32_t refused_count;
   enum gate_out_state state;
   union
   {
@@ -398,8 +391,8 @@
  *
  * A backend server may send an answer a second time, later, and the id in it
  * does not tell whether it belongs to the first or to the second sending of a
- * request.  So a request is not sent again on a connection on which the server
- * has refused it, and one without an id is sent on a new connection.
+ * request.  So a connection to the server carries each id once, and a request
+ * without an id is sent on a new connection.
  *
  * Return: a connection for one request, or NULL if connect() failed at once.
  */
@@ -408,8 +401,6 @@
 /* Whether REQUEST is short enough to be received without being read, so that
    only silence delays its acknowledgement.  */
 bool gate_out_is_replaceable (const struct gate_request *request);
-/* Records that the backend server has refused the request in progress.  */
-void gate_out_record_refusal (struct gate_out *outbound);
 /* Returns the connection to its pool, or closes it if KEEP is false or the
    answer does not permit reuse.  */
 void gate_out_release (struct gate_out *outbound, bool keep);
--- a/tests/test_gate_copies.c
+++ b/tests/test_gate_copies.c
@@ -16,6 +16,10 @@
 #define REPEATED_REQUESTS 12
 /* Other requests between the two sendings of a request.  */
 #define REQUESTS_BETWEEN_MAX 40
+/* Requests with one id, and the most connections to the server with them; it
+   has 4 slots.  */
+#define SAME_ID_REQUESTS 100
+#define SERVER_CONNECTIONS_MAX 8
 /* Time after which the server sends an answer once more.  */
 #define COPY_DELAY_US 250000
 /* Time for which the server works on a request that comes again.  */
@@ -26,6 +30,8 @@
 /* Ids that the server has seen.  */
 static char server_ids[4096][ID_BYTES];
 static int server_id_count;
+static int server_connection_count;
+static int server_connection_count_max;
 static pthread_mutex_t server_lock = PTHREAD_MUTEX_INITIALIZER;
 
 /* Records the id of a request; returns whether it came before.  */
@@ -43,6 +49,17 @@
   return seen;
 }
 
+/* Adds CHANGE to the number of open connections.  */
+static void
+server_count_connection (int change)
+{
+  pthread_mutex_lock (&server_lock);
+  server_connection_count += change;
+  if (server_connection_count > server_connection_count_max)
+    server_connection_count_max = server_connection_count;
+  pthread_mutex_unlock (&server_lock);
+}
+
 /* Reads the id of a request.  */
 static void
 server_parse_id (const char *text, char id[ID_BYTES])
@@ -54,24 +71,29 @@
     sscanf (field, "X-Sycamorerudder-Request-Id: %63s", id);
 }
 
-/* Backend server.  It answers a request with 200.  Of one whose id begins with
-   "r" it sends the answer once more after COPY_DELAY_US, and it answers with
-   500 when the request comes again.  */
+/* Backend server.  It answers a request with 200, and one that comes again
+   with 500 if its id begins with "r" or "s".  The answer to the first sending
+   is sent once more on its connection: for "r" after COPY_DELAY_US, for "s"
+   when the request comes again there.  */
 static void *
 server_serve_connection (void *arg)
 {
   int fd = (int)(intptr_t)arg;
   char text[TEXT_BYTES];
   char id[ID_BYTES];
+  char last_s[ID_BYTES] = "";
   char out[256];
 
+  server_count_connection (1);
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
       server_parse_id (text, id);
-      if (id[0] != 'r')
+      if (id[0] != 'r' && id[0] != 's')
         gate_fixture_answer (fd, text);
       else if (server_has_seen (id))
         {
+          if (strcmp (id, last_s) == 0)
+            gate_fixture_answer (fd, text);
           usleep (REPEAT_WORK_US - COPY_DELAY_US);
           snprintf (out, sizeof out,
                     "HTTP/1.1 500 Failed\r\nX-Sycamorerudder-Request-Id: %s"
@@ -79,6 +101,11 @@
                     id);
           net_send_text (fd, out);
         }
+      else if (id[0] == 's')
+        {
+          gate_fixture_answer (fd, text);
+          strcpy (last_s, id);
+        }
       else
         {
           gate_fixture_answer (fd, text);
@@ -86,6 +113,7 @@
           gate_fixture_answer (fd, text);
         }
     }
+  server_count_connection (-1);
   close (fd);
   return NULL;
 }
@@ -109,7 +137,8 @@
   struct nodehdr_request node_request = { .service = "a",
                                           .timeout_ms = 2000,
                                           .idempotent = true,
-                                          .may_have_run = may_have_run };
+                                          .may_have_run = may_have_run,
+                                          .internal = true };
   int fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
   char field[NODEHDR_TEXT_BYTES];
   char text[512];
@@ -148,16 +177,19 @@
   close (fd);
 }
 
-/* Sends a request, loses its answer, sends OTHERS other requests and then the
-   first one again.  Expects the answer to the second sending.  */
+/* Sends a request of the KIND that its id begins with, loses its answer, sends
+   OTHERS other requests and then the first one again.  Expects the answer to
+   the second sending.  */
 static void
-expect_answer_to_repeat (unsigned index, unsigned others, bool may_have_run)
+expect_answer_to_repeat (char kind, unsigned index, unsigned others,
+                         bool may_have_run)
 {
   char id[ID_BYTES];
   char other[2 * ID_BYTES];
   int fd;
 
-  snprintf (id, sizeof id, "r-%u-%u-%d", index, others, (int)may_have_run);
+  snprintf (id, sizeof id, "%c-%u-%u-%d", kind, index, others,
+            (int)may_have_run);
   fd = send_request (id, false);
   CU_ASSERT_EQUAL (read_status (fd), 200);
   reset_connection (fd);
@@ -180,7 +212,7 @@
 test_copy_after_lost_answer (void)
 {
   for (unsigned i = 0; i < REPEATED_REQUESTS; i++)
-    expect_answer_to_repeat (i, 0, true);
+    expect_answer_to_repeat ('r', i, 0, true);
 }
 
 /* The same for a request that this node cannot know to be sent again: its id
@@ -189,7 +221,7 @@
 test_copy_of_another_source (void)
 {
   for (unsigned i = 0; i < REPEATED_REQUESTS; i++)
-    expect_answer_to_repeat (i, 0, false);
+    expect_answer_to_repeat ('r', i, 0, false);
 }
 
 /* The same when the connection has carried other requests in between.  */
@@ -197,7 +229,23 @@
 test_copy_after_other_requests (void)
 {
   for (unsigned i = 1; i <= REQUESTS_BETWEEN_MAX; i += 13)
-    expect_answer_to_repeat (i, i, true);
+    expect_answer_to_repeat ('s', i, i, true);
+}
+
+/* Guards against a caller that uses one id again and again, and so opens more
+   connections to the server than the server accepts.  */
+static void
+test_connections_of_one_id (void)
+{
+  server_connection_count_max = 0;
+  for (int i = 0; i < SAME_ID_REQUESTS; i++)
+    {
+      int fd = send_request ("one", false);
+
+      CU_ASSERT_EQUAL (read_status (fd), 200);
+      close (fd);
+    }
+  CU_ASSERT_TRUE (server_connection_count_max <= SERVER_CONNECTIONS_MAX);
 }
 
 int
@@ -208,6 +256,7 @@
           { "copy after a lost answer", test_copy_after_lost_answer },
           { "copy of another source", test_copy_of_another_source },
           { "copy after other requests", test_copy_after_other_requests },
+          { "connections of one id", test_connections_of_one_id },
           { NULL, NULL } };
 
   return suite_run ("gate_copies", tests);
