gate: the bytes that connections hold are counted and logged

Neither logs nor counters told what a node holds for its peers, so a process that ran out of memory looked like any other end, and "no bound on the sum" could not be told from "memory is not given back".

controllers/held counts what each inbound connection holds: heads, bodies, answers, and what its requests hold on connections to servers and nodes, buffers by capacity. The traffic line has the sum as held_kb. The controller can also say who gives way at a limit taken from "memory_mb"; nothing asks it yet. No decision changes.

test_held, test_platform (odd values of memory_mb), test_gate and the other test_gate_* programs pass.

--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -13,6 +13,7 @@
 #include "tasks/gate.h"
 
 /* Exit statuses of the process.  */
+#define NODE_PLATFORM_BYTES_PER_MB (1024.0 * 1024)
 #define NODE_PLATFORM_EXIT_FAILED 1
 #define NODE_PLATFORM_EXIT_USAGE 2
 /* A voter that is lost no longer counts as lost once its successor has run for
@@ -100,6 +101,8 @@
           .heartbeat_interval
           = (clk_us)(settings->heartbeat_interval_s * CLK_US_PER_S),
           .descriptors_max = settings->descriptors_max,
+          .memory_bytes
+          = (uint64_t)(settings->memory_mb * NODE_PLATFORM_BYTES_PER_MB),
           .reload = node_platform_reload_settings,
           .reload_arg = node };
 
--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -61,6 +61,7 @@
   list_init (&gate->calls);
   list_init (&gate->serves);
   list_init (&gate->api_requests);
+  gate_held_init (gate);
   gate_set_node_port (gate);
   gate->loop = loop_new (&loop_opts);
   gate->inbox = inbox_new (&inbox_opts);
@@ -252,7 +253,7 @@
   slog (SLOG_INFO,
         "traffic calls=%llu answers=%llu attempts=%llu far=%llu "
         "bytes_far=%llu serves=%llu running=%u waiting=%u limit=%u haste=%.2f "
-        "fan_out=%.1f",
+        "fan_out=%.1f held_kb=%llu",
         (unsigned long long)counter_get (COUNTER_CALLS),
         (unsigned long long)counter_get (COUNTER_ANSWERS),
         (unsigned long long)counter_get (COUNTER_ATTEMPTS),
@@ -261,7 +262,8 @@
         (unsigned long long)counter_get (COUNTER_SERVES),
         slots_running (gate->admit.slots), slots_waiting (gate->admit.slots),
         slots_limit (gate->admit.slots), gate->admit.timeout_used_fraction,
-        admit_fan_out (&gate->admit, now));
+        admit_fan_out (&gate->admit, now),
+        (unsigned long long)(gate->held.bytes / 1024));
 }
 
 static void
@@ -277,6 +279,7 @@
       gate->reload_requested = 0;
       if (gate->opts.reload != NULL)
         gate->opts.reload (gate->opts.reload_arg, &gate->opts);
+      gate_held_reload (gate);
     }
   gate_check_heartbeat (gate, now);
   gate_crash_tick (gate, now);
--- a/tasks/gate.h
+++ b/tasks/gate.h
@@ -42,6 +42,7 @@
   struct budget_opts retry_budget;
   clk_us stop_limit;         /* longest time from SIGTERM to process exit */
   clk_us heartbeat_interval; /* of the backend server; 0: not checked */
+  uint64_t memory_bytes;     /* of the process; 0: 256 MiB */
   uint32_t descriptors_max;
   /* Reads the settings file again and updates OPTS; false, and OPTS
      unchanged, if it is invalid.  */
--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -46,6 +46,7 @@
   httpmsg_add_body (gate_answer_buf (request), request->chunked, data, len);
   if (gate_answer_buf (request) == &request->inbound->conn.send_buf)
     hconn_flush (&request->inbound->conn);
+  gate_held_update (request->inbound);
 }
 
 void
--- /dev/null
+++ b/tasks/gate_held.c
@@ -0,0 +1,145 @@
+#include <string.h>
+
+#include "tasks/gate_state.h"
+
+/* What the inbound connections hold: the requests that were received on them,
+   the answers that were not sent yet, and what of both the connections to
+   servers and other nodes hold.  Buffers count with their capacity.  */
+
+/* Process memory without a setting.  */
+#define GATE_MEMORY_BYTES (256ull * 1024 * 1024)
+/* Part of the process memory that connections may hold, and the part of it for
+   those that hold more than GATE_HELD_SMALL_BYTES each.  The rest is for the
+   process itself and for memory that the allocator does not give back.  */
+#define GATE_HELD_PERCENT 50u
+#define GATE_HELD_LARGE_PERCENT 75u
+/* An ordinary request with its answer.  */
+#define GATE_HELD_SMALL_BYTES (64u * 1024)
+/* Several times the pauses between the segments of a sender that has lost
+   some.  */
+#define GATE_HELD_STOPPED_US clk_s (1)
+
+static struct held_opts
+gate_held_opts (const struct gate *gate)
+{
+  uint64_t memory_bytes = gate->opts.memory_bytes != 0
+                              ? gate->opts.memory_bytes
+                              : GATE_MEMORY_BYTES;
+  uint64_t bytes_max = memory_bytes / 100 * GATE_HELD_PERCENT;
+
+  return (struct held_opts){ .bytes_max = bytes_max,
+                             .large_bytes_max
+                             = bytes_max / 100 * GATE_HELD_LARGE_PERCENT,
+                             .small_bytes = GATE_HELD_SMALL_BYTES,
+                             .stopped_after = GATE_HELD_STOPPED_US };
+}
+
+void
+gate_held_init (struct gate *gate)
+{
+  struct held_opts opts = gate_held_opts (gate);
+
+  held_init (&gate->held, &opts);
+}
+
+void
+gate_held_reload (struct gate *gate)
+{
+  gate->held.opts = gate_held_opts (gate);
+}
+
+static uint64_t
+gate_held_head_bytes (const struct httpmsg_head *head)
+{
+  return head->field_lines.capacity
+         + (head->target != NULL ? strlen (head->target) : 0);
+}
+
+static uint64_t
+gate_held_outbound_bytes (const struct gate_out *outbound)
+{
+  return outbound != NULL ? sizeof *outbound + outbound->conn.send_buf.capacity
+                          : 0;
+}
+
+static uint64_t
+gate_held_call_bytes (const struct gate_call *call)
+{
+  uint64_t bytes = sizeof *call;
+
+  list_each (node, &call->attempts)
+    {
+      const struct gate_attempt *attempt
+          = list_entry (node, struct gate_attempt, node);
+
+      bytes += sizeof *attempt + gate_held_head_bytes (&attempt->head)
+               + attempt->answer_body.capacity
+               + gate_held_outbound_bytes (attempt->outbound);
+    }
+  return bytes;
+}
+
+static uint64_t
+gate_held_request_bytes (const struct gate_request *request)
+{
+  uint64_t bytes = sizeof *request + gate_held_head_bytes (&request->head)
+                   + request->body.capacity + request->answer.capacity;
+
+  switch (request->kind)
+    {
+    case GATE_KIND_CALL:
+      return bytes + gate_held_call_bytes (request->u.call);
+    case GATE_KIND_SERVE:
+      return bytes + sizeof *request->u.serve
+             + gate_held_outbound_bytes (request->u.serve->outbound);
+    case GATE_KIND_API:
+    case GATE_KIND_PENDING:
+    case GATE_KIND_NONE:
+      break;
+    }
+  return bytes;
+}
+
+/* Whether a server may be running the request or is to get it next.  */
+static bool
+gate_held_is_at_work (const struct gate_request *request)
+{
+  switch (request->kind)
+    {
+    case GATE_KIND_CALL:
+      return request->u.call->started;
+    case GATE_KIND_SERVE:
+      return request->u.serve->admitted;
+    case GATE_KIND_API:
+      return request->body_complete;
+    case GATE_KIND_PENDING:
+    case GATE_KIND_NONE:
+      break;
+    }
+  return false;
+}
+
+void
+gate_held_update (struct gate_in *inbound)
+{
+  const struct httpmsg_parser *parser = &inbound->conn.parser;
+  uint64_t bytes = sizeof *inbound + inbound->conn.send_buf.capacity
+                   + gate_held_head_bytes (&parser->head)
+                   + parser->target.capacity + parser->field_name.capacity
+                   + parser->field_value.capacity
+                   + parser->connection_options.capacity;
+  enum held_state state = HELD_WAITING;
+
+  if (!list_is_linked (&inbound->held.node))
+    return;
+  list_each (node, &inbound->requests)
+    {
+      const struct gate_request *request
+          = list_entry (node, struct gate_request, node);
+
+      bytes += gate_held_request_bytes (request);
+      if (gate_held_is_at_work (request))
+        state = HELD_AT_WORK;
+    }
+  held_set (&inbound->gate->held, &inbound->held, bytes, state);
+}
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -195,6 +195,7 @@
   list_remove (&request->node);
   request->inbound->request_count--;
   list_remove (&request->api_node);
+  gate_held_update (request->inbound);
   request->inbound = NULL;
   switch (request->kind)
     {
@@ -422,12 +423,25 @@
   return inbound->ended || inbound->conn.closed ? SR_EAGAIN : SR_OK;
 }
 
+static void
+gate_in_handle_received (struct hconn *conn)
+{
+  struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
+
+  held_record_progress (&inbound->gate->held, &inbound->held,
+                        loop_now (inbound->gate->loop));
+  gate_held_update (inbound);
+}
+
 /* Few bytes are unsent: more of the first answer can be read.  */
 static void
 gate_in_handle_drained (struct hconn *conn)
 {
   struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
 
+  held_record_progress (&inbound->gate->held, &inbound->held,
+                        loop_now (inbound->gate->loop));
+  gate_held_update (inbound);
   if (!list_empty (&inbound->requests))
     gate_answer_update_reading (gate_in_first_request (inbound));
 }
@@ -517,6 +531,7 @@
   INVARIANT (list_empty (&inbound->requests));
   loop_cancel_timer (&inbound->timer);
   list_remove (&inbound->node);
+  held_remove (&inbound->gate->held, &inbound->held);
   free (inbound);
 }
 
@@ -530,6 +545,7 @@
     = { .sink = { gate_in_handle_head, gate_in_handle_body,
                   gate_in_handle_request_end, NULL },
         .connected = gate_in_handle_connected,
+        .received = gate_in_handle_received,
         .drained = gate_in_handle_drained,
         .ended = gate_in_handle_close,
         .destroy = gate_in_destroy };
@@ -595,6 +611,7 @@
       return;
     }
   list_push_tail (&gate->inbound, &inbound->node);
+  held_add (&gate->held, &inbound->held, loop_now (gate->loop));
   gate_in_set_timeout (inbound, false);
 }
 
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -14,6 +14,7 @@
 #include <signal.h>
 
 #include "controllers/carried.h"
+#include "controllers/held.h"
 #include "core/err.h"
 #include "core/htable.h"
 #include "filters/admit.h"
@@ -98,6 +99,7 @@
   struct list_node node; /* gate->inbound */
   struct gate *gate;
   enum gate_port port;
+  struct held_item held;
   struct gate_passed passed; /* last answer on a connection of a node */
   struct list requests;      /* struct gate_request in order of arrival */
   uint32_t request_count;
@@ -286,6 +288,7 @@
   uint32_t crash_candidate_count;
   bool crash_marks_changed; /* since they were sent to the control task */
   struct list inbound;      /* struct gate_in */
+  struct held held;         /* what the inbound connections hold */
   struct list calls;        /* struct gate_call */
   struct list serves;       /* struct gate_serve */
   struct htable pools;      /* struct gate_pool */
@@ -333,6 +336,14 @@
 /* Request id sent by the caller, or "-".  */
 const char *gate_request_id (const struct gate_request *request);
 
+/* gate_held.c */
+/* Initializes the account of what the inbound connections hold.  */
+void gate_held_init (struct gate *gate);
+/* Applies changed options of the gate.  */
+void gate_held_reload (struct gate *gate);
+/* Updates the account of a connection.  */
+void gate_held_update (struct gate_in *inbound);
+
 /* gate_answer.c */
 /**
  * gate_answer_begin() - write the head of an answer
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -156,6 +156,8 @@
           hconn_report_end (conn, hconn_end_from_error (error));
           return;
         }
+      if (conn->opts.events->received != NULL && !conn->closed)
+        conn->opts.events->received (conn);
       if ((size_t)len < sizeof buffer)
         return;
     }
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -37,6 +37,8 @@
   struct httpmsg_sink sink; /* @arg is the struct hconn */
   /* A connection opened by hconn_connect() is established.  */
   void (*connected) (struct hconn *conn);
+  /* Received bytes have been parsed; may be NULL.  */
+  void (*received) (struct hconn *conn);
   /* After bytes could not be sent at once, or the connection was established:
      HCONN_LOW_WATER_BYTES or less are unsent.  */
   void (*drained) (struct hconn *conn);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -102,7 +102,8 @@
       "[\"grace_s=6\",\"retry_budget_slack=49\"],\"listen\":{\"inbound\":"
       "\"10.1.0.8:8300\",\"outbound\":\"10.1.0.8:8304\",\"ready\":"
       "\"10.1.0.8:8302\",\"control\":\"10.1.0.8:8306\"},\"limits\":"
-      "{\"max_fds\":4100},\"fault_tolerance\":{\"machines\":2},"
+      "{\"max_fds\":4100,\"memory_mb\":160},\"fault_tolerance\":{\"machines\":"
+      "2},"
       "\"something_new\":[1]}";
 
 /* Guards against addresses that are taken from the wrong setting, and against
@@ -124,6 +125,7 @@
   CU_ASSERT_FALSE (out.group_exists);
   CU_ASSERT_EQUAL (out.replicas_lost_max, 2);
   CU_ASSERT_TRUE (out.retries_min == 49.0);
+  CU_ASSERT_TRUE (out.memory_mb == 160.0);
   CU_ASSERT_EQUAL (platform_parse_settings ("{", 1, &out, fault),
                    SR_EMALFORMED);
   CU_ASSERT_STRING_EQUAL (out.peer_address, "10.1.0.8:7620");
@@ -144,6 +146,29 @@
   return platform_parse_settings (text, strlen (text), out, fault);
 }
 
+/* Guards against a limit of memory that no process has, from a setting that is
+   not a sensible number.  */
+static void
+test_odd_memory (void)
+{
+  static const char *const odd[]
+      = { "\"160\"", "0", "-1", "1e300", "null", "[]" };
+  struct platform_settings out;
+  char member[64];
+
+  for (size_t i = 0; i < sizeof odd / sizeof *odd; i++)
+    {
+      snprintf (member, sizeof member, "\"memory_mb\":%s", odd[i]);
+      CU_ASSERT_EQUAL (parse_settings_with ("\"memory_mb\":160", member, &out),
+                       SR_OK);
+      CU_ASSERT_TRUE (out.memory_mb == 0);
+    }
+  CU_ASSERT_EQUAL (
+      parse_settings_with ("\"memory_mb\":160", "\"memory_mb\":0.5", &out),
+      SR_OK);
+  CU_ASSERT_TRUE (out.memory_mb == 0.5);
+}
+
 /* Guards against bounds that are passed over, so that a graceful shutdown cuts
    off requests long before the end of the grace period: the template writes
    the bounds as an object, the platform's own file has a list of strings.  */
@@ -352,6 +377,7 @@
       = { { "routes of a document", test_document },
           { "invalid documents are rejected", test_invalid_documents },
           { "addresses and group of the settings", test_settings },
+          { "odd values of the memory", test_odd_memory },
           { "bounds of the settings", test_bounds },
           { "stop limit of grace periods", test_stop_limit_of_grace_periods },
           { "invalid settings are rejected", test_invalid_settings },
