tests: crowds of bodies at the callers' port, failing

Clients that are not under control ended a process: it ran out of memory.

tests/crowd opens connections, sends what its options say, and holds them open. Each process of a small platform has memory_mb 64, and 150 connections bring 150 MB (60 MB in chunks of one byte, 360 MB with their frames). Checked are: the processes live; their peak (VmHWM) and the bytes that the kernel holds unread for them stay within memory_mb; their descriptors within max_fds; an ordinary request is answered while the crowd is there and when it has gone; an upload of max_body_bytes is served before and afterwards. The crowd and the bounds were fixed before the first run. No time and no share of served requests is checked.

platform_write_settings takes the members of "limits" from PLATFORM_LIMITS when it is set; other tests write the same settings as before.

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 	programs/*.[ch] bench/*.[ch] tests/*.[ch] fuzz/*.[ch])
 # Preloaded into nodes by scripts/mesh_relay.sh, never linked.
 REDIRECT = $(BUILD)/tests/redirect_connect.so
+# The crowd of clients of scripts/mesh_crowd.sh.
+CROWD = $(BUILD)/tests/crowd
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
 
 all: $(LIB) $(PROGRAM_BIN)
@@ -64,7 +66,7 @@
 $(BUILD)/rudder-bench: $(BENCH_OBJ) $(LIB)
 	$(CC) $(CFLAGS) $(BENCH_OBJ) $(LIB) $(LIBS) -o $@
 
-tests: $(TEST_BIN) $(REDIRECT)
+tests: $(TEST_BIN) $(REDIRECT) $(CROWD)
 
 setup:
 	@scripts/setup
--- a/scripts/mesh_platform.sh
+++ b/scripts/mesh_platform.sh
@@ -21,7 +21,7 @@
 
 # platform_write_settings NAME IP SERVES BOOTSTRAP LISTEN SERVICE: writes the
 # settings file of the platform, NAME.json.  LISTEN holds the members of
-# "listen".
+# "listen".  PLATFORM_LIMITS may replace the members of "limits".
 platform_write_settings () {
   cat >"$MESH_DIR/$1.json" <<JSON
 {"node_name": "$1", "zone": "z$2", "ip": "$2",
@@ -30,7 +30,8 @@
  "bootstrap": $4, "serves": ["$3"], "service": "$6",
  "app_addr": "$2:$PLATFORM_SERVER_PORT", "data_dir": "$MESH_DIR/$1.data",
  "heartbeat_s": 1.5, "bounds": ["grace_s=6", "catch_up_s=4"], "listen": {$5},
- "limits": {"max_fds": 1000}, "fault_tolerance": {"machines": 1}}
+ "limits": {${PLATFORM_LIMITS:-"\"max_fds\": 1000"}},
+ "fault_tolerance": {"machines": 1}}
 JSON
 }
 
