gate: a body that is passed on is copied in parts, and its memory given back

What operators saw: a node held each long body twice, and kept that memory.

Cause: gate_out_write_body() copied all of the body that had come, up to 1 MiB, to the send buffer, although the socket takes a part of it; buffers kept their largest capacity when their bytes had been dropped.

Change: at most 64 KiB are copied before the socket is asked, and a buffer of more than 64 KiB of which seven eighths are free is made smaller. Shorter buffers keep their memory, so that ordinary messages cost no allocation more.

test_buf "memory is given back" failed before (a capacity of 1 MiB for 4 KiB).

--- a/core/buf.c
+++ b/core/buf.c
@@ -6,6 +6,8 @@
 #include "core/err.h"
 
 #define BUF_CAPACITY_MIN 512
+/* A buffer of more bytes is made smaller once most of it is free.  */
+#define BUF_SHRINK_BYTES (64 * 1024)
 
 void
 buf_append (struct buf *buf, const void *data, size_t len)
@@ -26,6 +28,25 @@
   buf->len += len;
 }
 
+/* Gives back memory after bytes were dropped, but keeps room for as many bytes
+   as are left.  */
+static void
+buf_shrink (struct buf *buf)
+{
+  size_t capacity = buf->capacity;
+  uint8_t *data;
+
+  if (capacity <= BUF_SHRINK_BYTES || buf->len > capacity / 8)
+    return;
+  while (capacity > BUF_SHRINK_BYTES && buf->len <= capacity / 8)
+    capacity /= 2;
+  data = realloc (buf->data, capacity);
+  if (data == NULL)
+    return;
+  buf->data = data;
+  buf->capacity = capacity;
+}
+
 void
 buf_drop_before (struct buf *buf, uint64_t offset)
 {
@@ -38,6 +59,7 @@
   memmove (buf->data, buf->data + count, buf->len - count);
   buf->len -= count;
   buf->base = offset;
+  buf_shrink (buf);
 }
 
 uint64_t
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -479,18 +479,25 @@
 gate_out_write_body (struct gate_out *outbound, struct gate_request *request,
                      uint64_t *sent, bool *done)
 {
-  size_t len;
-  const uint8_t *data = buf_data_from (&request->body, *sent, &len);
   bool chunked = request->head.chunked;
 
-  if (*done || hconn_is_full (&outbound->conn))
-    return;
-  httpmsg_add_body (&outbound->conn.send_buf, chunked, data, len);
-  *sent += len;
-  if (request->body_complete)
+  while (!*done && !hconn_is_full (&outbound->conn))
     {
-      httpmsg_add_body_end (&outbound->conn.send_buf, chunked);
-      *done = true;
+      size_t len;
+      const uint8_t *data = buf_data_from (&request->body, *sent, &len);
+      bool last = len <= HCONN_HIGH_WATER_BYTES;
+
+      if (!last)
+        len = HCONN_HIGH_WATER_BYTES;
+      httpmsg_add_body (&outbound->conn.send_buf, chunked, data, len);
+      *sent += len;
+      if (last && request->body_complete)
+        {
+          httpmsg_add_body_end (&outbound->conn.send_buf, chunked);
+          *done = true;
+        }
+      hconn_flush (&outbound->conn);
+      if (last)
+        return;
     }
-  hconn_flush (&outbound->conn);
 }
