gate: what connections hold is bounded, and who has stopped moving gives way

Cause: each body may hold 1 MiB at each of two nodes, and nothing bounded the sum over the connections, of which max_fds allows thousands.

Why it works: connections together may hold half of "memory_mb", large ones three quarters of that half. At the limit the connection that has stopped moving gives way, else the one that grows: 503 memory-short, which is true, because only requests that no server has got are refused. A request at a server keeps 64 KiB of its body while memory is short and passes the rest on, so it ends without more room.

--- a/core/counter.h
+++ b/core/counter.h
@@ -34,6 +34,8 @@
      "Pauses in reading an answer because too much of it was unsent")         \
   X (REQUEST_READS_PAUSED, "rudder_request_reads_paused_total",               \
      "Pauses in reading requests, for a long body or a long pipeline")        \
+  X (CONNECTIONS_GAVE_WAY, "rudder_connections_gave_way_total",               \
+     "Connections refused or closed because memory was short")                \
   X (CLAIMS_GRANTED, "rudder_claims_granted_total", "Claims granted")         \
   X (CLAIMS_REPLAYED, "rudder_claims_replayed_total",                         \
      "Recorded answers given to a resend")                                    \
--- a/core/reason.h
+++ b/core/reason.h
@@ -49,7 +49,8 @@
   X (PEER_CONGESTED, "peer-congested", 503, "connection_limit_reached", 1)    \
   X (STOPPING, "stopping", 502, "connection_terminated", 1)                   \
   X (CANCELLED, "cancelled", 499, "http_request_error", 0)                    \
-  X (INTERNAL, "internal", 500, "proxy_internal_error", 0)
+  X (INTERNAL, "internal", 500, "proxy_internal_error", 0)                    \
+  X (MEMORY_SHORT, "memory-short", 503, "connection_limit_reached", 1)
 
 /* X (symbol, name) */
 #define REASON_RETRY_TABLE(X)                                                 \
--- a/programs/ctl_explain.c
+++ b/programs/ctl_explain.c
@@ -56,6 +56,9 @@
     "no route matches; compare with routes in force at that time" },
   { REASON_NOT_READY, "the node had not received a configuration yet" },
   { REASON_CANCELLED, "the caller closed the connection" },
+  { REASON_MEMORY_SHORT,
+    "connections held too much of the node's memory; see connection gives "
+    "way" },
 };
 
 /* Copies the value of KEY=value or KEY="value" from a log line to OUT.
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -114,6 +114,13 @@
   gate_answer_local (request, status, lines, "text/plain", text, (size_t)len);
 }
 
+void
+gate_call_give_way (struct gate_call *call)
+{
+  gate_call_refuse (call, REASON_MEMORY_SHORT, REASON_NOT_RUN,
+                    dispatch_shed_retry_after_ms (&call->gate->dispatch));
+}
+
 void
 gate_call_withdraw_all (struct gate *gate)
 {
@@ -278,15 +285,13 @@
     }
 }
 
-/* Drops body bytes that every attempt has sent, once the body is too large to
-   be buffered for a retry.  */
-static void
+void
 gate_call_trim_body (struct gate_call *call)
 {
   struct gate_request *request = call->request;
   uint64_t sent_min = buf_end (&request->body);
 
-  if (request->body.len < GATE_REPLAY_BODY_BYTES_MAX)
+  if (!gate_held_body_is_full (request))
     return;
   list_each (node, &call->attempts)
     {
@@ -298,6 +303,7 @@
     }
   if (!list_empty (&call->attempts))
     buf_drop_before (&request->body, sent_min);
+  gate_held_update (request->inbound);
   gate_in_resume_body (request);
 }
 
--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -15,6 +15,11 @@
 #define GATE_HELD_LARGE_PERCENT 75u
 /* An ordinary request with its answer.  */
 #define GATE_HELD_SMALL_BYTES (64u * 1024)
+/* Bytes of a body that are buffered while memory is short, if a server may be
+   running the request.  */
+#define GATE_HELD_BODY_BYTES (64u * 1024)
+/* Interval at which all bodies are trimmed while memory is short.  */
+#define GATE_HELD_TRIM_INTERVAL_US clk_ms (10)
 /* Several times the pauses between the segments of a sender that has lost
    some.  */
 #define GATE_HELD_STOPPED_US clk_s (1)
@@ -119,6 +124,51 @@
   return false;
 }
 
+bool
+gate_held_body_is_full (const struct gate_request *request)
+{
+  /* That of an API request is needed as a whole.  */
+  if (request->kind == GATE_KIND_API)
+    return false;
+  if (held_is_short (&request->gate->held) && gate_held_is_at_work (request))
+    return request->body.len >= GATE_HELD_BODY_BYTES;
+  return request->body.len >= GATE_REPLAY_BODY_BYTES_MAX;
+}
+
+/* Drops the bytes that are kept only to send a request again.  */
+static void
+gate_held_trim (struct gate *gate)
+{
+  clk_us now = loop_now (gate->loop);
+
+  if (now < gate->held_trimmed_at + GATE_HELD_TRIM_INTERVAL_US)
+    return;
+  gate->held_trimmed_at = now;
+  list_each (node, &gate->calls)
+    gate_call_trim_body (list_entry (node, struct gate_call, node));
+  list_each (node, &gate->serves)
+    gate_serve_trim_body (list_entry (node, struct gate_serve, node));
+}
+
+void
+gate_held_make_room (struct gate_in *inbound)
+{
+  struct gate *gate = inbound->gate;
+  struct held_item *victim;
+
+  if (!held_is_short (&gate->held))
+    return;
+  gate_held_trim (gate);
+  do
+    {
+      victim = held_find_victim (&gate->held, &inbound->held,
+                                 loop_now (gate->loop));
+      if (victim != NULL)
+        gate_in_give_way (list_entry (victim, struct gate_in, held));
+    }
+  while (victim != NULL && victim != &inbound->held);
+}
+
 void
 gate_held_update (struct gate_in *inbound)
 {
@@ -130,6 +180,9 @@
                    + parser->connection_options.capacity;
   enum held_state state = HELD_WAITING;
 
+  /* Another node may be sending a request on an idle connection.  */
+  if (inbound->port == GATE_PORT_NODES && list_empty (&inbound->requests))
+    state = HELD_AT_WORK;
   if (!list_is_linked (&inbound->held.node))
     return;
   list_each (node, &inbound->requests)
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -114,23 +114,15 @@
   loop_cancel_timer (&inbound->timer);
 }
 
-/* Whether the buffered body of REQUEST is at its limit.  That of an API
-   request is needed as a whole; gate_in_body_bytes_max() bounds it.  */
-static bool
-gate_in_body_is_full (const struct gate_request *request)
-{
-  return request->kind != GATE_KIND_API
-         && request->body.len >= GATE_REPLAY_BODY_BYTES_MAX;
-}
-
 /* Pauses reading while the pipeline or the last request body is at its limit,
    resumes it otherwise.  */
 static void
 gate_in_update_reading (struct gate_in *inbound)
 {
-  bool paused = inbound->request_count >= GATE_PIPELINE_MAX
-                || (!list_empty (&inbound->requests)
-                    && gate_in_body_is_full (gate_in_last_request (inbound)));
+  bool paused
+      = inbound->request_count >= GATE_PIPELINE_MAX
+        || (!list_empty (&inbound->requests)
+            && gate_held_body_is_full (gate_in_last_request (inbound)));
 
   if (paused && !inbound->conn.io.paused)
     counter_add (COUNTER_REQUEST_READS_PAUSED, 1);
@@ -166,6 +158,7 @@
     {
       gate_in_drop_requests (inbound);
       hconn_flush_and_close (&inbound->conn);
+      gate_held_update (inbound);
       return;
     }
   hconn_flush (&inbound->conn);
@@ -185,6 +178,7 @@
 gate_in_close (struct gate_in *inbound, bool reset)
 {
   gate_in_drop_requests (inbound);
+  held_remove (&inbound->gate->held, &inbound->held);
   hconn_close (&inbound->conn, reset);
 }
 
@@ -431,6 +425,7 @@
   held_record_progress (&inbound->gate->held, &inbound->held,
                         loop_now (inbound->gate->loop));
   gate_held_update (inbound);
+  gate_held_make_room (inbound);
 }
 
 /* Few bytes are unsent: more of the first answer can be read.  */
@@ -523,6 +518,50 @@
   gate_in_close (inbound, end != HCONN_END_ORDERLY);
 }
 
+void
+gate_in_give_way (struct gate_in *inbound)
+{
+  struct gate *gate = inbound->gate;
+  clk_us now = loop_now (gate->loop);
+  struct gate_request *request = list_empty (&inbound->requests)
+                                     ? NULL
+                                     : gate_in_last_request (inbound);
+
+  counter_add (COUNTER_CONNECTIONS_GAVE_WAY, 1);
+  slog (
+      SLOG_NOTICE,
+      "connection gives way id=%s port=%d bytes=%llu silent_ms=%llu "
+      "held_kb=%llu",
+      request != NULL ? gate_request_id (request) : "-", (int)inbound->port,
+      (unsigned long long)inbound->held.bytes,
+      (unsigned long long)((now - inbound->held.progress_at) / CLK_US_PER_MS),
+      (unsigned long long)(gate->held.bytes / 1024));
+  held_record_progress (&gate->held, &inbound->held, now);
+  if (request == NULL || request->body_complete)
+    {
+      gate_in_close (inbound, inbound->conn.send_buf.len > 0);
+      return;
+    }
+  request->close_after = true;
+  switch (request->kind)
+    {
+    case GATE_KIND_CALL:
+      gate_call_give_way (request->u.call);
+      break;
+    case GATE_KIND_SERVE:
+      gate_serve_give_way (request->u.serve);
+      break;
+    case GATE_KIND_API:
+      gate_answer_local (request, 503, "Retry-After: 1\r\n", "text/plain",
+                         "memory short\n", 13);
+      break;
+    case GATE_KIND_PENDING:
+    case GATE_KIND_NONE:
+      gate_in_close (inbound, true);
+      break;
+    }
+}
+
 static void
 gate_in_destroy (struct hconn *conn)
 {
@@ -612,6 +651,7 @@
     }
   list_push_tail (&gate->inbound, &inbound->node);
   held_add (&gate->held, &inbound->held, loop_now (gate->loop));
+  gate_held_update (inbound);
   gate_in_set_timeout (inbound, false);
 }
 
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -143,18 +143,27 @@
                      "text/plain", "", 0);
 }
 
+void
+gate_serve_trim_body (struct gate_serve *serve)
+{
+  struct gate_request *request = serve->request;
+
+  if (!gate_held_body_is_full (request))
+    return;
+  buf_drop_before (&request->body, serve->body_sent_bytes);
+  gate_held_update (request->inbound);
+  gate_in_resume_body (request);
+}
+
 /* Writes the buffered part of the body, if there is room, and lets more of it
    be read.  */
 static void
 gate_serve_send_body (struct gate_serve *serve)
 {
-  struct gate_request *request = serve->request;
-
-  gate_out_write_body (serve->outbound, request, &serve->body_sent_bytes,
-                       &serve->body_done);
-  if (request->body.len >= GATE_REPLAY_BODY_BYTES_MAX)
-    buf_drop_before (&request->body, serve->body_sent_bytes);
-  gate_in_resume_body (request);
+  gate_out_write_body (serve->outbound, serve->request,
+                       &serve->body_sent_bytes, &serve->body_done);
+  gate_serve_trim_body (serve);
+  gate_in_resume_body (serve->request);
 }
 
 /* Writes the request to the backend server.  */
@@ -429,6 +438,12 @@
   gate_serve_run_admission (gate);
 }
 
+void
+gate_serve_give_way (struct gate_serve *serve)
+{
+  gate_serve_refuse (serve, REASON_MEMORY_SHORT, REASON_NOT_RUN);
+}
+
 void
 gate_serve_withdraw (struct gate_serve *serve)
 {
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -289,6 +289,7 @@
   bool crash_marks_changed; /* since they were sent to the control task */
   struct list inbound;      /* struct gate_in */
   struct held held;         /* what the inbound connections hold */
+  clk_us held_trimmed_at;   /* last time that all bodies were trimmed */
   struct list calls;        /* struct gate_call */
   struct list serves;       /* struct gate_serve */
   struct htable pools;      /* struct gate_pool */
@@ -329,6 +330,9 @@
 /* Closes the idle connections of callers: those without a request and without
    unsent bytes of an answer.  */
 void gate_in_close_idle (struct gate *gate);
+/* Refuses the request that is being received, which no server has got, or
+   closes the connection.  */
+void gate_in_give_way (struct gate_in *inbound);
 /* Whether bytes of an answer are unsent on any connection.  */
 bool gate_in_has_unsent (const struct gate *gate);
 /* Records that the answer of SERVE was written to its connection.  */
@@ -343,6 +347,11 @@
 void gate_held_reload (struct gate *gate);
 /* Updates the account of a connection.  */
 void gate_held_update (struct gate_in *inbound);
+/* Makes room after INBOUND has grown; ends other connections, or INBOUND.  To
+   be called with no request or connection in use by the caller.  */
+void gate_held_make_room (struct gate_in *inbound);
+/* Whether no more of the body of REQUEST is to be buffered.  */
+bool gate_held_body_is_full (const struct gate_request *request);
 
 /* gate_answer.c */
 /**
@@ -438,6 +447,10 @@
 /* Forwards the buffered request body; makes the first attempt once the body
    is complete or GATE_BODY_START_BYTES long.  */
 void gate_call_forward_body (struct gate_call *call);
+/* Drops body bytes that every attempt has sent if no more can be buffered.  */
+void gate_call_trim_body (struct gate_call *call);
+/* Refuses a call that has made no attempt, because memory is short.  */
+void gate_call_give_way (struct gate_call *call);
 /* Cancels the call because its inbound connection has ended.  */
 void gate_call_cancel (struct gate_call *call);
 /* Ends a call whose answer has begun and cannot be completed.  */
@@ -477,6 +490,10 @@
 /* Forwards the buffered request body; runs the admission filters first, once
    the body is complete or GATE_BODY_START_BYTES long.  */
 void gate_serve_forward_body (struct gate_serve *serve);
+/* Drops body bytes that were sent if no more can be buffered.  */
+void gate_serve_trim_body (struct gate_serve *serve);
+/* Refuses a request that is not admitted yet, because memory is short.  */
+void gate_serve_give_way (struct gate_serve *serve);
 /* Cancels the request because its inbound connection has ended.  */
 void gate_serve_cancel (struct gate_serve *serve);
 /* Refuses the request if it is not running yet, because the other node has
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -33,10 +33,11 @@
 
 struct gate_fixture_opts
 {
-  const char *document; /* the configuration */
-  clk_us stop_limit;    /* longest time of a graceful shutdown */
-  uint32_t slots;       /* of each backend server */
-  bool second;          /* start a second gate and server */
+  const char *document;  /* the configuration */
+  clk_us stop_limit;     /* longest time of a graceful shutdown */
+  uint32_t slots;        /* of each backend server */
+  bool second;           /* start a second gate and server */
+  uint64_t memory_bytes; /* of the process as the gate is told; 0: default */
   /* Serves one connection of the backend server and closes it; the argument is
      its descriptor.  */
   void *(*serve) (void *fd);
@@ -197,6 +198,7 @@
   gate->stop_limit = fixture->opts.stop_limit;
   gate->heartbeat_interval = clk_s (60);
   gate->descriptors_max = 512;
+  gate->memory_bytes = fixture->opts.memory_bytes;
   node->gate = gate_new (gate);
   CU_ASSERT_PTR_NOT_NULL_FATAL (node->gate);
   node->control = inbox_new (&inbox);
--- /dev/null
+++ b/tests/test_gate_held.c
@@ -0,0 +1,250 @@
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "sycamorerudder.h"
+#include "tests/gate_fixture.h"
+#include "tests/net.h"
+#include "tests/suite.h"
+
+/* The gate is told that its process has this memory; connections may hold half
+   of it, and large ones three quarters of that half.  */
+#define MEMORY_BYTES (8u * 1024 * 1024)
+/* Bodies of the crowd, too short to be forwarded before they are complete, and
+   so many that together they exceed the limit.  */
+#define CROWD 24
+#define CROWD_BODY_BYTES 200000u
+#define LONG_BODY_BYTES 900000u
+/* Longer than the time after which a body has stopped moving.  */
+#define STOPPED_US 1200000
+
+static const char document[]
+    = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
+      "\"path_prefix\",\"route_type\",\"timeout_s\",\"target_latency_s\","
+      "\"priority\",\"traffic_split\",\"max_attempts\",\"service\"],\"rows\":"
+      "[[\"r\",\"h\",\"/r/\",\"idempotent\",30,2,2,null,2,\"a\"]]},"
+      "\"services\":{\"columns\":[\"name\",\"health_path\","
+      "\"max_connections\",\"protocol\",\"tls\"],\"rows\":[[\"a\",\"/health\","
+      "100,\"h1\",false]]},\"limits\":{\"max_header_bytes\":4096,"
+      "\"max_body_bytes\":67108864,\"header_timeout_s\":3,"
+      "\"idle_timeout_s\":15}}";
+
+static struct gate_fixture fixture;
+
+/* Requests that the server has read, and the body bytes of the last one.  */
+static atomic_int server_request_count;
+static atomic_size_t server_body_bytes;
+
+static void *
+server_serve_connection (void *arg)
+{
+  int fd = (int)(intptr_t)arg;
+  size_t size = LONG_BODY_BYTES + 65536;
+  char *text = malloc (size);
+
+  while (gate_fixture_read_request (fd, text, size))
+    {
+      if (strncmp (text, "GET /health ", 12) != 0)
+        {
+          server_request_count++;
+          server_body_bytes = strlen (strstr (text, "\r\n\r\n") + 4);
+        }
+      gate_fixture_answer (fd, text);
+    }
+  close (fd);
+  free (text);
+  return NULL;
+}
+
+static void
+start_gate (void)
+{
+  struct gate_fixture_opts opts = { .document = document,
+                                    .stop_limit = clk_s (3),
+                                    .slots = 64,
+                                    .memory_bytes = MEMORY_BYTES,
+                                    .serve = server_serve_connection };
+
+  gate_fixture_start (&fixture, &opts);
+  usleep (200000);
+}
+
+/* Sends LEN bytes of a body; false when the connection has ended.  */
+static bool
+send_body (int fd, size_t len)
+{
+  static const char bytes[4096] = { [0 ... 4095] = 'b' };
+
+  while (len > 0)
+    {
+      size_t part = len < sizeof bytes ? len : sizeof bytes;
+
+      if (send (fd, bytes, part, MSG_NOSIGNAL) != (ssize_t)part)
+        return false;
+      len -= part;
+    }
+  return true;
+}
+
+/* Opens a connection and sends the head of a POST with a body of LEN bytes. */
+static int
+send_head (const char *id, size_t len)
+{
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  char text[512];
+
+  snprintf (text, sizeof text,
+            "POST /r/x HTTP/1.1\r\nHost: h\r\n"
+            "X-Sycamorerudder-Request-Id: %s\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 30000\r\n"
+            "Content-Length: %zu\r\n\r\n",
+            id, len);
+  net_send_text (fd, text);
+  return fd;
+}
+
+/* Status of the answer that has come on FD; 0 when there is none.  */
+static int
+poll_status (int fd, char *text, size_t size)
+{
+  ssize_t len = recv (fd, text, size - 1, MSG_DONTWAIT);
+  int status = 0;
+
+  text[len > 0 ? len : 0] = '\0';
+  sscanf (text, "HTTP/1.1 %d", &status);
+  return status;
+}
+
+static int
+read_status (int fd)
+{
+  char text[4096];
+  ssize_t len = read (fd, text, sizeof text - 1);
+  int status = 0;
+
+  text[len > 0 ? len : 0] = '\0';
+  sscanf (text, "HTTP/1.1 %d", &status);
+  return status;
+}
+
+static int
+get_status (void)
+{
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  int status;
+
+  net_send_text (fd, "GET /r/x HTTP/1.1\r\nHost: h\r\n"
+                     "X-Sycamorerudder-Request-Id: get\r\n"
+                     "X-Sycamorerudder-Deadline-Ms: 3000\r\n\r\n");
+  status = read_status (fd);
+  close (fd);
+  return status;
+}
+
+/* Opens connections with bodies that stop one byte before their end.  */
+static void
+open_crowd (int fds[CROWD])
+{
+  for (int i = 0; i < CROWD; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "crowd-%d", i);
+      fds[i] = send_head (id, CROWD_BODY_BYTES);
+      send_body (fds[i], CROWD_BODY_BYTES - 1);
+    }
+  usleep (100000);
+}
+
+/* Counts the requests of the crowd that were refused, and checks that each
+   refusal says that the request has not run.  */
+static int
+count_refused (const int fds[CROWD])
+{
+  char text[4096];
+  int refused = 0;
+
+  for (int i = 0; i < CROWD; i++)
+    if (poll_status (fds[i], text, sizeof text) == 503)
+      {
+        CU_ASSERT_PTR_NOT_NULL (strstr (text, "not-run"));
+        CU_ASSERT_PTR_NOT_NULL (strstr (text, "Retry-After: "));
+        CU_ASSERT_PTR_NOT_NULL (strstr (text, "Connection: close"));
+        refused++;
+      }
+  return refused;
+}
+
+static void
+close_crowd (const int fds[CROWD])
+{
+  for (int i = 0; i < CROWD; i++)
+    close (fds[i]);
+  usleep (100000);
+}
+
+/* Guards against bodies that together hold more than the process may, and
+   against ordinary requests that find no room beside them.  */
+static void
+test_crowd_is_bounded (void)
+{
+  int fds[CROWD];
+  int refused;
+
+  open_crowd (fds);
+  CU_ASSERT_EQUAL (get_status (), 200);
+  CU_ASSERT_EQUAL (server_request_count, 1);
+  refused = count_refused (fds);
+  CU_ASSERT_TRUE (refused > 0);
+  CU_ASSERT_TRUE (refused < CROWD);
+  close_crowd (fds);
+  CU_ASSERT_EQUAL (get_status (), 200);
+}
+
+/* Guards against a body that is refused although others have stopped moving,
+   and against one that is damaged because memory is short while it passes.  */
+static void
+test_stopped_bodies_give_way (void)
+{
+  int fds[CROWD];
+  int fd;
+
+  open_crowd (fds);
+  usleep (STOPPED_US);
+  fd = send_head ("long", LONG_BODY_BYTES);
+  CU_ASSERT_TRUE (send_body (fd, LONG_BODY_BYTES));
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (server_body_bytes, LONG_BODY_BYTES);
+  close (fd);
+  close_crowd (fds);
+}
+
+/* Guards against an account that keeps what a crowd held when it has gone.  */
+static void
+test_crowd_goes (void)
+{
+  int fds[CROWD];
+
+  for (int i = 0; i < 3; i++)
+    {
+      open_crowd (fds);
+      close_crowd (fds);
+    }
+  CU_ASSERT_EQUAL (get_status (), 200);
+}
+
+int
+main (void)
+{
+  static const struct suite_test tests[]
+      = { { "start", start_gate },
+          { "crowd is bounded", test_crowd_is_bounded },
+          { "stopped bodies give way", test_stopped_bodies_give_way },
+          { "crowd goes", test_crowd_goes },
+          { NULL, NULL } };
+
+  return suite_run ("gate_held", tests);
+}
