gate: a body over the limit does not end the node

What callers saw: one chunked body over max_body_bytes was cut off by a reset, and at the timeout of its route the node of arrival ended with signal 11, or on an invariant of core/buf.c, with all requests in progress.

Cause: gate_answer_abort() set the kind of the request to "none" before it closed the connection, so that freeing the request did not end its call or serve. That is right only where the call or serve is ended beside it. At the body limit it was not: the call lived on with a timer and a pointer to the freed request, a serve with its slot.

Why the fix works: the kind of a request is set to "none" only where its call or serve is freed, and a request that is freed earlier ends what it owns, so that neither can be dropped without the other. A body over the limit is now refused like other requests: 413 if nothing was sent, 502 if a part may have reached a server, a reset if the answer has begun; the connection is closed after it, and the rest of the body is not buffered.

--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -54,6 +54,8 @@
 {
   struct gate_in *inbound = request->inbound;
 
+  INVARIANT (request->kind != GATE_KIND_CALL
+             && request->kind != GATE_KIND_SERVE);
   httpmsg_add_body_end (gate_answer_buf (request), request->chunked);
   request->answer_complete = true;
   request->kind = GATE_KIND_NONE;
@@ -66,7 +68,6 @@
 void
 gate_answer_abort (struct gate_request *request)
 {
-  request->kind = GATE_KIND_NONE;
   gate_in_close (request->inbound, true);
 }
 
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -265,7 +265,6 @@
   dispatch_record_end (&call->dispatch, loop_now (call->gate->loop));
   counter_add (COUNTER_ANSWERS, 1);
   hist_add (HIST_CALL, loop_now (call->gate->loop) - request->arrived_at);
-  request->kind = GATE_KIND_NONE;
   gate_call_free (call);
   gate_answer_end (request);
 }
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -19,14 +19,17 @@
   loop_cancel_timer (&call->timer);
   list_remove (&call->node);
   dispatch_release (&call->dispatch);
+  call->request->kind = GATE_KIND_NONE;
   free (call);
 }
 
 void
 gate_call_abort (struct gate_call *call)
 {
-  gate_answer_abort (call->request);
+  struct gate_request *request = call->request;
+
   gate_call_free (call);
+  gate_answer_abort (request);
 }
 
 void
@@ -109,7 +112,6 @@
               retry_after_ms % 1000);
   len = snprintf (text, sizeof text, "refused: %s (%s)\n",
                   reason_name (reason), reason_run_name (run));
-  request->kind = GATE_KIND_NONE;
   gate_call_free (call);
   gate_answer_local (request, status, lines, "text/plain", text, (size_t)len);
 }
@@ -175,6 +177,21 @@
   return false;
 }
 
+void
+gate_call_fail (struct gate_call *call, enum reason_refusal reason)
+{
+  if (call->request->head_written)
+    {
+      slog (SLOG_INFO, "answer aborted id=%s reason=%s",
+            gate_request_id (call->request), reason_name (reason));
+      gate_call_abort (call);
+      return;
+    }
+  if (gate_call_has_sent (call))
+    call->may_have_run = true;
+  gate_call_refuse (call, reason, gate_call_run_state (call), 0);
+}
+
 /* A delayed retry is due, or the deadline of the route or the caller has
    passed.  */
 static void
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -255,6 +255,33 @@
     }
 }
 
+/* Ends a request whose body is over the limit, and after its answer the
+   connection; the rest of the body is not read.  */
+static void
+gate_in_refuse_body (struct gate_request *request)
+{
+  request->close_after = true;
+  switch (request->kind)
+    {
+    case GATE_KIND_CALL:
+      gate_call_fail (request->u.call, REASON_BODY_TOO_LARGE);
+      break;
+    case GATE_KIND_SERVE:
+      gate_serve_fail (request->u.serve, REASON_BODY_TOO_LARGE,
+                       request->u.serve->running ? REASON_RUN_UNKNOWN
+                                                 : REASON_NOT_RUN);
+      break;
+    case GATE_KIND_API:
+    case GATE_KIND_PENDING:
+    case GATE_KIND_NONE:
+      slog (SLOG_INFO, "request refused id=%s status=413 reason=%s",
+            gate_request_id (request), reason_name (REASON_BODY_TOO_LARGE));
+      counter_add_refusal (REASON_BODY_TOO_LARGE);
+      gate_answer_local (request, 413, "", "text/plain", "refused\n", 8);
+      break;
+    }
+}
+
 static int
 gate_in_handle_head (void *arg, struct httpmsg_head *head)
 {
@@ -281,8 +308,7 @@
     buf_append (&inbound->conn.send_buf, "HTTP/1.1 100 Continue\r\n\r\n", 25);
   if (request->head.body_len > (int64_t)gate_in_body_bytes_max (inbound))
     {
-      request->close_after = true;
-      gate_answer_local (request, 413, "", "text/plain", "refused\n", 8);
+      gate_in_refuse_body (request);
       return SR_EAGAIN;
     }
   if (inbound->request_count > GATE_PIPELINE_MAX)
@@ -383,7 +409,7 @@
     }
   if (buf_end (&request->body) + len > gate_in_body_bytes_max (inbound))
     {
-      gate_answer_abort (request);
+      gate_in_refuse_body (request);
       return SR_EAGAIN;
     }
   buf_append (&request->body, data, len);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -73,6 +73,7 @@
   gate_serve_release (serve);
   loop_cancel_timer (&serve->overdue_timer);
   list_remove (&serve->node);
+  serve->request->kind = GATE_KIND_NONE;
   free (serve);
 }
 
@@ -137,7 +138,6 @@
                            / CLK_US_PER_MS),
       slots_running (serve->gate->admit.slots),
       slots_waiting (serve->gate->admit.slots));
-  request->kind = GATE_KIND_NONE;
   gate_serve_free (serve);
   gate_answer_local (request, run == REASON_NOT_RUN ? 503 : 502, lines,
                      "text/plain", "", 0);
@@ -327,7 +327,6 @@
 
       slog (SLOG_INFO, "answer aborted id=%s reason=%s",
             gate_request_id (request), reason_name (reason));
-      request->kind = GATE_KIND_NONE;
       gate_serve_free (serve);
       gate_answer_abort (request);
     }
@@ -431,7 +430,6 @@
                      serve->answer_status / 100 == 5 ? AIMD_FAILED
                                                      : AIMD_ANSWERED,
                      gate_downstream_queue_wait (gate), now);
-      request->kind = GATE_KIND_NONE;
       gate_serve_free (serve);
       gate_answer_end (request);
     }
