gate: a body that trickles in does not hold its connection for good

What operators saw: connections of clients that send one byte at a time stay for as long as the client likes, with all that their bodies hold.

Cause: the time by which the next bytes of a body must have come, idle_timeout_s, began anew with each byte. The timeout of the route bounded only the request of a caller; not the rest of a body that is discarded after its answer, not a body from another node that is not admitted yet, and not the body of a call to the control port, of up to 16 MiB.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -8,6 +8,8 @@
 
 /* Largest body of an API request, in particular of a configuration.  */
 #define GATE_API_BODY_BYTES_MAX (16 * 1024 * 1024)
+/* Idle timeouts after which the body of an API request must be complete.  */
+#define GATE_API_BODY_IDLE_TIMEOUTS 2
 /* Defaults until a configuration is present.  */
 #define GATE_IN_HEADER_BYTES_MAX (32 * 1024)
 #define GATE_HEADER_TIMEOUT_MS 5000
@@ -72,15 +74,6 @@
                   loop_now (inbound->gate->loop) + clk_ms (ms));
 }
 
-/* Sets the time until the next bytes of a request body must have come.  */
-static void
-gate_in_set_body_timeout (struct gate_in *inbound)
-{
-  loop_set_timer (inbound->gate->loop, &inbound->timer,
-                  loop_now (inbound->gate->loop)
-                      + clk_ms (gate_limits (inbound->gate)->idle_timeout_ms));
-}
-
 static struct gate_request *
 gate_in_first_request (struct gate_in *inbound)
 {
@@ -95,6 +88,23 @@
                      node);
 }
 
+/* Sets the time until the next bytes of the body of the last request must have
+   come.  That of an API request, which has no timeout of its own, must be
+   complete at some time.  */
+static void
+gate_in_set_body_timeout (struct gate_in *inbound)
+{
+  const struct gate_request *request = gate_in_last_request (inbound);
+  clk_us idle_timeout = clk_ms (gate_limits (inbound->gate)->idle_timeout_ms);
+  clk_us due = loop_now (inbound->gate->loop) + idle_timeout;
+  clk_us complete_due
+      = request->arrived_at + GATE_API_BODY_IDLE_TIMEOUTS * idle_timeout;
+
+  if (request->kind == GATE_KIND_API && due > complete_due)
+    due = complete_due;
+  loop_set_timer (inbound->gate->loop, &inbound->timer, due);
+}
+
 static void
 gate_in_add_request (struct gate_in *inbound, struct gate_request *request)
 {
@@ -300,8 +310,8 @@
   request->close_after = !request->head.keep_alive;
   inbound->no_more_requests = request->close_after;
   inbound->reading_body = true;
-  gate_in_set_body_timeout (inbound);
   gate_in_add_request (inbound, request);
+  gate_in_set_body_timeout (inbound);
   gate_in_update_reading (inbound);
   if (request->head.expects_continue
       && list_first (&inbound->requests) == &request->node)
@@ -402,11 +412,10 @@
   if (inbound->ended || list_empty (&inbound->requests))
     return SR_EAGAIN;
   request = gate_in_last_request (inbound);
+  /* The rest of an answered request is discarded, until the time at which its
+     next bytes were due when it was answered.  */
   if (request->kind == GATE_KIND_NONE)
-    {
-      gate_in_set_body_timeout (inbound);
-      return SR_OK;
-    }
+    return SR_OK;
   if (buf_end (&request->body) + len > gate_in_body_bytes_max (inbound))
     {
       gate_in_refuse_body (request);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -188,7 +188,8 @@
   gate_serve_send_body (serve);
 }
 
-/* The other node closes its connection at the deadline.  If that is not
+/* The body has not come by the deadline, or the run goes on after it.  The
+   other node closes its connection at the deadline.  If that is not
    noticed, for example because the other node has crashed, the request would
    hold its slot until the backend server answers, so it is ended here.  An
    answer may take longer as long as the other node reads it.  */
@@ -198,6 +199,11 @@
   struct gate_serve *serve
       = list_entry (timer, struct gate_serve, overdue_timer);
 
+  if (!serve->running)
+    {
+      gate_serve_refuse (serve, REASON_DEADLINE_QUEUED, REASON_NOT_RUN);
+      return;
+    }
   if (serve->has_head && !serve->request->inbound->no_more_requests)
     {
       loop_set_timer (serve->gate->loop, timer,
@@ -254,9 +260,6 @@
     }
   serve->outbound->state = GATE_OUT_SERVE;
   serve->outbound->user.serve = serve;
-  serve->overdue_timer.fire = gate_serve_handle_overdue;
-  loop_set_timer (gate->loop, &serve->overdue_timer,
-                  serve->admit.deadline + GATE_OVERDUE_GRACE_US);
   gate_serve_send_request (serve);
 }
 
@@ -562,6 +565,9 @@
   if (serve->node_request.timeout_ms < timeout_ms)
     timeout_ms = serve->node_request.timeout_ms;
   serve->admit.deadline = request->arrived_at + clk_ms (timeout_ms);
+  serve->overdue_timer.fire = gate_serve_handle_overdue;
+  loop_set_timer (gate->loop, &serve->overdue_timer,
+                  serve->admit.deadline + GATE_OVERDUE_GRACE_US);
   if (serve->node_request.target_ms != 0)
     serve->admit.target_deadline
         = request->arrived_at + clk_ms (serve->node_request.target_ms);
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -166,7 +166,7 @@
   bool has_head;
   int answer_status; /* HTTP status of the backend server */
   clk_us dispatched_at;
-  struct loop_timer overdue_timer; /* set while running */
+  struct loop_timer overdue_timer; /* a while after the deadline */
 };
 
 /* What an outbound connection is used for.  */
