gate: connections that have stopped moving make place for new ones

What callers saw: no connection, for as long as others held all descriptors of a node with connections that were idle or had stopped in the middle of a request.

Why it works: inbound connections may use three quarters of the descriptors. At that number a new one replaces the one that has stopped moving for longest, 1 s at least; if all move, a caller's new connection is closed unread, which callers may send again. The last quarter stays for the backend server and other nodes.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "core/counter.h"
 #include "core/slog.h"
@@ -16,6 +17,9 @@
 #define GATE_IDLE_TIMEOUT_MS 60000
 /* Other nodes close idle connections earlier themselves.  */
 #define GATE_NODE_IDLE_TIMEOUT_MS 60000
+/* Part of the descriptors that inbound connections may use.  The rest is for
+   connections to the backend server and to other nodes.  */
+#define GATE_IN_DESCRIPTORS_PERCENT 75u
 /* Requests of one connection that are processed at a time.  Reading is paused
    at this number; requests beyond it that were already read stay pending.  */
 #define GATE_PIPELINE_MAX 64
@@ -605,6 +609,7 @@
   INVARIANT (list_empty (&inbound->requests));
   loop_cancel_timer (&inbound->timer);
   list_remove (&inbound->node);
+  inbound->gate->inbound_count--;
   held_remove (&inbound->gate->held, &inbound->held);
   free (inbound);
 }
@@ -661,6 +666,25 @@
     gate_in_close (inbound, false);
 }
 
+/* Makes place for another inbound connection; false if it is to be refused,
+   because there are as many as there may be and all are in use.  Other nodes
+   are not refused: the number of their connections is bounded by what this
+   node's server runs and queues.  */
+static bool
+gate_in_make_place (struct gate *gate, enum gate_port port)
+{
+  uint32_t count_max = (uint32_t)((uint64_t)gate->opts.descriptors_max
+                                  * GATE_IN_DESCRIPTORS_PERCENT / 100);
+  struct held_item *stopped;
+
+  if (gate->inbound_count < count_max)
+    return true;
+  stopped = held_find_stopped (&gate->held, loop_now (gate->loop));
+  if (stopped != NULL)
+    gate_in_give_way (list_entry (stopped, struct gate_in, held));
+  return stopped != NULL || port != GATE_PORT_CALLERS;
+}
+
 void
 gate_in_open (struct gate *gate, enum gate_port port, int fd)
 {
@@ -671,8 +695,17 @@
           .names = gate->opts.adapter->names,
           .header_bytes_max = gate_limits (gate)->header_bytes,
           .unacked_timeout_ms = GATE_IN_UNACKED_TIMEOUT_MS };
-  struct gate_in *inbound = calloc (1, sizeof *inbound);
+  struct gate_in *inbound;
 
+  if (!gate_in_make_place (gate, port))
+    {
+      slog (SLOG_NOTICE, "connection not accepted port=%d reason=too-many",
+            (int)port);
+      counter_add (COUNTER_CONNECTIONS_GAVE_WAY, 1);
+      close (fd);
+      return;
+    }
+  inbound = calloc (1, sizeof *inbound);
   INVARIANT (inbound != NULL);
   inbound->gate = gate;
   inbound->port = port;
@@ -685,6 +718,7 @@
       return;
     }
   list_push_tail (&gate->inbound, &inbound->node);
+  gate->inbound_count++;
   held_add (&gate->held, &inbound->held, loop_now (gate->loop));
   gate_held_update (inbound);
   gate_in_set_timeout (inbound, false);
--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -33,10 +33,11 @@
 
 struct gate_fixture_opts
 {
-  const char *document;  /* the configuration */
-  clk_us stop_limit;     /* longest time of a graceful shutdown */
-  uint32_t slots;        /* of each backend server */
-  bool second;           /* start a second gate and server */
+  const char *document;     /* the configuration */
+  clk_us stop_limit;        /* longest time of a graceful shutdown */
+  uint32_t slots;           /* of each backend server */
+  bool second;              /* start a second gate and server */
+  uint32_t descriptors_max; /* 0: 512 */
   uint64_t memory_bytes; /* of the process as the gate is told; 0: default */
   /* Serves one connection of the backend server and closes it; the argument is
      its descriptor.  */
@@ -197,7 +198,9 @@
                                              .window = clk_s (10) };
   gate->stop_limit = fixture->opts.stop_limit;
   gate->heartbeat_interval = clk_s (60);
-  gate->descriptors_max = 512;
+  gate->descriptors_max = fixture->opts.descriptors_max != 0
+                              ? fixture->opts.descriptors_max
+                              : 512;
   gate->memory_bytes = fixture->opts.memory_bytes;
   node->gate = gate_new (gate);
   CU_ASSERT_PTR_NOT_NULL_FATAL (node->gate);
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -16,6 +16,9 @@
 /* Bodies of the crowd, too short to be forwarded before they are complete, and
    so many that together they exceed the limit.  */
 #define CROWD 24
+/* Descriptors of the gate, and idle connections, which need more.  */
+#define DESCRIPTORS_MAX 120
+#define IDLE_CONNECTIONS 150
 #define CROWD_BODY_BYTES 200000u
 #define LONG_BODY_BYTES 900000u
 /* Longer than the time after which a body has stopped moving.  */
@@ -66,6 +69,7 @@
                                     .stop_limit = clk_s (3),
                                     .slots = 64,
                                     .memory_bytes = MEMORY_BYTES,
+                                    .descriptors_max = DESCRIPTORS_MAX,
                                     .serve = server_serve_connection };
 
   gate_fixture_start (&fixture, &opts);
@@ -236,6 +240,25 @@
   CU_ASSERT_EQUAL (get_status (), 200);
 }
 
+/* Guards against callers that find no connection because others hold all
+   descriptors with connections that have stopped moving.  */
+static void
+test_descriptors (void)
+{
+  int fds[IDLE_CONNECTIONS];
+
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    {
+      fds[i] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+      net_send_text (fds[i], i % 2 ? "GET /r/x HTTP/1.1\r\nHost: h\r\n" : "");
+    }
+  usleep (STOPPED_US);
+  for (int i = 0; i < 5; i++)
+    CU_ASSERT_EQUAL (get_status (), 200);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    close (fds[i]);
+}
+
 int
 main (void)
 {
@@ -244,6 +267,7 @@
           { "crowd is bounded", test_crowd_is_bounded },
           { "stopped bodies give way", test_stopped_bodies_give_way },
           { "crowd goes", test_crowd_goes },
+          { "descriptors", test_descriptors },
           { NULL, NULL } };
 
   return suite_run ("gate_held", tests);
