gate: requests that wait in a pipeline give way, too

What operators saw: clients that send many requests on a connection and read no answer hold memory that the limit does not reach.

Cause: a connection with a request at work never gives way, and each may have 64 requests, each with a head of several KiB and up to 128 KiB of an answer that cannot be delivered yet. One read of 32 KiB brings up to 500 more, which wait unstarted.

Change: while memory is short, one request of a connection is processed at a time, and an answer that has to wait for another is not read; at the whole limit the requests that have not been started are dropped, and the connection is closed after the answers before them, which callers may take as not read.

--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -283,6 +283,7 @@
     }
   gate_check_heartbeat (gate, now);
   gate_crash_tick (gate, now);
+  gate_held_tick (gate);
   gate_log_traffic (gate, now);
   admit_update_slot_shares (&gate->admit);
   if (gate->stopping && gate_stop_run (gate, now))
--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -87,10 +87,14 @@
   gate_answer_end (request);
 }
 
-/* Whether too many bytes of the answer are unsent to read more of it.  */
+/* Whether too many bytes of the answer are unsent to read more of it.  While
+   memory is short, one that has to wait for another is not read at all.  */
 static bool
 gate_answer_is_full (const struct gate_request *request)
 {
+  if (held_is_short (&request->gate->held)
+      && list_first (&request->inbound->requests) != &request->node)
+    return true;
   return request->answer.len > HCONN_HIGH_WATER_BYTES
          || hconn_is_full (&request->inbound->conn);
 }
--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -167,6 +167,21 @@
         gate_in_give_way (list_entry (victim, struct gate_in, held));
     }
   while (victim != NULL && victim != &inbound->held);
+  if (victim == NULL && gate->held.bytes > gate->held.opts.bytes_max)
+    gate_in_drop_pending (inbound);
+}
+
+void
+gate_held_tick (struct gate *gate)
+{
+  struct held_item *stopped;
+
+  if (held_is_short (&gate->held))
+    gate_held_trim (gate);
+  while (gate->held.bytes > gate->held.opts.bytes_max
+         && (stopped = held_find_stopped (&gate->held, loop_now (gate->loop)))
+                != NULL)
+    gate_in_give_way (list_entry (stopped, struct gate_in, held));
 }
 
 void
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -20,8 +20,9 @@
 /* Part of the descriptors that inbound connections may use.  The rest is for
    connections to the backend server and to other nodes.  */
 #define GATE_IN_DESCRIPTORS_PERCENT 75u
-/* Requests of one connection that are processed at a time.  Reading is paused
-   at this number; requests beyond it that were already read stay pending.  */
+/* Requests of one connection that are processed at a time, while memory is not
+   short.  Reading is paused at this number; requests beyond it that were
+   already read stay pending.  */
 #define GATE_PIPELINE_MAX 64
 /* Time without an acknowledgement of sent bytes after which a connection
    fails; set as TCP_USER_TIMEOUT.  */
@@ -128,13 +129,20 @@
   loop_cancel_timer (&inbound->timer);
 }
 
+/* Requests of one connection that are processed at a time.  */
+static uint32_t
+gate_in_pipeline_max (const struct gate_in *inbound)
+{
+  return held_is_short (&inbound->gate->held) ? 1 : GATE_PIPELINE_MAX;
+}
+
 /* Pauses reading while the pipeline or the last request body is at its limit,
    resumes it otherwise.  */
 static void
 gate_in_update_reading (struct gate_in *inbound)
 {
   bool paused
-      = inbound->request_count >= GATE_PIPELINE_MAX
+      = inbound->request_count >= gate_in_pipeline_max (inbound)
         || (!list_empty (&inbound->requests)
             && gate_held_body_is_full (gate_in_last_request (inbound)));
 
@@ -325,7 +333,7 @@
       gate_in_refuse_body (request);
       return SR_EAGAIN;
     }
-  if (inbound->request_count > GATE_PIPELINE_MAX)
+  if (inbound->request_count > gate_in_pipeline_max (inbound))
     request->kind = GATE_KIND_PENDING;
   else
     gate_in_start_request (request);
@@ -369,7 +377,7 @@
 
       if (request->kind == GATE_KIND_PENDING)
         return request;
-      if (++started_count == GATE_PIPELINE_MAX)
+      if (++started_count >= gate_in_pipeline_max (inbound))
         break;
     }
   return NULL;
@@ -601,6 +609,33 @@
     }
 }
 
+void
+gate_in_drop_pending (struct gate_in *inbound)
+{
+  uint32_t count = 0;
+
+  if (inbound->ended || list_empty (&inbound->requests))
+    return;
+  while (gate_in_last_request (inbound) != gate_in_first_request (inbound)
+         && gate_in_last_request (inbound)->kind == GATE_KIND_PENDING)
+    {
+      gate_request_free (gate_in_last_request (inbound));
+      count++;
+    }
+  if (count == 0)
+    return;
+  counter_add (COUNTER_CONNECTIONS_GAVE_WAY, 1);
+  slog (SLOG_NOTICE,
+        "pipelined requests dropped port=%d count=%u held_kb=%llu",
+        (int)inbound->port, count,
+        (unsigned long long)(inbound->gate->held.bytes / 1024));
+  inbound->no_more_requests = true;
+  inbound->reading_body = false;
+  loop_cancel_timer (&inbound->timer);
+  loop_pause_reading (&inbound->conn.io, true);
+  gate_in_last_request (inbound)->close_after = true;
+}
+
 static void
 gate_in_destroy (struct hconn *conn)
 {
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -334,6 +334,9 @@
 /* Refuses the request that is being received, which no server has got, or
    closes the connection.  */
 void gate_in_give_way (struct gate_in *inbound);
+/* Drops the requests that wait behind others of their connection, which is
+   closed after the answers to these; the caller may send them again.  */
+void gate_in_drop_pending (struct gate_in *inbound);
 /* Whether bytes of an answer are unsent on any connection.  */
 bool gate_in_has_unsent (const struct gate *gate);
 /* Records that the answer of SERVE was written to its connection.  */
@@ -351,6 +354,9 @@
 /* Makes room after INBOUND has grown; ends other connections, or INBOUND.  To
    be called with no request or connection in use by the caller.  */
 void gate_held_make_room (struct gate_in *inbound);
+/* Periodic work: ends connections that have stopped moving while too much is
+   held.  */
+void gate_held_tick (struct gate *gate);
 /* Whether no more of the body of REQUEST is to be buffered.  */
 bool gate_held_body_is_full (const struct gate_request *request);
 
