gate: an answer does not continue the cut header of another one

What callers could see: a success where the server had failed (MIXED), or "not run" for a request that had run (REFUSED, TWICE), after one sending of the request.

Cause: a stray answer ended an idle connection only as a whole header. The beginning of one stayed in the parser, and the answer to the next request continued it: its status line became part of the value that was cut, its id replaced the other one. One that comes while the request runs merges in the same way.

Why it works: the parser pauses at the end of each message, so that gate_out_release() knows whether bytes follow, and does not keep the connection then; a byte of a message on an idle connection ends it; a reason phrase or a field with the beginning of a status line makes an answer malformed.

test_httpmsg, test_gate and the other test_gate_* programs that use connections pass.

--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -272,10 +272,22 @@
   free (outbound);
 }
 
+/* Bytes on an idle connection belong to no request.  The beginning of a header
+   would be continued by the answer to the next one.  */
+static void
+gate_out_handle_received (struct hconn *conn)
+{
+  struct gate_out *outbound = list_entry (conn, struct gate_out, conn);
+
+  if (outbound->state == GATE_OUT_IDLE && httpmsg_in_message (&conn->parser))
+    gate_out_fail (outbound, REASON_BACKEND_CLOSED, REASON_NOT_RUN);
+}
+
 static const struct hconn_events gate_out_events
     = { .sink = { gate_out_handle_head, gate_out_handle_body,
                   gate_out_handle_answer_end, gate_out_handle_interim },
         .connected = gate_out_handle_connected,
+        .received = gate_out_handle_received,
         .drained = gate_out_handle_drained,
         .ended = gate_out_handle_close,
         .destroy = gate_out_destroy };
@@ -433,12 +445,12 @@
   clk_us now = loop_now (outbound->gate->loop);
 
   outbound->state = GATE_OUT_IDLE;
-  /* With unsent bytes of this request the connection cannot carry another one.
-     Bytes received after the answer belong to no request and fail the idle
-     connection in gate_out_handle_head().  */
+  /* With unsent bytes of this request the connection cannot carry another one,
+     and bytes received behind the answer belong to no request.  */
   if (!keep || !outbound->answer_complete || !outbound->reusable
       || outbound->idle_max == 0 || outbound->conn.send_buf.len > 0
-      || outbound->carried.incomplete || outbound->conn.closed)
+      || outbound->carried.incomplete
+      || httpmsg_has_rest (&outbound->conn.parser) || outbound->conn.closed)
     {
       loop_cancel_timer (&outbound->timer);
       hconn_close (&outbound->conn, !outbound->answer_complete);
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -1,5 +1,6 @@
 #include "wire/httpmsg.h"
 
+#include <ctype.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -139,6 +140,22 @@
   return true;
 }
 
+/* Whether the first LEN bytes of DATA contain the beginning of a status line.
+   A header that was cut off is continued by the next message, whose status
+   line then is a part of the field or of the reason phrase that was cut.  */
+static bool
+httpmsg_has_status_line (const uint8_t *data, size_t len)
+{
+  static const char version[] = "HTTP/1.";
+
+  for (size_t i = 0; i + sizeof version + 2 <= len; i++)
+    if (memcmp (data + i, version, sizeof version - 1) == 0
+        && isdigit (data[i + 7]) && data[i + 8] == ' '
+        && isdigit (data[i + 9]))
+      return true;
+  return false;
+}
+
 /* Processes a complete field; returns nonzero on error.  */
 static int
 httpmsg_finish_field (struct httpmsg_parser *parser)
@@ -156,6 +173,10 @@
       && strchr (" \t", parser->field_value.data[parser->field_value.len - 1])
              != NULL)
     parser->field_value.len--;
+  if (parser->opts.role == HTTPMSG_ANSWER
+      && httpmsg_has_status_line (parser->field_value.data,
+                                  parser->field_value.len))
+    return httpmsg_set_malformed (parser);
   buf_append (&parser->field_value, "", 1);
   if (httpmsg_name_equals (&parser->field_name, "content-length")
       || httpmsg_name_equals (&parser->field_name, "transfer-encoding"))
@@ -372,12 +393,26 @@
   parser->in_message = false;
   if (parser->opts.role == HTTPMSG_ANSWER && http->status_code / 100 == 1)
     return 0;
-  parser->error = parser->opts.sink->end (parser->opts.arg);
-  return parser->error != 0;
+  /* httpmsg_execute() reports the end, since it knows what follows.  */
+  parser->ended = true;
+  http_parser_pause (http, 1);
+  return 0;
+}
+
+static int
+httpmsg_on_reason (http_parser *http, const char *data, size_t len)
+{
+  struct httpmsg_parser *parser = httpmsg_parser_of (http);
+
+  buf_append (&parser->target, data, len);
+  if (httpmsg_has_status_line (parser->target.data, parser->target.len))
+    return httpmsg_set_malformed (parser);
+  return httpmsg_count_header_bytes (parser, len);
 }
 
 static const http_parser_settings httpmsg_settings
     = { .on_message_begin = httpmsg_on_begin,
+        .on_status = httpmsg_on_reason,
         .on_url = httpmsg_on_url,
         .on_header_field = httpmsg_on_field_name,
         .on_header_value = httpmsg_on_field_value,
@@ -418,10 +453,33 @@
   return strcmp (request->method, "HEAD") == 0;
 }
 
+/* Parses bytes up to the end of a message; returns how many it has parsed, and
+   in *PAUSED whether it goes on after them.  */
+static size_t
+httpmsg_execute (struct httpmsg_parser *parser, const char *data, size_t len,
+                 bool *paused)
+{
+  size_t used
+      = http_parser_execute (&parser->http, &httpmsg_settings, data, len);
+
+  *paused = HTTP_PARSER_ERRNO (&parser->http) == HPE_PAUSED;
+  if (*paused)
+    http_parser_pause (&parser->http, 0);
+  if (parser->ended)
+    {
+      parser->ended = false;
+      parser->rest_len = len - used;
+      parser->error = parser->opts.sink->end (parser->opts.arg);
+      parser->rest_len = 0;
+    }
+  return used;
+}
+
 int
 httpmsg_feed (struct httpmsg_parser *parser, const void *data, size_t len)
 {
-  size_t used;
+  size_t used = 0;
+  bool paused = true;
 
   if (parser->error != 0)
     return parser->error;
@@ -432,7 +490,9 @@
     parser->value_end = NULL;
   parser->input = data;
   parser->input_end = parser->input + len;
-  used = http_parser_execute (&parser->http, &httpmsg_settings, data, len);
+  while (paused && used < len && parser->error == 0)
+    used
+        += httpmsg_execute (parser, parser->input + used, len - used, &paused);
   if (parser->error == 0
       && (used != len || HTTP_PARSER_ERRNO (&parser->http) != HPE_OK))
     parser->error = HTTP_PARSER_ERRNO (&parser->http) == HPE_HEADER_OVERFLOW
@@ -444,15 +504,23 @@
 int
 httpmsg_feed_eof (struct httpmsg_parser *parser)
 {
+  bool paused;
+
   if (parser->error != 0)
     return parser->error;
-  http_parser_execute (&parser->http, &httpmsg_settings, "", 0);
+  httpmsg_execute (parser, "", 0, &paused);
   if (parser->error == 0
       && (parser->in_message || HTTP_PARSER_ERRNO (&parser->http) != HPE_OK))
     parser->error = SR_EMALFORMED;
   return parser->error;
 }
 
+bool
+httpmsg_has_rest (const struct httpmsg_parser *parser)
+{
+  return parser->rest_len > 0;
+}
+
 bool
 httpmsg_in_message (const struct httpmsg_parser *parser)
 {
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -113,6 +113,8 @@
   bool in_message;
   bool head_done;
   bool no_body; /* the next response is to HEAD and has no body */
+  bool ended;   /* the message has just ended, its end is not reported yet */
+  size_t rest_len; /* bytes of the current input behind that message */
   enum httpmsg_header_state header_state;
   struct buf field_name;
   struct buf field_value;
@@ -158,6 +160,10 @@
    it ends a message or comes between two messages, else SR_EMALFORMED.  */
 int httpmsg_feed_eof (struct httpmsg_parser *parser);
 
+/* Whether bytes of the current input follow the message that has just ended;
+   to be called in the callback of its end.  */
+bool httpmsg_has_rest (const struct httpmsg_parser *parser);
+
 /* Whether a message has begun and not ended.  */
 bool httpmsg_in_message (const struct httpmsg_parser *parser);
 
