carried: an id is kept until the deadline of its request

What callers could see: a success where the server had failed (MIXED), when the node of arrival has a newer configuration than the node beside the server, with a timeout longer than 10 s.

Cause: an id was kept for the longest timeout in the configuration of the node beside the server, while the time of a request is that of its node of arrival.

Why it works: the deadline is in the request; an id is kept until then at least, and for the longest timeout of a route as before, for calls that are made again.

--- a/controllers/carried.c
+++ b/controllers/carried.c
@@ -11,7 +11,7 @@
   struct list_node age_node;  /* carried.by_age */
   struct list_node conn_node; /* carried_conn.ids */
   struct carried_conn *conn;
-  clk_us carried_at;
+  clk_us expires_at;
 };
 
 int
@@ -73,20 +73,20 @@
     carried_remove (carried, list_entry (node, struct carried_id, conn_node));
 }
 
-/* Removes the ids of requests that are not sent again.  */
+/* Removes the ids of requests that are not sent again.  One that expires late
+   keeps the younger ones behind it.  */
 static void
 carried_expire (struct carried *carried, clk_us now)
 {
   struct carried_id *id;
 
-  while ((id = carried_oldest (carried)) != NULL
-         && now >= id->carried_at + carried->opts.retention)
+  while ((id = carried_oldest (carried)) != NULL && now >= id->expires_at)
     carried_remove (carried, id);
 }
 
 void
 carried_add (struct carried *carried, struct carried_conn *conn, uint64_t id,
-             clk_us now)
+             clk_us deadline, clk_us now)
 {
   struct carried_id *added;
 
@@ -105,7 +105,9 @@
       return;
     }
   added->conn = conn;
-  added->carried_at = now;
+  added->expires_at = now + carried->opts.retention;
+  if (added->expires_at < deadline)
+    added->expires_at = deadline;
   htable_add (&carried->by_id, &added->id_node, id);
   list_push_tail (&carried->by_age, &added->age_node);
   list_push_tail (&conn->ids, &added->conn_node);
--- a/controllers/carried.h
+++ b/controllers/carried.h
@@ -8,7 +8,9 @@
  * that of the request, so it does not tell two sendings of the same request on
  * one connection apart.
  *
- * An id is remembered for as long as the request may be sent again.  At
+ * An id is remembered for as long as the request may be sent again: until the
+ * deadline that the node of arrival gave it, and for carried_opts.retention,
+ * because a server may make the call again while its own request runs.  At
  * carried_opts.ids_max ids the oldest one is dropped, and the connection that
  * has carried it counts as having carried every request.
  */
@@ -22,7 +24,7 @@
 
 struct carried_opts
 {
-  clk_us retention; /* time after which a request is not sent again */
+  clk_us retention; /* longest time of a request that makes calls */
   size_t ids_max;   /* of all connections together */
 };
 
@@ -56,9 +58,10 @@
 /* Forgets the ids of CONN, because it has been closed.  */
 void carried_conn_fini (struct carried *carried, struct carried_conn *conn);
 
-/* Records that CONN carries a request whose id has the digest ID.  */
+/* Records that CONN carries a request whose id has the digest ID, and which
+   its node of arrival gives up at DEADLINE.  */
 void carried_add (struct carried *carried, struct carried_conn *conn,
-                  uint64_t id, clk_us now);
+                  uint64_t id, clk_us deadline, clk_us now);
 
 /* Whether CONN has carried, or may have carried, a request whose id has the
    digest ID.  */
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -426,7 +426,9 @@
   outbound->request_count++;
   if (opts->to_server && opts->request_id[0] != '\0')
     carried_add (&gate->carried, &outbound->carried,
-                 htable_hash_text (opts->request_id), loop_now (gate->loop));
+                 htable_hash_text (opts->request_id),
+                 loop_now (gate->loop) + opts->time_left,
+                 loop_now (gate->loop));
   httpmsg_expect_no_body (&outbound->conn.parser, false);
   return outbound;
 }
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -408,7 +408,7 @@
                              than GATE_FRESH_IDLE_US */
   bool replaceable;       /* the request can be sent again elsewhere if the
                              connection is silent */
-  clk_us time_left;       /* until the deadline of a replaceable request */
+  clk_us time_left;       /* until the deadline of the request */
   const char *request_id; /* of the request to be sent, may be empty */
 };
 
--- a/tests/test_gate_copies.c
+++ b/tests/test_gate_copies.c
@@ -24,6 +24,11 @@
 #define COPY_DELAY_US 250000
 /* Time for which the server works on a request that comes again.  */
 #define REPEAT_WORK_US 400000
+/* Time after which a request comes again that has LONG_TIMEOUT_MS; longer than
+   each timeout of the configuration of this node.  */
+#define LONG_REPEAT_US clk_ms (10500)
+#define LONG_TIMEOUT_MS 30000
+#define LONG_PAUSE_US 500000
 
 static struct gate_fixture fixture;
 
@@ -130,12 +135,13 @@
   usleep (200000);
 }
 
-/* Opens a connection as another node and sends the request ID on it.  */
+/* Opens a connection as another node and sends the request ID on it, which has
+   TIMEOUT_MS.  */
 static int
-send_request (const char *id, bool may_have_run)
+send_request_for (const char *id, bool may_have_run, uint32_t timeout_ms)
 {
   struct nodehdr_request node_request = { .service = "a",
-                                          .timeout_ms = 2000,
+                                          .timeout_ms = timeout_ms,
                                           .idempotent = true,
                                           .may_have_run = may_have_run,
                                           .internal = true };
@@ -147,13 +153,19 @@
   snprintf (text, sizeof text,
             "GET /r/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
             "X-Sycamorerudder-Caller-Service: z\r\n"
-            "X-Sycamorerudder-Deadline-Ms: 2000\r\n"
+            "X-Sycamorerudder-Deadline-Ms: %u\r\n"
             "X-Sycamorerudder-Request-Id: %s\r\n\r\n",
-            NODEHDR_REQUEST_FIELD, field, id);
+            NODEHDR_REQUEST_FIELD, field, timeout_ms, id);
   net_send_text (fd, text);
   return fd;
 }
 
+static int
+send_request (const char *id, bool may_have_run)
+{
+  return send_request_for (id, may_have_run, 2000);
+}
+
 /* Reads the head of an answer; returns its status, 0 without one.  */
 static int
 read_status (int fd)
@@ -232,6 +244,32 @@
     expect_answer_to_repeat ('s', i, i, true);
 }
 
+/* Guards against a request that is sent again on its connection after the
+   longest timeout of this node's configuration: the node of arrival has a
+   newer one, with a longer timeout.  */
+static void
+test_copy_after_long_timeout (void)
+{
+  clk_us end = clk_now () + LONG_REPEAT_US;
+  char id[ID_BYTES];
+  int fd = send_request_for ("s-long", false, LONG_TIMEOUT_MS);
+
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  reset_connection (fd);
+  for (unsigned i = 0; clk_now () < end; i++)
+    {
+      snprintf (id, sizeof id, "o-long-%u", i);
+      fd = send_request (id, false);
+      CU_ASSERT_EQUAL (read_status (fd), 200);
+      close (fd);
+      usleep (LONG_PAUSE_US);
+    }
+  fd = send_request_for ("s-long", true,
+                         LONG_TIMEOUT_MS - LONG_REPEAT_US / CLK_US_PER_MS);
+  CU_ASSERT_EQUAL (read_status (fd), 500);
+  close (fd);
+}
+
 /* Guards against a caller that uses one id again and again, and so opens more
    connections to the server than the server accepts.  */
 static void
@@ -256,6 +294,7 @@
           { "copy after a lost answer", test_copy_after_lost_answer },
           { "copy of another source", test_copy_of_another_source },
           { "copy after other requests", test_copy_after_other_requests },
+          { "copy after a long timeout", test_copy_after_long_timeout },
           { "connections of one id", test_connections_of_one_id },
           { NULL, NULL } };
 
