tests: crowds wait up to 60 s for the first configuration

Three runs of the crowd tests ended at the start: the first configuration was not accepted within 10 s, beside other work.

These tests check no times, and a wait for the start or for a change of the configuration is there to end a hang, so its bound is 60 s. The patience of an ordinary caller stays 10 s.

--- a/scripts/mesh_crowd.sh
+++ b/scripts/mesh_crowd.sh
@@ -12,6 +12,9 @@
 # Time that a caller waits for the answer to an ordinary request, its resends
 # included.
 CROWD_PATIENCE_S=10
+# Bound of the wait for the start and for changes of the configuration, which
+# sync files; only a hang reaches it.
+CROWD_START_S=60
 # Bound of the wait for a crowd that goes on sending or receiving.
 CROWD_SETTLE_S=8
 CROWD_FAILURES=0
@@ -122,7 +125,7 @@
   platform_start_backend s5 127.0.0.5 i-5 --service-us 1000 --slots 16 \
     --connections 300 --late-path /crowd --late-ms 2000
   crowd_print_config 1 >"$MESH_DIR/r1"
-  mesh_wait_until 10 platform_apply_config 127.0.0.1 0 "$MESH_DIR/r1" \
+  mesh_wait_until "$CROWD_START_S" platform_apply_config 127.0.0.1 0 "$MESH_DIR/r1" \
     || crowd_give_up "the configuration is not accepted"
   crowd_send_heartbeats >/dev/null 2>&1 &
   MESH_PID[heartbeats]=$!
@@ -132,7 +135,7 @@
 crowd_wait_until_ready () {
   local name
   for name in $CROWD_NODES; do
-    mesh_wait_until 15 crowd_node_is_ready "$name" \
+    mesh_wait_until "$CROWD_START_S" crowd_node_is_ready "$name" \
       || crowd_give_up "$name does not serve requests"
   done
 }
@@ -253,7 +256,7 @@
   local name status
   if [ -n "${CROWD_CHANGES:-}" ]; then
     crowd_print_config $((CROWD_VERSION + 1)) >"$MESH_DIR/change"
-    mesh_wait_until "$CROWD_PATIENCE_S" platform_apply_config 127.0.0.3 \
+    mesh_wait_until "$CROWD_START_S" platform_apply_config 127.0.0.3 \
       "r$CROWD_VERSION" "$MESH_DIR/change" \
       || crowd_fail "no change of the configuration is accepted $1"
     CROWD_VERSION=$((CROWD_VERSION + 1))
