tests: crowds of unfinished requests at the own interface, failing

A node holds bodies of up to 256 KiB for each caller's connection, 2 MiB for each operator's, and header fields of up to 16 KiB, and nothing bounds their sum.

The test starts two nodes with little memory (--memory-mb 64, a new setting that has no effect yet), plays one crowd after another, each at fresh nodes, and checks that the processes live, their peak of resident memory, their descriptors, and that ordinary requests and long ones are answered before and after.

Bodies in chunks pass at both ports: the own interface refuses them (411), the admin port does not keep them.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,8 @@
 	programs/*.[ch] bench/*.[ch] tests/*.[ch] fuzz/*.[ch])
 # Preloaded into nodes by scripts/mesh_relay.sh, never linked.
 REDIRECT = $(BUILD)/tests/redirect_connect.so
-# The crowd of clients of scripts/mesh_crowd.sh.
-CROWD = $(BUILD)/tests/crowd
+# The crowds of clients of scripts/mesh_crowd.sh and tests/mesh_crowd_own.sh.
+CROWD = $(BUILD)/tests/crowd $(BUILD)/tests/crowd_clients
 BENCH_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard bench/*.c))
 
 all: $(LIB) $(PROGRAM_BIN)
--- a/programs/node_settings.c
+++ b/programs/node_settings.c
@@ -13,6 +13,10 @@
 #define NODE_SETTINGS_NAME_MAX 63
 #define NODE_SETTINGS_JOIN_MAX 7
 #define NODE_SETTINGS_DRAIN_LIMIT_MS_MAX 3600000
+/* The process itself, and the longest request of an operator.  */
+#define NODE_SETTINGS_MEMORY_MB_MIN 64
+#define NODE_SETTINGS_MEMORY_MB_MAX 1048576
+#define NODE_SETTINGS_DEFAULT_MEMORY_MB "256"
 #define NODE_SETTINGS_DEFAULT_ADMIN "127.0.0.1:7070"
 
 /* Format of the value of a setting.  */
@@ -23,6 +27,7 @@
   NODE_SETTINGS_NAME,
   NODE_SETTINGS_PATH,
   NODE_SETTINGS_DURATION_MS,
+  NODE_SETTINGS_MEMORY_MB,
   NODE_SETTINGS_SEVERITY,
 };
 
@@ -65,6 +70,8 @@
                       false, peer_key_file),
   NODE_SETTINGS_RULE ("--drain-limit-ms", "DRAIN_LIMIT_MS",
                       NODE_SETTINGS_DURATION_MS, false, drain_limit_text),
+  NODE_SETTINGS_RULE ("--memory-mb", "MEMORY_MB", NODE_SETTINGS_MEMORY_MB,
+                      false, memory_text),
 };
 
 #define NODE_SETTINGS_RULE_COUNT                                              \
@@ -76,6 +83,7 @@
   [NODE_SETTINGS_NAME] = "1 to 63 characters of a-z, 0-9 and -",
   [NODE_SETTINGS_PATH] = "a path",
   [NODE_SETTINGS_DURATION_MS] = "1 to 3600000 milliseconds",
+  [NODE_SETTINGS_MEMORY_MB] = "64 to 1048576 MiB",
   [NODE_SETTINGS_SEVERITY] = "crit, err, warning, notice, info or debug",
 };
 
@@ -149,13 +157,12 @@
 }
 
 static bool
-node_settings_is_duration (const char *text)
+node_settings_is_number (const char *text, long min, long max)
 {
   char *end = NULL;
   long value = strtol (text, &end, 10);
 
-  return end != text && *end == '\0' && value >= 1
-         && value <= NODE_SETTINGS_DRAIN_LIMIT_MS_MAX;
+  return end != text && *end == '\0' && value >= min && value <= max;
 }
 
 static bool
@@ -172,7 +179,11 @@
     case NODE_SETTINGS_PATH:
       return text[0] != '\0';
     case NODE_SETTINGS_DURATION_MS:
-      return node_settings_is_duration (text);
+      return node_settings_is_number (text, 1,
+                                      NODE_SETTINGS_DRAIN_LIMIT_MS_MAX);
+    case NODE_SETTINGS_MEMORY_MB:
+      return node_settings_is_number (text, NODE_SETTINGS_MEMORY_MB_MIN,
+                                      NODE_SETTINGS_MEMORY_MB_MAX);
     case NODE_SETTINGS_SEVERITY:
       return slog_severity_from_name (text) >= 0;
     }
@@ -208,6 +219,8 @@
       return NODE_SETTINGS_INVALID;
   if (settings->admin == NULL)
     settings->admin = strdup (NODE_SETTINGS_DEFAULT_ADMIN);
+  if (settings->memory_text == NULL)
+    settings->memory_text = strdup (NODE_SETTINGS_DEFAULT_MEMORY_MB);
   if (getenv ("SYCAMORERUDDER_CONTROL") != NULL)
     settings->control = 1;
   if (settings->control && settings->data_dir == NULL)
@@ -216,6 +229,7 @@
   if (settings->drain_limit_text != NULL)
     settings->drain_limit_ms
         = (uint32_t)strtoul (settings->drain_limit_text, NULL, 10);
+  settings->memory_mb = (uint32_t)strtoul (settings->memory_text, NULL, 10);
   return NODE_SETTINGS_RUN;
 }
 
@@ -313,6 +327,10 @@
     { "drain-limit-ms", 0, POPT_ARG_STRING, &settings->drain_limit_text, 0,
       "maximum duration of a graceful shutdown (from the configuration)",
       "N" },
+    { "memory-mb", 0, POPT_ARG_STRING, &settings->memory_text, 0,
+      "memory of the process in MiB (" NODE_SETTINGS_DEFAULT_MEMORY_MB
+      "); bounds what it holds for clients",
+      "N" },
     { "operator-token-file", 0, POPT_ARG_STRING,
       &settings->operator_token_file, 0,
       "file with the operators' token; without it changes are accepted from "
--- a/programs/node_settings.h
+++ b/programs/node_settings.h
@@ -27,11 +27,13 @@
   char *operator_token_file;
   char *peer_key_file;
   char *drain_limit_text;
+  char *memory_text;
   char *log_severity;
   int control;
   int check_only;
   int platform; /* take the settings from the platform's file */
   uint32_t drain_limit_ms;
+  uint32_t memory_mb;
   char token_buffer[NODE_SETTINGS_TOKEN_BYTES];
   const char *operator_token; /* NULL without a token file */
   char curve_secret_buffer[NODE_SETTINGS_KEY_BYTES];
--- a/programs/sycamorerudder-node.c
+++ b/programs/sycamorerudder-node.c
@@ -62,14 +62,16 @@
 node_open (struct node *node)
 {
   const struct node_settings *settings = &node->settings;
-  struct front_opts front = { .listen_address = settings->listen,
-                              .admin_address = settings->admin,
-                              .peer_address = settings->peer,
-                              .instance = settings->instance,
-                              .failure_domain = settings->failure_domain,
-                              .operator_token = settings->operator_token,
-                              .drain_limit_ms = settings->drain_limit_ms,
-                              .control_replica = settings->control };
+  struct front_opts front
+      = { .listen_address = settings->listen,
+          .admin_address = settings->admin,
+          .peer_address = settings->peer,
+          .instance = settings->instance,
+          .failure_domain = settings->failure_domain,
+          .operator_token = settings->operator_token,
+          .drain_limit_ms = settings->drain_limit_ms,
+          .control_replica = settings->control,
+          .memory_bytes = (uint64_t)settings->memory_mb * 1024 * 1024 };
   struct control_opts control = { .instance = settings->instance,
                                   .failure_domain = settings->failure_domain,
                                   .address = settings->peer,
--- a/tasks/front.h
+++ b/tasks/front.h
@@ -27,6 +27,7 @@
   const char *operator_token; /* NULL: changes only from loopback */
   uint32_t drain_limit_ms;    /* 0: use the configuration */
   bool control_replica;       /* this node is one, and serves the console */
+  uint64_t memory_bytes;      /* of the process; 0: a default */
 };
 
 /* Creates the task and its listeners.  Returns NULL after a log line when it
--- a/tests/test_settings.sh
+++ b/tests/test_settings.sh
@@ -31,6 +31,9 @@
 expect_invalid --failure-domain ""
 expect_invalid --join 127.0.0.1:7301,
 expect_invalid --drain-limit-ms 0
+expect_invalid --memory-mb 63
+expect_invalid --memory-mb 1048577
+expect_invalid --memory-mb 64k
 expect_invalid --log-severity loud
 expect_invalid --operator-token-file "$MESH_DIR/missing"
 "$node" "${valid_flags[@]}" --unknown >/dev/null 2>&1
