front: clients give way when they hold more than the memory for them

What operators saw: a node of the own interface grew with the number of clients that did not finish their requests, until its memory was used up: 140 to 142 MB for 400 bodies of 256 KiB that stop one byte short, 71 MB and 3,521 descriptors for 3,500 header fields that stop short, 136 to 139 MB for 60 bodies at the admin port (--memory-mb 64).

Cause: each limit is one of a single request (256 KiB of a caller's body, 2 MiB of an operator's, 16 KiB of header fields, again 256 KiB at the server's node), and none is one of their sum. A body that does not come has no time limit either.

Change: the task keeps one account (controllers/held.h) of what connections hold from their acceptance on, with their calls or operators' requests, and of the requests that other nodes sent to it. When it is used up, the client that has moved less than 4 KiB for longest gives way, after 1 s, else the new one. A call that waits for its body is refused as memory-short, not-run; a request of another node likewise, so that it may go to another server; other connections are closed. Requests from the start of their attempts or of their filter chain on stay. A connection counts with at least its share of three quarters of the descriptors, and one for which there is no room is closed before libwebsockets allocates for it. Bodies are freed with the last attempt, no longer with the connection.

Why it works: whatever a client makes the task keep is in the account before the next bytes are read, and an item that no server has can always be dropped, so that the sum stays below the limit. libwebsockets waits for the client when it closes a connection; dropped ones are closed twice, after the events at hand, which ends them at once.

--- a/filters/retry_policy.c
+++ b/filters/retry_policy.c
@@ -14,6 +14,7 @@
     case REASON_QUEUE_FULL:
     case REASON_EVICTED:
     case REASON_PEER_CONGESTED:
+    case REASON_MEMORY_SHORT:
     case REASON_CONNECT_FAILED:
     case REASON_PEER_LOST:
     case REASON_BACKEND_CLOSED:
--- a/tasks/front.c
+++ b/tasks/front.c
@@ -15,7 +15,8 @@
 /* Maximum time until all other nodes know that this node leaves.  */
 #define FRONT_LEAVE_PROPAGATION_US clk_ms (1500)
 #define FRONT_DRAIN_LIMIT_DEFAULT_MS 30000
-#define FRONT_HEADER_POOL 4096
+/* More than the connections that are open at a time.  */
+#define FRONT_HEADER_POOL 65535
 #define FRONT_SERVICE_BUFFER_BYTES (64 * 1024)
 /* Long enough that timeouts of libwebsockets never end a request before its
    deadline.  */
@@ -152,6 +153,7 @@
   front->opts = *opts;
   front_init_lists (front);
   front_init_state (front);
+  front_held_init (front);
   front->next_stream = 1;
   front->next_request_id = 1;
   front->inbox = inbox_new (&inbox);
@@ -541,6 +543,7 @@
       front_check_stop (front, clk_now ());
       if (front->stopped)
         break;
+      front_held_close_dropped (front);
       if (lws_service (front->context, 0) < 0)
         {
           slog (SLOG_ERR, "HTTP event loop failed");
--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -12,6 +12,8 @@
 
 #define FRONT_ADMIN_BODY_BYTES_MAX (2 * 1024 * 1024)
 #define FRONT_ADMIN_WRITE_BYTES (16 * 1024)
+/* Others give way to a longer answer, or it to them.  */
+#define FRONT_ADMIN_LONG_ANSWER_BYTES (64 * 1024)
 
 /* Operations of the admin API, each for a method and a path.  */
 enum front_admin_op
@@ -58,6 +60,8 @@
 static void
 front_admin_free (struct front_admin_request *request)
 {
+  request->conn->admin_request = NULL;
+  front_held_update_conn (request->conn);
   list_remove (&request->node);
   buf_free (&request->body);
   front_console_free (request);
@@ -74,6 +78,10 @@
   request->content_type = type;
   request->text = text;
   request->len = strlen (text);
+  buf_free (&request->body);
+  front_held_update_conn (request->conn);
+  if (request->len > FRONT_ADMIN_LONG_ANSWER_BYTES)
+    (void)front_held_make_room (request->front, &request->conn->held);
   if (request->wsi != NULL)
     lws_callback_on_writable (request->wsi);
 }
@@ -429,8 +437,8 @@
 }
 
 static void
-front_admin_begin (struct front *front, struct lws *wsi,
-                   struct front_admin_request **user_request)
+front_admin_begin (struct front *front, struct front_conn *conn,
+                   struct lws *wsi, struct front_admin_request **user_request)
 {
   struct front_admin_request *request = calloc (1, sizeof *request);
   char uri[FRONT_URI_BYTES];
@@ -439,6 +447,9 @@
   INVARIANT (request != NULL);
   *user_request = request;
   request->front = front;
+  request->conn = conn;
+  conn->admin_request = request;
+  front_held_begin_request (conn);
   request->wsi = wsi;
   request->loopback = front_http_is_loopback (wsi);
   request->authorized = front_admin_is_authorized (front, wsi);
@@ -514,6 +525,7 @@
     len = FRONT_ADMIN_WRITE_BYTES;
   memcpy (buffer + LWS_PRE, request->text + request->written, len);
   request->written += len;
+  front_held_record_bytes (request->front, &request->conn->held, len);
   last = request->written == request->len;
   if (lws_write (request->wsi, buffer + LWS_PRE, len,
                  last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP)
@@ -569,19 +581,17 @@
       return -1;
     }
   buf_append (&request->body, data, len);
-  return 0;
+  front_held_record_bytes (request->front, &request->conn->held, len);
+  front_held_update_conn (request->conn);
+  return front_held_make_room (request->front, &request->conn->held) ? 0 : -1;
 }
 
-int
-front_admin_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
-                          void *user, void *in, size_t len)
+static int
+front_admin_handle_event (struct front_conn *conn, struct lws *wsi,
+                          enum lws_callback_reasons reason,
+                          struct front_admin_request **user_request, void *in,
+                          size_t len)
 {
-  struct front_admin_request **user_request = user;
-  struct front *front = lws_context_user (lws_get_context (wsi));
-
-  /* A connection that ends before its first request has no user data.  */
-  if (user_request == NULL)
-    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
   switch (reason)
     {
     case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
@@ -589,7 +599,7 @@
     case LWS_CALLBACK_HTTP:
       if (*user_request != NULL)
         front_admin_free (*user_request);
-      front_admin_begin (front, wsi, user_request);
+      front_admin_begin (conn->front, conn, wsi, user_request);
       return 0;
     case LWS_CALLBACK_HTTP_BODY:
       return *user_request != NULL
@@ -612,3 +622,25 @@
       return 0;
     }
 }
+
+int
+front_admin_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                          void *user, void *in, size_t len)
+{
+  struct front_admin_request **user_request = user;
+  struct front *front = lws_context_user (lws_get_context (wsi));
+  struct front_conn *conn = front_held_handle_lws (front, wsi, reason);
+  int result;
+
+  if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION)
+    return front_held_admit_conn (front) ? 0 : -1;
+  /* A connection that ends before its first request has no user data.  */
+  if (user_request == NULL || conn == NULL)
+    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
+  if (conn->closing && reason != LWS_CALLBACK_CLOSED_HTTP
+      && reason != LWS_CALLBACK_HTTP_DROP_PROTOCOL)
+    return -1;
+  result = front_admin_handle_event (conn, wsi, reason, user_request, in, len);
+  front_held_update_conn (conn);
+  return result;
+}
--- a/tasks/front_answer.c
+++ b/tasks/front_answer.c
@@ -73,9 +73,11 @@
 
   if (front_answer_needs_record (serve) && serve->record_body.len <= max_bytes)
     buf_append (&serve->record_body, data, len);
+  if (!serve->detached)
+    buf_append (&serve->answer, data, len);
+  front_held_update_serve (serve);
   if (serve->detached)
     return;
-  buf_append (&serve->answer, data, len);
   front_answer_send (serve);
 }
 
--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -21,13 +21,15 @@
 static void front_call_handle_hedge_timer (lws_sorted_usec_list_t *timer);
 
 static struct front_call *
-front_call_new (struct front *front, struct lws *wsi)
+front_call_new (struct front *front, struct front_conn *conn, struct lws *wsi)
 {
   struct front_call *call = calloc (1, sizeof *call);
 
   INVARIANT (call != NULL);
   call->front = front;
   call->wsi = wsi;
+  call->conn = conn;
+  conn->call = call;
   list_init (&call->fields);
   list_init (&call->attempts);
   list_init (&call->answer.fields);
@@ -72,6 +74,8 @@
   front_call_cancel_timers (call);
   front_call_cancel_attempts (call, NULL);
   filter_release (&call->front->state, &call->req, clk_now ());
+  call->conn->call = NULL;
+  front_held_update_conn (call->conn);
   list_remove (&call->node);
   msg_fields_free (&call->fields);
   msg_fields_free (&call->answer.fields);
@@ -80,6 +84,16 @@
   free (call);
 }
 
+/* Frees the bytes of the body; later ones keep their offsets.  */
+static void
+front_call_release_body (struct front_call *call)
+{
+  uint64_t end = buf_end (&call->body);
+
+  buf_free (&call->body);
+  call->body.base = end;
+}
+
 /* Sets an answer that this node generates.  */
 static void
 front_call_set_local_answer (struct front_call *call, int status,
@@ -132,6 +146,8 @@
             reason_run_name (run));
   front_call_set_local_answer (call, reason_http_status (reason), text);
   call->phase = FRONT_CALL_ANSWERING;
+  front_call_release_body (call);
+  front_held_update_conn (call->conn);
   if (call->wsi != NULL)
     lws_callback_on_writable (call->wsi);
 }
@@ -373,6 +389,7 @@
                           call->req.fingerprint, clk_now ());
   front_attempt_end (attempt, LB_ANSWERED, trailer);
   call->answer.complete = true;
+  front_call_release_body (call);
   counter_add (COUNTER_ANSWERS, 1);
   front_call_flush (call);
 }
@@ -385,13 +402,11 @@
     return;
   buf_append (&call->answer.body, msg->u.body.data, msg->u.body.len);
   if (msg->u.body.end)
-    {
-      front_call_complete (call, attempt, &msg->u.body.trailer);
-      return;
-    }
-  if (call->phase == FRONT_CALL_ANSWERING
-      || buf_end (&call->answer.body) >= FRONT_ANSWER_BUFFER_BYTES)
+    front_call_complete (call, attempt, &msg->u.body.trailer);
+  else if (call->phase == FRONT_CALL_ANSWERING
+           || buf_end (&call->answer.body) >= FRONT_ANSWER_BUFFER_BYTES)
     front_call_flush (call);
+  front_held_update_conn (call->conn);
 }
 
 /* Returns the offset up to which all attempts have sent the body.  */
@@ -419,7 +434,7 @@
   /* The body must be read completely before the connection can carry the next
      request; without attempts its bytes are dropped.  */
   if (list_empty (&call->attempts))
-    buf_drop_before (&call->body, buf_end (&call->body));
+    front_call_release_body (call);
   else if (call->body.len > FRONT_REPLAY_BODY_BYTES_MAX)
     buf_drop_before (&call->body, front_call_body_sent_min (call));
   if (call->wsi != NULL)
@@ -427,15 +442,25 @@
                          call->body.len <= FRONT_REPLAY_BODY_BYTES_MAX);
 }
 
+/* Returns false when the request was refused because memory is short.  */
+static bool
+front_call_hold (struct front_call *call)
+{
+  front_held_update_conn (call->conn);
+  return front_held_make_room (call->front, &call->conn->held);
+}
+
 /* Appends received bytes of the request body.  A body longer than the kept
    maximum is forwarded while it is received and cannot be sent again.  */
 static int
 front_call_append_body (struct front_call *call, const void *data, size_t len)
 {
   buf_append (&call->body, data, len);
+  front_held_record_bytes (call->front, &call->conn->held, len);
   if (call->phase == FRONT_CALL_RECEIVING)
     {
-      if (buf_end (&call->body) >= FRONT_REPLAY_BODY_BYTES_MAX
+      if (front_call_hold (call)
+          && buf_end (&call->body) >= FRONT_REPLAY_BODY_BYTES_MAX
           && buf_end (&call->body) < (uint64_t)call->body_len)
         front_call_start (call);
       return 0;
@@ -443,18 +468,21 @@
   list_each (node, &call->attempts)
     front_attempt_send_body (list_entry (node, struct front_attempt, node));
   front_call_trim_body (call);
+  if (call->phase == FRONT_CALL_RUNNING)
+    (void)front_call_hold (call);
   return 0;
 }
 
 /* Creates a call for a received request header.  */
 static int
-front_call_begin (struct front *front, struct lws *wsi,
-                  struct front_call **user_call)
+front_call_begin (struct front *front, struct front_conn *conn,
+                  struct lws *wsi, struct front_call **user_call)
 {
-  struct front_call *call = front_call_new (front, wsi);
+  struct front_call *call = front_call_new (front, conn, wsi);
   int error;
 
   *user_call = call;
+  front_held_begin_request (conn);
   lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
   error = front_http_read_request_fields (wsi, front->state.model,
                                           &call->fields);
@@ -478,7 +506,7 @@
   call->body_len = front_http_content_length (wsi);
   if (call->body_len < 0)
     call->body_len = 0;
-  if (call->body_len == 0)
+  if (front_call_hold (call) && call->body_len == 0)
     front_call_start (call);
   return 0;
 }
@@ -494,16 +522,11 @@
   front_call_free (call);
 }
 
-int
-front_call_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
-                         void *user, void *in, size_t len)
+static int
+front_call_handle_event (struct front_conn *conn, struct lws *wsi,
+                         enum lws_callback_reasons reason,
+                         struct front_call **user_call, void *in, size_t len)
 {
-  struct front_call **user_call = user;
-  struct front *front = lws_context_user (lws_get_context (wsi));
-
-  /* A connection that ends before its first request has no user data.  */
-  if (user_call == NULL)
-    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
   switch (reason)
     {
     case LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION:
@@ -512,7 +535,7 @@
       if (*user_call != NULL)
         front_call_free (*user_call);
       *user_call = NULL;
-      return front_call_begin (front, wsi, user_call);
+      return front_call_begin (conn->front, conn, wsi, user_call);
     case LWS_CALLBACK_HTTP_BODY:
       return *user_call != NULL ? front_call_append_body (*user_call, in, len)
                                 : 0;
@@ -542,3 +565,25 @@
       return 0;
     }
 }
+
+int
+front_call_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
+                         void *user, void *in, size_t len)
+{
+  struct front_call **user_call = user;
+  struct front *front = lws_context_user (lws_get_context (wsi));
+  struct front_conn *conn = front_held_handle_lws (front, wsi, reason);
+  int result;
+
+  if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION)
+    return front_held_admit_conn (front) ? 0 : -1;
+  /* A connection that ends before its first request has no user data.  */
+  if (user_call == NULL || conn == NULL)
+    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
+  if (conn->closing && reason != LWS_CALLBACK_CLOSED_HTTP
+      && reason != LWS_CALLBACK_HTTP_DROP_PROTOCOL)
+    return -1;
+  result = front_call_handle_event (conn, wsi, reason, user_call, in, len);
+  front_held_update_conn (conn);
+  return result;
+}
--- a/tasks/front_serve.c
+++ b/tasks/front_serve.c
@@ -54,6 +54,8 @@
 
   INVARIANT (serve != NULL);
   serve->front = front;
+  serve->held.kind = FRONT_HELD_SERVE;
+  held_add (&front->held, &serve->held.item, now);
   serve->endpoint = msg->endpoint;
   if (serve->endpoint.kind == MSG_ENDPOINT_LOCAL)
     serve->endpoint.u.to_serve = false;
@@ -101,6 +103,7 @@
   filter_release (&front->state, &serve->req, clk_now ());
   if (serve->hop != NULL)
     hop_end (front->state.hops, serve->hop, clk_now ());
+  held_remove (&front->held, &serve->held.item);
   list_remove (&serve->node);
   list_remove (&serve->hash_node);
   list_remove (&serve->probe_node);
@@ -228,6 +231,7 @@
   struct front *front = serve->front;
 
   serve->chain_started = true;
+  front_held_update_serve (serve);
   if (len > FRONT_REPLAY_BODY_BYTES_MAX)
     len = FRONT_REPLAY_BODY_BYTES_MAX;
   serve->req.body_hash = digest_buffer_64 (body, len);
@@ -341,6 +345,10 @@
   serve->body_sequence++;
   buf_append (&serve->body, body->data, body->len);
   serve->body_complete = body->end;
+  front_held_record_bytes (serve->front, &serve->held, body->len);
+  front_held_update_serve (serve);
+  if (!front_held_make_room (serve->front, &serve->held))
+    return;
   if (serve->conn != NULL)
     front_backend_resume_write (serve);
   front_serve_send_credit (serve);
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -12,6 +12,7 @@
 #include <libwebsockets.h>
 #include <signal.h>
 
+#include "controllers/held.h"
 #include "core/buf.h"
 #include "core/err.h"
 #include "core/digest.h"
@@ -32,6 +33,34 @@
 #define FRONT_URI_BYTES 8192
 #define FRONT_HEADER_BYTES (16 * 1024)
 
+/* Whose memory a struct front_held stands for.  */
+enum front_held_kind
+{
+  FRONT_HELD_CONN,  /* struct front_conn */
+  FRONT_HELD_SERVE, /* struct front_serve */
+};
+
+/* An item of the account of what is held for clients.  */
+struct front_held
+{
+  struct held_item item;
+  enum front_held_kind kind;
+  size_t moved_bytes; /* since the last progress */
+};
+
+/* A connection of a caller or an operator, from its acceptance on.  */
+struct front_conn
+{
+  struct front_held held;
+  struct list_node closing_node; /* front->closing_conns */
+  struct front *front;
+  struct lws *wsi;
+  struct front_call *call;                   /* or NULL */
+  struct front_admin_request *admin_request; /* or NULL */
+  bool closing;
+  bool *freed; /* set when the record is freed, unless NULL */
+};
+
 enum front_call_phase
 {
   FRONT_CALL_RECEIVING, /* reading the request body */
@@ -60,6 +89,7 @@
 {
   struct list_node node;
   struct front *front;
+  struct front_conn *conn;
   struct lws *wsi;
   enum front_call_phase phase;
   struct filter_request req;
@@ -110,6 +140,7 @@
 {
   struct list_node node;
   struct list_node hash_node;
+  struct front_held held;
   struct front *front;
   struct msg_endpoint endpoint;
   uint64_t stream;
@@ -212,6 +243,7 @@
 {
   struct list_node node;
   struct front *front;
+  struct front_conn *conn;
   struct lws *wsi;
   uint64_t id; /* request number at the control task; 0: not sent */
   char method[16];
@@ -248,6 +280,9 @@
   struct inbox *control;
   struct filter_state state;
   struct front_backend backend;
+  struct held held;
+  uint64_t conn_bytes;       /* of a connection without a request */
+  struct list closing_conns; /* struct front_conn */
   struct list calls;
   struct list serves;
   struct list admin_requests;
@@ -278,6 +313,29 @@
 void front_send_crash_marks (struct front *front);
 void front_apply_members (struct front *front);
 
+/* front_held.c: memory that is held for clients, and who gives way */
+void front_held_init (struct front *front);
+/* Adds CONN or SERVE up again after what it holds has changed.  */
+void front_held_update_conn (struct front_conn *conn);
+void front_held_update_serve (struct front_serve *serve);
+/* Records that LEN bytes came from the client or were written to it.  */
+void front_held_record_bytes (struct front *front, struct front_held *held,
+                              size_t len);
+/* Records that the header of a request has come.  */
+void front_held_begin_request (struct front_conn *conn);
+/* Drops clients until the rest fits after HELD has grown; returns false when
+   HELD itself was dropped, which frees a request of another node.  */
+bool front_held_make_room (struct front *front, struct front_held *held);
+/* Whether there is room for one more connection; others may give way.  */
+bool front_held_admit_conn (struct front *front);
+/* Closes the connections that were dropped; not in a callback of
+   libwebsockets.  */
+void front_held_close_dropped (struct front *front);
+/* Keeps the record of the connection of WSI; returns it, or NULL when there is
+   none.  Called for each event of a listener's connections.  */
+struct front_conn *front_held_handle_lws (struct front *front, struct lws *wsi,
+                                          enum lws_callback_reasons reason);
+
 /* front_http.c: header fields of libwebsockets */
 void front_http_copy_token (struct lws *wsi, enum lws_token_indexes token,
                             char *out, size_t size);
--- a/tasks/front_write.c
+++ b/tasks/front_write.c
@@ -95,6 +95,7 @@
   else
     front_write_append (start, &used, data, len);
   answer->written += len;
+  front_held_record_bytes (call->front, &call->conn->held, len);
   buf_drop_before (&answer->body, answer->written);
   if (used == 0 && !*last)
     return 0;
