wire: a status that is no status code is no answer

What callers saw: the status of a server in trouble as it is. `HTTP/1.1 000 ...` reached the caller as `HTTP/1.1 0 Unknown`, on the platform and at the own interface; likewise 001, 099, 600, 700, 999, 2 and 20, and `0200` and `00200` as `200 OK`. A health check answered with `0200` made the server available.

Cause: nobody checked the status. http_parser takes any number up to 999 and drops leading zeros, libwebsockets reads what number it finds, and the messages between nodes of the own interface allowed 0 to 999.

Evidence: tests of the parser, of the messages between nodes, of both paths by the server and by another node, and of the health check.

Why it works: one rule, three digits from 100 to 599 (RFC 9110, 15). Whatever else comes is malformed, like other bytes that are no answer: 502, "unknown", a retry where the request can be repeated, and the end of the connection. http_parser does not tell the number of digits; it is paused after the first byte of each answer, so that httpmsg_feed() can count them in the status line, however the bytes are divided among reads.

--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -426,12 +426,14 @@
 {
   struct front_serve *serve = conn->serve;
   struct list fields;
-  int status = (int)lws_http_client_http_response (wsi);
+  int status = front_http_status (wsi);
 
   if (serve == NULL)
     return -1;
   lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
   conn->head_received = true;
+  if (status < 0)
+    return -1;
   conn->body_len = front_http_content_length (wsi);
   conn->chunked
       = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0;
--- a/tasks/front_http.c
+++ b/tasks/front_http.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/httpstatus.h"
 #include "tasks/front_state.h"
 
 /* Header fields forwarded from callers to backend servers.  */
@@ -130,6 +131,21 @@
   return SR_EMALFORMED;
 }
 
+int
+front_http_status (struct lws *wsi)
+{
+  enum lws_token_indexes token = lws_hdr_total_length (wsi, WSI_TOKEN_HTTP) > 0
+                                     ? WSI_TOKEN_HTTP
+                                     : WSI_TOKEN_HTTP1_0;
+  int status = (int)lws_http_client_http_response (wsi);
+  char line[FRONT_HEADER_BYTES];
+
+  front_http_copy_token (wsi, token, line, sizeof line);
+  return httpstatus_valid (status, strspn (line, "0123456789"))
+             ? status
+             : SR_EMALFORMED;
+}
+
 int64_t
 front_http_content_length (struct lws *wsi)
 {
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -343,6 +343,9 @@
    SR_OK, SR_EFULL or SR_EMALFORMED.  */
 int front_http_read_method (struct lws *wsi, char *method, size_t size,
                             char *uri, size_t uri_size);
+/* Returns the status of the answer, or SR_EMALFORMED if it is no status
+   code.  */
+int front_http_status (struct lws *wsi);
 /* Returns the Content-Length, or MSG_LENGTH_UNKNOWN if missing or invalid.  */
 int64_t front_http_content_length (struct lws *wsi);
 /* Append the header fields that are forwarded; SR_EFULL when one is too
--- a/tests/test_front_head.c
+++ b/tests/test_front_head.c
@@ -85,7 +85,17 @@
   struct cut cuts[CUTS_MAX];
 };
 
+/* Statuses that are none: status codes have three digits, from 100 to 599.  */
+static const char *const bad_statuses[]
+    = { "000", "001", "099", "600", "700", "999", "0200", "00200", "20", "2" };
+static const char *const good_statuses[]
+    = { "200", "204", "299", "404", "499", "500", "599" };
+
+#define COUNT_OF(array) (sizeof (array) / sizeof (array)[0])
+
 static struct sweep sweep;
+/* Requests for a status that have reached the server.  */
+static atomic_int status_runs;
 static atomic_uint next_key;
 /* Answers that are kept for callers that send a request again.  */
 static atomic_int recorded_answers;
@@ -156,6 +166,24 @@
     net_send_text (fd, "0\r\n\r\n");
 }
 
+/* Answers with the status that PATH selects, "/status/STATUS/VERSION".  */
+static void
+send_status (int fd, const char *path)
+{
+  char status[16] = "";
+  char version[16] = "";
+  char out[ANSWER_BYTES];
+
+  sscanf (path, "/status/%15[^/]/%15s", status, version);
+  status_runs++;
+  snprintf (out, sizeof out,
+            "HTTP/%s %s Odd 200\r\nContent-Length: %s\r\n\r\n", version,
+            status, strcmp (status, "204") == 0 ? "0" : "5\r\nETag: \"e\"");
+  net_send_text (fd, out);
+  if (strcmp (status, "204") != 0)
+    net_send_text (fd, "hello");
+}
+
 /* Serves one connection of the backend server and closes it.  */
 static void *
 serve_connection (void *arg)
@@ -186,6 +214,11 @@
             break;
           continue;
         }
+      if (strstr (text, " /status/") != NULL)
+        {
+          send_status (fd, strstr (text, "/status/"));
+          continue;
+        }
       if (path == NULL)
         {
           net_send_text (fd, answers[FRAMING_LENGTH]);
@@ -515,6 +548,65 @@
   run_sweep ("POST", true, 1);
 }
 
+/* Asks for each status.  The caller must learn of a bad one that the request
+   may have run, and the request must have reached the server at most as often
+   as it may.  */
+static void
+run_statuses (const char *method, int runs_max)
+{
+  static const char *const versions[] = { "1.1", "1.0" };
+  char path[64];
+  char answer[TEXT_BYTES];
+  int total = 0;
+
+  announce_server ();
+  for (size_t i = 0; i < 4 * COUNT_OF (bad_statuses); i++)
+    {
+      int runs_before = status_runs;
+      int runs;
+
+      if (i % 2 != 0)
+        SUITE_SEEDED (is_served (method), i);
+      snprintf (path, sizeof path, "/status/%s/%s", bad_statuses[i / 4],
+                versions[i / 2 % 2]);
+      SUITE_SEEDED (make_request (listen_address, method, path, "", answer),
+                    i);
+      SUITE_SEEDED (strncmp (answer, "HTTP/1.1 502 ", 13) == 0, i);
+      SUITE_SEEDED (strstr (answer, "; unknown\"") != NULL, i);
+      SUITE_SEEDED (strstr (answer, "hello") == NULL, i);
+      runs = status_runs - runs_before;
+      SUITE_SEEDED (runs >= 1 && runs <= runs_max, i);
+      total += runs;
+    }
+  printf (" %s: %zu requests, %d reached the server;", method,
+          4 * COUNT_OF (bad_statuses), total);
+  announce_server ();
+  for (size_t i = 0; i < COUNT_OF (good_statuses); i++)
+    {
+      snprintf (path, sizeof path, "/status/%s/1.1", good_statuses[i]);
+      SUITE_SEEDED (make_request (listen_address, method, path, "", answer),
+                    i);
+      SUITE_SEEDED (strncmp (answer + 9, good_statuses[i], 3) == 0, i);
+    }
+  CU_ASSERT_TRUE (is_served (method));
+}
+
+/* Guards against a status that is none, as of a server in trouble, and that
+   the caller gets as an answer, against a second run of a request that must
+   not run twice, and against such an answer that is kept for resends.  */
+static void
+test_status_of_server (void)
+{
+  int recorded_before;
+
+  run_statuses ("GET", ATTEMPTS_MAX);
+  recorded_before = recorded_answers;
+  run_statuses ("POST", 1);
+  /* Those of the other requests.  */
+  CU_ASSERT_EQUAL (recorded_answers - recorded_before,
+                   2 * COUNT_OF (bad_statuses) + COUNT_OF (good_statuses) + 1);
+}
+
 int
 main (void)
 {
@@ -522,6 +614,7 @@
       = { { "start", start_front },
           { "answers in parts", test_answers_in_parts },
           { "long answers", test_long_answers },
+          { "status of the server out of range", test_status_of_server },
           { "answers cut by the server", test_cut_answers },
           { "answers to non-idempotent requests", test_cut_answers_run_once },
           { NULL, NULL } };
--- a/tests/test_gate_head.c
+++ b/tests/test_gate_head.c
@@ -74,6 +74,14 @@
   SOURCE_NODE,   /* another node */
 };
 
+/* Statuses that are none: status codes have three digits, from 100 to 599.  */
+static const char *const bad_statuses[]
+    = { "000", "001", "099", "600", "700", "999", "0200", "00200", "20", "2" };
+static const char *const good_statuses[]
+    = { "200", "204", "299", "404", "499", "500", "599" };
+
+#define COUNT_OF(array) (sizeof (array) / sizeof (array)[0])
+
 /* How the requests of a test are made.  */
 struct sweep
 {
@@ -175,6 +183,22 @@
   return true;
 }
 
+/* Answers the request ID with the status that its path selects.  */
+static void
+send_status (int fd, enum source source, const char *status, const char *id)
+{
+  bool has_body = strcmp (status, "204") != 0;
+  struct cut whole = { .framing = has_body ? FRAMING_LENGTH : FRAMING_CLOSE,
+                       .head = !has_body };
+  char text[ANSWER_BYTES];
+  char out[ANSWER_BYTES + 32];
+
+  write_answer (text, source, &whole, id);
+  snprintf (out, sizeof out, "HTTP/1.1 %s Odd%s", status,
+            strstr (text, " 200 OK") + strlen (" 200 OK"));
+  net_send_text (fd, out);
+}
+
 /* Serves one connection as the backend server or as a node.  */
 static void
 serve_connection (int fd, enum source source)
@@ -207,6 +231,15 @@
           send_cut_answer (fd, source, &cut, id);
           return;
         }
+      if (strstr (text, "/status-") != NULL)
+        {
+          char status[16] = "";
+
+          sscanf (strstr (text, "/status-"), "/status-%15s", status);
+          cut_requests++;
+          send_status (fd, source, status, id);
+          continue;
+        }
       write_answer (out, source, &whole, id);
       net_send_text (fd, out);
     }
@@ -343,6 +376,67 @@
   run_sweep (&sweep);
 }
 
+/* Makes a request that is answered with STATUS, on a connection that has
+   carried another or on a new one.  */
+static char *
+request_status (const char *method, const char *route, const char *status)
+{
+  char path[64];
+
+  snprintf (path, sizeof path, "%sstatus-%s", route, status);
+  return request_path (method, path, "s");
+}
+
+/* Asks for each status.  The caller must learn of a bad one that the request
+   may have run, and the request must have reached the server at most as often
+   as it may.  */
+static void
+run_statuses (enum source source, const char *method, const char *route,
+              int runs_max)
+{
+  int total = 0;
+
+  for (size_t i = 0; i < 2 * COUNT_OF (bad_statuses); i++)
+    {
+      int requests_before = cut_requests;
+      char *answer;
+      int runs;
+
+      if (i % 2 != 0)
+        SUITE_SEEDED (is_served (), i);
+      answer = request_status (method, route, bad_statuses[i / 2]);
+      runs = cut_requests - requests_before;
+      SUITE_SEEDED (strncmp (answer, "HTTP/1.1 502 ", 13) == 0, i);
+      SUITE_SEEDED (strstr (answer, "; unknown\"\r\n") != NULL, i);
+      SUITE_SEEDED (strstr (answer, "hello") == NULL, i);
+      SUITE_SEEDED (strstr (answer, "HTTP/1.1") == answer
+                        && strstr (answer + 1, "HTTP/1.1") == NULL,
+                    i);
+      SUITE_SEEDED (runs >= 1 && runs <= runs_max, i);
+      total += runs;
+    }
+  printf (" %s %s: %zu requests, %d reached the %s;", method, route,
+          2 * COUNT_OF (bad_statuses), total,
+          source == SOURCE_SERVER ? "server" : "node");
+  for (size_t i = 0; i < COUNT_OF (good_statuses); i++)
+    {
+      char *answer = request_status (method, route, good_statuses[i]);
+
+      SUITE_SEEDED (strncmp (answer + 9, good_statuses[i], 3) == 0, i);
+    }
+  CU_ASSERT_TRUE (is_served ());
+}
+
+/* Guards against a status that is none, as of a server in trouble, and that
+   the caller gets as an answer, and against a second run of a request that
+   must not run twice.  */
+static void
+test_status_of_server (void)
+{
+  run_statuses (SOURCE_SERVER, "POST", "/o/", 1);
+  run_statuses (SOURCE_SERVER, "GET", "/r/", ATTEMPTS_MAX);
+}
+
 static void
 start_gate (void)
 {
@@ -485,11 +579,20 @@
   run_sweeps (SOURCE_NODE, true, false);
 }
 
+/* Guards against the same in what another node sends.  */
+static void
+test_status_of_node (void)
+{
+  run_statuses (SOURCE_NODE, "POST", "/o/", 1);
+  run_statuses (SOURCE_NODE, "GET", "/r/", ATTEMPTS_MAX);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "start", start_gate },
+          { "status of the server out of range", test_status_of_server },
           { "answer cut by the server", test_cut_by_server },
           { "answer cut on a reused connection",
             test_cut_on_reused_connection },
@@ -497,6 +600,7 @@
           { "answer to HEAD cut", test_cut_answer_to_head },
           { "answer cut between others", test_cut_between_others },
           { "answer cut by a node", test_cut_by_node },
+          { "status of a node out of range", test_status_of_node },
           { NULL, NULL } };
 
   /* The server writes to connections that the node may have closed.  */
--- a/tests/test_gate_probe.c
+++ b/tests/test_gate_probe.c
@@ -36,7 +36,7 @@
 
 #define HEALTH_COUNT (sizeof health_answers / sizeof health_answers[0])
 
-static struct gate_fixture fixtures[HEALTH_COUNT + 3];
+static struct gate_fixture fixtures[HEALTH_COUNT + 5];
 static const struct health_answer *health_answer; /* NULL: see below */
 static atomic_bool check_ended;
 /* Status line and further fields of the answer, and time until it is sent.  */
@@ -283,6 +283,29 @@
   pthread_join (fixture->gate_thread, NULL);
 }
 
+/* Guards against a health check that counts as answered by a status that is
+   none: such bytes tell neither that the server is well nor that it leaves. */
+static void
+test_health_status_out_of_range (void)
+{
+  static const char *const statuses[] = { "0200 OK", "000 Unknown" };
+
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct gate_fixture *fixture = start_with_health (3 + i, statuses[i], 0);
+
+      while (check_count == 0)
+        usleep (1000);
+      usleep (100000);
+      SUITE_SEEDED (
+          !gate_answers_ok (fixture, GATE_PORT_CALLERS, probe_request), i);
+      send_ready (fixture, 7);
+      SUITE_SEEDED (wait_until_served (fixture, true), i);
+      SUITE_SEEDED (check_count == 1, i);
+      stop_gate (fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -292,6 +315,8 @@
     { "late heartbeat of a leaving server",
       test_late_heartbeat_of_leaving_server },
     { "late heartbeat before the check", test_late_heartbeat_before_check },
+    { "status of the health check out of range",
+      test_health_status_out_of_range },
     { NULL, NULL }
   };
 
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -229,6 +229,68 @@
     }
 }
 
+/* Guards against a status that is none and reaches a caller: one without three
+   digits, or outside of 100 to 599, however the bytes are divided among reads,
+   in the first response of a connection or a later one.  */
+static void
+test_status_codes (void)
+{
+  static const struct
+  {
+    const char *status;
+    int result;
+  } rows[] = {
+    { "000", SR_EMALFORMED },
+    { "001", SR_EMALFORMED },
+    { "099", SR_EMALFORMED },
+    { "600", SR_EMALFORMED },
+    { "700", SR_EMALFORMED },
+    { "999", SR_EMALFORMED },
+    { "1000", SR_EMALFORMED },
+    { "2000", SR_EMALFORMED },
+    { "0200", SR_EMALFORMED },
+    { "00200", SR_EMALFORMED },
+    { "0100", SR_EMALFORMED },
+    { "20", SR_EMALFORMED },
+    { "2", SR_EMALFORMED },
+    { "", SR_EMALFORMED },
+    { "-200", SR_EMALFORMED },
+    { "+200", SR_EMALFORMED },
+    { "2x0", SR_EMALFORMED },
+    { "0x200", SR_EMALFORMED },
+    { "000 200", SR_EMALFORMED },
+    { "200", SR_OK },
+    { "204", SR_OK },
+    { "299", SR_OK },
+    { "400", SR_OK },
+    { "500", SR_OK },
+    { "599", SR_OK },
+  };
+  static const char *const befores[]
+      = { "", "HTTP/1.1 103 Early Hints\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n200" };
+  static const char *const phrases[] = { " Odd 200", " ", "" };
+
+  for (unsigned i = 0; i < 9 * sizeof rows / sizeof rows[0]; i++)
+    for (size_t step = 1; step < 100; step++)
+      {
+        const char *before = befores[i % 3];
+        struct received received = { 0 };
+        char text[128];
+        int heads = (i % 3 == 2) + (rows[i / 9].result == SR_OK);
+
+        snprintf (text, sizeof text,
+                  "%sHTTP/1.1 %s%s\r\nContent-Length: 0\r\n\r\n", before,
+                  rows[i / 9].status, phrases[i / 3 % 3]);
+        SUITE_SEEDED (parse (&received, HTTPMSG_ANSWER, text, step)
+                          == rows[i / 9].result,
+                      i);
+        SUITE_SEEDED (received.head_count == heads, i);
+        SUITE_SEEDED (received.end_count == heads, i);
+        received_free (&received);
+      }
+}
+
 /* Guards against a head that ends early and is taken for a complete one:
    whatever it declares, and however its bytes are divided among reads, no part
    of it may be reported before its empty line, and the end of the connection
@@ -442,6 +504,7 @@
           { "pipelined requests", test_pipeline },
           { "truncated responses", test_truncated_responses },
           { "truncated heads", test_truncated_heads },
+          { "status codes", test_status_codes },
           { "responses to HEAD", test_head_responses },
           { "interim responses", test_interim_responses },
           { "interim responses without end", test_endless_interim_responses },
--- a/tests/test_pack.c
+++ b/tests/test_pack.c
@@ -197,6 +197,33 @@
   record_free (&answer);
 }
 
+/* Guards against a status that is none, out of the head of another node, in
+   the answer to a caller.  */
+static void
+test_status_out_of_range (void)
+{
+  static const struct
+  {
+    int status;
+    bool valid;
+  } rows[] = { { 0, false },  { 1, false },   { 20, false },
+               { 99, false }, { 600, false }, { 999, false },
+               { 100, true }, { 204, true },  { 599, true } };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct msg *msg = make_msg (MSG_HEAD);
+      struct msg *decoded;
+
+      msg->u.head.status = rows[i].status;
+      decoded = round_trip (msg);
+      SUITE_SEEDED ((decoded != NULL) == rows[i].valid, i);
+      if (decoded != NULL)
+        msg_free (decoded);
+      msg_free (msg);
+    }
+}
+
 int
 main (void)
 {
@@ -206,6 +233,7 @@
           { "other version is rejected", test_other_version },
           { "body part above the limit is rejected", test_body_too_large },
           { "recorded response", test_recorded_response },
+          { "status out of range", test_status_out_of_range },
           { NULL, NULL } };
 
   return suite_run ("pack", tests);
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 
 #include "core/err.h"
+#include "core/httpstatus.h"
 
 /* Hop-by-hop fields (RFC 9110, 7.6.1), and the fields that frame the body,
    which the encoder writes itself.  */
@@ -54,6 +55,10 @@
   parser->head.role = parser->opts.role;
   parser->in_message = true;
   parser->head_done = false;
+  parser->status_state = parser->opts.role == HTTPMSG_ANSWER
+                             ? HTTPMSG_STATUS_VERSION
+                             : HTTPMSG_STATUS_DONE;
+  parser->status_digits = 0;
   parser->header_state = HTTPMSG_HEADER_NONE;
   parser->header_bytes = 0;
   parser->framing_fields = 0;
@@ -218,10 +223,39 @@
 static int
 httpmsg_on_begin (http_parser *http)
 {
-  httpmsg_begin (httpmsg_parser_of (http));
+  struct httpmsg_parser *parser = httpmsg_parser_of (http);
+
+  httpmsg_begin (parser);
+  /* httpmsg_feed() goes on after the first byte, so that it knows where the
+     status line is.  */
+  if (parser->opts.role == HTTPMSG_ANSWER)
+    http_parser_pause (http, 1);
   return 0;
 }
 
+/* Counts the digits of the status code in the next LEN bytes of the message.
+ */
+static void
+httpmsg_count_status_digits (struct httpmsg_parser *parser, const char *data,
+                             size_t len)
+{
+  for (size_t i = 0; i < len && parser->status_state != HTTPMSG_STATUS_DONE;
+       i++)
+    {
+      bool is_digit = data[i] >= '0' && data[i] <= '9';
+
+      if (parser->status_state == HTTPMSG_STATUS_VERSION)
+        {
+          if (data[i] == ' ')
+            parser->status_state = HTTPMSG_STATUS_CODE;
+        }
+      else if (is_digit)
+        parser->status_digits++;
+      else if (parser->status_digits > 0 || data[i] != ' ')
+        parser->status_state = HTTPMSG_STATUS_DONE;
+    }
+}
+
 static int
 httpmsg_on_url (http_parser *http, const char *data, size_t len)
 {
@@ -353,6 +387,9 @@
     }
   else
     head->status = http->status_code;
+  if (head->role == HTTPMSG_ANSWER
+      && !httpstatus_valid (head->status, parser->status_digits))
+    return httpmsg_set_malformed (parser), -1;
   if (parser->framing_fields > 1
       || (head->role == HTTPMSG_REQUEST && http->method == HTTP_CONNECT))
     return httpmsg_set_malformed (parser), -1;
@@ -425,6 +462,7 @@
 {
   memset (parser, 0, sizeof *parser);
   parser->opts = *opts;
+  parser->status_state = HTTPMSG_STATUS_DONE;
   http_parser_init (&parser->http, opts->role == HTTPMSG_REQUEST
                                        ? HTTP_REQUEST
                                        : HTTP_RESPONSE);
@@ -453,15 +491,16 @@
   return strcmp (request->method, "HEAD") == 0;
 }
 
-/* Parses bytes up to the end of a message; returns how many it has parsed, and
-   in *PAUSED whether it goes on after them.  */
+/* Parses bytes up to the first of a message or up to its end; returns how many
+   it has parsed, and in *PAUSED whether it goes on after them.  */
 static size_t
 httpmsg_execute (struct httpmsg_parser *parser, const char *data, size_t len,
                  bool *paused)
 {
-  size_t used
-      = http_parser_execute (&parser->http, &httpmsg_settings, data, len);
+  size_t used;
 
+  httpmsg_count_status_digits (parser, data, len);
+  used = http_parser_execute (&parser->http, &httpmsg_settings, data, len);
   *paused = HTTP_PARSER_ERRNO (&parser->http) == HPE_PAUSED;
   if (*paused)
     http_parser_pause (&parser->http, 0);
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -105,6 +105,14 @@
   HTTPMSG_HEADER_VALUE,
 };
 
+/* Which part of a status line is read next.  */
+enum httpmsg_status_state
+{
+  HTTPMSG_STATUS_VERSION,
+  HTTPMSG_STATUS_CODE,
+  HTTPMSG_STATUS_DONE, /* the code is read, or there is none */
+};
+
 struct httpmsg_parser
 {
   http_parser http;
@@ -115,6 +123,8 @@
   bool no_body; /* the next response is to HEAD and has no body */
   bool ended;   /* the message has just ended, its end is not reported yet */
   size_t rest_len; /* bytes of the current input behind that message */
+  enum httpmsg_status_state status_state;
+  unsigned status_digits; /* http_parser drops leading zeros */
   enum httpmsg_header_state header_state;
   struct buf field_name;
   struct buf field_value;
--- a/wire/pack.c
+++ b/wire/pack.c
@@ -6,6 +6,7 @@
 
 #include "controllers/quarantine.h"
 #include "core/err.h"
+#include "core/httpstatus.h"
 #include "wire/packio.h"
 #include "wire/packscan.h"
 #include "wire/raftpack.h"
@@ -111,6 +112,8 @@
 pack_get_head (struct packio_reader *reader, struct msg_head *head)
 {
   head->status = (int)packio_get_u32 (reader, 999);
+  if (!httpstatus_valid (head->status, 3))
+    reader->failed = true;
   packio_get_http_fields (reader, &head->fields);
   head->body_len = packio_get_i64 (reader);
 }
