gate: an upload that is answered early keeps no connection for good

What was seen: after uploads that were answered before their end, the node beside the server kept its ends of the connections between nodes for good, each with about 180 KB.

Cause: the other node closes the connection, because the rest of the body was not sent on it. The end of the stream counts as a half-close: reading is paused and the answer ends the connection. The answer was complete already, so nothing ended it, and the timeout of the body does not act while reading is paused.

Why it works: at a half-close, complete answers are flushed, and the last one ends the connection. A request at work still ends with its answer or its deadline.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -560,6 +560,8 @@
       request->close_after = true;
       if (request->kind == GATE_KIND_SERVE)
         gate_serve_withdraw (request->u.serve);
+      else
+        gate_in_flush_answers (inbound);
       return;
     }
   gate_in_close (inbound, end != HCONN_END_ORDERLY);
--- a/tests/test_gate_upload.c
+++ b/tests/test_gate_upload.c
@@ -1,3 +1,4 @@
+#include <dirent.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -26,6 +27,10 @@
 #define BUFFERED_ANSWER_BYTES (64 * 1024)
 #define ANSWER_BYTES (400 * 1024)
 #define ANSWER_CHUNK_BYTES 1000
+/* Uploads that are answered before their end, and the time within which their
+   connections must have ended: longer than that of idle ones.  */
+#define EARLY_UPLOADS 40
+#define EARLY_ENDS_US clk_s (10)
 /* Time within which the gate must have sent bytes that are not read.  */
 #define UNREAD_WAIT_US 1000000
 
@@ -216,6 +221,14 @@
           send_cut_answer (fd, &cut, id);
           return NULL;
         }
+      if (strstr (text, "/early") != NULL)
+        {
+          gate_fixture_answer (fd, text);
+          cuts++;
+          while (read (fd, text, sizeof text) > 0)
+            ;
+          break;
+        }
       gate_fixture_answer (fd, text);
     }
   close (fd);
@@ -455,11 +468,53 @@
   run_sweep ("/r/", ATTEMPTS_MAX);
 }
 
+/* Descriptors that the process has open.  */
+static int
+count_descriptors (void)
+{
+  DIR *dir = opendir ("/proc/self/fd");
+  int count = 0;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (dir);
+  while (readdir (dir) != NULL)
+    count++;
+  closedir (dir);
+  return count;
+}
+
+/* Guards against connections between nodes that stay open for good, with what
+   they hold, after uploads that are answered before their end: the node that
+   sends the rest closes the connection then.  */
+static void
+test_connections_of_early_answers (void)
+{
+  static struct exchange exchange
+      = { .path = "/u/early", .body_bytes = LONG_BODY_BYTES };
+  clk_us start;
+  int before;
+
+  CU_ASSERT_TRUE (is_served ());
+  before = count_descriptors ();
+  for (int i = 0; i < EARLY_UPLOADS; i++)
+    {
+      exchange.upload = i % 2 != 0 ? UPLOAD_CHUNKED : UPLOAD_LENGTH;
+      run_exchange (&exchange);
+      SUITE_SEEDED (strncmp (exchange.answer, "HTTP/1.1 200 ", 13) == 0, i);
+    }
+  start = clk_now ();
+  while (count_descriptors () > before && clk_now () < start + EARLY_ENDS_US)
+    usleep (20000);
+  printf (" %d descriptors before, %d after;", before, count_descriptors ());
+  CU_ASSERT_TRUE (count_descriptors () <= before);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "start", start_gate },
+          { "connections of early answers",
+            test_connections_of_early_answers },
           { "answer cut during an upload", test_cut_during_upload },
           { "answer cut during an idempotent upload",
             test_cut_during_idempotent_upload },
