gate: the body of a request that was started is read while memory is short

What callers saw: an upload that began while memory was short got no answer until the timeout of its route.

Cause: while memory is short a connection has one request in its pipeline at most, and reading paused at that number, also for the body of that one request.

Why it works: the number of requests no longer pauses the body of a request that was started; a request behind it is still not read.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -137,14 +137,19 @@
 }
 
 /* Pauses reading while the pipeline or the last request body is at its limit,
-   resumes it otherwise.  */
+   resumes it otherwise.  The body of a request that was started is read, or it
+   would never end.  */
 static void
 gate_in_update_reading (struct gate_in *inbound)
 {
-  bool paused
-      = inbound->request_count >= gate_in_pipeline_max (inbound)
-        || (!list_empty (&inbound->requests)
-            && gate_held_body_is_full (gate_in_last_request (inbound)));
+  const struct gate_request *last = list_empty (&inbound->requests)
+                                        ? NULL
+                                        : gate_in_last_request (inbound);
+  bool reading_started = inbound->reading_body && last != NULL
+                         && last->kind != GATE_KIND_PENDING;
+  bool paused = (inbound->request_count >= gate_in_pipeline_max (inbound)
+                 && !reading_started)
+                || (last != NULL && gate_held_body_is_full (last));
 
   if (paused && !inbound->conn.io.paused)
     counter_add (COUNTER_REQUEST_READS_PAUSED, 1);
