front: a paused upload gets its refusal

What callers saw: an upload longer than 256 KiB that waited for a server until its time was over got no answer at all, and the node, when it stopped, waited for this caller up to its limit and exited with status 1.

Cause: the node pauses reading a long body while its server takes none of it. libwebsockets writes no answer while a request body is being read and reading is paused, and does not see that the caller leaves. Nothing resumed reading when the request was refused.

Change: reading goes on when the body is dropped, at a refusal and at the end of the answer; the bytes that still come are discarded until the answer is written.

--- a/tasks/front_call.c
+++ b/tasks/front_call.c
@@ -84,7 +84,8 @@
   free (call);
 }
 
-/* Frees the bytes of the body; later ones keep their offsets.  */
+/* Frees the bytes of the body; later ones keep their offsets.  Reading goes
+   on, because libwebsockets writes no answer while it is paused.  */
 static void
 front_call_release_body (struct front_call *call)
 {
@@ -92,6 +93,8 @@
 
   buf_free (&call->body);
   call->body.base = end;
+  if (call->wsi != NULL)
+    lws_rx_flow_control (call->wsi, 1);
 }
 
 /* Sets an answer that this node generates.  */
