--- a/tests/test_front_head.c
+++ b/tests/test_front_head.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -32,6 +33,12 @@
 #define LONG_CHUNKS 2000
 #define LONG_CHUNK_BYTES 1000
 
+/* Uploads during which an answer breaks off.  */
+#define UPLOAD_PIECE_BYTES (16 * 1024)
+#define UPLOAD_PIECE_DELAY_US 100
+#define UPLOAD_ANSWER_BYTES (300 * 1024)
+#define UPLOAD_UNREAD_WAIT_US 200000
+
 static const char document[]
     = "{\"format\": 1, \"callers\": {\"header\": \"x-caller-id\"},"
       " \"headers\": [\"x-caller-id\"],"
@@ -39,6 +46,9 @@
       " \"kinds\": [{\"name\": \"place\", \"method\": \"POST\","
       " \"path\": \"/\", \"importance\": 90, \"idempotent\": false,"
       " \"timeout_ms\": 8000, \"retries\": 1},"
+      " {\"name\": \"put\", \"method\": \"PUT\", \"path\": \"/\","
+      " \"importance\": 90, \"idempotent\": true, \"timeout_ms\": 8000,"
+      " \"retries\": 2},"
       " {\"name\": \"read\", \"method\": \"GET\", \"path\": \"/\","
       " \"importance\": 50, \"idempotent\": true, \"timeout_ms\": 8000,"
       " \"retries\": 2}]}]}";
@@ -94,6 +104,10 @@
 #define COUNT_OF(array) (sizeof (array) / sizeof (array)[0])
 
 static struct sweep sweep;
+/* Uploads that have reached the server, and answers to them that have broken
+   off.  */
+static atomic_int upload_runs;
+static atomic_int upload_cuts;
 /* Requests for a status that have reached the server.  */
 static atomic_int status_runs;
 static atomic_uint next_key;
@@ -115,6 +129,9 @@
 
   if (end == NULL)
     return false;
+  /* The server answers these before it has read their bodies.  */
+  if (strstr (text, " /upload/") != NULL)
+    return true;
   if (chunked != NULL && chunked < end)
     return strstr (end + 2, "\r\n0\r\n\r\n") != NULL;
   return length == NULL || length > end
@@ -166,6 +183,60 @@
     net_send_text (fd, "0\r\n\r\n");
 }
 
+/* Writes a long answer without end to OUT; returns the bytes before its body.
+ */
+static size_t
+write_long_answer (char *out, enum framing framing)
+{
+  static const char *const fields[FRAMING_COUNT]
+      = { [FRAMING_LENGTH] = "Content-Length: 9000000\r\n",
+          [FRAMING_CHUNKED] = "Transfer-Encoding: chunked\r\n",
+          [FRAMING_CLOSE] = "" };
+  size_t head_len
+      = (size_t)sprintf (out, "HTTP/1.1 200 OK\r\n%s\r\n", fields[framing]);
+  size_t len = head_len;
+
+  while (len < UPLOAD_ANSWER_BYTES - LONG_CHUNK_BYTES - 16)
+    {
+      if (framing == FRAMING_CHUNKED)
+        len += (size_t)sprintf (out + len, "%x\r\n", LONG_CHUNK_BYTES);
+      memset (out + len, 'x', LONG_CHUNK_BYTES);
+      len += LONG_CHUNK_BYTES;
+      if (framing == FRAMING_CHUNKED)
+        len += (size_t)sprintf (out + len, "\r\n");
+    }
+  return head_len;
+}
+
+/* Answers an upload with the beginning of an answer that PATH selects,
+   "/upload/FRAMING/RESET/DELAY/AT", and ends the connection: by a reset, or by
+   closing it while bytes of the upload are unread.  */
+static void
+send_cut_during_upload (int fd, const char *path)
+{
+  struct linger reset = { .l_onoff = 1 };
+  char *out = malloc (UPLOAD_ANSWER_BYTES);
+  unsigned framing = 0;
+  unsigned by_reset = 0;
+  unsigned delay_us = 0;
+  size_t at = 0;
+  int unread = 0;
+
+  sscanf (path, "/upload/%u/%u/%u/%zu ", &framing, &by_reset, &delay_us, &at);
+  upload_runs++;
+  write_long_answer (out, (enum framing)framing);
+  (void)!write (fd, out, at);
+  free (out);
+  usleep (delay_us);
+  if (by_reset != 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  else
+    for (int i = 0; i < UPLOAD_UNREAD_WAIT_US / 100 && unread == 0; i++)
+      if (ioctl (fd, FIONREAD, &unread) != 0 || unread == 0)
+        usleep (100);
+  upload_cuts++;
+}
+
 /* Answers with the status that PATH selects, "/status/STATUS/VERSION".  */
 static void
 send_status (int fd, const char *path)
@@ -214,6 +285,11 @@
             break;
           continue;
         }
+      if (strstr (text, " /upload/") != NULL)
+        {
+          send_cut_during_upload (fd, strstr (text, "/upload/"));
+          break;
+        }
       if (strstr (text, " /status/") != NULL)
         {
           send_status (fd, strstr (text, "/status/"));
@@ -607,6 +683,160 @@
                    2 * COUNT_OF (bad_statuses) + COUNT_OF (good_statuses) + 1);
 }
 
+/* An upload, and what its caller sees.  */
+struct upload
+{
+  int fd;
+  size_t body_bytes;
+  bool held;   /* the last piece comes after the end of the answer */
+  bool failed; /* the connection was reset */
+  size_t answer_len;
+  char answer[2 * UPLOAD_ANSWER_BYTES];
+};
+
+/* Writes the body of an upload.  */
+static void *
+write_upload (void *arg)
+{
+  static const char piece[UPLOAD_PIECE_BYTES];
+  struct upload *upload = arg;
+  int cuts_before = upload_cuts;
+  size_t sent = 0;
+
+  while (sent < upload->body_bytes)
+    {
+      bool last = upload->body_bytes - sent <= sizeof piece;
+      size_t len = last ? upload->body_bytes - sent : sizeof piece;
+      ssize_t written;
+
+      for (int i = 0;
+           upload->held && last && upload_cuts == cuts_before && i < 4000; i++)
+        usleep (1000);
+      written = write (upload->fd, piece, len);
+      if (written <= 0)
+        {
+          upload->failed = true;
+          break;
+        }
+      sent += (size_t)written;
+      usleep (UPLOAD_PIECE_DELAY_US);
+    }
+  return NULL;
+}
+
+static void
+make_upload (struct upload *upload, const char *method, const char *path)
+{
+  pthread_t writer;
+  char text[512];
+  ssize_t received;
+
+  upload->fd = net_connect (listen_address);
+  upload->failed = false;
+  upload->answer_len = 0;
+  snprintf (text, sizeof text,
+            "%s %s HTTP/1.1\r\nHost: a\r\nX-Caller-Id: c\r\n"
+            "Connection: close\r\nIdempotency-Key: k%u\r\n"
+            "Content-Length: %zu\r\n\r\n",
+            method, path, next_key++, upload->body_bytes);
+  net_send_text (upload->fd, text);
+  pthread_create (&writer, NULL, write_upload, upload);
+  do
+    {
+      received = read (upload->fd, upload->answer + upload->answer_len,
+                       sizeof upload->answer - 1 - upload->answer_len);
+      if (received > 0)
+        upload->answer_len += (size_t)received;
+      upload->answer[upload->answer_len] = '\0';
+    }
+  while (received > 0
+         && !(strncmp (upload->answer, "HTTP/1.1 502 ", 13) == 0
+              && is_whole (upload->answer)));
+  pthread_join (writer, NULL);
+  close (upload->fd);
+}
+
+/* Makes uploads for all answers that break off: in their head, after it, and
+   in their body.  The caller must learn that the request may have run, or see
+   that the answer breaks off; and it must have reached the server at most as
+   often as it may.  */
+static void
+run_uploads (const char *method, int runs_max)
+{
+  static const size_t bodies[] = { 400 * 1024, 1024 * 1024 };
+  static struct upload upload;
+  static char answer[UPLOAD_ANSWER_BYTES];
+  int runs_before = upload_runs;
+  int refused = 0;
+  int count = 0;
+
+  for (unsigned i = 0; i < 8 * FRAMING_COUNT; i++)
+    {
+      size_t head_len = write_long_answer (answer, (enum framing) (i / 8));
+      const size_t positions[] = { 0,
+                                   9,
+                                   head_len - 1,
+                                   head_len,
+                                   head_len + 5,
+                                   head_len + 3000,
+                                   head_len + 100000,
+                                   head_len + 250000 };
+
+      for (size_t j = 0; j < COUNT_OF (positions); j++)
+        {
+          unsigned long long seed = i * 1000000ull + positions[j];
+          int runs = upload_runs;
+          char path[64];
+
+          announce_server ();
+          snprintf (path, sizeof path, "/upload/%u/%u/%u/%zu", i / 8, i % 2,
+                    i / 2 % 2 * 3000, positions[j]);
+          /* The node sends a request that must not run twice when it has the
+             whole body, which is shorter then.  */
+          upload.held = runs_max > 1;
+          upload.body_bytes = upload.held ? bodies[i / 4 % 2] : 200 * 1024;
+          make_upload (&upload, method, path);
+          runs = upload_runs - runs;
+          count++;
+          SUITE_SEEDED (runs >= 1 && runs <= runs_max, seed);
+          if (strncmp (upload.answer, "HTTP/1.1 502 ", 13) == 0)
+            {
+              SUITE_SEEDED (strstr (upload.answer, "; unknown\"") != NULL,
+                            seed);
+              SUITE_SEEDED (strstr (upload.answer, "xx") == NULL, seed);
+              refused++;
+              continue;
+            }
+          SUITE_SEEDED (positions[j] > head_len, seed);
+          SUITE_SEEDED (upload.failed || upload.answer_len > 0, seed);
+          SUITE_SEEDED (upload.answer_len == 0
+                            || strstr (upload.answer, "chunked\r\n") != NULL
+                            || strstr (upload.answer, "9000000\r\n") != NULL,
+                        seed);
+          SUITE_SEEDED (strstr (upload.answer, "\r\n0\r\n") == NULL, seed);
+        }
+    }
+  printf (" %s: %d uploads, %d requests reached the server, %d refused;",
+          method, count, upload_runs - runs_before, refused);
+  announce_server ();
+  CU_ASSERT_TRUE (is_served (method));
+}
+
+/* Guards against the part of an answer that the caller gets as a whole one:
+   the server answers at once, while the upload is being written, and resets or
+   closes the connection.  And against a caller that gets no answer, because
+   the node has stopped reading the upload.  */
+static void
+test_cut_during_upload (void)
+{
+  int recorded_before = recorded_answers;
+
+  run_uploads ("POST", 1);
+  /* That of the request after the uploads.  */
+  CU_ASSERT_EQUAL (recorded_answers - recorded_before, 1);
+  run_uploads ("PUT", ATTEMPTS_MAX);
+}
+
 int
 main (void)
 {
@@ -615,6 +845,7 @@
           { "answers in parts", test_answers_in_parts },
           { "long answers", test_long_answers },
           { "status of the server out of range", test_status_of_server },
+          { "answers cut during an upload", test_cut_during_upload },
           { "answers cut by the server", test_cut_answers },
           { "answers to non-idempotent requests", test_cut_answers_run_once },
           { NULL, NULL } };
