--- a/tasks/front_held.c
+++ b/tasks/front_held.c
@@ -2,6 +2,7 @@
 #include <string.h>
 #include <sys/resource.h>
 
+#include "core/counter.h"
 #include "core/err.h"
 #include "core/slog.h"
 #include "tasks/front_state.h"
@@ -13,9 +14,10 @@
 /* Process memory without a setting.  */
 #define FRONT_HELD_MEMORY_BYTES (256ull * 1024 * 1024)
 /* Part of the process memory that clients may hold, and the part of it for
-   those that hold a long body each.  The rest is for the process itself and
-   for memory that the allocator does not give back.  */
-#define FRONT_HELD_PERCENT 50u
+   those that hold a long body each.  The rest is for the process itself, for
+   memory that the allocator does not give back, and for bytes that the kernel
+   holds unread, which count for the machine, too.  */
+#define FRONT_HELD_PERCENT 40u
 #define FRONT_HELD_LARGE_PERCENT 75u
 /* A connection with the memory of libwebsockets for its header fields.  */
 #define FRONT_HELD_CONN_BYTES (FRONT_HEADER_BYTES + 4096u)
@@ -215,6 +217,7 @@
 front_held_log_drop (const struct front *front, const char *kind,
                      uint64_t bytes, bool stopped)
 {
+  counter_add (COUNTER_CONNECTIONS_GAVE_WAY, 1);
   slog (SLOG_WARNING,
         "client dropped kind=%s bytes=%llu stopped=%d held_kb=%llu "
         "held_kb_max=%llu",
