--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -10,8 +10,8 @@
 #include "tests/net.h"
 #include "tests/suite.h"
 
-/* The gate is told that its process has this memory; connections may hold half
-   of it, and large ones three quarters of that half.  */
+/* The gate is told that its process has this memory; connections may hold two
+   fifths of it, and large ones three quarters of that.  */
 #define MEMORY_BYTES (8u * 1024 * 1024)
 /* Bodies of the crowd, too short to be forwarded before they are complete, and
    so many that together they exceed the limit.  */
