tests: a crowd that sends to a suspended node

What callers saw: nothing yet. A node whose kernel holds more for it than its machine has is killed there (DEPLOY, Memory and descriptors), and its callers lose their requests.

The account of what connections hold does not count these bytes, and nothing bounds them. How many there are depends on how fast the node reads.

Change: mesh_crowd_suspended suspends the node while the crowd sends, so that the figure does not depend on the speed of the machine. Crowd and bounds are those of mesh_crowd_nodes.

--- a/scripts/mesh_crowd.sh
+++ b/scripts/mesh_crowd.sh
@@ -274,17 +274,30 @@
     --data-binary "@$MESH_DIR/upload") || crowd_fail "upload $1: $status"
 }
 
+# crowd_signal SIGNAL: sends it to the processes in CROWD_SUSPENDED.
+crowd_signal () {
+  local name
+  for name in ${CROWD_SUSPENDED:-}; do mesh_signal "$name" "$1"; done
+}
+
 # crowd_run CASE ADDRESS CROWD FLAG...: lets a crowd loose on ADDRESS, and
-# checks all processes and requests meanwhile and afterwards.
+# checks all processes and requests meanwhile and afterwards.  The processes in
+# CROWD_SUSPENDED are suspended while the crowd comes.
 crowd_run () {
   CROWD_CASE=$1
   : >"$MESH_DIR/samples"
   crowd_sample_all >"$MESH_DIR/samples" &
   MESH_PID[sampler]=$!
   crowd_check_upload before
+  crowd_signal STOP
   mesh_start_process crowd "$MESH_BIN/tests/crowd" --to "$2" \
     --id-field X-Sycamorerudder-Request-Id --status "$MESH_DIR/status" "${@:3}"
   crowd_wait_until_settled
+  if [ -n "${CROWD_SUSPENDED:-}" ]; then
+    crowd_signal CONT
+    crowd_wait_until_settled
+    crowd_wait_until_ready
+  fi
   crowd_check_served during
   mesh_is_running crowd || crowd_fail "the crowd has ended"
   mesh_kill crowd
