hconn: bound what the kernel holds unread

What callers saw: nothing yet; a node that uses more than the memory of its machine is killed there, and its callers lose their requests.

Cause: the account of what connections hold counts the bytes that the node has read. Those that wait in the kernel count for the machine, too, and only the kernel's own limits held them: 64 KiB and more for a connection that was not read yet, millions of bytes for one that was read fast and then paused, also for answers of servers and of other nodes. How many there were depended on how soon the node read.

Change: listeners and outbound connections ask for a receive buffer of 8 KiB, which also keeps the kernel from enlarging it; accepted connections inherit it before they are accepted. A connection that receives a longer body gets one of 192 KiB, as long as these take less than a tenth of the memory of the process; beyond that, one that is between two messages or has stopped for 1 s loses it. A receive buffer in use is never made smaller: the kernel drops what is on its way then.

--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -14,6 +14,9 @@
    bytes that the kernel holds unread, which count for the machine, too.  */
 #define GATE_HELD_PERCENT 40u
 #define GATE_HELD_LARGE_PERCENT 75u
+/* Part of the process memory that the kernel may use for wide receive
+   buffers.  */
+#define GATE_HELD_WIDE_PERCENT 10u
 /* An ordinary request with its answer.  */
 #define GATE_HELD_SMALL_BYTES (64u * 1024)
 /* Bytes of a body that are buffered while memory is short, if a server may be
@@ -25,13 +28,29 @@
    some.  */
 #define GATE_HELD_STOPPED_US clk_s (1)
 
+static uint64_t
+gate_held_memory_bytes (const struct gate *gate)
+{
+  return gate->opts.memory_bytes != 0 ? gate->opts.memory_bytes
+                                      : GATE_MEMORY_BYTES;
+}
+
+static struct hconn_windows_opts
+gate_held_windows_opts (const struct gate *gate)
+{
+  uint64_t wide_bytes
+      = gate_held_memory_bytes (gate) / 100 * GATE_HELD_WIDE_PERCENT;
+
+  return (struct hconn_windows_opts){
+    .wide_max = (uint32_t)(wide_bytes / (2 * HCONN_WIDE_BYTES)),
+    .stopped_after = GATE_HELD_STOPPED_US
+  };
+}
+
 static struct held_opts
 gate_held_opts (const struct gate *gate)
 {
-  uint64_t memory_bytes = gate->opts.memory_bytes != 0
-                              ? gate->opts.memory_bytes
-                              : GATE_MEMORY_BYTES;
-  uint64_t bytes_max = memory_bytes / 100 * GATE_HELD_PERCENT;
+  uint64_t bytes_max = gate_held_memory_bytes (gate) / 100 * GATE_HELD_PERCENT;
 
   return (struct held_opts){ .bytes_max = bytes_max,
                              .large_bytes_max
@@ -44,14 +63,17 @@
 gate_held_init (struct gate *gate)
 {
   struct held_opts opts = gate_held_opts (gate);
+  struct hconn_windows_opts windows_opts = gate_held_windows_opts (gate);
 
   held_init (&gate->held, &opts);
+  hconn_windows_init (&gate->windows, &windows_opts);
 }
 
 void
 gate_held_reload (struct gate *gate)
 {
   gate->held.opts = gate_held_opts (gate);
+  gate->windows.opts = gate_held_windows_opts (gate);
 }
 
 static uint64_t
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -736,7 +736,8 @@
           .role = HTTPMSG_REQUEST,
           .names = gate->opts.adapter->names,
           .header_bytes_max = gate_limits (gate)->header_bytes,
-          .unacked_timeout_ms = GATE_IN_UNACKED_TIMEOUT_MS };
+          .unacked_timeout_ms = GATE_IN_UNACKED_TIMEOUT_MS,
+          .windows = &gate->windows };
   struct gate_in *inbound;
 
   if (!gate_in_make_place (gate, port))
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -306,13 +306,13 @@
 static struct gate_out *
 gate_out_connect (struct gate *gate, struct gate_pool *pool)
 {
-  struct hconn_opts opts
-      = { .loop = gate->loop,
-          .events = &gate_out_events,
-          .role = HTTPMSG_ANSWER,
-          .names = gate->opts.adapter->names,
-          .header_bytes_max = GATE_OUT_HEADER_BYTES_MAX,
-          .unacked_timeout_ms = GATE_OUT_UNACKED_TIMEOUT_MS };
+  struct hconn_opts opts = { .loop = gate->loop,
+                             .events = &gate_out_events,
+                             .role = HTTPMSG_ANSWER,
+                             .names = gate->opts.adapter->names,
+                             .header_bytes_max = GATE_OUT_HEADER_BYTES_MAX,
+                             .unacked_timeout_ms = GATE_OUT_UNACKED_TIMEOUT_MS,
+                             .windows = &gate->windows };
   struct gate_out *outbound = calloc (1, sizeof *outbound);
 
   INVARIANT (outbound != NULL);
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -289,13 +289,14 @@
   bool crash_marks_changed; /* since they were sent to the control task */
   struct list inbound;      /* struct gate_in */
   uint32_t inbound_count;
-  struct held held;       /* what the inbound connections hold */
-  clk_us held_trimmed_at; /* last time that all bodies were trimmed */
-  struct list calls;      /* struct gate_call */
-  struct list serves;     /* struct gate_serve */
-  struct htable pools;    /* struct gate_pool */
-  uint64_t out_serial;    /* serial of the newest outbound connection */
-  struct carried carried; /* requests on connections to the server */
+  struct held held;             /* what the inbound connections hold */
+  clk_us held_trimmed_at;       /* last time that all bodies were trimmed */
+  struct hconn_windows windows; /* of all connections */
+  struct list calls;            /* struct gate_call */
+  struct list serves;           /* struct gate_serve */
+  struct htable pools;          /* struct gate_pool */
+  uint64_t out_serial;          /* serial of the newest outbound connection */
+  struct carried carried;       /* requests on connections to the server */
   /* struct gate_request awaiting a reply of the control task */
   struct list api_requests;
   uint64_t next_api_id;
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -51,6 +51,7 @@
   if (fd < 0)
     return fd;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  hconn_window_init (fd);
   if (bind (fd, (struct sockaddr *)&sockaddr, sizeof sockaddr) == 0
       && listen (fd, HCONN_BACKLOG) == 0)
     return fd;
@@ -156,7 +157,10 @@
           hconn_report_end (conn, hconn_end_from_error (error));
           return;
         }
-      if (conn->opts.events->received != NULL && !conn->closed)
+      if (conn->closed)
+        return;
+      hconn_window_update (conn, (size_t)len);
+      if (conn->opts.events->received != NULL)
         conn->opts.events->received (conn);
       if ((size_t)len < sizeof buffer)
         return;
@@ -291,6 +295,8 @@
   conn->any_written = false;
   conn->close_when_flushed = false;
   conn->lingering = false;
+  conn->window_node = (struct list_node){ 0 };
+  conn->body_read_bytes = 0;
   httpmsg_init (&conn->parser, &parser);
   conn->close_timer.fire = hconn_destroy;
   conn->io.readable = hconn_handle_readable;
@@ -323,6 +329,7 @@
 
   if (fd < 0)
     return fd;
+  hconn_window_init (fd);
   if (connect (fd, (struct sockaddr *)&sockaddr, sizeof sockaddr) != 0
       && errno != EINPROGRESS)
     {
@@ -361,6 +368,7 @@
   if (conn->closed)
     return;
   conn->closed = true;
+  hconn_window_release (conn);
   loop_close (&conn->io, reset);
   conn->close_timer.fire = hconn_destroy;
   loop_set_timer (conn->opts.loop, &conn->close_timer,
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -18,6 +18,28 @@
 #define HCONN_HIGH_WATER_BYTES (64 * 1024)
 #define HCONN_LOW_WATER_BYTES (16 * 1024)
 
+/* Receive buffer of a connection, as SO_RCVBUF; the kernel uses up to twice as
+   much memory.  It is narrow until a long body is received.  The wide one is
+   within the default of net.core.rmem_max.  */
+#define HCONN_NARROW_BYTES (8 * 1024)
+#define HCONN_WIDE_BYTES (192 * 1024)
+
+/* Connections with a wide receive buffer.  Their number is bounded, since what
+   the kernel holds counts for the memory of the machine.  */
+struct hconn_windows_opts
+{
+  uint32_t wide_max;
+  clk_us stopped_after; /* time without a read after which a connection in a
+                           message gives its wide buffer to another one */
+};
+
+struct hconn_windows
+{
+  struct hconn_windows_opts opts;
+  uint32_t wide_count;
+  struct list wide; /* struct hconn, the one read least recently first */
+};
+
 struct hconn;
 
 /* Why a connection ended.  */
@@ -56,6 +78,7 @@
   const struct httpmsg_names *names;
   size_t header_bytes_max;
   uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: system default */
+  struct hconn_windows *windows;
 };
 
 struct hconn
@@ -65,6 +88,9 @@
   struct httpmsg_parser parser;
   struct buf send_buf;           /* unsent bytes */
   struct loop_timer close_timer; /* end of lingering, then @destroy */
+  struct list_node window_node;  /* windows->wide */
+  clk_us window_read_at;         /* last read while it is wide */
+  uint64_t body_read_bytes;      /* about, of the body that is being read */
   int write_error; /* errno of a failed write; the kernel reports it once */
   bool connected;
   bool closed;             /* hconn_close() was called */
@@ -73,6 +99,10 @@
   bool lingering; /* shut down for sending; received bytes are discarded */
 };
 
+/* OPTS is copied.  */
+void hconn_windows_init (struct hconn_windows *windows,
+                         const struct hconn_windows_opts *opts);
+
 /* Takes over an accepted socket.  SR_OK, or SR_EIO after closing FD.  */
 int hconn_adopt (struct hconn *conn, const struct hconn_opts *opts, int fd);
 
@@ -111,6 +141,15 @@
    instead of an orderly close.  */
 void hconn_close (struct hconn *conn, bool reset);
 
+/* hconn_window.c; for hconn.c only */
+/* Makes the receive buffer of a socket narrow; connections that a listener
+   accepts inherit it.  */
+void hconn_window_init (int fd);
+/* Adapts the receive buffer after LEN bytes were read and parsed.  */
+void hconn_window_update (struct hconn *conn, size_t len);
+/* To be called before the connection is closed.  */
+void hconn_window_release (struct hconn *conn);
+
 /* Opens a non-blocking listener on "IP:PORT".  Its descriptor, SR_EINVAL or
    SR_EIO.  */
 int hconn_listen (const char *address);
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -494,6 +494,53 @@
   received_free (&received);
 }
 
+static void
+test_body_rest (void)
+{
+  static const struct
+  {
+    const char *text;
+    enum httpmsg_role role;
+    bool in_body;
+    uint64_t rest;
+  } rows[] = {
+    { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n", HTTPMSG_REQUEST,
+      false, 0 },
+    { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n",
+      HTTPMSG_REQUEST, true, 9 },
+    { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n12345678",
+      HTTPMSG_REQUEST, true, 1 },
+    { "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n123456789",
+      HTTPMSG_REQUEST, false, 0 },
+    { "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n1",
+      HTTPMSG_REQUEST, true, 0 },
+    { "GET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTPMSG_REQUEST, false, 0 },
+    { "HTTP/1.1 200 OK\r\n\r\n12", HTTPMSG_ANSWER, true, UINT64_MAX },
+    { "HTTP/1.1 100 Continue\r\n\r\n", HTTPMSG_ANSWER, false, 0 },
+  };
+
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      struct received received = { 0 };
+      struct httpmsg_opts opts = { .role = rows[i].role,
+                                   .names = &names,
+                                   .sink = &sink,
+                                   .arg = &received,
+                                   .max_header_bytes = 1024 };
+      struct httpmsg_parser parser;
+
+      httpmsg_init (&parser, &opts);
+      SUITE_SEEDED (httpmsg_feed (&parser, rows[i].text, strlen (rows[i].text))
+                        == SR_OK,
+                    i);
+      SUITE_SEEDED (httpmsg_in_body (&parser) == rows[i].in_body, i);
+      SUITE_SEEDED (httpmsg_body_rest (&parser) == rows[i].rest, i);
+      httpmsg_fini (&parser);
+      httpmsg_head_fini (&received.head);
+      buf_free (&received.body);
+    }
+}
+
 int
 main (void)
 {
@@ -509,6 +556,7 @@
           { "interim responses", test_interim_responses },
           { "interim responses without end", test_endless_interim_responses },
           { "stored field that is too long", test_overlong_stored_field },
+          { "rest of a body", test_body_rest },
           { "random bytes", test_random_bytes },
           { NULL, NULL } };
 
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -565,3 +565,17 @@
 {
   return parser->in_message;
 }
+
+bool
+httpmsg_in_body (const struct httpmsg_parser *parser)
+{
+  return parser->in_message && parser->head_done;
+}
+
+uint64_t
+httpmsg_body_rest (const struct httpmsg_parser *parser)
+{
+  if (!httpmsg_in_body (parser) || (parser->http.flags & F_CHUNKED) != 0)
+    return 0;
+  return parser->http.content_length;
+}
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -177,6 +177,13 @@
 /* Whether a message has begun and not ended.  */
 bool httpmsg_in_message (const struct httpmsg_parser *parser);
 
+/* Whether its header is complete and its body is not.  */
+bool httpmsg_in_body (const struct httpmsg_parser *parser);
+
+/* Bytes that the body is known to lack, 0 when it is chunked; UINT64_MAX when
+   it ends with the connection.  */
+uint64_t httpmsg_body_rest (const struct httpmsg_parser *parser);
+
 /* Frees the contents of HEAD and clears it.  */
 void httpmsg_head_fini (struct httpmsg_head *head);
 
