hconn: a wide receive buffer is kept until the connection ends

Cause: a connection between two messages, or silent for 1 s, lost its wide buffer to another one. The window it had offered cannot be taken back. A segment that is larger than the narrow buffer takes is dropped by the kernel, and the sender repeats it after its timeout. Between two messages nothing is on its way, but the next message may be as long as the last one.

Change: no buffer is made smaller; the place of a connection is free when it ends. The wide buffer is 64 KiB: the handshake is made with a narrow one and allows no larger window (65,535 bytes measured), so that 192 KiB were memory for nothing, and three times as many connections can have it.

--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -35,16 +35,11 @@
                                       : GATE_MEMORY_BYTES;
 }
 
-static struct hconn_windows_opts
-gate_held_windows_opts (const struct gate *gate)
+static uint32_t
+gate_held_wide_max (const struct gate *gate)
 {
-  uint64_t wide_bytes
-      = gate_held_memory_bytes (gate) / 100 * GATE_HELD_WIDE_PERCENT;
-
-  return (struct hconn_windows_opts){
-    .wide_max = (uint32_t)(wide_bytes / (2 * HCONN_WIDE_BYTES)),
-    .stopped_after = GATE_HELD_STOPPED_US
-  };
+  return (uint32_t)(gate_held_memory_bytes (gate) / 100
+                    * GATE_HELD_WIDE_PERCENT / (2 * HCONN_WIDE_BYTES));
 }
 
 static struct held_opts
@@ -63,17 +58,16 @@
 gate_held_init (struct gate *gate)
 {
   struct held_opts opts = gate_held_opts (gate);
-  struct hconn_windows_opts windows_opts = gate_held_windows_opts (gate);
 
   held_init (&gate->held, &opts);
-  hconn_windows_init (&gate->windows, &windows_opts);
+  gate->windows.wide_max = gate_held_wide_max (gate);
 }
 
 void
 gate_held_reload (struct gate *gate)
 {
   gate->held.opts = gate_held_opts (gate);
-  gate->windows.opts = gate_held_windows_opts (gate);
+  gate->windows.wide_max = gate_held_wide_max (gate);
 }
 
 static uint64_t
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -295,7 +295,7 @@
   conn->any_written = false;
   conn->close_when_flushed = false;
   conn->lingering = false;
-  conn->window_node = (struct list_node){ 0 };
+  conn->wide = false;
   conn->body_read_bytes = 0;
   httpmsg_init (&conn->parser, &parser);
   conn->close_timer.fire = hconn_destroy;
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -19,25 +19,19 @@
 #define HCONN_LOW_WATER_BYTES (16 * 1024)
 
 /* Receive buffer of a connection, as SO_RCVBUF; the kernel uses up to twice as
-   much memory.  It is narrow until a long body is received.  The wide one is
-   within the default of net.core.rmem_max.  */
+   much memory.  It is wide from the first long body to the end of the
+   connection: the kernel drops what is on its way to a buffer that was made
+   smaller, and the sender repeats it only after its timeout.  The handshake,
+   made with a narrow buffer, allows no window of more than 64 KiB.  */
 #define HCONN_NARROW_BYTES (8 * 1024)
-#define HCONN_WIDE_BYTES (192 * 1024)
+#define HCONN_WIDE_BYTES (64 * 1024)
 
 /* Connections with a wide receive buffer.  Their number is bounded, since what
    the kernel holds counts for the memory of the machine.  */
-struct hconn_windows_opts
-{
-  uint32_t wide_max;
-  clk_us stopped_after; /* time without a read after which a connection in a
-                           message gives its wide buffer to another one */
-};
-
 struct hconn_windows
 {
-  struct hconn_windows_opts opts;
+  uint32_t wide_max;
   uint32_t wide_count;
-  struct list wide; /* struct hconn, the one read least recently first */
 };
 
 struct hconn;
@@ -77,8 +71,8 @@
   enum httpmsg_role role; /* of the messages that are read */
   const struct httpmsg_names *names;
   size_t header_bytes_max;
-  uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: system default */
-  struct hconn_windows *windows;
+  uint32_t unacked_timeout_ms;   /* TCP_USER_TIMEOUT; 0: system default */
+  struct hconn_windows *windows; /* shared by connections; outlives them */
 };
 
 struct hconn
@@ -88,9 +82,8 @@
   struct httpmsg_parser parser;
   struct buf send_buf;           /* unsent bytes */
   struct loop_timer close_timer; /* end of lingering, then @destroy */
-  struct list_node window_node;  /* windows->wide */
-  clk_us window_read_at;         /* last read while it is wide */
-  uint64_t body_read_bytes;      /* about, of the body that is being read */
+  uint64_t body_read_bytes; /* read since the body began, while not @wide */
+  bool wide;                /* has a wide receive buffer */
   int write_error; /* errno of a failed write; the kernel reports it once */
   bool connected;
   bool closed;             /* hconn_close() was called */
@@ -99,10 +92,6 @@
   bool lingering; /* shut down for sending; received bytes are discarded */
 };
 
-/* OPTS is copied.  */
-void hconn_windows_init (struct hconn_windows *windows,
-                         const struct hconn_windows_opts *opts);
-
 /* Takes over an accepted socket.  SR_OK, or SR_EIO after closing FD.  */
 int hconn_adopt (struct hconn *conn, const struct hconn_opts *opts, int fd);
 
@@ -145,7 +134,8 @@
 /* Makes the receive buffer of a socket narrow; connections that a listener
    accepts inherit it.  */
 void hconn_window_init (int fd);
-/* Adapts the receive buffer after LEN bytes were read and parsed.  */
+/* Makes it wide after LEN bytes were read and parsed, if they belong to a long
+   body and there are not too many wide ones.  */
 void hconn_window_update (struct hconn *conn, size_t len);
 /* To be called before the connection is closed.  */
 void hconn_window_release (struct hconn *conn);
