gate_in: refused uploads keep no descriptors beyond the limit

What callers saw: at the limit of inbound connections, with unfinished uploads that had stopped, new connections were accepted until the descriptors of the process were used up. Then every new one, of callers and at the port for readiness, was closed without an answer, for up to 2 s.

Cause: gate_in_make_place() lets a stopped connection give way and accepts the new one at once. An upload that gives way gets its 503 and lingers for up to 2 s, so both hold a descriptor. The quarter of the descriptors that is kept for connections to servers and other nodes was used up by them.

Evidence: test_gate_held, "refused uploads make place": 90 unfinished bodies, a pause, 90 more, a limit of 90 connections of 120 descriptors. The test counts after the gate has accepted all of them, told by two requests on one other connection, so that the count does not depend on speed.

Change: connections that linger are on an intrusive list, the one that began to first. At the limit the first of them is closed. Without one, a stopped connection gives way and is closed right after its refusal was written. So each connection that is accepted at the limit has one closed before it, and the number does not grow. Only connections of other nodes may go beyond it, as before, if there is nothing to close, and a refused upload behind pipelined requests that may be running keeps its connection until they are answered.

Lingering ones go first because their answer has been sent, while one that gives way loses its request. To keep some descriptors for lingering would not bound a crowd larger than the reserve, and to refuse new callers meanwhile would let uploads that have stopped keep out those that move. hconn_close() of a lingering connection now reads what has arrived, as closing with unread bytes sends a reset that may discard the answer.

--- a/tasks/gate.c
+++ b/tasks/gate.c
@@ -58,6 +58,7 @@
   INVARIANT (gate != NULL);
   gate->opts = *opts;
   list_init (&gate->inbound);
+  list_init (&gate->lingering);
   list_init (&gate->calls);
   list_init (&gate->serves);
   list_init (&gate->api_requests);
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -708,23 +708,46 @@
     gate_in_close (inbound, false);
 }
 
+/* Closes the connection that has lingered for longest; false if none does.  */
+static bool
+gate_in_close_lingering (struct gate *gate)
+{
+  struct list_node *node = list_first (&gate->lingering);
+
+  if (node == NULL)
+    return false;
+  gate_in_close (list_entry (list_entry (node, struct hconn, linger_node),
+                             struct gate_in, conn),
+                 false);
+  return true;
+}
+
 /* Makes place for another inbound connection; false if it is to be refused,
-   because there are as many as there may be and all are in use.  Other nodes
-   are not refused: the number of their connections is bounded by what this
-   node's server runs and queues.  */
+   because there are as many as there may be and all are in use.  One that
+   lingers is closed first, since its answer has been sent.  One that gives way
+   does not linger, since the new one needs its descriptor.  Other nodes are
+   not refused: the number of their connections is bounded by what this node's
+   server runs and queues.  */
 static bool
 gate_in_make_place (struct gate *gate, enum gate_port port)
 {
   uint32_t count_max = (uint32_t)((uint64_t)gate->opts.descriptors_max
                                   * GATE_IN_DESCRIPTORS_PERCENT / 100);
   struct held_item *stopped;
+  struct gate_in *inbound;
 
-  if (gate->inbound_count < count_max)
+  if (gate->inbound_count < count_max || gate_in_close_lingering (gate))
     return true;
   stopped = held_find_stopped (&gate->held, loop_now (gate->loop));
-  if (stopped != NULL)
-    gate_in_give_way (list_entry (stopped, struct gate_in, held));
-  return stopped != NULL || port != GATE_PORT_CALLERS;
+  if (stopped == NULL)
+    return port != GATE_PORT_CALLERS;
+  inbound = list_entry (stopped, struct gate_in, held);
+  gate_in_give_way (inbound);
+  /* Requests before the one that is refused may be running.  Bytes are unsent
+     if the caller does not read.  */
+  if (inbound->ended)
+    gate_in_close (inbound, inbound->conn.send_buf.len > 0);
+  return true;
 }
 
 void
@@ -737,7 +760,8 @@
           .names = gate->opts.adapter->names,
           .header_bytes_max = gate_limits (gate)->header_bytes,
           .unacked_timeout_ms = GATE_IN_UNACKED_TIMEOUT_MS,
-          .windows = &gate->windows };
+          .windows = &gate->windows,
+          .lingering = &gate->lingering };
   struct gate_in *inbound;
 
   if (!gate_in_make_place (gate, port))
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -289,6 +289,7 @@
   bool crash_marks_changed; /* since they were sent to the control task */
   struct list inbound;      /* struct gate_in */
   uint32_t inbound_count;
+  struct list lingering;        /* struct hconn of inbound connections */
   struct held held;             /* what the inbound connections hold */
   clk_us held_trimmed_at;       /* last time that all bodies were trimmed */
   struct hconn_windows windows; /* of all connections */
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -119,6 +119,8 @@
   if (conn->lingering)
     return;
   conn->lingering = true;
+  if (conn->opts.lingering != NULL)
+    list_push_tail (conn->opts.lingering, &conn->linger_node);
   shutdown (conn->io.fd, SHUT_WR);
   loop_pause_reading (&conn->io, false);
   conn->close_timer.fire = hconn_handle_linger_timeout;
@@ -296,6 +298,7 @@
   conn->close_when_flushed = false;
   conn->lingering = false;
   conn->window_node = (struct list_node){ 0 };
+  conn->linger_node = (struct list_node){ 0 };
   conn->body_read_bytes = 0;
   httpmsg_init (&conn->parser, &parser);
   conn->close_timer.fire = hconn_destroy;
@@ -362,12 +365,26 @@
     shutdown (conn->io.fd, SHUT_WR);
 }
 
+/* Bounded, as the peer may send without a pause.  */
+static void
+hconn_discard_received (const struct hconn *conn)
+{
+  static _Thread_local uint8_t buffer[HCONN_READ_BYTES];
+
+  for (int i = 0; i < HCONN_READS_MAX; i++)
+    if (read (conn->io.fd, buffer, sizeof buffer) <= 0)
+      return;
+}
+
 void
 hconn_close (struct hconn *conn, bool reset)
 {
   if (conn->closed)
     return;
+  if (conn->lingering && !reset)
+    hconn_discard_received (conn);
   conn->closed = true;
+  list_remove (&conn->linger_node);
   hconn_window_release (conn);
   loop_close (&conn->io, reset);
   conn->close_timer.fire = hconn_destroy;
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -79,6 +79,9 @@
   size_t header_bytes_max;
   uint32_t unacked_timeout_ms; /* TCP_USER_TIMEOUT; 0: system default */
   struct hconn_windows *windows;
+  /* Gets the connections that linger, the one that began to first; may be
+     NULL.  */
+  struct list *lingering;
 };
 
 struct hconn
@@ -89,6 +92,7 @@
   struct buf send_buf;           /* unsent bytes */
   struct loop_timer close_timer; /* end of lingering, then @destroy */
   struct list_node window_node;  /* windows->wide */
+  struct list_node linger_node;  /* opts.lingering */
   clk_us window_read_at;         /* last read while it is wide */
   uint64_t body_read_bytes;      /* about, of the body that is being read */
   int write_error; /* errno of a failed write; the kernel reports it once */
@@ -138,7 +142,8 @@
 void hconn_half_close (struct hconn *conn);
 
 /* Closes at once; no event but @destroy follows.  RESET sends a TCP reset
-   instead of an orderly close.  */
+   instead of an orderly close.  Of a connection that lingers, bytes that have
+   arrived are discarded first, so that they do not cause a reset.  */
 void hconn_close (struct hconn *conn, bool reset);
 
 /* hconn_window.c; for hconn.c only */
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -19,6 +19,8 @@
 /* Descriptors of the gate, and idle connections, which need more.  */
 #define DESCRIPTORS_MAX 120
 #define IDLE_CONNECTIONS 150
+/* Three quarters of the descriptors, the limit of inbound connections.  */
+#define CONNECTIONS_MAX 90
 #define CROWD_BODY_BYTES 200000u
 #define LONG_BODY_BYTES 900000u
 /* Longer than the time after which a body has stopped moving.  */
@@ -259,11 +261,95 @@
     close (fds[i]);
 }
 
+/* Returns when the gate has accepted all callers that have connected and has
+   read what they have sent: in a later turn of its loop than the one that has
+   read the first request.  */
+static void
+wait_for_gate (void)
+{
+  int fd = net_connect (fixture.addresses[GATE_PORT_HEALTH]);
+
+  for (int i = 0; i < 2; i++)
+    {
+      net_send_text (fd, "GET /-/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
+      CU_ASSERT_TRUE (read_status (fd) > 0);
+    }
+  close (fd);
+}
+
+/* Descriptors of the gate for connections of callers, also of those that it
+   has shut down for sending.  */
+static int
+count_caller_descriptors (void)
+{
+  const char *port = strchr (fixture.addresses[GATE_PORT_CALLERS], ':') + 1;
+  int count = 0;
+
+  for (int fd = 0; fd < FD_SETSIZE; fd++)
+    {
+      struct sockaddr_in local;
+      struct sockaddr_in peer;
+      socklen_t local_len = sizeof local;
+      socklen_t peer_len = sizeof peer;
+
+      if (getsockname (fd, (struct sockaddr *)&local, &local_len) == 0
+          && local.sin_family == AF_INET
+          && ntohs (local.sin_port) == atoi (port)
+          && getpeername (fd, (struct sockaddr *)&peer, &peer_len) == 0)
+        count++;
+    }
+  return count;
+}
+
+/* Opens as many connections as there may be, with bodies that stop.  */
+static void
+open_unfinished (int fds[CONNECTIONS_MAX], const char *name)
+{
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "%s-%d", name, i);
+      fds[i] = send_head (id, 2);
+      send_body (fds[i], 1);
+    }
+  wait_for_gate ();
+}
+
+/* Guards against descriptors beyond the limit while refused uploads wait for
+   their callers to close, and against refusals that are lost because their
+   connections make place.  */
+static void
+test_refused_uploads_make_place (void)
+{
+  int stopped[CONNECTIONS_MAX];
+  int fds[CONNECTIONS_MAX];
+  char text[4096];
+
+  open_unfinished (stopped, "stopped");
+  CU_ASSERT_EQUAL (count_caller_descriptors (), CONNECTIONS_MAX);
+  usleep (STOPPED_US);
+  open_unfinished (fds, "new");
+  CU_ASSERT_TRUE (count_caller_descriptors () <= CONNECTIONS_MAX);
+  send_body (fds[CONNECTIONS_MAX - 1], 1);
+  CU_ASSERT_EQUAL (read_status (fds[CONNECTIONS_MAX - 1]), 200);
+  for (int i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      net_read_to_end (stopped[i], text, sizeof text);
+      CU_ASSERT_EQUAL (strncmp (text, "HTTP/1.1 503 ", 13), 0);
+      CU_ASSERT_PTR_NOT_NULL (strstr (text, "not-run"));
+      close (fds[i]);
+    }
+  usleep (100000);
+  server_request_count = 0;
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "start", start_gate },
+          { "refused uploads make place", test_refused_uploads_make_place },
           { "crowd is bounded", test_crowd_is_bounded },
           { "stopped bodies give way", test_stopped_bodies_give_way },
           { "crowd goes", test_crowd_goes },
