--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -73,6 +73,9 @@
   size_t header_bytes_max;
   uint32_t unacked_timeout_ms;   /* TCP_USER_TIMEOUT; 0: system default */
   struct hconn_windows *windows; /* shared by connections; outlives them */
+  /* Gets the connections that linger, the one that began to first; may be
+     NULL.  */
+  struct list *lingering;
 };
 
 struct hconn
@@ -82,6 +85,7 @@
   struct httpmsg_parser parser;
   struct buf send_buf;           /* unsent bytes */
   struct loop_timer close_timer; /* end of lingering, then @destroy */
+  struct list_node linger_node;  /* opts.lingering */
   uint64_t body_read_bytes; /* read since the body began, while not @wide */
   bool wide;                /* has a wide receive buffer */
   int write_error; /* errno of a failed write; the kernel reports it once */
@@ -127,7 +131,8 @@
 void hconn_half_close (struct hconn *conn);
 
 /* Closes at once; no event but @destroy follows.  RESET sends a TCP reset
-   instead of an orderly close.  */
+   instead of an orderly close.  Of a connection that lingers, bytes that have
+   arrived are discarded first, so that they do not cause a reset.  */
 void hconn_close (struct hconn *conn, bool reset);
 
 /* hconn_window.c; for hconn.c only */
