gate: the body of the last request of a connection is read to its end

What callers saw: with 64 requests and more on one connection, a last one with "Connection: close" whose body came after its head got no answer until the timeout of its route (64 answers of 65). While memory was short, two requests were enough.

Cause: reading is paused while requests of a connection wait for others. gate_in_flush_answers() resumed it only while further requests were accepted. The head of a last request ends that, so nothing resumed the reading of its body.

Change: gate_in_flush_answers() also updates reading while the body of the last request is being read. Three places pause reading for good: bytes after the last request, a half-close of another node, and pipelined requests that give way. They now share gate_in_end_reading(), after which nothing resumes reading. By reading, the rest of the body of a dropped request could also be taken for that of the request before it.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -151,11 +151,24 @@
                  && !reading_started)
                 || (last != NULL && gate_held_body_is_full (last));
 
+  if (inbound->reading_ended)
+    return;
   if (paused && !inbound->conn.io.paused)
     counter_add (COUNTER_REQUEST_READS_PAUSED, 1);
   loop_pause_reading (&inbound->conn.io, paused);
 }
 
+/* Reads nothing more until the connection is closed.  */
+static void
+gate_in_end_reading (struct gate_in *inbound)
+{
+  inbound->no_more_requests = true;
+  inbound->reading_body = false;
+  inbound->reading_ended = true;
+  loop_cancel_timer (&inbound->timer);
+  loop_pause_reading (&inbound->conn.io, true);
+}
+
 void
 gate_in_flush_answers (struct gate_in *inbound)
 {
@@ -195,7 +208,7 @@
   /* The first request may have become it just now.  */
   if (!list_empty (&inbound->requests))
     gate_answer_update_reading (gate_in_first_request (inbound));
-  if (!inbound->no_more_requests)
+  if (!inbound->no_more_requests || inbound->reading_body)
     gate_in_update_reading (inbound);
   if (list_empty (&inbound->requests) && !inbound->conn.closed)
     gate_in_set_timeout (inbound, httpmsg_in_message (&inbound->conn.parser));
@@ -551,7 +564,7 @@
   if (inbound->no_more_requests && end == HCONN_END_MALFORMED
       && !list_empty (&inbound->requests))
     {
-      loop_pause_reading (&inbound->conn.io, true);
+      gate_in_end_reading (inbound);
       return;
     }
   if (inbound->port == GATE_PORT_NODES && end == HCONN_END_ORDERLY
@@ -559,8 +572,7 @@
     {
       /* A half-close: the other node still reads, and withdraws the request
          if it is not running yet.  */
-      inbound->no_more_requests = true;
-      loop_pause_reading (&inbound->conn.io, true);
+      gate_in_end_reading (inbound);
       request = gate_in_last_request (inbound);
       request->close_after = true;
       if (request->kind == GATE_KIND_SERVE)
@@ -636,10 +648,7 @@
         "pipelined requests dropped port=%d count=%u held_kb=%llu",
         (int)inbound->port, count,
         (unsigned long long)(inbound->gate->held.bytes / 1024));
-  inbound->no_more_requests = true;
-  inbound->reading_body = false;
-  loop_cancel_timer (&inbound->timer);
-  loop_pause_reading (&inbound->conn.io, true);
+  gate_in_end_reading (inbound);
   gate_in_last_request (inbound)->close_after = true;
 }
 
--- a/tasks/gate_state.h
+++ b/tasks/gate_state.h
@@ -106,6 +106,7 @@
   bool starting_pending;   /* in gate_in_start_pending() */
   bool reading_body;       /* of the last request */
   bool no_more_requests;   /* further requests are not accepted */
+  bool reading_ended;      /* nothing more is read */
   bool ended;              /* its requests are dropped, or about to be */
   struct loop_timer timer; /* header, body or idle timeout */
 };
--- a/tests/test_gate_bodies.c
+++ b/tests/test_gate_bodies.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "core/clk.h"
@@ -23,8 +24,17 @@
 /* Part of the limit by which a body is over it.  */
 #define OVER_PERCENT 20
 #define CHUNK_SMALL 16
-/* More requests than the gate processes at a time on one connection.  */
+/* Requests that the gate processes at a time on one connection, and more.  */
+#define PIPELINE_MAX 64
 #define PIPELINED 70
+/* Time between the halves of a body.  The first half arrives before any of the
+   slow requests ahead of it is answered, and the second half before the
+   timeout.  */
+#define LAST_BODY_DELAY_US 400000
+/* Time until another node half-closes its connection, and time for which the
+   CPU is watched then; a slow request takes longer than both.  */
+#define HALF_CLOSE_AFTER_US 50000
+#define HALF_CLOSE_WAIT_US 150000
 #define SLOTS 100
 /* The timeout of the routes, and of the requests of other nodes.  */
 #define TIMEOUT_MS 1000
@@ -445,6 +455,89 @@
   check_served (&long_fixture);
 }
 
+/* Number of answers with status 200 in TEXT.  */
+static unsigned
+count_answers (const char *text)
+{
+  unsigned count = 0;
+
+  while ((text = strstr (text, "HTTP/1.1 200 ")) != NULL)
+    {
+      count++;
+      text++;
+    }
+  return count;
+}
+
+/* Guards against the last of many pipelined requests that gets no answer when
+   it closes the connection and its body was not whole while it waited: reading
+   was paused for good.  */
+static void
+test_pipelined_last_body (void)
+{
+  static char text[TEXT_BYTES];
+  struct over over = { .fixture = &short_fixture,
+                       .port = GATE_PORT_CALLERS,
+                       .path = "/u/x",
+                       .id = "9",
+                       .ahead = PIPELINE_MAX };
+  int fd = net_connect (over.fixture->nodes[0].addresses[over.port]);
+  size_t len
+      = write_head (&over, text, "Connection: close\r\nContent-Length: 8");
+
+  memcpy (text + len, "half", 4);
+  send_all (fd, text, len + 4);
+  usleep (LAST_BODY_DELAY_US);
+  send_all (fd, "half", 4);
+  net_read_to_end (fd, text, sizeof text);
+  CU_ASSERT_EQUAL (count_answers (text), PIPELINE_MAX + 1);
+  check_served (over.fixture);
+}
+
+/* CPU time of the process, in microseconds.  */
+static clk_us
+cpu_time (void)
+{
+  struct timespec time;
+
+  CU_ASSERT_EQUAL_FATAL (clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time), 0);
+  return clk_s ((clk_us)time.tv_sec) + (clk_us)time.tv_nsec / 1000;
+}
+
+/* Guards against a connection of another node whose end is read again and
+   again: the node has half-closed it within a body, and an answer before that
+   is not there yet.  */
+static void
+test_half_close_within_body (void)
+{
+  static char text[TEXT_BYTES];
+  struct over slow = { .fixture = &long_fixture,
+                       .port = GATE_PORT_NODES,
+                       .path = "/r/slow",
+                       .id = "10" };
+  struct over cut = { .fixture = &long_fixture,
+                      .port = GATE_PORT_NODES,
+                      .path = "/u/x",
+                      .id = "11" };
+  int fd = net_connect (cut.fixture->nodes[0].addresses[cut.port]);
+  size_t len = write_head (&slow, text, "Content-Length: 0");
+  const char *answer;
+  clk_us cpu_before;
+
+  len += write_head (&cut, text + len, "Content-Length: 8");
+  memcpy (text + len, "half", 4);
+  send_all (fd, text, len + 4);
+  usleep (HALF_CLOSE_AFTER_US);
+  cpu_before = cpu_time ();
+  shutdown (fd, SHUT_WR);
+  usleep (HALF_CLOSE_WAIT_US);
+  CU_ASSERT_TRUE (cpu_time () - cpu_before < HALF_CLOSE_WAIT_US / 2);
+  net_read_to_end (fd, text, sizeof text);
+  answer = last_answer (text, 1);
+  CU_ASSERT_EQUAL (strncmp (answer, "HTTP/1.1 503 ", 13), 0);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "Connection: close\r\n"));
+}
+
 /* Guards against a request of another node that is dropped while its run goes
    on, before and after it has been admitted.  The other node is told whether
    the request may have run.  */
@@ -627,6 +720,8 @@
           { "call at work", test_call_at_work },
           { "call with answer", test_call_with_answer },
           { "pipelined", test_pipelined },
+          { "pipelined, last body", test_pipelined_last_body },
+          { "half-close within a body", test_half_close_within_body },
           { "serve", test_serve },
           { "API", test_api },
           { "announced", test_announced },
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -21,6 +21,10 @@
 #define IDLE_CONNECTIONS 150
 #define CROWD_BODY_BYTES 200000u
 #define LONG_BODY_BYTES 900000u
+/* Beginnings of bodies that are too small to count as large, and so many that
+   no large one may grow beside them.  */
+#define SMALL_CROWD 72
+#define SMALL_BYTES 32000u
 /* Longer than the time after which a body has stopped moving.  */
 #define STOPPED_US 1200000
 
@@ -240,6 +244,43 @@
   CU_ASSERT_EQUAL (get_status (), 200);
 }
 
+/* Guards against a pipelined request that closes the connection and stands
+   still when memory is short, because its body was not whole while it
+   waited.  */
+static void
+test_pipelined_body_while_short (void)
+{
+  int fds[SMALL_CROWD];
+  char text[4096];
+  const char *answer;
+  int fd;
+
+  for (int i = 0; i < SMALL_CROWD; i++)
+    {
+      fds[i] = send_head ("small", CROWD_BODY_BYTES);
+      send_body (fds[i], SMALL_BYTES);
+    }
+  usleep (100000);
+  fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  net_send_text (fd, "GET /r/x HTTP/1.1\r\nHost: h\r\n"
+                     "X-Sycamorerudder-Request-Id: first\r\n"
+                     "X-Sycamorerudder-Deadline-Ms: 30000\r\n\r\n"
+                     "POST /r/x HTTP/1.1\r\nHost: h\r\n"
+                     "X-Sycamorerudder-Request-Id: last\r\n"
+                     "X-Sycamorerudder-Deadline-Ms: 30000\r\n"
+                     "Connection: close\r\nContent-Length: 8\r\n\r\nhalf");
+  usleep (300000);
+  net_send_text (fd, "half");
+  net_read_to_end (fd, text, sizeof text);
+  CU_ASSERT_EQUAL (strncmp (text, "HTTP/1.1 200 ", 13), 0);
+  answer = strstr (text, "\r\n\r\nok");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (answer);
+  CU_ASSERT_EQUAL (strncmp (answer + 6, "HTTP/1.1 200 ", 13), 0);
+  for (int i = 0; i < SMALL_CROWD; i++)
+    close (fds[i]);
+  usleep (100000);
+}
+
 /* Guards against callers that find no connection because others hold all
    descriptors with connections that have stopped moving.  */
 static void
@@ -267,6 +308,7 @@
           { "crowd is bounded", test_crowd_is_bounded },
           { "stopped bodies give way", test_stopped_bodies_give_way },
           { "crowd goes", test_crowd_goes },
+          { "pipelined body while short", test_pipelined_body_while_short },
           { "descriptors", test_descriptors },
           { NULL, NULL } };
 
