gate: an upload that is answered early leaves the account with its body

What callers saw: uploads refused as memory-short although nothing was held: other uploads, which were answered before their end and then stopped, counted as at work with their whole bodies until idle_timeout_s.

Cause: gate_answer_end() frees the body of the request, but did not update the account of its connection. A request whose body has not ended stays on the connection, and without further bytes nothing else updates the account. An item at work does not give way, either.

Evidence: "early answers" of test_gate_held failed 5 of 5 on the code without the fix: after 5 uploads of 900,000 bytes that stopped at 300,000, 4 of 6 bodies of 200,000 bytes were refused. It passes 5 of 5 with it. The server of the test has read all that was sent before it answers, so that no later bytes update the account.

Change: gate_answer_end() updates the account when the body is freed and the request is no longer at work, before anything asks whether memory is short.

Measurement: test_gate_held passes with address and undefined behaviour sanitizers, 1 of 1.

--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -61,6 +61,7 @@
   request->kind = GATE_KIND_NONE;
   /* The rest of the request body is read and discarded.  */
   buf_free (&request->body);
+  gate_held_update (inbound);
   gate_in_resume_body (request);
   gate_in_flush_answers (inbound);
 }
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -27,6 +27,14 @@
 #define SMALL_BYTES 32000u
 /* Longer than the time after which a body has stopped moving.  */
 #define STOPPED_US 1200000
+/* Body bytes that the server reads before it answers early, enough to be
+   forwarded before the body is complete; and uploads that are answered so.
+   What one of them holds until then fits beside what the others held, so that
+   memory is never short and nothing is dropped from their bodies.  */
+#define EARLY_BYTES 300000u
+#define EARLY_UPLOADS 5
+/* Bodies that fit if those uploads hold nothing any more.  */
+#define AFTER_EARLY 6
 
 static const char document[]
     = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
@@ -45,6 +53,43 @@
 static atomic_int server_request_count;
 static atomic_size_t server_body_bytes;
 
+/* Reads the head of a request and EARLY_BYTES of its body, answers it, and
+   reads the rest.  */
+static void
+server_answer_early (int fd, char *text, size_t size)
+{
+  size_t len = 0;
+  ssize_t received;
+  const char *body;
+
+  text[0] = '\0';
+  while ((body = strstr (text, "\r\n\r\n")) == NULL
+         || len < (size_t)(body - text) + 4 + EARLY_BYTES)
+    {
+      received = read (fd, text + len, size - 1 - len);
+      if (received <= 0)
+        return;
+      len += (size_t)received;
+      text[len] = '\0';
+    }
+  gate_fixture_answer (fd, text);
+  while (read (fd, text, size) > 0)
+    ;
+}
+
+/* Whether the next bytes on FD are the head of a request that is to be
+   answered early.  */
+static bool
+server_is_early (int fd)
+{
+  static const char start[] = "POST /r/early ";
+  char text[sizeof start];
+
+  return recv (fd, text, sizeof start - 1, MSG_PEEK | MSG_WAITALL)
+             == sizeof start - 1
+         && memcmp (text, start, sizeof start - 1) == 0;
+}
+
 static void *
 server_serve_connection (void *arg)
 {
@@ -52,8 +97,15 @@
   size_t size = LONG_BODY_BYTES + 65536;
   char *text = malloc (size);
 
-  while (gate_fixture_read_request (fd, text, size))
+  for (;;)
     {
+      if (server_is_early (fd))
+        {
+          server_answer_early (fd, text, size);
+          break;
+        }
+      if (!gate_fixture_read_request (fd, text, size))
+        break;
       if (strncmp (text, "GET /health ", 12) != 0)
         {
           server_request_count++;
@@ -97,23 +149,30 @@
   return true;
 }
 
-/* Opens a connection and sends the head of a POST with a body of LEN bytes. */
+/* Opens a connection and sends the head of a POST to PATH with a body of LEN
+   bytes.  */
 static int
-send_head (const char *id, size_t len)
+send_head_to (const char *path, const char *id, size_t len)
 {
   int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
   char text[512];
 
   snprintf (text, sizeof text,
-            "POST /r/x HTTP/1.1\r\nHost: h\r\n"
+            "POST %s HTTP/1.1\r\nHost: h\r\n"
             "X-Sycamorerudder-Request-Id: %s\r\n"
             "X-Sycamorerudder-Deadline-Ms: 30000\r\n"
             "Content-Length: %zu\r\n\r\n",
-            id, len);
+            path, id, len);
   net_send_text (fd, text);
   return fd;
 }
 
+static int
+send_head (const char *id, size_t len)
+{
+  return send_head_to ("/r/x", id, len);
+}
+
 /* Status of the answer that has come on FD; 0 when there is none.  */
 static int
 poll_status (int fd, char *text, size_t size)
@@ -281,6 +340,37 @@
   usleep (100000);
 }
 
+/* Guards against uploads that count as at work with their bodies after they
+   were answered early, so that others are refused.  */
+static void
+test_early_answers (void)
+{
+  int early_fds[EARLY_UPLOADS];
+  int fds[AFTER_EARLY];
+
+  for (int i = 0; i < EARLY_UPLOADS; i++)
+    {
+      early_fds[i] = send_head_to ("/r/early", "early", LONG_BODY_BYTES);
+      send_body (early_fds[i], EARLY_BYTES);
+      CU_ASSERT_EQUAL (read_status (early_fds[i]), 200);
+    }
+  for (int i = 0; i < AFTER_EARLY; i++)
+    {
+      fds[i] = send_head ("after", CROWD_BODY_BYTES);
+      send_body (fds[i], CROWD_BODY_BYTES - 1);
+    }
+  usleep (100000);
+  for (int i = 0; i < AFTER_EARLY; i++)
+    {
+      send_body (fds[i], 1);
+      CU_ASSERT_EQUAL (read_status (fds[i]), 200);
+      close (fds[i]);
+    }
+  for (int i = 0; i < EARLY_UPLOADS; i++)
+    close (early_fds[i]);
+  usleep (100000);
+}
+
 /* Guards against callers that find no connection because others hold all
    descriptors with connections that have stopped moving.  */
 static void
@@ -309,6 +399,7 @@
           { "stopped bodies give way", test_stopped_bodies_give_way },
           { "crowd goes", test_crowd_goes },
           { "pipelined body while short", test_pipelined_body_while_short },
+          { "early answers", test_early_answers },
           { "descriptors", test_descriptors },
           { NULL, NULL } };
 
