held: the end of work on an item counts as progress

What callers saw: while a node was short of descriptors or memory, a connection could end as soon as its answer had come, if the server had worked for 1 s or longer. A caller that had not read the answer yet could lose it.

Cause: an item that goes from HELD_AT_WORK to HELD_WAITING kept its time of progress, that of the request. It counted as stopped at once and gave way to the next connection or body. The item was also put at the end of a list whose first item is to have the least recent progress. Only the front task renewed the time on that change, the gate did not.

That an unread answer is lost is by reading.

Change: held_set() takes the current time and renews the progress of an item that leaves work, for all owners alike; the rule of the front task is removed.

--- a/controllers/held.c
+++ b/controllers/held.c
@@ -38,13 +38,15 @@
 
 void
 held_set (struct held *held, struct held_item *item, uint64_t bytes,
-          enum held_state state)
+          enum held_state state, clk_us now)
 {
   enum held_list list
       = bytes > held->opts.small_bytes ? HELD_LIST_LARGE : HELD_LIST_SMALL;
 
   if (state == HELD_AT_WORK)
     list = HELD_LIST_AT_WORK;
+  else if (item->list == HELD_LIST_AT_WORK)
+    item->progress_at = now;
   held->bytes = held->bytes - item->bytes + bytes;
   item->bytes = bytes;
   if (item->list != list)
--- a/controllers/held.h
+++ b/controllers/held.h
@@ -68,9 +68,11 @@
 /* Removes an item, whatever it holds; does nothing when it is not added.  */
 void held_remove (struct held *held, struct held_item *item);
 
-/* Sets what ITEM holds and its state.  */
+/* Sets what ITEM holds and its state.  When work on it has ended, its answer
+   has just come, so that its peer could not read any of it: that counts as
+   progress.  */
 void held_set (struct held *held, struct held_item *item, uint64_t bytes,
-               enum held_state state);
+               enum held_state state, clk_us now);
 /* Records that ITEM has moved: bytes came from its peer or were read by it. */
 void held_record_progress (struct held *held, struct held_item *item,
                            clk_us now);
--- a/tasks/front_held.c
+++ b/tasks/front_held.c
@@ -142,10 +142,7 @@
       if (front_held_admin_is_at_work (conn->admin_request))
         state = HELD_AT_WORK;
     }
-  /* The answer has just come, so the client could not read any of it.  */
-  if (state == HELD_WAITING && conn->held.item.list == HELD_LIST_AT_WORK)
-    held_record_progress (&conn->front->held, &conn->held.item, clk_now ());
-  held_set (&conn->front->held, &conn->held.item, bytes, state);
+  held_set (&conn->front->held, &conn->held.item, bytes, state, clk_now ());
 }
 
 void
@@ -158,7 +155,7 @@
                    + serve->record_body.capacity;
 
   held_set (&serve->front->held, &serve->held.item, bytes,
-            serve->chain_started ? HELD_AT_WORK : HELD_WAITING);
+            serve->chain_started ? HELD_AT_WORK : HELD_WAITING, clk_now ());
 }
 
 static void
--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -232,5 +232,6 @@
       if (gate_held_is_at_work (request))
         state = HELD_AT_WORK;
     }
-  held_set (&inbound->gate->held, &inbound->held, bytes, state);
+  held_set (&inbound->gate->held, &inbound->held, bytes, state,
+            loop_now (inbound->gate->loop));
 }
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -111,6 +111,8 @@
           server_request_count++;
           server_body_bytes = strlen (strstr (text, "\r\n\r\n") + 4);
         }
+      if (strncmp (text, "GET /r/late ", 12) == 0)
+        usleep (STOPPED_US);
       gate_fixture_answer (fd, text);
     }
   close (fd);
@@ -390,6 +392,29 @@
     close (fds[i]);
 }
 
+/* Guards against a caller whose connection ends as soon as its answer comes,
+   because the server has worked for longer than a connection may stop.  */
+static void
+test_late_answer (void)
+{
+  static const char request[] = "GET /r/late HTTP/1.1\r\nHost: h\r\n"
+                                "X-Sycamorerudder-Request-Id: late\r\n"
+                                "X-Sycamorerudder-Deadline-Ms: 30000\r\n\r\n";
+  int fds[IDLE_CONNECTIONS];
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+
+  net_send_text (fd, request);
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    fds[i] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  usleep (100000);
+  net_send_text (fd, request);
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  close (fd);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    close (fds[i]);
+}
+
 int
 main (void)
 {
@@ -401,6 +426,7 @@
           { "pipelined body while short", test_pipelined_body_while_short },
           { "early answers", test_early_answers },
           { "descriptors", test_descriptors },
+          { "late answer", test_late_answer },
           { NULL, NULL } };
 
   return suite_run ("gate_held", tests);
--- a/tests/test_held.c
+++ b/tests/test_held.c
@@ -28,11 +28,11 @@
 test_limit (void)
 {
   start ();
-  held_set (&held, &items[0], 400 * KB, HELD_WAITING);
-  held_set (&held, &items[1], 400 * KB, HELD_WAITING);
+  held_set (&held, &items[0], 400 * KB, HELD_WAITING, clk_s (1));
+  held_set (&held, &items[1], 400 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_NULL (held_find_victim (&held, &items[1], clk_s (1)));
   CU_ASSERT_FALSE (held_is_short (&held));
-  held_set (&held, &items[1], 401 * KB, HELD_WAITING);
+  held_set (&held, &items[1], 401 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_TRUE (held_is_short (&held));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[1], clk_s (1)),
                        &items[1]);
@@ -48,10 +48,10 @@
 test_room_for_small_items (void)
 {
   start ();
-  held_set (&held, &items[0], 900 * KB, HELD_AT_WORK);
-  held_set (&held, &items[1], 16 * KB, HELD_WAITING);
+  held_set (&held, &items[0], 900 * KB, HELD_AT_WORK, clk_s (1));
+  held_set (&held, &items[1], 16 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_NULL (held_find_victim (&held, &items[1], clk_s (1)));
-  held_set (&held, &items[1], 17 * KB, HELD_WAITING);
+  held_set (&held, &items[1], 17 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[1], clk_s (1)),
                        &items[1]);
 }
@@ -63,20 +63,20 @@
 {
   start ();
   for (int i = 0; i < 4; i++)
-    held_set (&held, &items[i], 200 * KB, HELD_WAITING);
+    held_set (&held, &items[i], 200 * KB, HELD_WAITING, clk_s (1));
   held_record_progress (&held, &items[1], clk_s (2));
   held_record_progress (&held, &items[0], clk_s (3));
   held_record_progress (&held, &items[2], clk_s (4));
   held_record_progress (&held, &items[3], clk_s (4));
-  held_set (&held, &items[3], 201 * KB, HELD_WAITING);
+  held_set (&held, &items[3], 201 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[3], clk_s (4)),
                        &items[1]);
   held_remove (&held, &items[1]);
-  held_set (&held, &items[3], 401 * KB, HELD_WAITING);
+  held_set (&held, &items[3], 401 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[3], clk_s (4)),
                        &items[0]);
   held_remove (&held, &items[0]);
-  held_set (&held, &items[3], 601 * KB, HELD_WAITING);
+  held_set (&held, &items[3], 601 * KB, HELD_WAITING, clk_s (1));
   /* None of the others has stopped.  */
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[3], clk_s (4)),
                        &items[3]);
@@ -87,26 +87,47 @@
 test_items_at_work_stay (void)
 {
   start ();
-  held_set (&held, &items[0], 500 * KB, HELD_AT_WORK);
-  held_set (&held, &items[1], 600 * KB, HELD_AT_WORK);
+  held_set (&held, &items[0], 500 * KB, HELD_AT_WORK, clk_s (1));
+  held_set (&held, &items[1], 600 * KB, HELD_AT_WORK, clk_s (1));
   for (int i = 2; i < ITEMS; i++)
     held_remove (&held, &items[i]);
   CU_ASSERT_PTR_NULL (held_find_victim (&held, &items[1], clk_s (60)));
-  held_set (&held, &items[0], 500 * KB, HELD_WAITING);
+  held_set (&held, &items[0], 500 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[1], clk_s (60)),
                        &items[0]);
 }
 
+/* Guards against an answer that counts as stopped as soon as it comes, because
+   the server has worked for longer than that takes.  */
+static void
+test_end_of_work_is_progress (void)
+{
+  start ();
+  for (int i = 2; i < ITEMS; i++)
+    held_remove (&held, &items[i]);
+  held_set (&held, &items[0], 500 * KB, HELD_AT_WORK, clk_s (1));
+  held_set (&held, &items[1], 4 * KB, HELD_AT_WORK, clk_s (1));
+  held_set (&held, &items[0], 400 * KB, HELD_WAITING, clk_s (5));
+  held_set (&held, &items[1], 4 * KB, HELD_WAITING, clk_s (5));
+  CU_ASSERT_PTR_NULL (held_find_stopped (&held, clk_s (6) - 1));
+  CU_ASSERT_PTR_EQUAL (held_find_stopped (&held, clk_s (6)), &items[0]);
+  held_remove (&held, &items[0]);
+  CU_ASSERT_PTR_EQUAL (held_find_stopped (&held, clk_s (6)), &items[1]);
+  /* What waits already does not move by it.  */
+  held_set (&held, &items[1], 5 * KB, HELD_WAITING, clk_s (6));
+  CU_ASSERT_PTR_EQUAL (held_find_stopped (&held, clk_s (6)), &items[1]);
+}
+
 /* Guards against a limit that many small items exceed, and against
    connections that never make room for new ones.  */
 static void
 test_small_items_give_way (void)
 {
   start ();
-  held_set (&held, &items[0], 995 * KB, HELD_AT_WORK);
-  held_set (&held, &items[1], 4 * KB, HELD_WAITING);
+  held_set (&held, &items[0], 995 * KB, HELD_AT_WORK, clk_s (1));
+  held_set (&held, &items[1], 4 * KB, HELD_WAITING, clk_s (1));
   held_record_progress (&held, &items[1], clk_s (5));
-  held_set (&held, &items[2], 4 * KB, HELD_WAITING);
+  held_set (&held, &items[2], 4 * KB, HELD_WAITING, clk_s (1));
   CU_ASSERT_PTR_EQUAL (held_find_victim (&held, &items[1], clk_s (5)),
                        &items[2]);
   CU_ASSERT_PTR_EQUAL (held_find_stopped (&held, clk_s (5)), &items[2]);
@@ -123,6 +144,7 @@
           { "room for small items", test_room_for_small_items },
           { "stopped items give way", test_stopped_items_give_way },
           { "items at work stay", test_items_at_work_stay },
+          { "end of work is progress", test_end_of_work_is_progress },
           { "small items give way", test_small_items_give_way },
           { NULL, NULL } };
 
