gate: an answer without a body ends with its head

What callers saw: a server answers 204 or 304 with "Content-Length: 5" or "Transfer-Encoding: chunked" and no body. The caller gets 504, deadline-running, unknown, at the end of the route's timeout, although the request has run; the same when another node sends such an answer. A 204 and a 304 that passed always got "Content-Length: 0": the first must not have the field, in the second it is wrong.

Cause: http_parser reads the body that the fields declare unless the callback of the head says that there is none, which it did for answers to HEAD and interim responses only. The head itself was set to a body of 0 bytes.

Change: one rule, httpstatus_has_no_body() (1xx, 204, 304; RFC 9112, 6.3), for the parser, the head and the encoder. Why it works: the parser ends the message at the empty line, so that what follows is the next message, and bytes that belong to none end the connection. A 304, like an answer to HEAD, is passed on with the Content-Length of the server and never in chunks; a 204 has neither field. A caller that uses HTTP/1.0 and keeps its connection may do so after these answers.

Not tried: the callers with HTTP/1.0.

--- a/core/httpstatus.h
+++ b/core/httpstatus.h
@@ -16,4 +16,12 @@
   return digits == 3 && status >= 100 && status <= 599;
 }
 
+/* Whether answers with STATUS end with their head, whatever their fields
+   declare (RFC 9112, 6.3).  */
+static inline bool
+httpstatus_has_no_body (int status)
+{
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
 #endif
--- a/tasks/gate_answer.c
+++ b/tasks/gate_answer.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "core/httpstatus.h"
 #include "tasks/gate_state.h"
 
 /* Buffer for further bytes of the answer: the connection's send buffer if the
@@ -18,13 +19,17 @@
 {
   struct gate_in *inbound = request->inbound;
   struct buf *buf = gate_answer_buf (request);
+  bool no_body = httpmsg_is_head_method (&request->head)
+                 || httpstatus_has_no_body (status);
 
+  /* Content-Length is not allowed there (RFC 9110, 8.6).  */
+  if (status == 204)
+    body_len = HTTPMSG_LENGTH_UNKNOWN;
   request->head_written = true;
-  request->chunked = body_len < 0 && !request->head.http_1_0
-                     && !httpmsg_is_head_method (&request->head);
+  request->chunked = body_len < 0 && !request->head.http_1_0 && !no_body;
   request->close_after
       = request->close_after || !request->head.keep_alive
-        || (body_len < 0 && request->head.http_1_0)
+        || (body_len < 0 && request->head.http_1_0 && !no_body)
         || (inbound->gate->stopping && inbound->port == GATE_PORT_CALLERS
             && list_last (&inbound->requests) == &request->node);
   if (request->close_after)
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -4,6 +4,7 @@
 
 #include "core/counter.h"
 #include "core/hist.h"
+#include "core/httpstatus.h"
 #include "core/slog.h"
 #include "tasks/gate_state.h"
 
@@ -256,7 +257,8 @@
     }
   if (!attempt->forwarding)
     {
-      if (!httpmsg_is_head_method (&request->head))
+      if (!httpmsg_is_head_method (&request->head)
+          && !httpstatus_has_no_body (attempt->head.status))
         attempt->head.body_len = (int64_t)attempt->answer_body.len;
       gate_attempt_forward (attempt);
     }
--- a/tests/test_gate_head.c
+++ b/tests/test_gate_head.c
@@ -1,4 +1,5 @@
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdatomic.h>
@@ -22,6 +23,8 @@
 /* Time in which the gate reads the bytes before a reset, which would discard
    them.  */
 #define RESET_DELAY_US 200
+/* Time in which the gate reads the first part of an answer.  */
+#define PART_DELAY_US 500
 
 static const char document[]
     = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"hostname\","
@@ -98,6 +101,8 @@
    and those of them that did not come first on their connection.  */
 static atomic_int cut_requests;
 static atomic_int cut_requests_reused;
+/* Other requests on a connection that has carried one before.  */
+static atomic_int after_requests_reused;
 
 /* Writes the answer to the request ID from SOURCE; returns the bytes before
    its body.  */
@@ -199,6 +204,35 @@
   net_send_text (fd, out);
 }
 
+/* Answers the request ID with an answer without a body that PATH selects,
+   "/bare-STATUS-FRAMING-BODY-AT": in two parts, the first of AT bytes, if AT
+   is not 0, and with the body that it must not have if BODY is not 0.  */
+static void
+send_bare (int fd, enum source source, const char *path, const char *id)
+{
+  struct cut whole = { 0 };
+  char text[ANSWER_BYTES];
+  char out[ANSWER_BYTES + 32];
+  char status[16] = "";
+  unsigned framing = 0;
+  unsigned body = 0;
+  size_t at = 0;
+
+  sscanf (path, "/bare-%15[0-9]-%u-%u-%zu", status, &framing, &body, &at);
+  whole.framing = (enum framing)framing;
+  whole.head = body == 0;
+  write_answer (text, source, &whole, id);
+  snprintf (out, sizeof out, "HTTP/1.1 %s Odd%s", status,
+            strstr (text, " 200 OK") + strlen (" 200 OK"));
+  if (at > 0)
+    {
+      setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &(int){ 1 }, sizeof (int));
+      (void)!write (fd, out, at);
+      usleep (PART_DELAY_US);
+    }
+  net_send_text (fd, out + at);
+}
+
 /* Serves one connection as the backend server or as a node.  */
 static void
 serve_connection (int fd, enum source source)
@@ -240,6 +274,13 @@
           send_status (fd, source, status, id);
           continue;
         }
+      if (strstr (text, "/bare-") != NULL)
+        {
+          cut_requests++;
+          send_bare (fd, source, strstr (text, "/bare-"), id);
+          continue;
+        }
+      after_requests_reused += count > 0;
       write_answer (out, source, &whole, id);
       net_send_text (fd, out);
     }
@@ -437,6 +478,115 @@
   run_statuses (SOURCE_SERVER, "GET", "/r/", ATTEMPTS_MAX);
 }
 
+/* Whether the answer at TEXT has only the framing fields that an answer
+   without a body may have, if the source of the answer has declared FRAMING:
+   none with status 204, and the Content-Length of the source otherwise.  */
+static bool
+is_framed_without_body (const char *text, const char *status,
+                        enum framing framing)
+{
+  const char *end = strstr (text, "\r\n\r\n");
+  const char *length = strstr (text, "\r\nContent-Length: ");
+  const char *chunked = strstr (text, "\r\nTransfer-Encoding: ");
+  bool wanted = framing == FRAMING_LENGTH && strcmp (status, "204") != 0;
+
+  return (chunked == NULL || chunked > end)
+         && (wanted ? length != NULL && length < end
+                          && strtol (length + 18, NULL, 10) == 5
+                    : length == NULL || length > end);
+}
+
+/* Makes a request whose answer has no body, one behind it on the same
+   connection, and one after them.  Each must get its own answer, and the first
+   must have run once.  */
+static void
+check_bare (const char *method, const char *route, const char *status,
+            enum framing framing, bool body, size_t at)
+{
+  unsigned long long seed
+      = (((unsigned long long)atoi (status) * FRAMING_COUNT + framing) * 2
+         + body)
+            * 1000
+        + at;
+  /* A connection carries an id once.  */
+  static unsigned next_id;
+  unsigned id = next_id++;
+  int requests_before = cut_requests;
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  char expected[64];
+  char text[1024];
+  char answer[TEXT_BYTES];
+  const char *next;
+
+  snprintf (text, sizeof text,
+            "%s %sbare-%s-%u-%u-%zu HTTP/1.1\r\nHost: h\r\n"
+            "X-Sycamorerudder-Request-Id: bare-%u\r\n%s\r\n"
+            "GET /r/ok HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+            "X-Sycamorerudder-Request-Id: after-%u\r\n\r\n",
+            method, route, status, (unsigned)framing, (unsigned)body, at, id,
+            strcmp (method, "POST") == 0 ? "Content-Length: 0\r\n" : "", id);
+  net_send_text (fd, text);
+  net_read_to_end (fd, answer, sizeof answer);
+  snprintf (expected, sizeof expected, "HTTP/1.1 %s ", status);
+  SUITE_SEEDED (strncmp (answer, expected, strlen (expected)) == 0, seed);
+  snprintf (expected, sizeof expected, "Request-Id: bare-%u\r\n", id);
+  SUITE_SEEDED (strstr (answer, expected) != NULL, seed);
+  SUITE_SEEDED (is_framed_without_body (answer, status, framing), seed);
+  next = strstr (answer, "\r\n\r\n") + 4;
+  SUITE_SEEDED (strncmp (next, "HTTP/1.1 200 OK\r\n", 17) == 0, seed);
+  snprintf (expected, sizeof expected, "Request-Id: after-%u\r\n", id);
+  SUITE_SEEDED (strstr (next, expected) != NULL, seed);
+  SUITE_SEEDED (strcmp (strstr (next, "\r\n\r\n"), "\r\n\r\nhello") == 0,
+                seed);
+  SUITE_SEEDED (cut_requests - requests_before == 1, seed);
+  snprintf (expected, sizeof expected, "last-%u", id);
+  next = request_path ("GET", "/r/ok", expected);
+  SUITE_SEEDED (strncmp (next, "HTTP/1.1 200 OK\r\n", 17) == 0, seed);
+  SUITE_SEEDED (strstr (next, expected) != NULL, seed);
+}
+
+/* Makes requests for answers without a body with each framing, with each
+   method, and in parts; then for answers that the body follows.  */
+static void
+run_bare (enum source source)
+{
+  static const char *const statuses[] = { "204", "304" };
+  static const char *const methods[] = { "GET", "POST", "HEAD" };
+  int reused_before = after_requests_reused;
+  int count = 0;
+
+  for (unsigned i = 0; i < 2 * 3 * FRAMING_COUNT; i++)
+    {
+      struct cut cut = { .framing = (enum framing) (i / 6), .head = true };
+      size_t whole = whole_answer_bytes (source, &cut, "bare");
+      const char *method = methods[i / 2 % 3];
+      const char *route = strcmp (method, "POST") == 0 ? "/o/" : "/r/";
+
+      for (size_t at = 0; at < whole; at += 7, count++)
+        check_bare (method, route, statuses[i % 2], cut.framing, false, at);
+    }
+  printf (" %d requests to the %s, %d requests on a kept connection;", count,
+          source == SOURCE_SERVER ? "server" : "node",
+          after_requests_reused - reused_before);
+  /* The connections of these answers are kept: two requests come after each,
+     one of them at the same time.  */
+  CU_ASSERT_TRUE (after_requests_reused - reused_before
+                  >= 2 * count - count / 50);
+  for (unsigned i = 0; i < 2 * FRAMING_COUNT; i++)
+    check_bare ("GET", "/r/", statuses[i % 2], (enum framing) (i / 2), true,
+                0);
+}
+
+/* Guards against an answer without a body (status 204 or 304) whose fields
+   declare one that the gate waits for, so that its server or the next request
+   on the connection is held until a timeout, and against one that is passed on
+   with fields that let the caller wait.  */
+static void
+test_no_body_of_server (void)
+{
+  run_bare (SOURCE_SERVER);
+}
+
 static void
 start_gate (void)
 {
@@ -587,12 +737,20 @@
   run_statuses (SOURCE_NODE, "GET", "/r/", ATTEMPTS_MAX);
 }
 
+/* Guards against the same in what another node sends.  */
+static void
+test_no_body_of_node (void)
+{
+  run_bare (SOURCE_NODE);
+}
+
 int
 main (void)
 {
   static const struct suite_test tests[]
       = { { "start", start_gate },
           { "status of the server out of range", test_status_of_server },
+          { "answer of the server without a body", test_no_body_of_server },
           { "answer cut by the server", test_cut_by_server },
           { "answer cut on a reused connection",
             test_cut_on_reused_connection },
@@ -601,6 +759,7 @@
           { "answer cut between others", test_cut_between_others },
           { "answer cut by a node", test_cut_by_node },
           { "status of a node out of range", test_status_of_node },
+          { "answer of a node without a body", test_no_body_of_node },
           { NULL, NULL } };
 
   /* The server writes to connections that the node may have closed.  */
--- a/tests/test_httpmsg.c
+++ b/tests/test_httpmsg.c
@@ -11,6 +11,7 @@
   int head_count;
   int end_count;
   int interim_status;       /* status of the last interim response */
+  bool to_head;             /* set by the caller: the requests are HEAD */
   struct httpmsg_head head; /* of the last message */
   struct buf body;          /* of all messages */
 };
@@ -74,6 +75,7 @@
   int error = SR_OK;
 
   httpmsg_init (&parser, &opts);
+  httpmsg_expect_no_body (&parser, received->to_head);
   for (size_t at = 0; at < len && error == SR_OK; at += step)
     {
       size_t piece_len = len - at < step ? len - at : step;
@@ -494,6 +496,76 @@
   received_free (&received);
 }
 
+/* Guards against a caller that waits for the body of a response that has none,
+   and against the next response that is read as this body: a response to HEAD
+   and one with status 1xx, 204 or 304 end with their head, whatever they
+   declare, and however their bytes are divided among reads.  */
+static void
+test_responses_without_body (void)
+{
+  static const struct
+  {
+    const char *status;
+    const char *framing;
+    int64_t body_len;
+    bool to_head;
+    bool has_body;
+  } rows[] = {
+    { "204", "Content-Length: 5\r\n", 5, false, false },
+    { "204", "", HTTPMSG_LENGTH_UNKNOWN, false, false },
+    { "204", "Content-Length: 0\r\n", 0, false, false },
+    { "204", "Transfer-Encoding: chunked\r\n", HTTPMSG_LENGTH_UNKNOWN, false,
+      false },
+    { "304", "", HTTPMSG_LENGTH_UNKNOWN, false, false },
+    { "304", "Content-Length: 0\r\n", 0, false, false },
+    { "304", "Content-Length: 5\r\n", 5, false, false },
+    { "304", "Transfer-Encoding: chunked\r\n", HTTPMSG_LENGTH_UNKNOWN, false,
+      false },
+    { "204", "Content-Length: 5\r\n", 5, true, false },
+    { "304", "Content-Length: 5\r\n", 5, true, false },
+    { "304", "Transfer-Encoding: chunked\r\n", HTTPMSG_LENGTH_UNKNOWN, true,
+      false },
+    { "200", "Content-Length: 5\r\n", 5, true, false },
+    /* Other responses have one.  */
+    { "200", "Content-Length: 5\r\n", 5, false, true },
+    { "205", "Content-Length: 5\r\n", 5, false, true },
+    { "404", "Transfer-Encoding: chunked\r\n", HTTPMSG_LENGTH_UNKNOWN, false,
+      true },
+  };
+  static const char *const befores[]
+      = { "", "HTTP/1.1 103 Early Hints\r\nContent-Length: 5\r\n\r\n" };
+
+  for (unsigned i = 0; i < 2 * sizeof rows / sizeof rows[0]; i++)
+    for (size_t step = 1; step < 200; step++)
+      {
+        struct received one = { .to_head = rows[i / 2].to_head };
+        struct received both = { .to_head = rows[i / 2].to_head };
+        char text[256];
+
+        snprintf (text, sizeof text, "%sHTTP/1.1 %s Odd\r\nX-Id: 1\r\n%s\r\n",
+                  befores[i % 2], rows[i / 2].status, rows[i / 2].framing);
+        SUITE_SEEDED (parse (&one, HTTPMSG_ANSWER, text, step) == SR_OK, i);
+        SUITE_SEEDED (one.head_count == 1, i);
+        SUITE_SEEDED (one.end_count == !rows[i / 2].has_body, i);
+        SUITE_SEEDED (one.head.body_len == rows[i / 2].body_len, i);
+        SUITE_SEEDED (!one.head.until_close, i);
+        SUITE_SEEDED (one.head.keep_alive, i);
+        received_free (&one);
+        if (rows[i / 2].has_body)
+          continue;
+        strcat (text,
+                "HTTP/1.1 200 OK\r\nX-Id: 2\r\nContent-Length: 2\r\n\r\n");
+        if (!rows[i / 2].to_head)
+          strcat (text, "ok");
+        SUITE_SEEDED (parse (&both, HTTPMSG_ANSWER, text, step) == SR_OK, i);
+        SUITE_SEEDED (both.head_count == 2 && both.end_count == 2, i);
+        SUITE_SEEDED (strcmp (both.head.value[HTTPMSG_REQUEST_ID], "2") == 0,
+                      i);
+        SUITE_SEEDED (both.body.len == (rows[i / 2].to_head ? 0 : 2), i);
+        received_free (&both);
+      }
+}
+
 static void
 test_body_rest (void)
 {
@@ -553,6 +625,7 @@
           { "truncated heads", test_truncated_heads },
           { "status codes", test_status_codes },
           { "responses to HEAD", test_head_responses },
+          { "responses without a body", test_responses_without_body },
           { "interim responses", test_interim_responses },
           { "interim responses without end", test_endless_interim_responses },
           { "stored field that is too long", test_overlong_stored_field },
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -343,6 +343,12 @@
   parser->head.field_lines = kept;
 }
 
+static bool
+httpmsg_answer_has_no_body (const struct httpmsg_parser *parser, int status)
+{
+  return parser->no_body || httpstatus_has_no_body (status);
+}
+
 static void
 httpmsg_set_framing (struct httpmsg_parser *parser)
 {
@@ -355,10 +361,8 @@
     head->body_len = (int64_t)http->content_length;
   if (head->role == HTTPMSG_REQUEST && !head->chunked && head->body_len < 0)
     head->body_len = 0;
-  if (head->role == HTTPMSG_ANSWER
-      && (head->status == 204 || head->status == 304))
-    head->body_len = 0;
-  head->until_close = head->role == HTTPMSG_ANSWER && !parser->no_body
+  head->until_close = head->role == HTTPMSG_ANSWER
+                      && !httpmsg_answer_has_no_body (parser, head->status)
                       && !head->chunked && head->body_len < 0;
   head->keep_alive = !head->until_close && http_should_keep_alive (http) != 0;
   head->http_1_0 = http->http_major == 1 && http->http_minor == 0;
@@ -409,7 +413,8 @@
   if (parser->error != 0)
     return -1;
   /* HEAD may be empty now: the callback may have moved its contents out.  */
-  return parser->opts.role == HTTPMSG_ANSWER && parser->no_body ? 1 : 0;
+  return parser->opts.role == HTTPMSG_ANSWER
+         && httpmsg_answer_has_no_body (parser, http->status_code);
 }
 
 static int
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -67,7 +67,8 @@
   /* Values of the stored fields; empty when absent.  */
   char value[HTTPMSG_FIELD_COUNT][HTTPMSG_VALUE_BYTES];
   int64_t body_len; /* HTTPMSG_LENGTH_UNKNOWN: chunked or until the connection
-                       closes; in a response to HEAD the Content-Length */
+                       closes; in a response that has no body the
+                       Content-Length */
   bool chunked;
   bool until_close; /* the end of the connection ends the body */
   bool keep_alive;
