front: an answer without a body ends with its head

What callers saw: at the own interface the caller of a request that a server answers with 204 or 304 got 504, deadline-running, unknown, at the end of the request's timeout, although the request had run, unless the answer had "Content-Length: 0". This includes the usual 204, with neither a length nor chunks.

Cause: libwebsockets waits for the body that the fields declare, or without them for the end of the connection, whatever the status is; the front task called an answer complete only when libwebsockets had reported its end.

Why it works: libwebsockets is not asked for an end that it does not see, and what the server sends behind the head is not read. The caller's 304 has no Content-Length.

The cost of a new connection for each request whose answer has no body was not measured.

--- a/tasks/front_backend.c
+++ b/tasks/front_backend.c
@@ -4,6 +4,7 @@
 
 #include "core/counter.h"
 #include "core/err.h"
+#include "core/httpstatus.h"
 #include "core/slog.h"
 #include "tasks/front_state.h"
 #include "wire/tracestate.h"
@@ -427,6 +428,7 @@
   struct front_serve *serve = conn->serve;
   struct list fields;
   int status = front_http_status (wsi);
+  bool no_body = status >= 200 && httpstatus_has_no_body (status);
 
   if (serve == NULL)
     return -1;
@@ -444,9 +446,15 @@
           "response header fields dropped, one is too long "
           "service=%s path=%s",
           serve->req.service_name, serve->path);
-  front_answer_send_head (serve, status, &fields, conn->body_len);
+  front_answer_send_head (serve, status, &fields,
+                          no_body ? 0 : conn->body_len);
   msg_fields_free (&fields);
-  return 0;
+  if (!no_body || (conn->body_len == 0 && !conn->chunked))
+    return 0;
+  /* libwebsockets waits for the body that the fields declare.  */
+  front_backend_abandon (serve);
+  front_answer_complete (serve);
+  return -1;
 }
 
 /* Reads received body bytes; pauses the connection while the answer buffer is
--- a/tasks/front_write.c
+++ b/tasks/front_write.c
@@ -1,19 +1,12 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "core/httpstatus.h"
 #include "tasks/front_state.h"
 
 #define FRONT_WRITE_BYTES_MAX (16 * 1024)
 #define FRONT_WRITE_CHUNK_HEAD_BYTES 16
 
-/* Whether responses with STATUS have no body and must not get a Content-Length
-   field.  */
-static bool
-front_write_status_has_no_body (int status)
-{
-  return status == 204 || status == 304 || (status >= 100 && status < 200);
-}
-
 /* Writes the status line and the header fields.  */
 static int
 front_write_head (struct front_call *call)
@@ -39,7 +32,7 @@
       if (front_http_add_field (wsi, "transfer-encoding", "chunked", &p, end))
         return -1;
     }
-  else if (!front_write_status_has_no_body (call->answer.status)
+  else if (!httpstatus_has_no_body (call->answer.status)
            && lws_add_http_header_content_length (
                wsi, (lws_filepos_t)call->answer.body_len, &p, end))
     return -1;
--- a/tests/test_front_head.c
+++ b/tests/test_front_head.c
@@ -255,6 +255,28 @@
     net_send_text (fd, "hello");
 }
 
+/* Answers without a body, with the status and the framing that PATH selects,
+   "/bare/STATUS/FRAMING/BODY"; BODY: the body that it must not have follows.
+ */
+static void
+send_bare (int fd, const char *path)
+{
+  const char *answer;
+  const char *end;
+  unsigned status = 0;
+  unsigned framing = 0;
+  unsigned body = 0;
+  char out[ANSWER_BYTES];
+
+  sscanf (path, "/bare/%u/%u/%u ", &status, &framing, &body);
+  status_runs++;
+  answer = strstr (answers[framing % FRAMING_COUNT], "\r\n");
+  end = strstr (answer, "\r\n\r\n") + 4;
+  snprintf (out, sizeof out, "HTTP/1.1 %u Odd%.*s", status,
+            body != 0 ? (int)strlen (answer) : (int)(end - answer), answer);
+  net_send_text (fd, out);
+}
+
 /* Serves one connection of the backend server and closes it.  */
 static void *
 serve_connection (void *arg)
@@ -295,6 +317,11 @@
           send_status (fd, strstr (text, "/status/"));
           continue;
         }
+      if (strstr (text, " /bare/") != NULL)
+        {
+          send_bare (fd, strstr (text, "/bare/"));
+          continue;
+        }
       if (path == NULL)
         {
           net_send_text (fd, answers[FRAMING_LENGTH]);
@@ -837,6 +864,40 @@
   run_uploads ("PUT", ATTEMPTS_MAX);
 }
 
+/* Guards against an answer without a body (status 204 or 304) whose fields do
+   not say so, and for whose body the node waits until the timeout of its
+   request, and against fields that let the caller wait.  */
+static void
+test_answers_without_body (void)
+{
+  static const char *const statuses[] = { "204", "304" };
+  static const char *const methods[] = { "GET", "POST", "PUT" };
+  char answer[TEXT_BYTES];
+  char expected[32];
+  char path[64];
+
+  announce_server ();
+  for (int i = 0; i < 2 * 2 * 3 * FRAMING_COUNT; i++)
+    {
+      const char *method = methods[i / 4 % 3];
+      int runs_before = status_runs;
+      bool whole;
+
+      snprintf (path, sizeof path, "/bare/%s/%d/%d", statuses[i % 2], i / 12,
+                i / 2 % 2);
+      snprintf (expected, sizeof expected, "HTTP/1.1 %s ", statuses[i % 2]);
+      whole = make_request (listen_address, method, path, "", answer);
+      SUITE_SEEDED (whole, i);
+      SUITE_SEEDED (strncmp (answer, expected, strlen (expected)) == 0, i);
+      SUITE_SEEDED (strcasestr (answer, "etag: \"e\"") != NULL, i);
+      SUITE_SEEDED (strcasestr (answer, "content-length: ") == NULL, i);
+      SUITE_SEEDED (strcasestr (answer, "transfer-encoding: ") == NULL, i);
+      SUITE_SEEDED (strcmp (strstr (answer, "\r\n\r\n"), "\r\n\r\n") == 0, i);
+      SUITE_SEEDED (status_runs - runs_before == 1, i);
+      SUITE_SEEDED (is_served (method), i);
+    }
+}
+
 int
 main (void)
 {
@@ -845,6 +906,7 @@
           { "answers in parts", test_answers_in_parts },
           { "long answers", test_long_answers },
           { "status of the server out of range", test_status_of_server },
+          { "answers without a body", test_answers_without_body },
           { "answers cut during an upload", test_cut_during_upload },
           { "answers cut by the server", test_cut_answers },
           { "answers to non-idempotent requests", test_cut_answers_run_once },
