--- a/tests/test_hconn.c
+++ b/tests/test_hconn.c
@@ -68,7 +68,6 @@
 start (void)
 {
   struct loop_opts loop_opts = { .descriptors_max = 64 };
-  struct hconn_windows_opts windows_opts = { .wide_max = 1 };
   struct hconn_opts opts = { .events = &events,
                              .role = HTTPMSG_REQUEST,
                              .names = &names,
@@ -85,7 +84,7 @@
   CU_ASSERT_PTR_NOT_NULL_FATAL (loop);
   opts.loop = loop;
   list_init (&lingering);
-  hconn_windows_init (&windows, &windows_opts);
+  windows = (struct hconn_windows){ .wide_max = 1 };
   for (int i = 0; i < CONNECTIONS; i++)
     {
       client_fds[i] = net_connect (address);
