hconn: bound what the kernel holds unsent

What callers saw: nothing yet; what the kernel holds for a process counts for its machine.

Cause: bytes of an answer were written as long as the kernel took them, and it takes up to 4 MB (tcp_wmem) for each connection that was read fast before. The account of what connections hold counts only what the kernel did not take. Same class as the bytes that are unread: a bound for the process, and none for what the kernel holds for it.

Change: TCP_NOTSENT_LOWAT of 16 KiB, so that the kernel takes no more until it has sent that. The rest stays in the buffers, which the account counts and for which the sources of answers are paused.

--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -274,8 +274,12 @@
 hconn_set_socket_options (struct hconn *conn, int fd)
 {
   int enabled = 1;
+  int unsent_bytes = HCONN_LOW_WATER_BYTES;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+  /* The rest stays in send_buf, which its owner counts and bounds.  */
+  setsockopt (fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_bytes,
+              sizeof unsent_bytes);
   if (conn->opts.unacked_timeout_ms > 0)
     hconn_apply_unacked_timeout (conn, fd);
 }
--- a/tests/test_hconn.c
+++ b/tests/test_hconn.c
@@ -1,5 +1,8 @@
+#include <linux/sockios.h>
 #include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -9,6 +12,11 @@
 #include "tests/suite.h"
 
 #define CONNECTIONS 2
+/* A long answer, and the part of it that a client reads at a time and in all.
+ */
+#define ANSWER_BYTES (32 * 1024 * 1024)
+#define PART_BYTES (64 * 1024)
+#define PARTS 200
 
 static const struct httpmsg_names names
     = { .name = { [HTTPMSG_HOST] = "Host" } };
@@ -153,6 +161,32 @@
   stop ();
 }
 
+/* Guards against as much memory of the kernel as it is willing to take for
+   answers that clients no longer read, after it has found that they read fast.
+   */
+static void
+test_unsent_is_bounded (void)
+{
+  static uint8_t part[PART_BYTES];
+  uint8_t *answer = calloc (1, ANSWER_BYTES);
+  int unsent = -1;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (answer);
+  start ();
+  buf_append (&conns[0].send_buf, answer, ANSWER_BYTES);
+  for (int i = 0; i < PARTS; i++)
+    {
+      hconn_flush (&conns[0]);
+      CU_ASSERT_TRUE (read (client_fds[0], part, sizeof part) > 0);
+    }
+  hconn_flush (&conns[0]);
+  CU_ASSERT_EQUAL (ioctl (conns[0].io.fd, SIOCOUTQNSD, &unsent), 0);
+  CU_ASSERT_TRUE (unsent <= HCONN_LOW_WATER_BYTES + HCONN_HIGH_WATER_BYTES);
+  CU_ASSERT_TRUE (conns[0].send_buf.len > 0);
+  stop ();
+  free (answer);
+}
+
 int
 main (void)
 {
@@ -161,6 +195,7 @@
             test_close_while_lingering_sends_no_reset },
           { "lingering are listed in order",
             test_lingering_are_listed_in_order },
+          { "unsent bytes are bounded", test_unsent_is_bounded },
           { NULL, NULL } };
 
   return suite_run ("hconn", tests);
