tests: a crowd at the own interface of a suspended node

mesh_crowd_own gets a crowd that comes while the node is suspended, and counts what the kernel holds unread when it is told to; mesh_crowd_own_suspended plays it. The other crowds and their bounds are as they were.

--- a/tests/mesh_crowd_own.sh
+++ b/tests/mesh_crowd_own.sh
@@ -3,11 +3,14 @@
 # node, or keep it from serving others, with requests that they do not finish:
 # large bodies, whole or not, headers that stop short, and bodies of any length.
 #
-# Without arguments all crowds are played, else those that are named.
+# Without arguments all crowds but "suspended" are played, else those that are
+# named.  With CROWD_COUNT_KERNEL set, bytes that the kernel holds unread count
+# for the memory of a node.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 . scripts/mesh.sh
 . scripts/mesh_request.sh
+. scripts/mesh_crowd.sh
 mesh_setup
 
 MEMORY_MB=64
@@ -15,6 +18,8 @@
 BODY_BYTES=262143       # the longest that a node keeps to send it again, less 1
 ADMIN_BODY_BYTES=2097151 # the longest that the admin port reads, less 1
 DOCUMENT_BYTES=1000000   # inside the limit of documents
+# shellcheck disable=SC2034 # read by crowd_sample
+CROWD_PROCESSES="n1 n2"
 
 cat >"$MESH_DIR/doc.json" <<'JSON'
 {"format": 1, "callers": {"header": "x-caller-id"},
@@ -37,16 +42,24 @@
   echo 5 >"/proc/${MESH_PID[$1]}/clear_refs"
 }
 
+# kernel_memory NODE: prints the most bytes that the kernel held unread for a
+# process, in KiB.
+kernel_memory () {
+  awk -v name="$1" '$1 == name && $3 > max { max = $3 }
+    END { print int (max / 1024) }' "$MESH_DIR/samples"
+}
+
 # check_node NODE: the process lives within its memory and its descriptors.
 check_node () {
-  local node=$1 memory descriptors
+  local node=$1 memory kernel descriptors
   mesh_is_running "$node" || { mesh_fail "$CROWD: $node has ended"; return; }
   memory=$(peak_memory "$node")
+  kernel=$(kernel_memory "$node")
   descriptors=$(find "/proc/${MESH_PID[$node]}/fd" -mindepth 1 | wc -l)
   echo "$CROWD: $node peak memory $((memory / 1024)) MB," \
-    "$descriptors descriptors"
-  [ "$memory" -le $((MEMORY_MB * 1024)) ] \
-    || mesh_fail "$CROWD: $node used $((memory / 1024)) MB"
+    "$((kernel / 1024)) MB unread in the kernel, $descriptors descriptors"
+  [ $((memory + kernel)) -le $((MEMORY_MB * 1024)) ] \
+    || mesh_fail "$CROWD: $node used $(((memory + kernel) / 1024)) MB"
   [ "$descriptors" -le "$DESCRIPTORS_MAX" ] \
     || mesh_fail "$CROWD: $node has $descriptors open descriptors"
 }
@@ -62,14 +75,22 @@
 }
 
 # play_crowd ADDRESS CLIENTS FRAMING METHOD TARGET BYTES: plays one crowd at
-# n2 and checks all nodes.
+# n2, which is suspended while it comes if CROWD_SUSPENDED is set, and checks all
+# nodes.
 play_crowd () {
   local node
   for node in n1 n2; do reset_peak_memory "$node"; done
   : >"$MESH_DIR/crowd.log"
+  : >"$MESH_DIR/samples"
+  if [ -n "${CROWD_COUNT_KERNEL:-}" ]; then
+    crowd_sample_all >"$MESH_DIR/samples" &
+    MESH_PID[sampler]=$!
+  fi
+  crowd_signal STOP
   mesh_start_process crowd "$MESH_BIN/tests/crowd_clients" "$@"
   mesh_wait_until 60 crowd_has_settled || mesh_fail "$CROWD: does not settle"
   echo "$CROWD: $(cat "$MESH_DIR/crowd.log")"
+  crowd_signal CONT
   if mesh_wait_until 10 request_is_answered n2; then
     echo "$CROWD: an ordinary request is answered beside the crowd"
   else
@@ -77,6 +98,7 @@
   fi
   for node in n1 n2; do check_node "$node"; done
   mesh_kill crowd
+  mesh_kill sampler
   mesh_wait_until 20 request_is_answered n2 \
     || mesh_fail "$CROWD: no ordinary request is answered afterwards"
 }
@@ -133,6 +155,8 @@
   check_calm_all
   case $CROWD in
     length) play_crowd "$listen" 400 length PUT /upload "$BODY_BYTES" ;;
+    suspended) CROWD_SUSPENDED=n2 \
+      play_crowd "$listen" 400 length PUT /upload "$BODY_BYTES" ;;
     chunked) play_crowd "$listen" 400 chunked PUT /upload "$BODY_BYTES" ;;
     head) play_crowd "$listen" 3500 head GET /read 15000 ;;
     endless) play_crowd "$listen" 200 endless PUT /upload 8000000 ;;
