gate: a pipelined request that was started counts as at work

What callers saw: a request that a server was running was cancelled and its connection ended, when new connections came at the limit of descriptors.

Cause: gate_in_start_pending() starts a request that waited for others of its connection, and nothing brought the account up to date then. The connection counted as one that waits for its caller, and after 1 s as stopped, so that it gave way.

Change: the account is updated when pending requests have been started.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -430,6 +430,7 @@
         gate_in_notify_body (request);
     }
   inbound->starting_pending = false;
+  gate_held_update (inbound);
 }
 
 static int
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -27,6 +27,8 @@
    no large one may grow beside them.  */
 #define SMALL_CROWD 72
 #define SMALL_BYTES 32000u
+/* Requests of a pipeline, the last of which waits for the first to end.  */
+#define PIPELINED 65
 /* Longer than the time after which a body has stopped moving.  */
 #define STOPPED_US 1200000
 /* Body bytes that the server reads before it answers early, enough to be
@@ -115,6 +117,8 @@
         }
       if (strncmp (text, "GET /r/late ", 12) == 0)
         usleep (STOPPED_US);
+      if (strncmp (text, "GET /r/slow ", 12) == 0)
+        usleep (2 * STOPPED_US);
       gate_fixture_answer (fd, text);
     }
   close (fd);
@@ -500,6 +504,51 @@
     close (fds[i]);
 }
 
+/* Guards against a request that is dropped while a server runs it, because it
+   waited for others of its connection and counts as waiting still.  */
+static void
+test_started_pending (void)
+{
+  static char text[PIPELINED * 1024];
+  int fds[IDLE_CONNECTIONS];
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  size_t len = 0;
+  int answers = 0;
+
+  for (int i = 0; i < PIPELINED; i++)
+    len += (size_t)snprintf (text + len, sizeof text - len,
+                             "GET /r/%s HTTP/1.1\r\nHost: h\r\n"
+                             "X-Sycamorerudder-Request-Id: p%d\r\n"
+                             "X-Sycamorerudder-Deadline-Ms: 30000\r\n\r\n",
+                             i == 0               ? "late"
+                             : i == PIPELINED - 1 ? "slow"
+                                                  : "x",
+                             i);
+  net_send_text (fd, text);
+  for (len = 0; answers < PIPELINED - 1;)
+    {
+      ssize_t received = read (fd, text + len, sizeof text - 1 - len);
+
+      if (received <= 0)
+        break;
+      len += (size_t)received;
+      text[len] = '\0';
+      answers = 0;
+      for (const char *at = text; (at = strstr (at, "HTTP/1.1 ")) != NULL;
+           at++)
+        answers++;
+    }
+  CU_ASSERT_EQUAL (answers, PIPELINED - 1);
+  usleep (STOPPED_US);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    fds[i] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  CU_ASSERT_EQUAL (read_status (fd), 200);
+  close (fd);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    close (fds[i]);
+  usleep (100000);
+}
+
 int
 main (void)
 {
@@ -513,6 +562,7 @@
           { "early answers", test_early_answers },
           { "descriptors", test_descriptors },
           { "late answer", test_late_answer },
+          { "started pending request", test_started_pending },
           { NULL, NULL } };
 
   return suite_run ("gate_held", tests);
