gate: no busy loop while the last answer is not read

What callers saw: nothing; a node used a whole core for as long as a client, which had closed its sending side, did not read the rest of its last answer, up to 8 s, and longer if it read a little.

Cause: the end of the stream stays readable. gate_in_handle_close() left reading on when the last answer was about to be flushed, so that the loop reported the end again and again.

Change: reading is paused there; hconn_linger() resumes it when the answer is written.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -543,6 +543,8 @@
 
   if (inbound->ended)
     {
+      /* The end of the stream stays readable until the answer is written.  */
+      loop_pause_reading (&conn->io, true);
       hconn_flush_and_close (conn);
       return;
     }
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "sycamorerudder.h"
@@ -27,6 +28,12 @@
    no large one may grow beside them.  */
 #define SMALL_CROWD 72
 #define SMALL_BYTES 32000u
+/* An answer that the kernel does not take whole for a client with such a
+   receive buffer.  */
+#define BIG_BYTES 60000
+#define CLIENT_BUFFER_BYTES 2048
+/* Time for which the processor is watched.  */
+#define WATCH_US 500000
 /* Requests of a pipeline, the last of which waits for the first to end.  */
 #define PIPELINED 65
 /* Longer than the time after which a body has stopped moving.  */
@@ -81,6 +88,27 @@
     ;
 }
 
+static void
+server_answer_big (int fd, const char *request)
+{
+  static const char body[BIG_BYTES];
+  const char *id_field = strstr (request, "X-Sycamorerudder-Request-Id: ");
+  char id[64] = "";
+  char text[512];
+
+  if (id_field != NULL)
+    sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+  snprintf (text, sizeof text,
+            "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
+            "X-Sycamorerudder-Instance-Id: i-1\r\n"
+            "X-Sycamorerudder-Server-Load: 0,0,64,1000\r\n"
+            "X-Sycamorerudder-Response-Seal: s\r\n"
+            "Content-Length: %d\r\n\r\n",
+            id, BIG_BYTES);
+  net_send_text (fd, text);
+  send (fd, body, sizeof body, MSG_NOSIGNAL);
+}
+
 /* Whether the next bytes on FD are the head of a request that is to be
    answered early.  */
 static bool
@@ -119,7 +147,10 @@
         usleep (STOPPED_US);
       if (strncmp (text, "GET /r/slow ", 12) == 0)
         usleep (2 * STOPPED_US);
-      gate_fixture_answer (fd, text);
+      if (strncmp (text, "GET /r/big ", 11) == 0)
+        server_answer_big (fd, text);
+      else
+        gate_fixture_answer (fd, text);
     }
   close (fd);
   free (text);
@@ -549,6 +580,52 @@
   usleep (100000);
 }
 
+/* Asks for a long answer on a connection with a small receive buffer.  */
+static int
+request_big (const char *id, const char *connection)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int bytes = CLIENT_BUFFER_BYTES;
+  char text[256];
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+  fd = net_connect_socket (fd, fixture.addresses[GATE_PORT_CALLERS]);
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  snprintf (text, sizeof text,
+            "GET /r/big HTTP/1.1\r\nHost: h\r\nConnection: %s\r\n"
+            "X-Sycamorerudder-Request-Id: %s\r\n"
+            "X-Sycamorerudder-Deadline-Ms: 30000\r\n\r\n",
+            connection, id);
+  net_send_text (fd, text);
+  return fd;
+}
+
+static clk_us
+cpu_time (void)
+{
+  struct timespec time;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return (clk_us)time.tv_sec * 1000000 + (clk_us)time.tv_nsec / 1000;
+}
+
+/* Guards against a loop that does not rest while a client that has closed its
+   sending side has not read the last answer.  */
+static void
+test_half_close_before_reading (void)
+{
+  int fd = request_big ("half-close", "close");
+  clk_us before;
+
+  usleep (200000);
+  shutdown (fd, SHUT_WR);
+  before = cpu_time ();
+  usleep (WATCH_US);
+  CU_ASSERT_TRUE (cpu_time () - before < WATCH_US / 2);
+  close (fd);
+  usleep (100000);
+}
+
 int
 main (void)
 {
@@ -562,6 +639,7 @@
           { "early answers", test_early_answers },
           { "descriptors", test_descriptors },
           { "late answer", test_late_answer },
+          { "half-close before reading", test_half_close_before_reading },
           { "started pending request", test_started_pending },
           { NULL, NULL } };
 
