hconn: bytes that are sent count as progress

What callers saw: a caller that read a long answer steadily, but slowly, was reset in the middle of it when new connections came at the limit.

Cause: progress was recorded when at most 16 KiB were unsent. Since the kernel takes only 16 KiB at a time (bound of unsent bytes), most of an answer of 60 kB waits in the buffer of the connection, and what the client read of it did not count.

Change: hconn reports bytes that were sent after they could not be sent at once, and the gate records progress then.

--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -494,15 +494,23 @@
   gate_held_make_room (inbound);
 }
 
+static void
+gate_in_handle_sent (struct hconn *conn)
+{
+  struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
+
+  if (list_is_linked (&inbound->held.node))
+    held_record_progress (&inbound->gate->held, &inbound->held,
+                          loop_now (inbound->gate->loop));
+  gate_held_update (inbound);
+}
+
 /* Few bytes are unsent: more of the first answer can be read.  */
 static void
 gate_in_handle_drained (struct hconn *conn)
 {
   struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
 
-  held_record_progress (&inbound->gate->held, &inbound->held,
-                        loop_now (inbound->gate->loop));
-  gate_held_update (inbound);
   if (!list_empty (&inbound->requests))
     gate_answer_update_reading (gate_in_first_request (inbound));
 }
@@ -679,6 +687,7 @@
                   gate_in_handle_request_end, NULL },
         .connected = gate_in_handle_connected,
         .received = gate_in_handle_received,
+        .sent = gate_in_handle_sent,
         .drained = gate_in_handle_drained,
         .ended = gate_in_handle_close,
         .destroy = gate_in_destroy };
--- a/tasks/hconn.c
+++ b/tasks/hconn.c
@@ -217,6 +217,7 @@
 hconn_handle_writable (struct loop_io *io)
 {
   struct hconn *conn = list_entry (io, struct hconn, io);
+  uint64_t base;
 
   if (!conn->connected)
     {
@@ -234,7 +235,11 @@
       if (conn->closed)
         return;
     }
+  base = conn->send_buf.base;
   hconn_flush (conn);
+  if (conn->send_buf.base > base && !conn->closed
+      && conn->opts.events->sent != NULL)
+    conn->opts.events->sent (conn);
   if (!conn->closed && !conn->lingering
       && conn->send_buf.len <= HCONN_LOW_WATER_BYTES)
     conn->opts.events->drained (conn);
--- a/tasks/hconn.h
+++ b/tasks/hconn.h
@@ -55,6 +55,8 @@
   void (*connected) (struct hconn *conn);
   /* Received bytes have been parsed; may be NULL.  */
   void (*received) (struct hconn *conn);
+  /* Bytes were sent that could not be sent at once; may be NULL.  */
+  void (*sent) (struct hconn *conn);
   /* After bytes could not be sent at once, or the connection was established:
      HCONN_LOW_WATER_BYTES or less are unsent.  */
   void (*drained) (struct hconn *conn);
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -626,6 +626,33 @@
   usleep (100000);
 }
 
+/* Guards against a client that reads slowly and loses the rest of its answer,
+   because what it reads does not count as progress.  */
+static void
+test_slow_reader (void)
+{
+  int fds[IDLE_CONNECTIONS];
+  char part[3000];
+  int fd = request_big ("slow-reader", "keep-alive");
+  size_t len = 0;
+  ssize_t received = 1;
+
+  for (int i = 0; len < BIG_BYTES && received > 0; i++)
+    {
+      usleep (100000);
+      received = read (fd, part, sizeof part);
+      len += received > 0 ? (size_t)received : 0;
+      if (i == 11)
+        for (int j = 0; j < IDLE_CONNECTIONS; j++)
+          fds[j] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+    }
+  CU_ASSERT_TRUE (len >= BIG_BYTES);
+  close (fd);
+  for (int i = 0; i < IDLE_CONNECTIONS; i++)
+    close (fds[i]);
+  usleep (100000);
+}
+
 int
 main (void)
 {
@@ -639,6 +666,7 @@
           { "early answers", test_early_answers },
           { "descriptors", test_descriptors },
           { "late answer", test_late_answer },
+          { "slow reader", test_slow_reader },
           { "half-close before reading", test_half_close_before_reading },
           { "started pending request", test_started_pending },
           { NULL, NULL } };
