gate: work on the way of each request is done once

An answer that is being forwarded was added up twice for each part of its body; a closed connection was added up before it was found to be out of the account; the id of a request was hashed when a connection is looked for and again when it is recorded, also on connections to nodes, which record none; and reading of a request of another node was resumed twice after its body was sent on.

Change: each is done once; no result changes. A comment in node_platform.c is back above the constants that it is about.

What it saves was not measured.

--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -12,8 +12,8 @@
 #include "programs/tool_signal.h"
 #include "tasks/gate.h"
 
-/* Exit statuses of the process.  */
 #define NODE_PLATFORM_BYTES_PER_MB (1024.0 * 1024)
+/* Exit statuses of the process.  */
 #define NODE_PLATFORM_EXIT_FAILED 1
 #define NODE_PLATFORM_EXIT_USAGE 2
 /* A voter that is lost no longer counts as lost once its successor has run for
--- a/tasks/gate_attempt.c
+++ b/tasks/gate_attempt.c
@@ -211,10 +211,10 @@
       buf_append (&attempt->answer_body, data, len);
       if (attempt->answer_body.len >= GATE_ANSWER_BUFFER_BYTES)
         gate_attempt_forward (attempt);
+      gate_held_update (request->inbound);
     }
   else
     gate_answer_body (request, data, len);
-  gate_held_update (request->inbound);
   gate_answer_update_reading (request);
   return SR_OK;
 }
--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -205,18 +205,18 @@
 gate_held_update (struct gate_in *inbound)
 {
   const struct httpmsg_parser *parser = &inbound->conn.parser;
-  uint64_t bytes = sizeof *inbound + inbound->conn.send_buf.capacity
-                   + gate_held_head_bytes (&parser->head)
-                   + parser->target.capacity + parser->field_name.capacity
-                   + parser->field_value.capacity
-                   + parser->connection_options.capacity;
   enum held_state state = HELD_WAITING;
+  uint64_t bytes;
 
+  if (!list_is_linked (&inbound->held.node))
+    return;
+  bytes = sizeof *inbound + inbound->conn.send_buf.capacity
+          + gate_held_head_bytes (&parser->head) + parser->target.capacity
+          + parser->field_name.capacity + parser->field_value.capacity
+          + parser->connection_options.capacity;
   /* Another node may be sending a request on an idle connection.  */
   if (inbound->port == GATE_PORT_NODES && list_empty (&inbound->requests))
     state = HELD_AT_WORK;
-  if (!list_is_linked (&inbound->held.node))
-    return;
   list_each (node, &inbound->requests)
     {
       const struct gate_request *request
--- a/tasks/gate_out.c
+++ b/tasks/gate_out.c
@@ -334,13 +334,12 @@
 }
 
 /* The idle connection of POOL that was used last and may carry the request of
-   OPTS; NULL if there is none.  */
+   OPTS, whose id has the digest ID; NULL if there is none.  */
 static struct gate_out *
 gate_out_find_idle (struct gate *gate, struct gate_pool *pool,
-                    const struct gate_out_opts *opts)
+                    const struct gate_out_opts *opts, uint64_t id)
 {
   clk_us now = loop_now (gate->loop);
-  uint64_t id = htable_hash_text (opts->request_id);
 
   if (opts->to_server && opts->request_id[0] == '\0')
     return NULL;
@@ -402,7 +401,9 @@
 {
   struct gate_pool *pool
       = gate_pool_get (gate, opts->address, opts->to_server);
-  struct gate_out *outbound = gate_out_find_idle (gate, pool, opts);
+  bool is_recorded = opts->to_server && opts->request_id[0] != '\0';
+  uint64_t id = is_recorded ? htable_hash_text (opts->request_id) : 0;
+  struct gate_out *outbound = gate_out_find_idle (gate, pool, opts, id);
 
   if (outbound == NULL)
     {
@@ -424,9 +425,8 @@
   outbound->reusable = false;
   outbound->conn.any_written = false;
   outbound->request_count++;
-  if (opts->to_server && opts->request_id[0] != '\0')
-    carried_add (&gate->carried, &outbound->carried,
-                 htable_hash_text (opts->request_id),
+  if (is_recorded)
+    carried_add (&gate->carried, &outbound->carried, id,
                  loop_now (gate->loop) + opts->time_left,
                  loop_now (gate->loop));
   httpmsg_expect_no_body (&outbound->conn.parser, false);
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -143,16 +143,25 @@
                      "text/plain", "", 0);
 }
 
-void
-gate_serve_trim_body (struct gate_serve *serve)
+/* Drops body bytes that were sent if no more can be buffered; false if more
+   can be.  */
+static bool
+gate_serve_drop_sent (struct gate_serve *serve)
 {
   struct gate_request *request = serve->request;
 
   if (!gate_held_body_is_full (request))
-    return;
+    return false;
   buf_drop_before (&request->body, serve->body_sent_bytes);
   gate_held_update (request->inbound);
-  gate_in_resume_body (request);
+  return true;
+}
+
+void
+gate_serve_trim_body (struct gate_serve *serve)
+{
+  if (gate_serve_drop_sent (serve))
+    gate_in_resume_body (serve->request);
 }
 
 /* Writes the buffered part of the body, if there is room, and lets more of it
@@ -162,7 +171,7 @@
 {
   gate_out_write_body (serve->outbound, serve->request,
                        &serve->body_sent_bytes, &serve->body_done);
-  gate_serve_trim_body (serve);
+  gate_serve_drop_sent (serve);
   gate_in_resume_body (serve->request);
 }
 
