held: gate and front take the options of their accounts from one place

Cause: the default memory, the parts of it that clients may hold, the size of an ordinary request and the time after which an item has stopped stood in both tasks, with the same values and reasons. Whether an item is still in the account was asked by some callers of held_record_progress() and not by others.

Change: held_opts_for() and held_memory_bytes() in controllers/held; the front adds what its connections hold. held_record_progress() does nothing for an item that is not added, as held_remove() does. All values are as they were.

--- a/controllers/held.c
+++ b/controllers/held.c
@@ -1,5 +1,35 @@
 #include "controllers/held.h"
 
+/* Process memory without a setting.  */
+#define HELD_MEMORY_BYTES (256ull * 1024 * 1024)
+/* Part of the process memory that all items may hold, and the part of it for
+   large ones.  */
+#define HELD_PERCENT 40u
+#define HELD_LARGE_PERCENT 75u
+/* An ordinary request with its answer.  */
+#define HELD_SMALL_BYTES (64u * 1024)
+/* Several times the pauses between the segments of a sender that has lost
+   some.  */
+#define HELD_STOPPED_US clk_s (1)
+
+uint64_t
+held_memory_bytes (uint64_t configured)
+{
+  return configured != 0 ? configured : HELD_MEMORY_BYTES;
+}
+
+struct held_opts
+held_opts_for (uint64_t memory_bytes)
+{
+  uint64_t bytes_max = memory_bytes / 100 * HELD_PERCENT;
+
+  return (struct held_opts){ .bytes_max = bytes_max,
+                             .large_bytes_max
+                             = bytes_max / 100 * HELD_LARGE_PERCENT,
+                             .small_bytes = HELD_SMALL_BYTES,
+                             .stopped_after = HELD_STOPPED_US };
+}
+
 void
 held_init (struct held *held, const struct held_opts *opts)
 {
@@ -56,6 +86,8 @@
 void
 held_record_progress (struct held *held, struct held_item *item, clk_us now)
 {
+  if (!list_is_linked (&item->node))
+    return;
   item->progress_at = now;
   held_move (held, item, item->list);
 }
--- a/controllers/held.h
+++ b/controllers/held.h
@@ -60,6 +60,15 @@
   clk_us progress_at;
 };
 
+/* Memory of a process; CONFIGURED is 0 when it is not set.  */
+uint64_t held_memory_bytes (uint64_t configured);
+
+/* Options for what a process with MEMORY_BYTES may hold for its peers.  The
+   rest is for the process itself, for memory that the allocator does not give
+   back, and for bytes that the kernel holds unread, which count for the
+   machine, too.  */
+struct held_opts held_opts_for (uint64_t memory_bytes);
+
 /* Initializes an empty account; OPTS is copied.  */
 void held_init (struct held *held, const struct held_opts *opts);
 
@@ -73,7 +82,8 @@
    progress.  */
 void held_set (struct held *held, struct held_item *item, uint64_t bytes,
                enum held_state state, clk_us now);
-/* Records that ITEM has moved: bytes came from its peer or were read by it. */
+/* Records that ITEM has moved: bytes came from its peer or were read by it.
+   Does nothing when it is not added.  */
 void held_record_progress (struct held *held, struct held_item *item,
                            clk_us now);
 
--- a/tasks/front_held.c
+++ b/tasks/front_held.c
@@ -11,23 +11,10 @@
    with their requests and answers, and the requests that other nodes sent to
    this one.  Buffers count with their capacity.  */
 
-/* Process memory without a setting.  */
-#define FRONT_HELD_MEMORY_BYTES (256ull * 1024 * 1024)
-/* Part of the process memory that clients may hold, and the part of it for
-   those that hold a long body each.  The rest is for the process itself, for
-   memory that the allocator does not give back, and for bytes that the kernel
-   holds unread, which count for the machine, too.  */
-#define FRONT_HELD_PERCENT 40u
-#define FRONT_HELD_LARGE_PERCENT 75u
 /* A connection with the memory of libwebsockets for its header fields.  */
 #define FRONT_HELD_CONN_BYTES (FRONT_HEADER_BYTES + 4096u)
-/* An ordinary request with its answer, without its connection.  */
-#define FRONT_HELD_SMALL_BYTES (64u * 1024)
 /* Part of the descriptors that clients may use.  */
 #define FRONT_HELD_DESCRIPTORS_PERCENT 75u
-/* Several times the pauses between the segments of a sender that has lost
-   some.  */
-#define FRONT_HELD_STOPPED_US clk_s (1)
 /* Fewer bytes at a time are no progress, or a byte now and then would hold a
    long body for good.  */
 #define FRONT_HELD_PROGRESS_BYTES 4096u
@@ -49,17 +36,11 @@
 void
 front_held_init (struct front *front)
 {
-  uint64_t memory_bytes = front->opts.memory_bytes != 0
-                              ? front->opts.memory_bytes
-                              : FRONT_HELD_MEMORY_BYTES;
-  uint64_t bytes_max = memory_bytes / 100 * FRONT_HELD_PERCENT;
   struct held_opts opts
-      = { .bytes_max = bytes_max,
-          .large_bytes_max = bytes_max / 100 * FRONT_HELD_LARGE_PERCENT,
-          .stopped_after = FRONT_HELD_STOPPED_US };
+      = held_opts_for (held_memory_bytes (front->opts.memory_bytes));
 
-  front->conn_bytes = front_held_conn_bytes (bytes_max);
-  opts.small_bytes = front->conn_bytes + FRONT_HELD_SMALL_BYTES;
+  front->conn_bytes = front_held_conn_bytes (opts.bytes_max);
+  opts.small_bytes += front->conn_bytes;
   held_init (&front->held, &opts);
   list_init (&front->closing_conns);
 }
@@ -162,8 +143,7 @@
 front_held_start_progress (struct front *front, struct front_held *held)
 {
   held->moved_bytes = 0;
-  if (list_is_linked (&held->item.node))
-    held_record_progress (&front->held, &held->item, clk_now ());
+  held_record_progress (&front->held, &held->item, clk_now ());
 }
 
 void
--- a/tasks/gate_held.c
+++ b/tasks/gate_held.c
@@ -6,70 +6,40 @@
    the answers that were not sent yet, and what of both the connections to
    servers and other nodes hold.  Buffers count with their capacity.  */
 
-/* Process memory without a setting.  */
-#define GATE_MEMORY_BYTES (256ull * 1024 * 1024)
-/* Part of the process memory that connections may hold, and the part of it for
-   those that hold more than GATE_HELD_SMALL_BYTES each.  The rest is for the
-   process itself, for memory that the allocator does not give back, and for
-   bytes that the kernel holds unread, which count for the machine, too.  */
-#define GATE_HELD_PERCENT 40u
-#define GATE_HELD_LARGE_PERCENT 75u
 /* Part of the process memory that the kernel may use for wide receive
    buffers.  */
 #define GATE_HELD_WIDE_PERCENT 10u
-/* An ordinary request with its answer.  */
-#define GATE_HELD_SMALL_BYTES (64u * 1024)
 /* Bytes of a body that are buffered while memory is short, if a server may be
    running the request.  */
 #define GATE_HELD_BODY_BYTES (64u * 1024)
 /* Interval at which all bodies are trimmed while memory is short.  */
 #define GATE_HELD_TRIM_INTERVAL_US clk_ms (10)
-/* Several times the pauses between the segments of a sender that has lost
-   some.  */
-#define GATE_HELD_STOPPED_US clk_s (1)
-
-static uint64_t
-gate_held_memory_bytes (const struct gate *gate)
-{
-  return gate->opts.memory_bytes != 0 ? gate->opts.memory_bytes
-                                      : GATE_MEMORY_BYTES;
-}
 
 static uint32_t
 gate_held_wide_max (const struct gate *gate)
 {
-  return (uint32_t)(gate_held_memory_bytes (gate) / 100
+  return (uint32_t)(held_memory_bytes (gate->opts.memory_bytes) / 100
                     * GATE_HELD_WIDE_PERCENT / (2 * HCONN_WIDE_BYTES));
 }
 
-static struct held_opts
-gate_held_opts (const struct gate *gate)
+void
+gate_held_reload (struct gate *gate)
 {
-  uint64_t bytes_max = gate_held_memory_bytes (gate) / 100 * GATE_HELD_PERCENT;
-
-  return (struct held_opts){ .bytes_max = bytes_max,
-                             .large_bytes_max
-                             = bytes_max / 100 * GATE_HELD_LARGE_PERCENT,
-                             .small_bytes = GATE_HELD_SMALL_BYTES,
-                             .stopped_after = GATE_HELD_STOPPED_US };
+  gate->held.opts
+      = held_opts_for (held_memory_bytes (gate->opts.memory_bytes));
+  gate->windows.wide_max = gate_held_wide_max (gate);
 }
 
 void
 gate_held_init (struct gate *gate)
 {
-  struct held_opts opts = gate_held_opts (gate);
+  struct held_opts opts
+      = held_opts_for (held_memory_bytes (gate->opts.memory_bytes));
 
   held_init (&gate->held, &opts);
   gate->windows.wide_max = gate_held_wide_max (gate);
 }
 
-void
-gate_held_reload (struct gate *gate)
-{
-  gate->held.opts = gate_held_opts (gate);
-  gate->windows.wide_max = gate_held_wide_max (gate);
-}
-
 static uint64_t
 gate_held_head_bytes (const struct httpmsg_head *head)
 {
--- a/tasks/gate_in.c
+++ b/tasks/gate_in.c
@@ -499,9 +499,8 @@
 {
   struct gate_in *inbound = list_entry (conn, struct gate_in, conn);
 
-  if (list_is_linked (&inbound->held.node))
-    held_record_progress (&inbound->gate->held, &inbound->held,
-                          loop_now (inbound->gate->loop));
+  held_record_progress (&inbound->gate->held, &inbound->held,
+                        loop_now (inbound->gate->loop));
   gate_held_update (inbound);
 }
 
