front: one check of the connection before the events of both listeners

Cause: the callbacks of callers and of operators were copies of each other but for the handler at their end.

Change: front_held_begin_event() keeps the record of the connection, refuses one for which there is no room, and says whether the event is to be handled; both callbacks call it.

--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -627,20 +627,13 @@
 front_admin_lws_callback (struct lws *wsi, enum lws_callback_reasons reason,
                           void *user, void *in, size_t len)
 {
-  struct front_admin_request **user_request = user;
-  struct front *front = lws_context_user (lws_get_context (wsi));
-  struct front_conn *conn = front_held_handle_lws (front, wsi, reason);
   int result;
+  struct front_conn *conn
+      = front_held_begin_event (wsi, reason, user, &result);
 
-  if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION)
-    return front_held_admit_conn (front) ? 0 : -1;
-  /* A connection that ends before its first request has no user data.  */
-  if (user_request == NULL || conn == NULL)
-    return reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
-  if (conn->closing && reason != LWS_CALLBACK_CLOSED_HTTP
-      && reason != LWS_CALLBACK_HTTP_DROP_PROTOCOL)
-    return -1;
-  result = front_admin_handle_event (conn, wsi, reason, user_request, in, len);
+  if (conn == NULL)
+    return result;
+  result = front_admin_handle_event (conn, wsi, reason, user, in, len);
   front_held_update_conn (conn);
   return result;
 }
--- a/tasks/front_held.c
+++ b/tasks/front_held.c
@@ -241,7 +241,8 @@
   return true;
 }
 
-bool
+/* Whether there is room for one more connection; others may give way.  */
+static bool
 front_held_admit_conn (struct front *front)
 {
   clk_us now = clk_now ();
@@ -307,8 +308,10 @@
   free (conn);
 }
 
-struct front_conn *
-front_held_handle_lws (struct front *front, struct lws *wsi,
+/* Creates or frees the record of the connection of WSI; returns it, or NULL
+   when there is none.  */
+static struct front_conn *
+front_held_track_conn (struct front *front, struct lws *wsi,
                        enum lws_callback_reasons reason)
 {
   struct front_conn *conn;
@@ -324,3 +327,31 @@
   front_held_free_conn (front, conn);
   return NULL;
 }
+
+struct front_conn *
+front_held_begin_event (struct lws *wsi, enum lws_callback_reasons reason,
+                        const void *user, int *result)
+{
+  struct front *front = lws_context_user (lws_get_context (wsi));
+  struct front_conn *conn = front_held_track_conn (front, wsi, reason);
+
+  *result = 0;
+  if (reason == LWS_CALLBACK_FILTER_NETWORK_CONNECTION)
+    {
+      *result = front_held_admit_conn (front) ? 0 : -1;
+      return NULL;
+    }
+  /* A connection that ends before its first request has no user data.  */
+  if (user == NULL || conn == NULL)
+    {
+      *result = reason == LWS_CALLBACK_FILTER_PROTOCOL_CONNECTION ? -1 : 0;
+      return NULL;
+    }
+  if (conn->closing && reason != LWS_CALLBACK_CLOSED_HTTP
+      && reason != LWS_CALLBACK_HTTP_DROP_PROTOCOL)
+    {
+      *result = -1;
+      return NULL;
+    }
+  return conn;
+}
--- a/tasks/front_state.h
+++ b/tasks/front_state.h
@@ -326,15 +326,17 @@
 /* Drops clients until the rest fits after HELD has grown; returns false when
    HELD itself was dropped, which frees a request of another node.  */
 bool front_held_make_room (struct front *front, struct front_held *held);
-/* Whether there is room for one more connection; others may give way.  */
-bool front_held_admit_conn (struct front *front);
 /* Closes the connections that were dropped; not in a callback of
    libwebsockets.  */
 void front_held_close_dropped (struct front *front);
-/* Keeps the record of the connection of WSI; returns it, or NULL when there is
-   none.  Called for each event of a listener's connections.  */
-struct front_conn *front_held_handle_lws (struct front *front, struct lws *wsi,
-                                          enum lws_callback_reasons reason);
+/* Keeps the record of the connection of WSI, and refuses a connection for
+   which there is no room.  Called first for each event of a listener's
+   connections.  Returns the record if the event is to be handled, else NULL
+   and in *RESULT what the callback returns.  USER is the data of the
+   request.  */
+struct front_conn *front_held_begin_event (struct lws *wsi,
+                                           enum lws_callback_reasons reason,
+                                           const void *user, int *result);
 
 /* front_http.c: header fields of libwebsockets */
 void front_http_copy_token (struct lws *wsi, enum lws_token_indexes token,
