tests: ids, answers and requests of other nodes come from the fixture

Cause: nine test programs of the gate read the id of a request with the same lines, two wrote the fixture's answer with another number of slots, two sent requests as another node, and two read the status of an answer, each with lines of its own.

Change: gate_fixture_read_id(), gate_fixture_write_answer() and gate_fixture_send_as_node(), and net_read_status(); the programs use them. The long answer of test_gate_held tells 100 instead of 1000 in the last part of its load, as the other answers do.

--- a/tests/gate_fixture.h
+++ b/tests/gate_fixture.h
@@ -17,6 +17,10 @@
 #include "platform/platform.h"
 #include "tasks/gate.h"
 #include "tests/net.h"
+#include "wire/nodehdr.h"
+
+#define GATE_FIXTURE_ID_BYTES 64
+#define GATE_FIXTURE_ANSWER_BYTES 512
 
 /* A configuration with one route, /r/ of host "h", whose requests can be sent
    again.  */
@@ -105,26 +109,68 @@
     }
 }
 
-/* Answers REQUEST with 200 and the body "ok".  */
+/* Copies the id of REQUEST to ID, "" if it has none.  */
 static inline void
-gate_fixture_answer (int fd, const char *request)
+gate_fixture_read_id (const char *request, char id[GATE_FIXTURE_ID_BYTES])
+{
+  const char *field = strstr (request, "X-Sycamorerudder-Request-Id: ");
+
+  id[0] = '\0';
+  if (field != NULL)
+    sscanf (field, "X-Sycamorerudder-Request-Id: %63s", id);
+}
+
+/* Writes the head of the answer 200 to REQUEST, of a server with SLOTS slots,
+   and the text BODY, which may be the beginning of a body of BODY_LEN bytes.
+ */
+static inline void
+gate_fixture_write_answer (char out[GATE_FIXTURE_ANSWER_BYTES],
+                           const char *request, unsigned slots,
+                           const char *body, size_t body_len)
 {
-  const char *id_field = strstr (request, "X-Sycamorerudder-Request-Id: ");
-  char id[64] = "";
-  char out[256];
+  char id[GATE_FIXTURE_ID_BYTES];
 
-  if (id_field != NULL)
-    sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
-  snprintf (out, sizeof out,
+  gate_fixture_read_id (request, id);
+  snprintf (out, GATE_FIXTURE_ANSWER_BYTES,
             "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
             "X-Sycamorerudder-Instance-Id: i-1\r\n"
-            "X-Sycamorerudder-Server-Load: 0,0,4,100\r\n"
+            "X-Sycamorerudder-Server-Load: 0,0,%u,100\r\n"
             "X-Sycamorerudder-Response-Seal: s\r\n"
-            "Content-Length: 2\r\n\r\nok",
-            id);
+            "Content-Length: %zu\r\n\r\n%s",
+            id, slots, body_len, body);
+}
+
+/* Answers REQUEST with 200 and the body "ok".  */
+static inline void
+gate_fixture_answer (int fd, const char *request)
+{
+  char out[GATE_FIXTURE_ANSWER_BYTES];
+
+  gate_fixture_write_answer (out, request, 4, "ok", 2);
   net_send_text (fd, out);
 }
 
+/* Connects to the port for nodes and sends a GET with the id ID and the fields
+   of REQUEST, as another node does.  */
+static inline int
+gate_fixture_send_as_node (const struct gate_fixture *fixture, const char *id,
+                           const struct nodehdr_request *request)
+{
+  int fd = net_connect (fixture->addresses[GATE_PORT_NODES]);
+  char field[NODEHDR_TEXT_BYTES];
+  char text[512];
+
+  nodehdr_encode_request (request, field);
+  snprintf (text, sizeof text,
+            "GET /r/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
+            "X-Sycamorerudder-Caller-Service: z\r\n"
+            "X-Sycamorerudder-Deadline-Ms: %u\r\n"
+            "X-Sycamorerudder-Request-Id: %s\r\n\r\n",
+            NODEHDR_REQUEST_FIELD, field, (unsigned)request->timeout_ms, id);
+  net_send_text (fd, text);
+  return fd;
+}
+
 static inline void *
 gate_fixture_run (void *arg)
 {
--- a/tests/net.h
+++ b/tests/net.h
@@ -119,6 +119,19 @@
   (void)!write (fd, text, strlen (text));
 }
 
+/* Status of the answer whose beginning is read next; 0 without one.  */
+static inline int
+net_read_status (int fd)
+{
+  char text[4096];
+  ssize_t len = read (fd, text, sizeof text - 1);
+  int status = 0;
+
+  text[len > 0 ? len : 0] = '\0';
+  sscanf (text, "HTTP/1.1 %d", &status);
+  return status;
+}
+
 /* Reads into OUT until the connection ends, and closes it.  */
 static inline void
 net_read_to_end (int fd, char *out, size_t size)
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -18,7 +18,6 @@
 
 #define TEXT_BYTES 65536
 /* Buffer for the id of a request.  */
-#define ID_BYTES 64
 /* Requests that the backend server refuses when they come first.  */
 #define REFUSED_REQUESTS 40
 /* Descriptors that the test opens; more than the gaps between those of the
@@ -124,7 +123,7 @@
 /* Requests that the server has refused on one connection.  */
 struct server_refusals
 {
-  char ids[REFUSED_REQUESTS][ID_BYTES];
+  char ids[REFUSED_REQUESTS][GATE_FIXTURE_ID_BYTES];
   int count;
 };
 
@@ -134,7 +133,7 @@
 static bool
 server_refuse_first (int fd, struct server_refusals *refusals, const char *id)
 {
-  static char refused[REFUSED_REQUESTS][ID_BYTES];
+  static char refused[REFUSED_REQUESTS][GATE_FIXTURE_ID_BYTES];
   static int refused_count;
   bool seen = false;
 
@@ -260,11 +259,9 @@
   while (gate_fixture_read_request (fd, text, TEXT_BYTES))
     {
       const struct endless_answer *endless = endless_answer_of (text);
-      char id[ID_BYTES] = "";
-      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
+      char id[GATE_FIXTURE_ID_BYTES];
 
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+      gate_fixture_read_id (text, id);
       pthread_mutex_lock (&server_lock);
       snprintf (server_last_request, sizeof server_last_request, "%s", text);
       pthread_mutex_unlock (&server_lock);
@@ -671,7 +668,7 @@
 send_refused_first (const char *id)
 {
   char text[256];
-  char field[ID_BYTES + 40] = "";
+  char field[GATE_FIXTURE_ID_BYTES + 40] = "";
   int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
 
   if (id != NULL)
@@ -704,7 +701,7 @@
   int runs_before = server_refused_run_count;
   int fds[REFUSED_REQUESTS / 2];
   int count = REFUSED_REQUESTS / 2;
-  char id[ID_BYTES];
+  char id[GATE_FIXTURE_ID_BYTES];
 
   expect_refused_first_answered (send_refused_first ("alone"), 0);
   CU_ASSERT_EQUAL (server_refused_run_count - runs_before, 1);
--- a/tests/test_gate_bodies.c
+++ b/tests/test_gate_bodies.c
@@ -128,19 +128,9 @@
 static void
 server_answer (int fd, const char *head)
 {
-  const char *id_field = strstr (head, "X-Sycamorerudder-Request-Id: ");
-  char id[64] = "";
-  char out[256];
-
-  if (id_field != NULL)
-    sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
-  snprintf (out, sizeof out,
-            "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
-            "X-Sycamorerudder-Instance-Id: i-1\r\n"
-            "X-Sycamorerudder-Server-Load: 0,0,%d,100\r\n"
-            "X-Sycamorerudder-Response-Seal: s\r\n"
-            "Content-Length: 2\r\n\r\nok",
-            id, SLOTS);
+  char out[GATE_FIXTURE_ANSWER_BYTES];
+
+  gate_fixture_write_answer (out, head, SLOTS, "ok", 2);
   net_send_text (fd, out);
 }
 
--- a/tests/test_gate_copies.c
+++ b/tests/test_gate_copies.c
@@ -8,10 +8,8 @@
 #include "tests/gate_fixture.h"
 #include "tests/net.h"
 #include "tests/suite.h"
-#include "wire/nodehdr.h"
 
 #define TEXT_BYTES 4096
-#define ID_BYTES 64
 /* Requests that are sent twice.  */
 #define REPEATED_REQUESTS 12
 /* Other requests between the two sendings of a request.  */
@@ -33,7 +31,7 @@
 static struct gate_fixture fixture;
 
 /* Ids that the server has seen.  */
-static char server_ids[4096][ID_BYTES];
+static char server_ids[4096][GATE_FIXTURE_ID_BYTES];
 static int server_id_count;
 static int server_connection_count;
 static int server_connection_count_max;
@@ -65,17 +63,6 @@
   pthread_mutex_unlock (&server_lock);
 }
 
-/* Reads the id of a request.  */
-static void
-server_parse_id (const char *text, char id[ID_BYTES])
-{
-  const char *field = strstr (text, "X-Sycamorerudder-Request-Id: ");
-
-  id[0] = '\0';
-  if (field != NULL)
-    sscanf (field, "X-Sycamorerudder-Request-Id: %63s", id);
-}
-
 /* Backend server.  It answers a request with 200, and one that comes again
    with 500 if its id begins with "r" or "s".  The answer to the first sending
    is sent once more on its connection: for "r" after COPY_DELAY_US, for "s"
@@ -85,14 +72,14 @@
 {
   int fd = (int)(intptr_t)arg;
   char text[TEXT_BYTES];
-  char id[ID_BYTES];
-  char last_s[ID_BYTES] = "";
+  char id[GATE_FIXTURE_ID_BYTES];
+  char last_s[GATE_FIXTURE_ID_BYTES] = "";
   char out[256];
 
   server_count_connection (1);
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
-      server_parse_id (text, id);
+      gate_fixture_read_id (text, id);
       if (id[0] != 'r' && id[0] != 's')
         gate_fixture_answer (fd, text);
       else if (server_has_seen (id))
@@ -145,19 +132,8 @@
                                           .idempotent = true,
                                           .may_have_run = may_have_run,
                                           .internal = true };
-  int fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
-  char field[NODEHDR_TEXT_BYTES];
-  char text[512];
 
-  nodehdr_encode_request (&node_request, field);
-  snprintf (text, sizeof text,
-            "GET /r/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
-            "X-Sycamorerudder-Caller-Service: z\r\n"
-            "X-Sycamorerudder-Deadline-Ms: %u\r\n"
-            "X-Sycamorerudder-Request-Id: %s\r\n\r\n",
-            NODEHDR_REQUEST_FIELD, field, timeout_ms, id);
-  net_send_text (fd, text);
-  return fd;
+  return gate_fixture_send_as_node (&fixture, id, &node_request);
 }
 
 static int
@@ -166,19 +142,6 @@
   return send_request_for (id, may_have_run, 2000);
 }
 
-/* Reads the head of an answer; returns its status, 0 without one.  */
-static int
-read_status (int fd)
-{
-  char text[TEXT_BYTES];
-  ssize_t len = read (fd, text, sizeof text - 1);
-  int status = 0;
-
-  text[len > 0 ? len : 0] = '\0';
-  sscanf (text, "HTTP/1.1 %d", &status);
-  return status;
-}
-
 /* Ends a connection with a reset.  */
 static void
 reset_connection (int fd)
@@ -196,24 +159,24 @@
 expect_answer_to_repeat (char kind, unsigned index, unsigned others,
                          bool may_have_run)
 {
-  char id[ID_BYTES];
-  char other[2 * ID_BYTES];
+  char id[GATE_FIXTURE_ID_BYTES];
+  char other[2 * GATE_FIXTURE_ID_BYTES];
   int fd;
 
   snprintf (id, sizeof id, "%c-%u-%u-%d", kind, index, others,
             (int)may_have_run);
   fd = send_request (id, false);
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   reset_connection (fd);
   for (unsigned i = 0; i < others; i++)
     {
       snprintf (other, sizeof other, "o-%s-%u", id, i);
       fd = send_request (other, false);
-      CU_ASSERT_EQUAL (read_status (fd), 200);
+      CU_ASSERT_EQUAL (net_read_status (fd), 200);
       close (fd);
     }
   fd = send_request (id, may_have_run);
-  SUITE_SEEDED (read_status (fd) == 500, index);
+  SUITE_SEEDED (net_read_status (fd) == 500, index);
   close (fd);
 }
 
@@ -251,22 +214,22 @@
 test_copy_after_long_timeout (void)
 {
   clk_us end = clk_now () + LONG_REPEAT_US;
-  char id[ID_BYTES];
+  char id[GATE_FIXTURE_ID_BYTES];
   int fd = send_request_for ("s-long", false, LONG_TIMEOUT_MS);
 
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   reset_connection (fd);
   for (unsigned i = 0; clk_now () < end; i++)
     {
       snprintf (id, sizeof id, "o-long-%u", i);
       fd = send_request (id, false);
-      CU_ASSERT_EQUAL (read_status (fd), 200);
+      CU_ASSERT_EQUAL (net_read_status (fd), 200);
       close (fd);
       usleep (LONG_PAUSE_US);
     }
   fd = send_request_for ("s-long", true,
                          LONG_TIMEOUT_MS - LONG_REPEAT_US / CLK_US_PER_MS);
-  CU_ASSERT_EQUAL (read_status (fd), 500);
+  CU_ASSERT_EQUAL (net_read_status (fd), 500);
   close (fd);
 }
 
@@ -280,7 +243,7 @@
     {
       int fd = send_request ("one", false);
 
-      CU_ASSERT_EQUAL (read_status (fd), 200);
+      CU_ASSERT_EQUAL (net_read_status (fd), 200);
       close (fd);
     }
   CU_ASSERT_TRUE (server_connection_count_max <= SERVER_CONNECTIONS_MAX);
--- a/tests/test_gate_fragments.c
+++ b/tests/test_gate_fragments.c
@@ -11,10 +11,8 @@
 #include "tests/gate_fixture.h"
 #include "tests/net.h"
 #include "tests/suite.h"
-#include "wire/nodehdr.h"
 
 #define TEXT_BYTES 4096
-#define ID_BYTES 64
 /* Time after which the server sends the bytes that belong to no request, and
    until the test goes on.  */
 #define BYTES_DELAY_US 5000
@@ -99,17 +97,13 @@
 {
   int fd = (int)(intptr_t)arg;
   char text[TEXT_BYTES];
-  char id[ID_BYTES];
+  char id[GATE_FIXTURE_ID_BYTES];
 
   /* Bytes after an answer do not wait for its acknowledgement.  */
   set_socket_option (fd, TCP_NODELAY, 1);
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
-      const char *field = strstr (text, "X-Sycamorerudder-Request-Id: ");
-
-      id[0] = '\0';
-      if (field != NULL)
-        sscanf (field, "X-Sycamorerudder-Request-Id: %63s", id);
+      gate_fixture_read_id (text, id);
       switch (id[0])
         {
         case 'f':
@@ -170,23 +164,9 @@
                                           .timeout_ms = 2000,
                                           .idempotent = idempotent,
                                           .internal = true };
-  int fd = net_connect (fixture.addresses[GATE_PORT_NODES]);
-  char field[NODEHDR_TEXT_BYTES];
-  char text[TEXT_BYTES];
-  int status = 0;
-  ssize_t len;
+  int fd = gate_fixture_send_as_node (&fixture, id, &node_request);
+  int status = net_read_status (fd);
 
-  nodehdr_encode_request (&node_request, field);
-  snprintf (text, sizeof text,
-            "GET /r/x HTTP/1.1\r\nHost: h\r\n%s: %s\r\n"
-            "X-Sycamorerudder-Caller-Service: z\r\n"
-            "X-Sycamorerudder-Deadline-Ms: 2000\r\n"
-            "X-Sycamorerudder-Request-Id: %s\r\n\r\n",
-            NODEHDR_REQUEST_FIELD, field, id);
-  net_send_text (fd, text);
-  len = read (fd, text, sizeof text - 1);
-  text[len > 0 ? len : 0] = '\0';
-  sscanf (text, "HTTP/1.1 %d", &status);
   close (fd);
   return status;
 }
@@ -200,8 +180,8 @@
 
   for (unsigned cut = 1; cut < sizeof copy - 1; cut++)
     {
-      char id[ID_BYTES];
-      char failing_id[ID_BYTES + 2];
+      char id[GATE_FIXTURE_ID_BYTES];
+      char failing_id[GATE_FIXTURE_ID_BYTES + 2];
       int status;
 
       snprintf (id, sizeof id, "%c%u", "itw"[moment], cut);
@@ -256,7 +236,7 @@
 
   for (unsigned cut = 1; cut < sizeof refusal_copy - 1; cut++)
     {
-      char id[ID_BYTES];
+      char id[GATE_FIXTURE_ID_BYTES];
 
       snprintf (id, sizeof id, "n%u", cut);
       CU_ASSERT_EQUAL (request_status (id, true), 503);
--- a/tests/test_gate_head.c
+++ b/tests/test_gate_head.c
@@ -245,11 +245,9 @@
        count++)
     {
       struct cut cut;
-      char id[64] = "";
-      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
+      char id[GATE_FIXTURE_ID_BYTES];
 
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+      gate_fixture_read_id (text, id);
       if (strstr (text, "GET /health ") != NULL)
         {
           net_send_text (
--- a/tests/test_gate_held.c
+++ b/tests/test_gate_held.c
@@ -17,6 +17,7 @@
 /* Bodies of the crowd, too short to be forwarded before they are complete, and
    so many that together they exceed the limit.  */
 #define CROWD 24
+#define SLOTS 64
 /* Descriptors of the gate, and idle connections, which need more.  */
 #define DESCRIPTORS_MAX 120
 #define IDLE_CONNECTIONS 150
@@ -92,19 +93,9 @@
 server_answer_big (int fd, const char *request)
 {
   static const char body[BIG_BYTES];
-  const char *id_field = strstr (request, "X-Sycamorerudder-Request-Id: ");
-  char id[64] = "";
-  char text[512];
+  char text[GATE_FIXTURE_ANSWER_BYTES];
 
-  if (id_field != NULL)
-    sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
-  snprintf (text, sizeof text,
-            "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n"
-            "X-Sycamorerudder-Instance-Id: i-1\r\n"
-            "X-Sycamorerudder-Server-Load: 0,0,64,1000\r\n"
-            "X-Sycamorerudder-Response-Seal: s\r\n"
-            "Content-Length: %d\r\n\r\n",
-            id, BIG_BYTES);
+  gate_fixture_write_answer (text, request, SLOTS, "", BIG_BYTES);
   net_send_text (fd, text);
   send (fd, body, sizeof body, MSG_NOSIGNAL);
 }
@@ -162,7 +153,7 @@
 {
   struct gate_fixture_opts opts = { .document = document,
                                     .stop_limit = clk_s (3),
-                                    .slots = 64,
+                                    .slots = SLOTS,
                                     .memory_bytes = MEMORY_BYTES,
                                     .descriptors_max = DESCRIPTORS_MAX,
                                     .serve = server_serve_connection };
@@ -224,18 +215,6 @@
   return status;
 }
 
-static int
-read_status (int fd)
-{
-  char text[4096];
-  ssize_t len = read (fd, text, sizeof text - 1);
-  int status = 0;
-
-  text[len > 0 ? len : 0] = '\0';
-  sscanf (text, "HTTP/1.1 %d", &status);
-  return status;
-}
-
 static int
 get_status (void)
 {
@@ -245,7 +224,7 @@
   net_send_text (fd, "GET /r/x HTTP/1.1\r\nHost: h\r\n"
                      "X-Sycamorerudder-Request-Id: get\r\n"
                      "X-Sycamorerudder-Deadline-Ms: 3000\r\n\r\n");
-  status = read_status (fd);
+  status = net_read_status (fd);
   close (fd);
   return status;
 }
@@ -322,7 +301,7 @@
   usleep (STOPPED_US);
   fd = send_head ("long", LONG_BODY_BYTES);
   CU_ASSERT_TRUE (send_body (fd, LONG_BODY_BYTES));
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   CU_ASSERT_EQUAL (server_body_bytes, LONG_BODY_BYTES);
   close (fd);
   close_crowd (fds);
@@ -391,7 +370,7 @@
     {
       early_fds[i] = send_head_to ("/r/early", "early", LONG_BODY_BYTES);
       send_body (early_fds[i], EARLY_BYTES);
-      CU_ASSERT_EQUAL (read_status (early_fds[i]), 200);
+      CU_ASSERT_EQUAL (net_read_status (early_fds[i]), 200);
     }
   for (int i = 0; i < AFTER_EARLY; i++)
     {
@@ -402,7 +381,7 @@
   for (int i = 0; i < AFTER_EARLY; i++)
     {
       send_body (fds[i], 1);
-      CU_ASSERT_EQUAL (read_status (fds[i]), 200);
+      CU_ASSERT_EQUAL (net_read_status (fds[i]), 200);
       close (fds[i]);
     }
   for (int i = 0; i < EARLY_UPLOADS; i++)
@@ -440,7 +419,7 @@
   for (int i = 0; i < 2; i++)
     {
       net_send_text (fd, "GET /-/readiness HTTP/1.1\r\nHost: h\r\n\r\n");
-      CU_ASSERT_TRUE (read_status (fd) > 0);
+      CU_ASSERT_TRUE (net_read_status (fd) > 0);
     }
   close (fd);
 }
@@ -500,7 +479,7 @@
   open_unfinished (fds, "new");
   CU_ASSERT_TRUE (count_caller_descriptors () <= CONNECTIONS_MAX);
   send_body (fds[CONNECTIONS_MAX - 1], 1);
-  CU_ASSERT_EQUAL (read_status (fds[CONNECTIONS_MAX - 1]), 200);
+  CU_ASSERT_EQUAL (net_read_status (fds[CONNECTIONS_MAX - 1]), 200);
   for (int i = 0; i < CONNECTIONS_MAX; i++)
     {
       net_read_to_end (stopped[i], text, sizeof text);
@@ -524,12 +503,12 @@
   int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
 
   net_send_text (fd, request);
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   for (int i = 0; i < IDLE_CONNECTIONS; i++)
     fds[i] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
   usleep (100000);
   net_send_text (fd, request);
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   close (fd);
   for (int i = 0; i < IDLE_CONNECTIONS; i++)
     close (fds[i]);
@@ -573,7 +552,7 @@
   usleep (STOPPED_US);
   for (int i = 0; i < IDLE_CONNECTIONS; i++)
     fds[i] = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
-  CU_ASSERT_EQUAL (read_status (fd), 200);
+  CU_ASSERT_EQUAL (net_read_status (fd), 200);
   close (fd);
   for (int i = 0; i < IDLE_CONNECTIONS; i++)
     close (fds[i]);
--- a/tests/test_gate_silent.c
+++ b/tests/test_gate_silent.c
@@ -93,9 +93,8 @@
 
   while (gate_fixture_read_request (fd, text, sizeof text))
     {
-      char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
       bool health = strstr (text, "GET /health ") != NULL;
-      char id[64] = "";
+      char id[GATE_FIXTURE_ID_BYTES];
       char out[512];
 
       if (strstr (text, "/hang ") != NULL)
@@ -105,8 +104,7 @@
           break;
         }
       orders_run += strncmp (text, "POST /o/", 8) == 0;
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+      gate_fixture_read_id (text, id);
       sleep_ms (work_ms);
       snprintf (out, sizeof out,
                 "HTTP/1.1 200 OK\r\nX-Sycamorerudder-Request-Id: %s\r\n%s"
--- a/tests/test_gate_upload.c
+++ b/tests/test_gate_upload.c
@@ -201,15 +201,13 @@
 
   while (read_head (fd, text, sizeof text))
     {
-      const char *id_field = strstr (text, "X-Sycamorerudder-Request-Id: ");
       const char *path = strstr (text, "/cut-");
-      char id[64] = "";
+      char id[GATE_FIXTURE_ID_BYTES];
       unsigned framing;
       unsigned end;
       struct cut cut;
 
-      if (id_field != NULL)
-        sscanf (id_field, "X-Sycamorerudder-Request-Id: %63s", id);
+      gate_fixture_read_id (text, id);
       if (path != NULL
           && sscanf (path, "/cut-%u-%u-%u-%zu ", &framing, &end, &cut.delay_us,
                      &cut.at)
