tests: both programs of hconn take what they share from a fixture

Cause: test_hconn and test_hconn_window had the same callbacks that do nothing, the same names of fields and the same way to open a listener.

Change: tests/hconn_fixture.h.

--- a/tests/test_hconn.c
+++ b/tests/test_hconn.c
@@ -6,9 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "sycamorerudder.h"
-#include "tasks/hconn.h"
-#include "tests/net.h"
+#include "tests/hconn_fixture.h"
 #include "tests/suite.h"
 
 #define CONNECTIONS 2
@@ -18,22 +16,12 @@
 #define PART_BYTES (64 * 1024)
 #define PARTS 200
 
-static const struct httpmsg_names names
-    = { .name = { [HTTPMSG_HOST] = "Host" } };
 static struct loop *loop;
 static struct list lingering;
 static struct hconn_windows windows;
 static struct hconn conns[CONNECTIONS];
 static int client_fds[CONNECTIONS];
 
-static int
-handle_head (void *arg, struct httpmsg_head *head)
-{
-  (void)arg;
-  (void)head;
-  return SR_OK;
-}
-
 static int
 handle_body (void *arg, const uint8_t *data, size_t len)
 {
@@ -43,19 +31,6 @@
   return SR_OK;
 }
 
-static int
-handle_end (void *arg)
-{
-  (void)arg;
-  return SR_OK;
-}
-
-static void
-handle_nothing (struct hconn *conn)
-{
-  (void)conn;
-}
-
 static void
 handle_close (struct hconn *conn, enum hconn_end end)
 {
@@ -64,11 +39,12 @@
 }
 
 static const struct hconn_events events
-    = { .sink = { handle_head, handle_body, handle_end, NULL },
-        .connected = handle_nothing,
-        .drained = handle_nothing,
+    = { .sink = { hconn_fixture_handle_head, handle_body,
+                  hconn_fixture_handle_end, NULL },
+        .connected = hconn_fixture_handle_nothing,
+        .drained = hconn_fixture_handle_nothing,
         .ended = handle_close,
-        .destroy = handle_nothing };
+        .destroy = hconn_fixture_handle_nothing };
 
 /* Sets up connections in a loop that does not run, so that nothing is read but
    by the calls of a test.  */
@@ -78,16 +54,13 @@
   struct loop_opts loop_opts = { .descriptors_max = 64 };
   struct hconn_opts opts = { .events = &events,
                              .role = HTTPMSG_REQUEST,
-                             .names = &names,
+                             .names = &hconn_fixture_names,
                              .header_bytes_max = 4096,
                              .windows = &windows,
                              .lingering = &lingering };
   char address[NET_ADDRESS_BYTES];
-  int listener;
+  int listener = hconn_fixture_listen (address);
 
-  close (net_bind (address));
-  listener = hconn_listen (address);
-  CU_ASSERT_FATAL (listener >= 0);
   loop = loop_new (&loop_opts);
   CU_ASSERT_PTR_NOT_NULL_FATAL (loop);
   opts.loop = loop;
--- a/tests/test_hconn_window.c
+++ b/tests/test_hconn_window.c
@@ -10,9 +10,7 @@
 #include <unistd.h>
 
 #include "core/clk.h"
-#include "sycamorerudder.h"
-#include "tasks/hconn.h"
-#include "tests/net.h"
+#include "tests/hconn_fixture.h"
 #include "tests/suite.h"
 
 #define CONNECTIONS 3
@@ -39,8 +37,6 @@
   atomic_bool closed;
 };
 
-static const struct httpmsg_names names
-    = { .name = { [HTTPMSG_HOST] = "Host" } };
 static struct loop *loop;
 static struct hconn_windows windows;
 static struct server_conn server_conns[CONNECTIONS];
@@ -54,14 +50,6 @@
   return list_entry ((struct hconn *)arg, struct server_conn, conn);
 }
 
-static int
-handle_head (void *arg, struct httpmsg_head *head)
-{
-  (void)arg;
-  (void)head;
-  return SR_OK;
-}
-
 static int
 handle_body (void *arg, const uint8_t *data, size_t len)
 {
@@ -77,19 +65,6 @@
   return SR_OK;
 }
 
-static int
-handle_end (void *arg)
-{
-  (void)arg;
-  return SR_OK;
-}
-
-static void
-handle_nothing (struct hconn *conn)
-{
-  (void)conn;
-}
-
 static void
 handle_close (struct hconn *conn, enum hconn_end end)
 {
@@ -99,11 +74,12 @@
 }
 
 static const struct hconn_events events
-    = { .sink = { handle_head, handle_body, handle_end, NULL },
-        .connected = handle_nothing,
-        .drained = handle_nothing,
+    = { .sink = { hconn_fixture_handle_head, handle_body,
+                  hconn_fixture_handle_end, NULL },
+        .connected = hconn_fixture_handle_nothing,
+        .drained = hconn_fixture_handle_nothing,
         .ended = handle_close,
-        .destroy = handle_nothing };
+        .destroy = hconn_fixture_handle_nothing };
 
 static void
 handle_wake (void *arg)
@@ -236,16 +212,12 @@
       = { .on_wake = handle_wake, .descriptors_max = 64 };
   struct hconn_opts opts = { .events = &events,
                              .role = HTTPMSG_REQUEST,
-                             .names = &names,
+                             .names = &hconn_fixture_names,
                              .header_bytes_max = 4096,
                              .windows = &windows };
   char address[NET_ADDRESS_BYTES];
-  int bound = net_bind (address);
-  int listener;
+  int listener = hconn_fixture_listen (address);
 
-  close (bound);
-  listener = hconn_listen (address);
-  CU_ASSERT_FATAL (listener >= 0);
   loop = loop_new (&loop_opts);
   CU_ASSERT_PTR_NOT_NULL_FATAL (loop);
   opts.loop = loop;
@@ -284,14 +256,10 @@
 test_unread_before_accept_is_bounded (void)
 {
   char address[NET_ADDRESS_BYTES];
-  int bound = net_bind (address);
-  int listener;
+  int listener = hconn_fixture_listen (address);
   int client;
   int fd;
 
-  close (bound);
-  listener = hconn_listen (address);
-  CU_ASSERT_FATAL (listener >= 0);
   client = client_connect (address);
   client_write (client, BODY_BYTES, FULL_US);
   fd = hconn_accept (listener);
