tests: crowds read peaks and unread bytes in one way

Cause: mesh_crowd_own read the peak of memory and the largest sample of a process with lines of its own beside those of scripts/mesh_crowd.sh.

Change: crowd_peak() and crowd_most(), used by both; all bounds are as they were.

--- a/scripts/mesh_crowd.sh
+++ b/scripts/mesh_crowd.sh
@@ -225,6 +225,19 @@
     || crowd_fail "the processes are not sampled"
 }
 
+# crowd_peak NAME: prints the most bytes of memory that a process has used.
+crowd_peak () {
+  awk '/^VmHWM:/ { print $2 * 1024 }' "/proc/${MESH_PID[$1]}/status"
+}
+
+# crowd_most NAME COLUMN: prints the largest number in a column of the samples
+# of a process: 2 for descriptors, 3 for bytes unread in the kernel.
+crowd_most () {
+  awk -v name="$1" -v column="$2" '
+    $1 == name && $column > most { most = $column }
+    END { print most + 0 }' "$MESH_DIR/samples"
+}
+
 # crowd_check_limits: checks that each process lives and what it has used.
 crowd_check_limits () {
   local name peak kernel count
@@ -235,11 +248,9 @@
       tail -n 5 "$MESH_DIR/$name.log"
       continue
     fi
-    peak=$(awk '/^VmHWM:/ { print $2 * 1024 }' \
-      "/proc/${MESH_PID[$name]}/status")
-    read -r count kernel < <(awk -v name="$name" '$1 == name {
-        if ($2 > count) count = $2; if ($3 > bytes) bytes = $3 }
-        END { print count + 0, bytes + 0 }' "$MESH_DIR/samples")
+    peak=$(crowd_peak "$name")
+    count=$(crowd_most "$name" 2)
+    kernel=$(crowd_most "$name" 3)
     echo "$CROWD_CASE: $name peak $peak + unread in the kernel $kernel" \
       "(limit $limit), descriptors $count (limit $CROWD_DESCRIPTORS)"
     [ $((peak + kernel)) -le "$limit" ] \
--- a/tests/mesh_crowd_own.sh
+++ b/tests/mesh_crowd_own.sh
@@ -32,29 +32,16 @@
     "idempotent": true, "timeout_ms": 5000, "retries": 2}]}]}
 JSON
 
-# peak_memory NODE: prints the largest resident memory since the last reset, in
-# KiB.
-peak_memory () {
-  awk '$1 == "VmHWM:" { print $2 }' "/proc/${MESH_PID[$1]}/status"
-}
-
 reset_peak_memory () {
   echo 5 >"/proc/${MESH_PID[$1]}/clear_refs"
 }
 
-# kernel_memory NODE: prints the most bytes that the kernel held unread for a
-# process, in KiB.
-kernel_memory () {
-  awk -v name="$1" '$1 == name && $3 > max { max = $3 }
-    END { print int (max / 1024) }' "$MESH_DIR/samples"
-}
-
 # check_node NODE: the process lives within its memory and its descriptors.
 check_node () {
   local node=$1 memory kernel descriptors
   mesh_is_running "$node" || { mesh_fail "$CROWD: $node has ended"; return; }
-  memory=$(peak_memory "$node")
-  kernel=$(kernel_memory "$node")
+  memory=$(($(crowd_peak "$node") / 1024))
+  kernel=$(($(crowd_most "$node" 3) / 1024))
   descriptors=$(find "/proc/${MESH_PID[$node]}/fd" -mindepth 1 | wc -l)
   echo "$CROWD: $node peak memory $((memory / 1024)) MB," \
     "$((kernel / 1024)) MB unread in the kernel, $descriptors descriptors"
