review: drop the case on memory and put the gravest first

Cause: review/2 already shows that the core outgrows its memory with the changes of a long configuration. Done: that case is removed; the zones are case 11 and version r0 is case 12.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,48 +1,43 @@
 #!/bin/bash
-# The installation bears the loss of one zone.  A machine of the core loses its
-# disk; long after it has caught up, the machine of another zone loses its disk.
-# The acknowledged configuration must still be read.
+# Configurations that the pages call invalid are sent on top of the newest one.
+# Each must be refused with a 4xx, and the newest one stays in force.
 set -u
 cd "$(dirname "$0")" || exit 2
 . ../lab-3/lab.sh
-LAB_TOLERANCE=${LAB_CASE_TOLERANCE:-'{"machines":0,"zones":1,"regions":0}'}
 lab_setup
 lab_start_core
 lab_print_config r5 >"$LAB_DIR/r5"
 lab_is_replaced 2 r1 "$LAB_DIR/r5" || lab_exit 2 "r5 is not accepted"
-lab_note "operator r5 acknowledged"
+lab_note "operator r5 on r1: 200"
+broken=0
 
-# lose_disk NUMBER: the machine loses its disk and starts again at its address.
-lose_disk () {
-  lab_kill "c$1"
-  rm -rf "$LAB_DIR/c$1.data"
-  lab_note "core machine $1 lost its disk"
-  sleep 1
-  lab_start_replica "$1" false
-  lab_note "core machine $1 started again, with an empty disk"
+# send NAME FILE: an invalid configuration, with r5 as its base.
+send () {
+  local status
+  status=$(lab_replace 2 r5 "$2")
+  lab_note "operator $1 on r5: $status"
+  case $status in
+    4??) ;;
+    200) lab_note "broken: an invalid configuration is acknowledged ($1)"
+         broken=1 ;;
+    *) lab_exit 2 "no clear answer" ;;
+  esac
 }
 
-[ "$TROUBLE" = 1 ] && lose_disk 1
-# catch_up_s is 4; the machine has three times that.
-sleep 12
+if [ "$TROUBLE" = 1 ]; then
+  lab_print_config r3 >"$LAB_DIR/r3"
+  send "version r3" "$LAB_DIR/r3"
+  lab_print_config r5 ',["r-x","shop.example","/x/","idempotent",4,2,1,null,2,"stock"]' \
+    >"$LAB_DIR/r5-again"
+  send "version r5" "$LAB_DIR/r5-again"
+  lab_print_config r0 >"$LAB_DIR/r0"
+  send "version r0" "$LAB_DIR/r0"
+fi
+lab_note "read: $(lab_read 1)"
+if ! lab_wait 3 lab_read_is 1 r5; then
+  lab_note "broken: r5 is the newest valid acknowledged version, the read gives $(lab_read 3)"
+  broken=1
+fi
 lab_print_config r7 >"$LAB_DIR/r7"
-lab_wait 4 lab_is_replaced 3 r5 "$LAB_DIR/r7" || lab_exit 2 "r7 is not accepted"
-lab_note "operator r7 acknowledged"
-for i in 1 2 3; do lab_note "read at core machine $i: $(lab_read "$i")"; done
-[ "$TROUBLE" = 1 ] && lose_disk 2
-# recovery_s is 15.
-sleep 20
-broken=1
-for attempt in 1 2; do
-  for i in 1 2 3; do
-    answer=$(lab_read "$i")
-    lab_note "read at core machine $i: $answer"
-    [ "$answer" = "200 r7" ] && broken=0
-  done
-  [ "$broken" = 0 ] && break
-  sleep 1
-done
-lab_print_config r9 >"$LAB_DIR/r9"
-lab_note "operator r9 on r7: $(lab_replace 1 r7 "$LAB_DIR/r9")"
-[ "$broken" = 0 ] || lab_note "broken: r7 was acknowledged and is gone"
+lab_note "operator r7 on r5: $(lab_replace 3 r5 "$LAB_DIR/r7")"
 lab_exit "$broken" "result: $([ "$broken" = 0 ] && echo held || echo broken)"
