--- a/review/lab-3/lab.c
+++ b/review/lab-3/lab.c
@@ -14,12 +14,16 @@
                 [DEPTH PATH DEADLINE_MS] LOG
      sends DEPTH requests for each PATH at once, ROUNDS times on each
      connection, reads the answers and appends a line for each request to LOG
+   lab download IP PORT HOST CLIENTS PATH DEADLINE_MS BYTES_PER_S LOG
+     CLIENTS clients get PATH twice on a kept connection, first at full speed,
+     then at BYTES_PER_S; appends what each got to LOG
    lab changes CONTROL_PORT COUNT ROUTES SERVICE BASE LOG IP...
      sends COUNT configurations of ROUTES routes one after the other, each with
      the one before as its base; prints the last acknowledged version  */
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <signal.h>
 #include <stdarg.h>
@@ -44,6 +48,7 @@
   int fd;
   size_t len;
   size_t pos;
+  size_t size; /* bytes read at a time, 0 for all that fit */
   char data[READ_BYTES];
 };
 
@@ -160,7 +165,8 @@
 {
   if (reader->pos == reader->len)
     {
-      ssize_t len = recv (reader->fd, reader->data, sizeof reader->data, 0);
+      size_t size = reader->size > 0 ? reader->size : sizeof reader->data;
+      ssize_t len = recv (reader->fd, reader->data, size, 0);
 
       if (len <= 0)
         return -1;
@@ -616,6 +622,110 @@
   return 0;
 }
 
+/* A client that reads its second answer slowly, over a link with segments of
+   1,460 bytes and a small window.  */
+struct download
+{
+  const char *ip;
+  int port;
+  const char *host;
+  int number;
+  const char *path;
+  const char *deadline_ms;
+  long rate;
+};
+
+static int
+dial_narrow (const char *ip, int port)
+{
+  struct sockaddr_in address = make_address (ip, port);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int window = 16 * 1024;
+  int segment = 1460;
+
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  setsockopt (fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment);
+  set_timeout (fd, 20000);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+/* Sends request NUMBER and reads its answer, at RATE bytes a second, 0 for full
+   speed; returns whether it was whole.  */
+static int
+get_answer (const struct download *download, struct reader *reader, int number,
+            long rate)
+{
+  long long sent_at = now_ms ();
+  char text[1024];
+  struct head head;
+  long got = 0;
+  int whole;
+
+  snprintf (text, sizeof text,
+            "GET %s HTTP/1.1\r\nHost: %s\r\n"
+            "X-Sycamorerudder-Request-Id: c%dn%d\r\n"
+            "X-Sycamorerudder-Deadline-Ms: %s\r\n\r\n",
+            download->path, download->host, download->number, number,
+            download->deadline_ms);
+  log_line ("client sent id=c%dn%d deadline_ms=%s", download->number, number,
+            download->deadline_ms);
+  if (send_all (reader->fd, text, strlen (text)) != 0
+      || read_head (reader, &head) != 0 || head.length < 0)
+    {
+      log_line ("client no-answer id=c%dn%d", download->number, number);
+      return 0;
+    }
+  while (got < head.length && read_byte (reader) >= 0)
+    {
+      got++;
+      if (rate > 0 && got % (rate / 10) == 0)
+        sleep_ms (100);
+    }
+  whole = got == head.length;
+  log_line ("client %s id=c%dn%d status=%d got=%ld of=%ld after_ms=%lld",
+            whole ? "whole" : "cut", download->number, number, head.status,
+            got, head.length, now_ms () - sent_at);
+  return whole && head.status == 200;
+}
+
+static void *
+run_download (void *arg)
+{
+  struct download *download = arg;
+  struct reader *reader = calloc (1, sizeof *reader);
+
+  reader->fd = dial_narrow (download->ip, download->port);
+  reader->size = 1024;
+  if (reader->fd >= 0 && get_answer (download, reader, 1, 0))
+    get_answer (download, reader, 2, download->rate);
+  close (reader->fd);
+  free (reader);
+  return NULL;
+}
+
+static int
+run_downloads (char **argv)
+{
+  int count = atoi (argv[5]);
+  pthread_t *threads = calloc ((size_t)count, sizeof *threads);
+  struct download *downloads = calloc ((size_t)count, sizeof *downloads);
+
+  open_log (argv[9]);
+  for (int i = 0; i < count; i++)
+    {
+      downloads[i] = (struct download){ argv[2], atoi (argv[3]), argv[4],
+                                        i,       argv[6],        argv[7],
+                                        atol (argv[8]) };
+      pthread_create (&threads[i], NULL, run_download, &downloads[i]);
+    }
+  for (int i = 0; i < count; i++)
+    pthread_join (threads[i], NULL);
+  return 0;
+}
+
 /* Writes a configuration like that of the pages: names of the same length, and
    one service for all routes.  */
 static size_t
@@ -705,6 +815,8 @@
     return run_server (argv);
   if (strcmp (mode, "pipeline") == 0 && argc >= 11 && (argc - 8) % 3 == 0)
     return run_pipeline (argc, argv);
+  if (strcmp (mode, "download") == 0 && argc == 10)
+    return run_downloads (argv);
   if (strcmp (mode, "changes") == 0 && argc >= 9)
     return run_changes (argc, argv);
   fprintf (stderr, "usage: see the comment at the start of lab.c\n");
--- a/review/lab-3/lab.sh
+++ b/review/lab-3/lab.sh
@@ -9,6 +9,7 @@
 LAB_RECORD=$PWD/record.txt
 LAB_TOLERANCE='{"machines":1,"zones":0,"regions":0}'
 LAB_MEMORY_MB=256
+LAB_IDLE_S=15
 TROUBLE=${TROUBLE:-1}
 declare -A LAB_PID
 
@@ -159,7 +160,7 @@
 
 # lab_print_config VERSION [ROUTE...]: prints a configuration with services
 # "shop" and "stock" and the rows ROUTE, each with a comma before it, after the
-# routes /stock/ and /quick/.
+# routes /stock/, /quick/ and /files/.
 lab_print_config () {
   local version=$1
   shift
@@ -168,12 +169,13 @@
 "route_type","timeout_s","target_latency_s","priority","traffic_split",
 "max_attempts","service"],"rows":[
 ["r-stock","shop.example","/stock/","idempotent",6,2,1,null,2,"stock"],
-["r-quick","shop.example","/quick/","idempotent",4,2,1,null,2,"stock"]$*]},
+["r-quick","shop.example","/quick/","idempotent",4,2,1,null,2,"stock"],
+["r-files","shop.example","/files/","idempotent",12,2,1,null,2,"stock"]$*]},
 "services":{"columns":["name","health_path","max_connections","protocol",
 "tls"],"rows":[["shop","/health",316,"h1",false],
 ["stock","/health",316,"h1",false]]},
 "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
-"header_timeout_s":3,"idle_timeout_s":15}}
+"header_timeout_s":3,"idle_timeout_s":$LAB_IDLE_S}}
 JSON
 }
 
