cfg: number 0 of a sender is no request for the next number

Cause: number 0 stood for "the number after the current one" in struct msg_admin, struct cfg_change and the log, so that the number sent with r0 became the current number plus one.

Change: struct member_numbering says whether the number is given. 0 is refused with 400 where a call is decoded and with SR_EINVAL where a change is encoded. Log entries keep their format and meaning, a stored r0 document stays in force after an update.

fuzz_state required steps of one in the version number, which changes with a given number do not keep; it now requires that the number never falls and that it changes only with the entry that is applied.

--- a/controllers/cfg.c
+++ b/controllers/cfg.c
@@ -11,6 +11,8 @@
 /* Changes of the first format carry no version number.  */
 #define CFG_CHANGE_FORMAT_FIRST 1u
 #define CFG_CHANGE_FORMAT 2u
+/* Encoding of MEMBER_NUMBERING_NEXT; never a given number.  */
+#define CFG_NUMBER_NEXT 0u
 #define CFG_SNAPSHOT_FORMAT 1u
 /* Encoded size of a change without change id and document, at most.  */
 #define CFG_CHANGE_OVERHEAD_BYTES 40u
@@ -142,10 +144,16 @@
 
 /* Number of the version that CHANGE creates.  */
 static uint64_t
-cfg_next_number (const struct cfg_state *state,
-                 const struct cfg_change *change)
+cfg_new_number (const struct cfg_state *state, const struct cfg_change *change)
 {
-  return change->number != 0 ? change->number : state->version.number + 1;
+  switch (change->numbering.kind)
+    {
+    case MEMBER_NUMBERING_NEXT:
+      return state->version.number + 1;
+    case MEMBER_NUMBERING_GIVEN:
+      return change->numbering.number;
+    }
+  return 0;
 }
 
 /* Accepts or rejects a change with a new id, and stores the result.  */
@@ -157,7 +165,7 @@
   struct cfg_saved_result *saved = calloc (1, sizeof *saved);
   char *document = NULL;
   bool accepted = change->base == state->version.number
-                  && cfg_next_number (state, change) > state->version.number;
+                  && cfg_new_number (state, change) > state->version.number;
 
   if (accepted)
     document = cfg_copy_document (change->document, change->document_len);
@@ -173,7 +181,7 @@
       state->document = document;
       state->document_len = change->document_len;
       state->version = (struct member_config_version){
-        .term = term, .index = index, .number = cfg_next_number (state, change)
+        .term = term, .index = index, .number = cfg_new_number (state, change)
       };
     }
   memcpy (saved->change_id, change->change_id, sizeof saved->change_id);
@@ -183,21 +191,47 @@
   return SR_OK;
 }
 
+static void
+cfg_put_numbering (struct bytes_writer *writer,
+                   const struct member_numbering *numbering)
+{
+  switch (numbering->kind)
+    {
+    case MEMBER_NUMBERING_NEXT:
+      bytes_put_u64 (writer, CFG_NUMBER_NEXT);
+      break;
+    case MEMBER_NUMBERING_GIVEN:
+      bytes_put_u64 (writer, numbering->number);
+      break;
+    }
+}
+
+static struct member_numbering
+cfg_get_numbering (struct bytes_reader *reader)
+{
+  uint64_t number = bytes_get_u64 (reader);
+
+  if (number == CFG_NUMBER_NEXT)
+    return (struct member_numbering){ .kind = MEMBER_NUMBERING_NEXT };
+  return (struct member_numbering){ .kind = MEMBER_NUMBERING_GIVEN,
+                                    .number = number };
+}
+
 /* Decodes a change; its document points into DATA.  */
 static int
 cfg_decode_change (const uint8_t *data, size_t len, struct cfg_change *change)
 {
   struct bytes_reader reader;
-
   uint8_t format;
 
+  memset (change, 0, sizeof *change);
   bytes_reader_init (&reader, data, len);
   format = bytes_get_u8 (&reader);
   if (format != CFG_CHANGE_FORMAT && format != CFG_CHANGE_FORMAT_FIRST)
     return len == 0 ? SR_EMALFORMED : SR_EVERSION;
   change->base = bytes_get_u64 (&reader);
-  change->number = format == CFG_CHANGE_FORMAT ? bytes_get_u64 (&reader) : 0;
-  memset (change->change_id, 0, sizeof change->change_id);
+  if (format == CFG_CHANGE_FORMAT)
+    change->numbering = cfg_get_numbering (&reader);
   bytes_get_text (&reader, change->change_id, sizeof change->change_id);
   change->document = (const char *)bytes_get_blob (
       &reader, CFG_DOCUMENT_BYTES_MAX, &change->document_len);
@@ -239,13 +273,15 @@
   size_t id_len = strnlen (change->change_id, sizeof change->change_id);
 
   if (id_len == 0 || id_len == sizeof change->change_id
-      || change->document_len > CFG_DOCUMENT_BYTES_MAX)
+      || change->document_len > CFG_DOCUMENT_BYTES_MAX
+      || (change->numbering.kind == MEMBER_NUMBERING_GIVEN
+          && change->numbering.number == CFG_NUMBER_NEXT))
     return SR_EINVAL;
   bytes_writer_init (&writer, id_len + change->document_len
                                   + CFG_CHANGE_OVERHEAD_BYTES);
   bytes_put_u8 (&writer, CFG_CHANGE_FORMAT);
   bytes_put_u64 (&writer, change->base);
-  bytes_put_u64 (&writer, change->number);
+  cfg_put_numbering (&writer, &change->numbering);
   bytes_put_blob (&writer, change->change_id, id_len);
   bytes_put_blob (&writer, change->document, change->document_len);
   return bytes_writer_finish (&writer, out, len);
@@ -354,9 +390,10 @@
   if (state->version.index > state->last_index
       || state->version.term > state->last_term)
     bytes_reader_fail (reader);
-  if (state->version.number == 0 && state->document_len > 0)
+  if ((state->version.index == 0) != (state->version.number == 0)
+      || (state->version.index == 0 && state->document_len > 0))
     bytes_reader_fail (reader);
-  if (state->version.number == 0)
+  if (state->version.index == 0)
     return cfg_get_results (reader, state);
   state->document
       = cfg_copy_document ((const char *)document, state->document_len);
--- a/controllers/cfg.h
+++ b/controllers/cfg.h
@@ -29,9 +29,9 @@
 
 struct cfg_change
 {
-  uint64_t base;   /* number of the version that the change is based on; 0 for
-                      the first */
-  uint64_t number; /* number of the new version; 0 for the next number */
+  uint64_t base; /* number of the version that the change is based on; 0 for
+                    the first */
+  struct member_numbering numbering;   /* of the new version */
   char change_id[CFG_CHANGE_ID_BYTES]; /* not empty */
   const char *document;
   size_t document_len;
@@ -78,7 +78,8 @@
 const char *cfg_document (const struct cfg *cfg, size_t *len);
 
 /* Encodes a change into a malloc()ed buffer.  Returns SR_OK, SR_ENOMEM,
-   SR_EINVAL for an empty change id or a document that is too long.  */
+   SR_EINVAL for an empty change id, a given number 0 or a document that is too
+   long.  */
 int cfg_change_encode (const struct cfg_change *change, uint8_t **out,
                        size_t *len);
 
--- a/core/api.h
+++ b/core/api.h
@@ -62,8 +62,8 @@
 
 struct api_apply
 {
-  uint64_t base_version; /* version that the change is based on */
-  uint64_t new_version;  /* 0 for the next number */
+  uint64_t base_version; /* version that the change is based on, 0 for none */
+  uint64_t new_version;  /* 1 or higher */
   char change_id[64];    /* the same in all resends of one change */
 };
 
--- a/core/member.h
+++ b/core/member.h
@@ -59,12 +59,26 @@
   uint64_t change; /* number of the last change received */
 };
 
-/* Version of the configuration; ordered by (term, index) of its log entry.  */
+/* Version of the configuration; ordered by (term, index) of its log entry.
+   All members are 0 before the first version.  */
 struct member_config_version
 {
   uint64_t term;
   uint64_t index;
-  uint64_t number; /* shown to operators: 1, 2, 3 … */
+  uint64_t number; /* shown to operators, 1 or higher */
+};
+
+/* How the version that a change creates gets its number.  */
+enum member_numbering_kind
+{
+  MEMBER_NUMBERING_NEXT,  /* the number after that of the current version */
+  MEMBER_NUMBERING_GIVEN, /* the sender of the change names it */
+};
+
+struct member_numbering
+{
+  enum member_numbering_kind kind;
+  uint64_t number; /* MEMBER_NUMBERING_GIVEN: 1 or higher */
 };
 
 /* Lease renewal, sent by a node to a control replica once a second.  */
--- a/core/msg.h
+++ b/core/msg.h
@@ -231,7 +231,7 @@
   uint64_t request_id;
   uint64_t base_version; /* MSG_ADMIN_APPLY: version that the change is based
                             on; MSG_ADMIN_LAGGING: version to compare with */
-  uint64_t new_version;  /* 0 for the next number */
+  struct member_numbering numbering; /* MSG_ADMIN_APPLY */
   char change_id[64];
   char *text; /* document, malloc()ed */
   size_t len;
--- a/fuzz/fuzz_state.c
+++ b/fuzz/fuzz_state.c
@@ -106,7 +106,9 @@
       size_t len = fuzz_next_entry (&data, &remaining, &entry);
 
       (void)cfg_apply (cfg, 1, index, entry, len, &result);
-      INVARIANT (cfg_version (cfg).number - number <= 1);
+      INVARIANT (cfg_version (cfg).number >= number);
+      INVARIANT (cfg_version (cfg).number == number
+                 || cfg_version (cfg).index == index);
     }
   fuzz_check_cfg (cfg);
   cfg_free (cfg);
--- a/tasks/control_admin.c
+++ b/tasks/control_admin.c
@@ -208,7 +208,7 @@
   struct control_origin origin = { .kind = CONTROL_ORIGIN_ADMIN_CHANGE,
                                    .request_id = admin->request_id };
   struct cfg_change change = { .base = admin->base_version,
-                               .number = admin->new_version,
+                               .numbering = admin->numbering,
                                .document = admin->text,
                                .document_len = admin->len };
   struct msg_propose propose = { .kind = MSG_PROPOSE_COMMAND,
@@ -220,7 +220,8 @@
     {
       control_admin_reply (
           control, admin->request_id, 400,
-          status_encode_error ("change id is empty or document is too long"),
+          status_encode_error ("change id is empty, version number is not "
+                               "allowed or document is too long"),
           0);
       return;
     }
--- a/tasks/control_config.c
+++ b/tasks/control_config.c
@@ -212,9 +212,9 @@
   if (!confirmed && control_config_awaits_quorum (control, now))
     return;
   /* No change has been accepted yet, so there is no document to install.  */
-  if (confirmed && result->version.number == 0)
+  if (confirmed && result->version.index == 0)
     {
-      control->confirmed = control->version.number == 0;
+      control->confirmed = control->version.index == 0;
       return;
     }
   control_config_install (control, (const char *)result->data, result->len,
--- a/tasks/gate_api.c
+++ b/tasks/gate_api.c
@@ -127,7 +127,9 @@
   if (apply != NULL)
     {
       admin->base_version = apply->base_version;
-      admin->new_version = apply->new_version;
+      admin->numbering
+          = (struct member_numbering){ .kind = MEMBER_NUMBERING_GIVEN,
+                                       .number = apply->new_version };
       memcpy (admin->change_id, apply->change_id, sizeof admin->change_id);
       admin->text = malloc (request->body.len + 1);
       INVARIANT (admin->text != NULL);
--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -15,9 +15,11 @@
   return cfg_new (&(struct cfg_opts){ .results_max = RESULTS_MAX });
 }
 
+/* Applies a change that names the number of its version, or one that gets the
+   next number when NUMBER is NULL.  */
 static struct cfg_result
-apply (struct cfg *cfg, uint64_t index, uint64_t base, const char *id,
-       const char *document)
+apply_numbered (struct cfg *cfg, uint64_t index, uint64_t base,
+                const uint64_t *number, const char *id, const char *document)
 {
   struct cfg_change change = { .base = base,
                                .document = document,
@@ -26,6 +28,10 @@
   uint8_t *data;
   size_t len;
 
+  if (number != NULL)
+    change.numbering
+        = (struct member_numbering){ .kind = MEMBER_NUMBERING_GIVEN,
+                                     .number = *number };
   snprintf (change.change_id, sizeof change.change_id, "%s", id);
   CU_ASSERT_EQUAL_FATAL (cfg_change_encode (&change, &data, &len), SR_OK);
   CU_ASSERT_EQUAL (cfg_apply (cfg, 1, index, data, len, &result), SR_OK);
@@ -33,6 +39,13 @@
   return result;
 }
 
+static struct cfg_result
+apply (struct cfg *cfg, uint64_t index, uint64_t base, const char *id,
+       const char *document)
+{
+  return apply_numbered (cfg, index, base, NULL, id, document);
+}
+
 static bool
 has_document (const struct cfg *cfg, const char *text)
 {
@@ -112,6 +125,81 @@
   cfg_free (other);
 }
 
+/* A change that names the number of its version must not be accepted unless
+   the number is above the current one, whatever the numbers are; number 0
+   stands for "the next number" in the log and must not be written as a named
+   one.  */
+static void
+test_given_numbers (void)
+{
+  static const uint64_t numbers[] = { 1, 4, 5, 6, INT64_MAX, UINT64_MAX };
+  struct cfg_change zero = { .change_id = "zero",
+                             .numbering = { .kind = MEMBER_NUMBERING_GIVEN } };
+  uint8_t *data;
+  size_t len;
+
+  CU_ASSERT_EQUAL (cfg_change_encode (&zero, &data, &len), SR_EINVAL);
+  for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
+    {
+      struct cfg *cfg = new_cfg ();
+      uint64_t five = 5;
+      bool above = numbers[i] > five;
+
+      CU_ASSERT (result_equals (apply_numbered (cfg, 1, 0, &five, "a", "A"),
+                                CFG_ACCEPTED, 5));
+      CU_ASSERT (result_equals (
+          apply_numbered (cfg, 2, 5, &numbers[i], "b", "B"),
+          above ? CFG_ACCEPTED : CFG_CONFLICT, above ? numbers[i] : 5));
+      CU_ASSERT (has_document (cfg, above ? "B" : "A"));
+      cfg_free (cfg);
+    }
+}
+
+/* The number after the highest one must not be that of no version.  */
+static void
+test_last_number (void)
+{
+  struct cfg *cfg = new_cfg ();
+  uint64_t last = UINT64_MAX;
+
+  apply_numbered (cfg, 1, 0, &last, "a", "A");
+  CU_ASSERT (
+      result_equals (apply (cfg, 2, last, "b", "B"), CFG_CONFLICT, last));
+  CU_ASSERT (has_document (cfg, "A"));
+  cfg_free (cfg);
+}
+
+/* Appends a blob to a change that is encoded by hand.  */
+static size_t
+put_blob (uint8_t *data, size_t len, const char *text)
+{
+  data[len] = (uint8_t)strlen (text);
+  memcpy (data + len + 4, text, strlen (text));
+  return len + 4 + strlen (text);
+}
+
+/* Entries that are in the logs of earlier releases must keep their meaning:
+   both formats without a number give the version the next one.  */
+static void
+test_entries_of_earlier_releases (void)
+{
+  struct cfg *cfg = new_cfg ();
+  struct cfg_result result;
+  uint8_t first[64] = { 1, 0 };
+  uint8_t second[64] = { 2, 1 };
+  size_t len = put_blob (first, 9, "a");
+
+  len = put_blob (first, len, "A");
+  CU_ASSERT_EQUAL (cfg_apply (cfg, 1, 1, first, len, &result), SR_OK);
+  CU_ASSERT (result_equals (result, CFG_ACCEPTED, 1));
+  len = put_blob (second, 17, "b");
+  len = put_blob (second, len, "B");
+  CU_ASSERT_EQUAL (cfg_apply (cfg, 1, 2, second, len, &result), SR_OK);
+  CU_ASSERT (result_equals (result, CFG_ACCEPTED, 2));
+  CU_ASSERT (has_document (cfg, "B"));
+  cfg_free (cfg);
+}
+
 /* Truncated changes and snapshots, and a snapshot of another version, must be
    rejected and must leave the state unchanged.  */
 static void
@@ -226,6 +314,9 @@
   static const struct suite_test tests[]
       = { { "old log entry is not applied again", test_old_entry },
           { "resend gets the first result", test_resend },
+          { "version numbers that the sender names", test_given_numbers },
+          { "no version after the last number", test_last_number },
+          { "entries of earlier releases", test_entries_of_earlier_releases },
           { "truncated input is rejected", test_truncated_input },
           { "random changes against a model", test_random },
           { NULL, NULL } };
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -370,6 +370,39 @@
                    API_MALFORMED);
 }
 
+/* Decodes a change on top of BASE whose document has version VERSION.  */
+static struct api_call
+decode_change (const char *base, const char *version)
+{
+  static char text[4096];
+  const char *match = strstr (document, "r7");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
+  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - document), document,
+            version, match + strlen ("r7"));
+  return decode ("POST", "/-/Config.Replace", base, text);
+}
+
+/* Guards against a version that is above no other and is acknowledged: the
+   product took number 0 for "the next number".  */
+static void
+test_version_zero (void)
+{
+  static const char *const zeros[] = { "r0", "r00", "0" };
+
+  for (size_t i = 0; i < sizeof zeros / sizeof zeros[0]; i++)
+    {
+      CU_ASSERT_EQUAL (decode_change ("r5", zeros[i]).kind, API_MALFORMED);
+      CU_ASSERT_EQUAL (decode_change ("0", zeros[i]).kind, API_MALFORMED);
+    }
+  /* A document that an earlier release has accepted stays in force.  */
+  CU_ASSERT_EQUAL (parse_document_with ("r7", "r0"), SR_OK);
+  /* The first configuration is based on version 0.  */
+  CU_ASSERT_EQUAL (decode_change ("0", "r1").kind, API_APPLY_CONFIG);
+  CU_ASSERT_EQUAL (decode_change ("0", "r1").u.apply.base_version, 0);
+  CU_ASSERT_EQUAL (decode_change ("0", "r1").u.apply.new_version, 1);
+}
+
 int
 main (void)
 {
@@ -384,6 +417,7 @@
           { "malformed heartbeats are rejected", test_heartbeats },
           { "odd heartbeats are rejected", test_odd_heartbeats },
           { "change id is the same only for a resend", test_change_ids },
+          { "version 0 is refused", test_version_zero },
           { NULL, NULL } };
 
   return suite_run ("platform", tests);
