platform: a version counts with the number that was sent, or not at all

Cause: strtoull() returns its largest number beyond its range, and the range error was not looked at; prefix and leading zeros were optional.

A version is r and a number from 1 to INT64_MAX without leading zeros, a base also 0 or r0; others get 400. Documents that earlier releases have accepted stay in force: their version is not judged again.

--- a/controllers/cfg.c
+++ b/controllers/cfg.c
@@ -275,7 +275,8 @@
   if (id_len == 0 || id_len == sizeof change->change_id
       || change->document_len > CFG_DOCUMENT_BYTES_MAX
       || (change->numbering.kind == MEMBER_NUMBERING_GIVEN
-          && change->numbering.number == CFG_NUMBER_NEXT))
+          && (change->numbering.number == CFG_NUMBER_NEXT
+              || change->numbering.number > MEMBER_CONFIG_NUMBER_MAX)))
     return SR_EINVAL;
   bytes_writer_init (&writer, id_len + change->document_len
                                   + CFG_CHANGE_OVERHEAD_BYTES);
--- a/controllers/cfg.h
+++ b/controllers/cfg.h
@@ -78,8 +78,8 @@
 const char *cfg_document (const struct cfg *cfg, size_t *len);
 
 /* Encodes a change into a malloc()ed buffer.  Returns SR_OK, SR_ENOMEM,
-   SR_EINVAL for an empty change id, a given number 0 or a document that is too
-   long.  */
+   SR_EINVAL for an empty change id, a given number out of range or a document
+   that is too long.  */
 int cfg_change_encode (const struct cfg_change *change, uint8_t **out,
                        size_t *len);
 
--- a/core/member.h
+++ b/core/member.h
@@ -59,6 +59,10 @@
   uint64_t change; /* number of the last change received */
 };
 
+/* Largest number of a version that senders may name; the largest one that JSON
+   integers of the status pages hold.  */
+#define MEMBER_CONFIG_NUMBER_MAX ((uint64_t)INT64_MAX)
+
 /* Version of the configuration; ordered by (term, index) of its log entry.
    All members are 0 before the first version.  */
 struct member_config_version
@@ -78,7 +82,7 @@
 struct member_numbering
 {
   enum member_numbering_kind kind;
-  uint64_t number; /* MEMBER_NUMBERING_GIVEN: 1 or higher */
+  uint64_t number; /* MEMBER_NUMBERING_GIVEN: 1 … MEMBER_CONFIG_NUMBER_MAX */
 };
 
 /* Lease renewal, sent by a node to a control replica once a second.  */
--- a/tests/mesh_versions.sh
+++ b/tests/mesh_versions.sh
@@ -40,7 +40,10 @@
     mesh_wait_until 8 config_is "$ip" "$1" \
       || fail "$ip does not return r$2"
   done
-  check_refused "r$2" 0 00 "$2" 1
+  check_refused "r$2" 0 00 "$2" 1 "0$((${2} + 1))" 18446744073709551615 \
+    18446744073709551616 99999999999999999999999999
+  check_refused "$2" "$(($2 + 1))"
+  check_refused "r0$2" "$(($2 + 1))"
 }
 
 start_replicas () {
--- a/tests/test_cfg.c
+++ b/tests/test_cfg.c
@@ -132,13 +132,15 @@
 static void
 test_given_numbers (void)
 {
-  static const uint64_t numbers[] = { 1, 4, 5, 6, INT64_MAX, UINT64_MAX };
-  struct cfg_change zero = { .change_id = "zero",
-                             .numbering = { .kind = MEMBER_NUMBERING_GIVEN } };
+  static const uint64_t numbers[] = { 1, 4, 5, 6, INT64_MAX };
+  struct cfg_change out_of_range
+      = { .change_id = "x", .numbering = { .kind = MEMBER_NUMBERING_GIVEN } };
   uint8_t *data;
   size_t len;
 
-  CU_ASSERT_EQUAL (cfg_change_encode (&zero, &data, &len), SR_EINVAL);
+  CU_ASSERT_EQUAL (cfg_change_encode (&out_of_range, &data, &len), SR_EINVAL);
+  out_of_range.numbering.number = MEMBER_CONFIG_NUMBER_MAX + 1;
+  CU_ASSERT_EQUAL (cfg_change_encode (&out_of_range, &data, &len), SR_EINVAL);
   for (size_t i = 0; i < sizeof numbers / sizeof numbers[0]; i++)
     {
       struct cfg *cfg = new_cfg ();
@@ -155,18 +157,23 @@
     }
 }
 
-/* The number after the highest one must not be that of no version.  */
+/* Replaces *CFG by a new state machine restored from its snapshot, and checks
+   that both have the same snapshot.  */
 static void
-test_last_number (void)
+replace_by_snapshot (struct cfg **cfg)
 {
-  struct cfg *cfg = new_cfg ();
-  uint64_t last = UINT64_MAX;
+  struct cfg *copy = new_cfg ();
+  uint8_t *data[2];
+  size_t len[2];
 
-  apply_numbered (cfg, 1, 0, &last, "a", "A");
-  CU_ASSERT (
-      result_equals (apply (cfg, 2, last, "b", "B"), CFG_CONFLICT, last));
-  CU_ASSERT (has_document (cfg, "A"));
-  cfg_free (cfg);
+  CU_ASSERT_EQUAL (cfg_snapshot (*cfg, &data[0], &len[0]), SR_OK);
+  CU_ASSERT_EQUAL_FATAL (cfg_restore (copy, data[0], len[0]), SR_OK);
+  CU_ASSERT_EQUAL (cfg_snapshot (copy, &data[1], &len[1]), SR_OK);
+  CU_ASSERT (len[0] == len[1] && memcmp (data[0], data[1], len[0]) == 0);
+  free (data[0]);
+  free (data[1]);
+  cfg_free (*cfg);
+  *cfg = copy;
 }
 
 /* Appends a blob to a change that is encoded by hand.  */
@@ -179,7 +186,8 @@
 }
 
 /* Entries that are in the logs of earlier releases must keep their meaning:
-   both formats without a number give the version the next one.  */
+   both formats without a number give the version the next one, and there may
+   be numbers that are refused today, up to one that has no next number.  */
 static void
 test_entries_of_earlier_releases (void)
 {
@@ -197,6 +205,14 @@
   CU_ASSERT_EQUAL (cfg_apply (cfg, 1, 2, second, len, &result), SR_OK);
   CU_ASSERT (result_equals (result, CFG_ACCEPTED, 2));
   CU_ASSERT (has_document (cfg, "B"));
+  second[1] = 2;
+  memset (second + 9, 0xff, 8);
+  second[21] = 'c';
+  CU_ASSERT_EQUAL (cfg_apply (cfg, 1, 3, second, len, &result), SR_OK);
+  CU_ASSERT (result_equals (result, CFG_ACCEPTED, UINT64_MAX));
+  replace_by_snapshot (&cfg);
+  CU_ASSERT (result_equals (apply (cfg, 4, UINT64_MAX, "d", "D"), CFG_CONFLICT,
+                            UINT64_MAX));
   cfg_free (cfg);
 }
 
@@ -229,25 +245,6 @@
   cfg_free (cfg);
 }
 
-/* Replaces *CFG by a new state machine restored from its snapshot, and checks
-   that both have the same snapshot.  */
-static void
-replace_by_snapshot (struct cfg **cfg)
-{
-  struct cfg *copy = new_cfg ();
-  uint8_t *data[2];
-  size_t len[2];
-
-  CU_ASSERT_EQUAL (cfg_snapshot (*cfg, &data[0], &len[0]), SR_OK);
-  CU_ASSERT_EQUAL_FATAL (cfg_restore (copy, data[0], len[0]), SR_OK);
-  CU_ASSERT_EQUAL (cfg_snapshot (copy, &data[1], &len[1]), SR_OK);
-  CU_ASSERT (len[0] == len[1] && memcmp (data[0], data[1], len[0]) == 0);
-  free (data[0]);
-  free (data[1]);
-  cfg_free (*cfg);
-  *cfg = copy;
-}
-
 /* Compares the results of random changes, resends and restored snapshots with
    a model, the first result of each change id.  Guards against version numbers
    that decrease or are used twice, and against two accepted changes with the
@@ -315,7 +312,6 @@
       = { { "old log entry is not applied again", test_old_entry },
           { "resend gets the first result", test_resend },
           { "version numbers that the sender names", test_given_numbers },
-          { "no version after the last number", test_last_number },
           { "entries of earlier releases", test_entries_of_earlier_releases },
           { "truncated input is rejected", test_truncated_input },
           { "random changes against a model", test_random },
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -403,6 +403,40 @@
   CU_ASSERT_EQUAL (decode_change ("0", "r1").u.apply.new_version, 1);
 }
 
+/* Guards against a version whose number isn't the one that was sent: cut at
+   the largest integer, after which no change was possible any more, or read
+   from another text than the one that reads return.  */
+static void
+test_version_texts (void)
+{
+  static const char *const refused[] = { "r18446744073709551615",
+                                         "r18446744073709551616",
+                                         "r9223372036854775808",
+                                         "r99999999999999999999999999",
+                                         "r05",
+                                         "5",
+                                         "r5 ",
+                                         " r5",
+                                         "r+5",
+                                         "r-5",
+                                         "r5.0",
+                                         "rr5",
+                                         "r",
+                                         "",
+                                         "R5" };
+
+  for (size_t i = 0; i < sizeof refused / sizeof refused[0]; i++)
+    {
+      SUITE_SEEDED (decode_change ("r4", refused[i]).kind == API_MALFORMED, i);
+      SUITE_SEEDED (decode_change (refused[i], "r7").kind == API_MALFORMED, i);
+    }
+  CU_ASSERT_EQUAL (
+      decode_change ("r4", "r9223372036854775807").u.apply.new_version,
+      INT64_MAX);
+  CU_ASSERT_EQUAL (decode_change ("r0", "r7").u.apply.base_version, 0);
+  CU_ASSERT_EQUAL (parse_document_with ("r7", "r18446744073709551615"), SR_OK);
+}
+
 int
 main (void)
 {
@@ -418,6 +452,8 @@
           { "odd heartbeats are rejected", test_odd_heartbeats },
           { "change id is the same only for a resend", test_change_ids },
           { "version 0 is refused", test_version_zero },
+          { "versions that differ from their number are refused",
+            test_version_texts },
           { NULL, NULL } };
 
   return suite_run ("platform", tests);
