front: parameters of the admin interface are read whole or refused

What operators saw: PUT /v1/document with an empty base was accepted as the first configuration, a base beyond 64 bits counted as the largest number, and two change ids with the same first 63 characters were one.

Change: decimal_parse() reads base and version; a parameter that does not fit is refused with 400.

Evidence: mesh_admin_numbers failed before the change ("base "" gets 200, not 400") and passes after it; mesh_changes passes.

--- a/tasks/front_admin.c
+++ b/tasks/front_admin.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "core/counter.h"
+#include "core/decimal.h"
 #include "core/err.h"
 #include "core/slog.h"
 #include "tasks/front_state.h"
@@ -101,7 +102,7 @@
 }
 
 /* Copies the value of a query parameter to OUT; returns false when it is
-   missing.  */
+   missing or longer than SIZE - 1 bytes.  */
 static bool
 front_admin_query_param (const struct front_admin_request *request,
                          const char *name, char *out, size_t size)
@@ -115,9 +116,9 @@
 
       if (item_len > len && strncmp (item, name, len) == 0 && item[len] == '=')
         {
-          snprintf (out, size, "%.*s", (int)(item_len - len - 1),
-                    item + len + 1);
-          return true;
+          return snprintf (out, size, "%.*s", (int)(item_len - len - 1),
+                           item + len + 1)
+                 < (int)size;
         }
       item += item_len + (item[item_len] == '&');
     }
@@ -299,15 +300,22 @@
   struct front *front = request->front;
   char base[32];
   char change_id[64];
-  char *end = NULL;
+  uint64_t base_version;
   struct msg *msg;
 
   if (!front_admin_query_param (request, "base", base, sizeof base)
-      || !front_admin_query_param (request, "change_id", change_id,
-                                   sizeof change_id))
+      || decimal_parse (base, UINT64_MAX, &base_version) != SR_OK)
+    {
+      front_admin_answer_error (request, 400, "base is not a version number");
+      return;
+    }
+  if (!front_admin_query_param (request, "change_id", change_id,
+                                sizeof change_id)
+      || change_id[0] == '\0')
     {
       front_admin_answer_error (request, 400,
-                                "base and change_id are required");
+                                "change_id is missing, empty or longer than "
+                                "63 characters");
       return;
     }
   if (!front_admin_check_document (request))
@@ -316,15 +324,9 @@
   request->id = front->next_request_id++;
   msg->u.admin.op = MSG_ADMIN_APPLY;
   msg->u.admin.request_id = request->id;
-  msg->u.admin.base_version = strtoull (base, &end, 10);
+  msg->u.admin.base_version = base_version;
   snprintf (msg->u.admin.change_id, sizeof msg->u.admin.change_id, "%s",
             change_id);
-  if (*end != '\0' || change_id[0] == '\0')
-    {
-      msg_free (msg);
-      front_admin_answer_error (request, 400, "base is not a version number");
-      return;
-    }
   msg->u.admin.text
       = strndup ((const char *)request->body.data, request->body.len);
   msg->u.admin.len = request->body.len;
@@ -344,17 +346,20 @@
 {
   struct msg *msg;
   char version[32];
+  uint64_t number;
 
-  if (!front_admin_query_param (request, "version", version, sizeof version))
+  if (!front_admin_query_param (request, "version", version, sizeof version)
+      || decimal_parse (version, UINT64_MAX, &number) != SR_OK)
     {
-      front_admin_answer_error (request, 400, "version is required");
+      front_admin_answer_error (request, 400,
+                                "version is not a version number");
       return;
     }
   msg = msg_new (MSG_ADMIN);
   request->id = request->front->next_request_id++;
   msg->u.admin.op = MSG_ADMIN_LAGGING;
   msg->u.admin.request_id = request->id;
-  msg->u.admin.base_version = strtoull (version, NULL, 10);
+  msg->u.admin.base_version = number;
   inbox_put (request->front->control, msg);
 }
 
