platform: a service beside a split must be known, too

What operators saw: a route with a valid traffic_split and a service that isn't in the configuration was acknowledged, though it is invalid.

Cause: platform_read_targets() looked at one of the two only.

Change: both are checked when a change arrives. Documents in force are parsed without the check, so that an update leaves them in force.

--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -40,6 +40,8 @@
   char fault[API_FAULT_BYTES] = "";
 
   decode_call (PLATFORM_ENDPOINT_REPLACE_CONFIG, text, len);
+  platform_check_document (text, len, &model, fault);
+  model_unref (model);
   platform_parse_document (text, len, &model, fault);
   model_unref (model);
 }
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -20,13 +20,13 @@
       "{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
       "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 
-/* Returns the result of parsing TEXT as a document.  */
+/* Returns the result of checking TEXT as a new document.  */
 static int
 parse_document (const char *text, size_t len)
 {
   struct model *model = NULL;
   char fault[API_FAULT_BYTES] = "";
-  int error = platform_parse_document (text, len, &model, fault);
+  int error = platform_adapter ()->parse (text, len, &model, fault);
 
   model_unref (model);
   return error;
@@ -73,6 +73,41 @@
   return parse_document (text, strlen (text));
 }
 
+/* Parses DOCUMENT with the first FROM replaced by TO as one that is in force.
+   Returns the route "r-1", whose model the caller frees, or NULL.  */
+static struct route_entry *
+install_document_with (const char *from, const char *to, struct model **model)
+{
+  static char text[4096];
+  char fault[API_FAULT_BYTES] = "";
+  const char *match = strstr (document, from);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
+  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - document), document,
+            to, match + strlen (from));
+  *model = NULL;
+  if (platform_parse_document (text, strlen (text), model, fault) != SR_OK)
+    return NULL;
+  return route_find ((*model)->routes, "stock.example", "/coils/7");
+}
+
+/* Guards against a route that names an unknown service and is accepted,
+   because the reader looks at one of "service" and "traffic_split" only.  A
+   document that an earlier release has accepted must stay in force.  */
+static void
+test_unknown_service_beside_split (void)
+{
+  struct model *model;
+
+  CU_ASSERT_EQUAL (parse_document_with ("2,null]", "2,\"nobody\"]"),
+                   SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_document_with ("2,null]", "2,7]"), SR_EINVAL);
+  CU_ASSERT_EQUAL (parse_document_with ("2,null]", "2,\"b\"]"), SR_OK);
+  CU_ASSERT_PTR_NOT_NULL (
+      install_document_with ("2,null]", "2,\"nobody\"]", &model));
+  model_unref (model);
+}
+
 /* Guards against a document that is invalid and takes effect all the same.  */
 static void
 test_invalid_documents (void)
@@ -443,6 +478,8 @@
   static const struct suite_test tests[]
       = { { "routes of a document", test_document },
           { "invalid documents are rejected", test_invalid_documents },
+          { "unknown service beside a split",
+            test_unknown_service_beside_split },
           { "addresses and group of the settings", test_settings },
           { "odd values of the memory", test_odd_memory },
           { "bounds of the settings", test_bounds },
