--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -108,6 +108,101 @@
   model_unref (model);
 }
 
+/* Share of the target SERVICE of the route "r-1" in a million, when its split
+   has the weights A and B; -1 when the document is refused.  */
+static int
+split_share (const char *a, const char *b, const char *service)
+{
+  struct model *model;
+  struct route_entry *route;
+  char split[128];
+  int share = -1;
+
+  snprintf (split, sizeof split,
+            "{\"service\":\"a\",\"weight\":%s},"
+            "{\"service\":\"b\",\"weight\":%s}",
+            a, b);
+  route = install_document_with ("{\"service\":\"a\",\"weight\":90},"
+                                 "{\"service\":\"b\",\"weight\":10}",
+                                 split, &model);
+  if (route != NULL)
+    list_each (node, &route->targets)
+      {
+        struct route_target *target
+            = list_entry (node, struct route_target, node);
+
+        if (strcmp (target->service->name, service) == 0)
+          share = (int)(1e6 * target->weight / route->weight_sum + 0.5);
+      }
+  model_unref (model);
+  return share;
+}
+
+/* Guards against weights that are cut to whole numbers, so that a split gets
+   other shares or is refused as one without weight.  */
+static void
+test_weights (void)
+{
+  CU_ASSERT_EQUAL (split_share ("90", "10", "b"), 100000);
+  CU_ASSERT_EQUAL (split_share ("0.5", "0.5", "b"), 500000);
+  CU_ASSERT_EQUAL (split_share ("1.5", "1", "a"), 600000);
+  CU_ASSERT_EQUAL (split_share ("0.9", "0.1", "b"), 100000);
+  CU_ASSERT_EQUAL (split_share ("3000000", "1000000", "a"), 750000);
+  CU_ASSERT_EQUAL (split_share ("4294967296", "0", "a"), 1000000);
+  CU_ASSERT_EQUAL (split_share ("1e-300", "1e-300", "a"), 500000);
+  CU_ASSERT_EQUAL (split_share ("5e-324", "5e-324", "a"), 500000);
+  CU_ASSERT_EQUAL (split_share ("1e300", "1e300", "a"), 500000);
+  CU_ASSERT_EQUAL (split_share ("1e308", "1e308", "a"), 500000);
+  CU_ASSERT (split_share ("1", "1e-9", "b") >= 0);
+  CU_ASSERT_EQUAL (split_share ("0.0", "0", "a"), -1);
+  CU_ASSERT_EQUAL (split_share ("-1", "2", "a"), -1);
+  CU_ASSERT_EQUAL (split_share ("\"1\"", "2", "a"), -1);
+}
+
+/* Guards against numbers that are cut or replaced on their way from a document
+   to a route: a timeout below 1 ms that is none, and attempts and priorities
+   beyond 32 bits, below 0 or of another type.  */
+static void
+test_numbers_of_routes (void)
+{
+  static const char *const odd[] = { "-1", "\"2\"", "2.5", "true", "[]" };
+  struct route_entry *route;
+  struct model *model;
+  char text[32];
+
+  route = install_document_with ("1.2,2,2", "0.0001,0.0001,2", &model);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->timeout_ms, 1);
+  CU_ASSERT_EQUAL (route->target_latency_ms, 1);
+  model_unref (model);
+  route = install_document_with (
+      "2,null]",
+      "4294967296,null],[\"r-3\",\"h\",\"/\",\"idempotent\",1,0,"
+      "0,null,1,\"a\"]",
+      &model);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->attempts_max, UINT32_MAX);
+  model_unref (model);
+  route = install_document_with ("1.2,2,2", "1.2,2,4294967297", &model);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->priority, UINT32_MAX);
+  model_unref (model);
+  route = install_document_with ("2,null]", "2.0,null]", &model);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->attempts_max, 2);
+  model_unref (model);
+  for (size_t i = 0; i < sizeof odd / sizeof odd[0]; i++)
+    {
+      snprintf (text, sizeof text, "%s,null]", odd[i]);
+      SUITE_SEEDED (parse_document_with ("2,null]", text) == SR_EINVAL, i);
+      SUITE_SEEDED (install_document_with ("2,null]", text, &model) != NULL,
+                    i);
+      model_unref (model);
+      snprintf (text, sizeof text, "1.2,2,%s", odd[i]);
+      SUITE_SEEDED (parse_document_with ("1.2,2,2", text) == SR_EINVAL, i);
+    }
+}
+
 /* Guards against a document that is invalid and takes effect all the same.  */
 static void
 test_invalid_documents (void)
@@ -480,6 +575,8 @@
           { "invalid documents are rejected", test_invalid_documents },
           { "unknown service beside a split",
             test_unknown_service_beside_split },
+          { "weights of a split", test_weights },
+          { "numbers of a route", test_numbers_of_routes },
           { "addresses and group of the settings", test_settings },
           { "odd values of the memory", test_odd_memory },
           { "bounds of the settings", test_bounds },
