log: votes are placed so that the tolerated losses are borne

Cause: of fault_tolerance only "machines" was read, and 0 of them made one voter the upper bound, so that a lost vote never came back. The log knew no failure domains: the votes stayed where seeds and first comers were.

Change: the settings give losses of instances, failure domains and regions, and the region of each failure domain. log/quorum chooses the voters that bear most of them, and one change at a time towards that; log/places holds the failure domains that leases carry. A reload changes the tolerance. Losses that cannot be borne are logged after 10 s and counted.

--- a/core/counter.h
+++ b/core/counter.h
@@ -51,6 +51,9 @@
      "Bytes of the frames of peer messages received")                         \
   X (ALLOWANCE_LOST, "rudder_allowance_lost_total",                           \
      "Retry allowance that did not come back with an answer")                 \
+  X (TOLERANCE_UNMET, "rudder_tolerance_unmet_seconds_total",                 \
+     "Seconds for which the voters of a log group that is led here did not "  \
+     "bear the losses that the settings name")                                \
   X (CONFIG_CHANGES, "rudder_config_changes_total",                           \
      "Configuration versions put in force")
 
--- a/core/member.h
+++ b/core/member.h
@@ -59,6 +59,15 @@
   uint64_t change; /* number of the last change received */
 };
 
+/* Losses that control replicas have to bear at the same time: any instances,
+   or failure domains, or regions.  */
+struct member_tolerance
+{
+  uint32_t instances;
+  uint32_t domains;
+  uint32_t regions;
+};
+
 /* Largest number of a version that senders may name; the largest one that JSON
    integers of the status pages hold.  */
 #define MEMBER_CONFIG_NUMBER_MAX ((uint64_t)INT64_MAX)
--- a/core/msg.c
+++ b/core/msg.c
@@ -42,6 +42,9 @@
     case MSG_CRASH_MARKS:
       list_init (&msg->u.items);
       break;
+    case MSG_TOLERANCE:
+      list_init (&msg->u.tolerance.regions);
+      break;
     default:
       break;
     }
@@ -96,6 +99,9 @@
     case MSG_ADMIN_REPLY:
       free (msg->u.admin_reply.text);
       break;
+    case MSG_TOLERANCE:
+      msg_free_list (&msg->u.tolerance.regions);
+      break;
     case MSG_STORE_WRITE:
       raft_write_free (msg->u.store_write);
       break;
--- a/core/msg.h
+++ b/core/msg.h
@@ -64,6 +64,7 @@
   MSG_ADMIN_REPLY,
   MSG_STORE_WRITE, /* control -> store */
   MSG_STORE_DONE,  /* store -> control */
+  MSG_TOLERANCE,   /* settings -> control: losses to be borne */
   MSG_STOP,        /* to each task */
 };
 
@@ -237,6 +238,20 @@
   size_t len;
 };
 
+/* Region of a failure domain.  */
+struct msg_region
+{
+  struct list_node node;
+  char domain[MODEL_NAME_BYTES];
+  char region[MODEL_NAME_BYTES];
+};
+
+struct msg_tolerance
+{
+  struct member_tolerance losses;
+  struct list regions; /* struct msg_region; others keep theirs */
+};
+
 struct msg_admin_reply
 {
   uint64_t request_id;
@@ -269,6 +284,7 @@
     struct list items;
     struct msg_admin admin;
     struct msg_admin_reply admin_reply;
+    struct msg_tolerance tolerance;
     struct raft_write *store_write;
     struct raft_write_done *store_done;
   } u;
--- a/log/raft.c
+++ b/log/raft.c
@@ -12,7 +12,10 @@
   opts->election_timeout_max = clk_ms (1000);
   opts->lease_duration = clk_ms (400);
   opts->replace_timeout = clk_s (60);
-  opts->voters_max = RAFT_VOTERS_MAX;
+  opts->tolerance = (struct member_tolerance){
+    .instances = (RAFT_VOTERS_MAX - 1) / 2,
+  };
+  opts->places = NULL;
 }
 
 void *
--- a/log/raft.h
+++ b/log/raft.h
@@ -21,6 +21,8 @@
 #include "core/clk.h"
 #include "core/list.h"
 #include "core/raftmsg.h"
+#include "log/places.h"
+#include "log/quorum.h"
 
 struct raft;
 
@@ -37,7 +39,9 @@
   clk_us election_timeout_max;
   clk_us lease_duration;  /* shorter than @election_timeout_min */
   clk_us replace_timeout; /* silence after which a voter is replaced */
-  uint32_t voters_max;    /* further members stay learners */
+  struct member_tolerance tolerance; /* losses that the voters should bear */
+  const struct places *places; /* of the members, outlives the replica; NULL
+                                  when the tolerance is of instances only */
 };
 
 enum raft_role
@@ -120,7 +124,8 @@
 };
 
 /* Sets the default timings in OPTS: heartbeat 100 ms, election 500 … 1000 ms,
-   lease 400 ms, replacement after 60 s, a snapshot every 1000 entries.  */
+   lease 400 ms, replacement after 60 s, a snapshot every 1000 entries, a
+   tolerance of as many instances as RAFT_VOTERS_MAX voters bear.  */
 void raft_opts_default (struct raft_opts *opts);
 
 /**
@@ -185,6 +190,15 @@
    replica still replies.  */
 bool raft_leave (struct raft *raft, clk_us now);
 
+/* Sets the losses that the voters should bear.  */
+void raft_set_tolerance (struct raft *raft,
+                         const struct member_tolerance *tolerance);
+
+/* On a leader: returns the part of the tolerance that the voters do not bear
+   now, see quorum_missing(); otherwise all 0.  */
+struct member_tolerance raft_missing_tolerance (const struct raft *raft,
+                                                clk_us now);
+
 /* Returns the address of the member ID, or NULL.  */
 const char *raft_member_address (const struct raft *raft, uint64_t id);
 
--- a/log/raft_impl.h
+++ b/log/raft_impl.h
@@ -19,9 +19,10 @@
 /* Limit of entry bytes in flight to one peer: enough for the bandwidth between
    failure domains, and a bound on what is queued for a dead peer.  */
 #define RAFT_INFLIGHT_BYTES_MAX (1024 * 1024)
-/* A silent learner is removed after this many replace timeouts: it delays
-   nothing, and one that returns as a member catches up sooner.  */
-#define RAFT_LEARNER_TIMEOUTS 3
+/* A member that is silent for this many replace timeouts is not expected back.
+   A learner is then removed, but not sooner: it delays nothing, and one that
+   returns as a member catches up sooner.  */
+#define RAFT_GONE_TIMEOUTS 3
 /* A learner that lacks at most this many entries counts as caught up.  */
 #define RAFT_CAUGHT_UP_ENTRIES 64
 /* A snapshot is taken once the entries since the last one have at least its
@@ -258,14 +259,18 @@
 void raft_update_members (struct raft *raft, clk_us now);
 /* Whether the leader may propose a membership now.  */
 bool raft_member_change_allowed (const struct raft *raft);
-/* Proposes at most one membership change: promotes a learner, or takes the
-   vote of a voter that a learner replaces, or removes a silent learner.  */
-void raft_manage_members (struct raft *raft, clk_us now);
+/* Proposes that the member ID becomes a learner, or else a voter.  */
+void raft_propose_role (struct raft *raft, uint64_t id, bool learner);
 /* Whether PEER hands over its vote, or did so last before it fell silent.  */
 bool raft_peer_leaves (const struct raft *raft, const struct raft_peer *peer);
 void raft_on_leave (struct raft *raft, const struct raft_msg *msg, clk_us now);
 void raft_on_hello (struct raft *raft, const struct raft_msg *msg, clk_us now);
 
+/* raft_votes.c: which members vote */
+/* Proposes at most one membership change: the next step towards voters that
+   bear the tolerance, or the removal of a silent learner.  */
+void raft_manage_members (struct raft *raft, clk_us now);
+
 /* raft_silence.c: members that do not reply */
 /* Tells the followers which members are silent, so that a new leader need not
    wait for the replace timeout anew.  */
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -60,6 +60,33 @@
   return error;
 }
 
+/* Sends the losses that the control replicas have to bear to the control
+   task.  */
+static void
+node_platform_send_tolerance (struct node_platform *node)
+{
+  const struct platform_settings *settings = &node->settings;
+  struct msg *msg = msg_new (MSG_TOLERANCE);
+
+  msg->u.tolerance.losses = settings->tolerance;
+  /* Also settings that ask for nothing have a group that outlives the disk of
+     one replica.  */
+  if (settings->tolerance.instances == 0)
+    msg->u.tolerance.losses.instances = 1;
+  for (uint32_t i = 0; i < settings->domain_count; i++)
+    {
+      struct msg_region *region = calloc (1, sizeof *region);
+
+      INVARIANT (region != NULL);
+      memcpy (region->domain, settings->domains[i].name,
+              sizeof region->domain);
+      memcpy (region->region, settings->domains[i].region,
+              sizeof region->region);
+      list_push_tail (&msg->u.tolerance.regions, &region->node);
+    }
+  inbox_put (control_inbox (node->tasks.control), msg);
+}
+
 /* Reads the settings file again and copies the settings that may change while
    the process runs to OPTS.  Returns false when the file cannot be read.  */
 static bool
@@ -71,6 +98,7 @@
     return false;
   opts->retry_budget.ratio = node->settings.retry_ratio;
   opts->retry_budget.retries_min = node->settings.retries_min;
+  node_platform_send_tolerance (node);
   slog (SLOG_NOTICE, "settings reloaded join=%s",
         node->settings.seed_addresses);
   return true;
@@ -133,7 +161,6 @@
           .join = node->settings.seed_addresses,
           .parse = platform_parse_document,
           .group_exists = node->settings.group_exists,
-          .voters_max = 2 * node->settings.replicas_lost_max + 1,
           .replace_timeout = node_platform_replace_timeout (&node->settings) };
   struct peer_opts peer
       = { .address = node->settings.peer_address,
@@ -145,6 +172,7 @@
   if (node_tasks_open (&node->tasks, gate_inbox (node->gate), &control, &peer)
       != SR_OK)
     return SR_EIO;
+  node_platform_send_tolerance (node);
   gate_attach (node->gate, peer_inbox (node->tasks.peer),
                control_inbox (node->tasks.control));
   return SR_OK;
@@ -165,6 +193,11 @@
         node->settings.instance, node->settings.failure_domain,
         node->settings.peer_address, node->settings.seed_addresses,
         (int)node->settings.control_replica, (int)node->settings.group_exists);
+  if (node->settings.control_replica)
+    slog (SLOG_NOTICE,
+          "tolerance instances=%u domains=%u regions=%u loss_counts=%d",
+          node->settings.tolerance.instances, node->settings.tolerance.domains,
+          node->settings.tolerance.regions, (int)node->settings.loss_counts);
   status = gate_run (node->gate);
   if (node_tasks_end (&node->tasks) != 0)
     status = NODE_PLATFORM_EXIT_FAILED;
--- a/scripts/mesh_platform.sh
+++ b/scripts/mesh_platform.sh
@@ -21,17 +21,20 @@
 
 # platform_write_settings NAME IP SERVES BOOTSTRAP LISTEN SERVICE: writes the
 # settings file of the platform, NAME.json.  LISTEN holds the members of
-# "listen".  PLATFORM_LIMITS may replace the members of "limits".
+# "listen".  PLATFORM_LIMITS may replace the members of "limits",
+# PLATFORM_ZONE the zone, PLATFORM_ZONES and PLATFORM_TOLERANCE the members of
+# "zones" and "fault_tolerance".
 platform_write_settings () {
   cat >"$MESH_DIR/$1.json" <<JSON
-{"node_name": "$1", "zone": "z$2", "ip": "$2",
+{"node_name": "$1", "zone": "${PLATFORM_ZONE:-z$2}", "ip": "$2",
+ "zones": {${PLATFORM_ZONES:-}},
  "port_range": [$PLATFORM_FIRST_PORT, $PLATFORM_LAST_PORT],
  "seeds": [$PLATFORM_SEEDS],
  "bootstrap": $4, "serves": ["$3"], "service": "$6",
  "app_addr": "$2:$PLATFORM_SERVER_PORT", "data_dir": "$MESH_DIR/$1.data",
  "heartbeat_s": 1.5, "bounds": ["grace_s=6", "catch_up_s=4"], "listen": {$5},
  "limits": {${PLATFORM_LIMITS:-"\"max_fds\": 1000"}},
- "fault_tolerance": {"machines": 1}}
+ "fault_tolerance": {${PLATFORM_TOLERANCE:-"\"machines\": 1"}}}
 JSON
 }
 
--- a/tasks/control.c
+++ b/tasks/control.c
@@ -68,8 +68,6 @@
 
   replica_opts_default (&replica);
   replica.group_exists = control->opts.group_exists;
-  if (control->opts.voters_max != 0)
-    replica.voters_max = control->opts.voters_max;
   if (control->opts.replace_timeout != 0)
     replica.replace_timeout = control->opts.replace_timeout;
   snprintf (replica.address, sizeof replica.address, "%s",
@@ -88,6 +86,8 @@
   control->members = registry_new (&members);
   control->replica = replica_new (&replica, clk_now ());
   INVARIANT (control->members != NULL && control->replica != NULL);
+  replica_set_domain (control->replica, control->opts.address,
+                      control->opts.failure_domain);
 }
 
 struct control *
@@ -272,6 +272,22 @@
   msg->u.raft.msg = NULL;
 }
 
+static void
+control_handle_tolerance (struct control *control,
+                          const struct msg_tolerance *msg)
+{
+  if (control->replica == NULL)
+    return;
+  replica_set_tolerance (control->replica, &msg->losses);
+  list_each (node, &msg->regions)
+    {
+      const struct msg_region *region
+          = list_entry (node, struct msg_region, node);
+
+      replica_set_region (control->replica, region->domain, region->region);
+    }
+}
+
 static void
 control_handle_message (struct control *control, struct msg *msg, clk_us now)
 {
@@ -318,6 +334,9 @@
     case MSG_ADMIN:
       control_handle_admin (control, msg, now);
       break;
+    case MSG_TOLERANCE:
+      control_handle_tolerance (control, &msg->u.tolerance);
+      break;
     case MSG_STOP:
       control_begin_stop (control, now);
       break;
--- a/tasks/control.h
+++ b/tasks/control.h
@@ -32,7 +32,6 @@
   int (*parse) (const char *document, size_t len, struct model **out,
                 char fault[API_FAULT_BYTES]);
   bool group_exists;      /* never create the log groups */
-  uint32_t voters_max;    /* maximum number of voters; 0: default */
   clk_us replace_timeout; /* of an unreachable voter; 0: default */
 };
 
--- a/tasks/control_member.c
+++ b/tasks/control_member.c
@@ -123,6 +123,9 @@
     }
   if (renew_reply->position.change > control->members_change)
     control->members_change = renew_reply->position.change;
+  if (msg->u.renew.record.control_replica)
+    replica_set_domain (control->replica, msg->u.renew.record.address,
+                        msg->u.renew.record.failure_domain);
   control_update_node (control, msg->u.renew.record.instance, &msg->endpoint,
                        now);
   control_handle_peer_crash_marks (control, &msg->u.renew.crash_marks, now);
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "core/counter.h"
 #include "core/err.h"
 #include "core/slog.h"
 #include "log/boot.h"
@@ -12,6 +13,9 @@
 /* A member without messages of a leader for this long sends hello messages,
    because it may have been removed while it was unreachable.  */
 #define REPLICA_LEADER_SILENCE_US (clk_ms (1500))
+/* Losses that the voters do not bear for longer than a replacement takes are
+   logged.  */
+#define REPLICA_UNMET_US (clk_s (10))
 /* Maximum sender addresses kept; it only bounds memory.  */
 #define REPLICA_SENDERS_MAX 32
 
@@ -28,6 +32,9 @@
   struct raft *raft;
   struct boot *boot;
   uint64_t members_logged; /* log index of the membership logged last */
+  clk_us unmet_since;      /* the tolerance is not met since then, or 0 */
+  clk_us unmet_counted;    /* time up to which that is counted */
+  bool unmet_logged;
 };
 
 struct replica_out_item
@@ -42,7 +49,8 @@
   struct replica_group groups[MSG_GROUP_COUNT];
   struct cfg *cfg;
   struct claim *claim;
-  struct list senders; /* struct replica_sender, newest first */
+  struct places *places; /* of the control replicas */
+  struct list senders;   /* struct replica_sender, newest first */
   uint32_t sender_count;
   struct list outputs; /* struct replica_out_item */
   bool failed;         /* all calls and outputs are ignored */
@@ -60,7 +68,7 @@
   opts->election_timeout_max = raft.election_timeout_max;
   opts->lease_duration = raft.lease_duration;
   opts->replace_timeout = raft.replace_timeout;
-  opts->voters_max = raft.voters_max;
+  opts->tolerance = raft.tolerance;
   opts->group_exists = false;
   opts->config.results_max = 4096;
   /* Defaults for claims that do not carry the times and the bound of the
@@ -114,7 +122,8 @@
           .election_timeout_max = opts->election_timeout_max,
           .lease_duration = opts->lease_duration,
           .replace_timeout = opts->replace_timeout,
-          .voters_max = opts->voters_max };
+          .tolerance = opts->tolerance,
+          .places = replica->places };
 
   memcpy (boot.address, opts->address, sizeof boot.address);
   memcpy (boot.join, opts->join, sizeof boot.join);
@@ -138,6 +147,7 @@
   list_init (&replica->outputs);
   replica->cfg = cfg_new (&opts->config);
   replica->claim = claim_new (&opts->claims);
+  replica->places = places_new ();
   INVARIANT (replica->cfg != NULL && replica->claim != NULL);
   for (uint32_t i = 0; i < MSG_GROUP_COUNT; i++)
     if (!replica_open_group (replica, i, now))
@@ -162,6 +172,7 @@
     }
   cfg_free (replica->cfg);
   claim_free (replica->claim);
+  places_free (replica->places);
   while ((node = list_pop_head (&replica->senders)) != NULL)
     free (list_entry (node, struct replica_sender, node));
   while ((node = list_pop_head (&replica->outputs)) != NULL)
@@ -175,6 +186,28 @@
   free (replica);
 }
 
+void
+replica_set_tolerance (struct replica *replica,
+                       const struct member_tolerance *tolerance)
+{
+  for (uint32_t i = 0; i < MSG_GROUP_COUNT; i++)
+    raft_set_tolerance (replica->groups[i].raft, tolerance);
+}
+
+void
+replica_set_region (struct replica *replica, const char *domain,
+                    const char *region)
+{
+  places_set_region (replica->places, domain, region);
+}
+
+void
+replica_set_domain (struct replica *replica, const char *address,
+                    const char *domain)
+{
+  places_set_domain (replica->places, address, domain);
+}
+
 static void
 replica_queue_send (struct replica *replica, uint32_t group,
                     const char *address, struct raft_msg *msg)
@@ -232,6 +265,39 @@
     }
 }
 
+/* Logs and counts the time for which the voters of a group that is led here do
+   not bear the tolerance.  */
+static void
+replica_check_tolerance (struct replica *replica, uint32_t group_id,
+                         clk_us now)
+{
+  struct replica_group *group = &replica->groups[group_id];
+  struct member_tolerance missing = raft_missing_tolerance (group->raft, now);
+
+  if (missing.instances + missing.domains + missing.regions == 0)
+    {
+      if (group->unmet_logged)
+        slog (SLOG_NOTICE, "tolerance is met again group=%u", group_id);
+      group->unmet_since = 0;
+      group->unmet_logged = false;
+      return;
+    }
+  if (group->unmet_since == 0)
+    group->unmet_since = group->unmet_counted = now;
+  while (now - group->unmet_counted >= clk_s (1))
+    {
+      group->unmet_counted += clk_s (1);
+      counter_add (COUNTER_TOLERANCE_UNMET, 1);
+    }
+  if (group->unmet_logged || now - group->unmet_since < REPLICA_UNMET_US)
+    return;
+  group->unmet_logged = true;
+  slog (SLOG_WARNING,
+        "tolerance is not met group=%u missing_instances=%u "
+        "missing_domains=%u missing_regions=%u",
+        group_id, missing.instances, missing.domains, missing.regions);
+}
+
 clk_us
 replica_tick (struct replica *replica, clk_us now)
 {
@@ -244,6 +310,7 @@
       clk_us boot = replica_discover_group (replica, i, now);
       clk_us raft = raft_tick (replica->groups[i].raft, now);
 
+      replica_check_tolerance (replica, i, now);
       next = raft < next ? raft : next;
       next = boot < next ? boot : next;
     }
--- a/tasks/replica.h
+++ b/tasks/replica.h
@@ -40,10 +40,10 @@
   clk_us election_timeout_max;
   clk_us lease_duration;
   clk_us replace_timeout;
-  uint32_t voters_max;
-  bool group_exists;        /* never create the groups */
-  struct cfg_opts config;   /* equal on all replicas */
-  struct claim_opts claims; /* equal on all replicas */
+  struct member_tolerance tolerance; /* losses that the voters should bear */
+  bool group_exists;                 /* never create the groups */
+  struct cfg_opts config;            /* equal on all replicas */
+  struct claim_opts claims;          /* equal on all replicas */
 };
 
 enum replica_out_kind
@@ -89,6 +89,18 @@
 struct replica *replica_new (const struct replica_opts *opts, clk_us now);
 void replica_free (struct replica *replica);
 
+/* Sets the losses that the voters of all groups should bear.  */
+void replica_set_tolerance (struct replica *replica,
+                            const struct member_tolerance *tolerance);
+
+/* Sets the region of a failure domain.  */
+void replica_set_region (struct replica *replica, const char *domain,
+                         const char *region);
+
+/* Sets the failure domain of the replica at ADDRESS.  */
+void replica_set_domain (struct replica *replica, const char *address,
+                         const char *domain);
+
 /* Runs due timers; returns the time of the next call.  */
 clk_us replica_tick (struct replica *replica, clk_us now);
 
--- a/tests/raft_sim.h
+++ b/tests/raft_sim.h
@@ -70,7 +70,8 @@
   clk_us now;
   uint32_t nodes;
   uint32_t seeds; /* the first nodes, which create the group */
-  uint32_t voters_max;
+  struct member_tolerance tolerance;
+  struct places *places;
   clk_us replace_timeout;
   bool join_running;     /* nodes that start join those that run */
   bool calm_network;     /* no message is duplicated or late */
@@ -276,7 +277,8 @@
   opts.seed = rng_below (&sim->rng, 1u << 30);
   opts.snapshot_interval_entries = 40;
   opts.replace_timeout = sim->replace_timeout;
-  opts.voters_max = sim->voters_max;
+  opts.tolerance = sim->tolerance;
+  opts.places = sim->places;
   sim_copy_loaded (&node->disk.durable, &loaded);
   node->state = (struct sim_state){ 0 };
   node->hello_at = sim->now;
@@ -647,7 +649,8 @@
   sim->now = clk_s (10);
   sim->nodes = nodes;
   sim->seeds = nodes;
-  sim->voters_max = RAFT_VOTERS_MAX;
+  sim->tolerance.instances = (RAFT_VOTERS_MAX - 1) / 2;
+  sim->places = places_new ();
   sim->replace_timeout = clk_s (20);
   list_init (&sim->packets);
   for (uint32_t n = 0; n < SIM_NODES_MAX; n++)
@@ -687,6 +690,7 @@
       sim_kill_node (sim, n, 0);
       raft_persistent_state_clear (&sim->node[n].disk.durable);
     }
+  places_free (sim->places);
   free (sim);
 }
 
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -253,7 +253,7 @@
   CU_ASSERT_STRING_EQUAL (out.nodes_address, "10.1.0.8:8300");
   CU_ASSERT_FALSE (out.control_replica);
   CU_ASSERT_FALSE (out.group_exists);
-  CU_ASSERT_EQUAL (out.replicas_lost_max, 2);
+  CU_ASSERT_EQUAL (out.tolerance.instances, 2);
   CU_ASSERT_TRUE (out.retries_min == 49.0);
   CU_ASSERT_TRUE (out.memory_mb == 160.0);
   CU_ASSERT_EQUAL (platform_parse_settings ("{", 1, &out, fault),
@@ -377,6 +377,53 @@
                    SR_EINVAL);
 }
 
+/* Guards against losses to be borne that are given and not read, so that the
+   votes of the control replicas are where one loss ends the group.  */
+static void
+test_tolerance (void)
+{
+  static const char machines[] = "{\"machines\":2}";
+  static const char *const invalid[] = { "{\"machines\":-1}",
+                                         "{\"zones\":\"1\"}",
+                                         "{\"regions\":0.5}",
+                                         "{\"zones\":4294967297}",
+                                         "[1]",
+                                         "1" };
+  struct platform_settings out;
+
+  CU_ASSERT_EQUAL (
+      parse_settings_with (machines,
+                           "{\"machines\":0,\"zones\":1,\"regions\":2}", &out),
+      SR_OK);
+  CU_ASSERT_EQUAL (out.tolerance.instances, 0);
+  CU_ASSERT_EQUAL (out.tolerance.domains, 1);
+  CU_ASSERT_EQUAL (out.tolerance.regions, 2);
+  CU_ASSERT_EQUAL (out.domain_count, 0);
+  CU_ASSERT_TRUE (out.loss_counts);
+  CU_ASSERT_EQUAL (parse_settings_with (machines, "null", &out), SR_OK);
+  CU_ASSERT_EQUAL (out.tolerance.instances, 0);
+  for (size_t i = 0; i < sizeof invalid / sizeof invalid[0]; i++)
+    SUITE_SEEDED (
+        parse_settings_with (machines, invalid[i], &out) == SR_EINVAL, i);
+  CU_ASSERT_EQUAL (
+      parse_settings_with ("\"zone\":\"z\"",
+                           "\"zone\":\"z\",\"region\":\"east\","
+                           "\"loss_counts\":false,"
+                           "\"zones\":{\"y\":\"west\",\"x\":\"east\"}",
+                           &out),
+      SR_OK);
+  CU_ASSERT_FALSE (out.loss_counts);
+  CU_ASSERT_EQUAL_FATAL (out.domain_count, 3);
+  CU_ASSERT_STRING_EQUAL (out.domains[0].name, "y");
+  CU_ASSERT_STRING_EQUAL (out.domains[0].region, "west");
+  CU_ASSERT_STRING_EQUAL (out.domains[2].name, "z");
+  CU_ASSERT_STRING_EQUAL (out.domains[2].region, "east");
+  CU_ASSERT_EQUAL (parse_settings_with ("\"zone\":\"z\"",
+                                        "\"zone\":\"z\",\"zones\":{\"y\":1}",
+                                        &out),
+                   SR_EINVAL);
+}
+
 static struct api_call
 decode (const char *method, const char *target, const char *base,
         const char *body)
@@ -581,6 +628,7 @@
           { "odd values of the memory", test_odd_memory },
           { "bounds of the settings", test_bounds },
           { "stop limit of grace periods", test_stop_limit_of_grace_periods },
+          { "losses to be borne", test_tolerance },
           { "invalid settings are rejected", test_invalid_settings },
           { "malformed heartbeats are rejected", test_heartbeats },
           { "odd heartbeats are rejected", test_odd_heartbeats },
--- a/tests/test_raft_losses.c
+++ b/tests/test_raft_losses.c
@@ -293,7 +293,7 @@
 {
   struct sim *sim = sim_new (seeds, seeds);
 
-  sim->voters_max = seeds;
+  sim->tolerance.instances = (seeds - 1) / 2;
   sim->replace_timeout = LOSSES_CATCH_UP_US / 2;
   sim->calm_network = true;
   losses_run_until (sim, sim->now + clk_s (3));
@@ -393,12 +393,162 @@
   CU_ASSERT_EQUAL (losses_walk (5, 2, true), 0);
 }
 
+/* Machines in failure domains, each in a region of its own; the first SEEDS
+   create the group.  */
+struct losses_layout
+{
+  const char *domains; /* one letter for each machine */
+  uint32_t seeds;
+  struct member_tolerance tolerance;
+};
+
+static const struct losses_layout losses_layouts[] = {
+  { "aabc", 3, { .instances = 1, .domains = 1 } },
+  { "abac", 3, { .instances = 1, .regions = 1 } },
+  { "abc", 3, { .instances = 1, .domains = 1 } },
+  { "abcd", 3, { .instances = 1, .domains = 1 } },
+  { "aaabc", 3, { .instances = 1, .domains = 1 } },
+  { "aabbc", 3, { .instances = 2, .domains = 1 } },
+  { "aabbccd", 3, { .instances = 2, .domains = 1 } },
+};
+
+/* Kinds of losses of a failure domain.  */
+static const enum losses_kind losses_domain_kinds[]
+    = { LOSSES_RESTART, LOSSES_DISK, LOSSES_PAUSE, LOSSES_REMOVE };
+
+#define LOSSES_DOMAIN_KIND_COUNT 4
+#define LOSSES_DOMAINS_MAX 4
+/* One of so many sequences is run, all with a DEPTH above 2.  */
+#define LOSSES_DOMAIN_SAMPLE 5
+/* With and without a new leader.  */
+#define LOSSES_DOMAIN_EVENT_COUNT                                             \
+  (LOSSES_DOMAIN_KIND_COUNT * LOSSES_DOMAINS_MAX * 2)
+
+static struct sim *
+losses_new_layout (const struct losses_layout *layout)
+{
+  uint32_t count = (uint32_t)strlen (layout->domains);
+  struct sim *sim = sim_new (count, count);
+  char domain[] = "a";
+
+  sim->seeds = layout->seeds;
+  sim->tolerance = layout->tolerance;
+  sim->replace_timeout = LOSSES_CATCH_UP_US / 2;
+  sim->calm_network = true;
+  for (uint32_t n = 0; n < count; n++)
+    {
+      domain[0] = layout->domains[n];
+      places_set_domain (sim->places, sim->node[n].address, domain);
+    }
+  losses_run_until (sim, sim->now + clk_s (4));
+  sim->join_running = true;
+  return sim;
+}
+
+/* Loses all machines of DOMAIN, of which DOMAINS has the letters; returns the
+   time at which the loss ends.  Adds the letters of new machines.  */
+static clk_us
+losses_strike_domain (struct sim *sim, enum losses_kind kind, char domain,
+                      char domains[SIM_NODES_MAX + 1])
+{
+  struct losses_event event = { .kind = kind };
+  char name[] = { domain, '\0' };
+  uint32_t count = sim->nodes;
+  clk_us until = sim->now;
+
+  for (uint32_t n = 0; n < count; n++)
+    {
+      uint32_t added = sim->nodes;
+      clk_us end;
+
+      if (domains[n] != domain)
+        continue;
+      end = losses_strike (sim, &event, n);
+      until = end > until ? end : until;
+      if (added == sim->nodes)
+        continue;
+      domains[n] = '-';
+      domains[added] = domain;
+      places_set_domain (sim->places, sim->node[added].address, name);
+    }
+  return until;
+}
+
+/* Runs the losses of failure domains NUMBERS; returns whether all checks
+   hold.  */
+static bool
+losses_run_domains (const struct losses_layout *layout,
+                    const uint32_t *numbers, uint32_t count)
+{
+  struct sim *sim = losses_new_layout (layout);
+  char domains[SIM_NODES_MAX + 1] = "";
+  struct raft_status status;
+  bool holds;
+
+  memcpy (domains, layout->domains, strlen (layout->domains));
+  for (uint32_t i = 0; i < count && sim->failure_count == 0; i++)
+    {
+      enum losses_kind kind
+          = losses_domain_kinds[numbers[i] % LOSSES_DOMAIN_KIND_COUNT];
+      char domain = (char)('a'
+                           + numbers[i] / LOSSES_DOMAIN_KIND_COUNT
+                                 % LOSSES_DOMAINS_MAX);
+      uint32_t leader = losses_wait_for_leader (sim, &status);
+
+      sim_check (sim, leader != SIM_NODES_MAX, "no change was accepted", i);
+      if (leader == SIM_NODES_MAX || strchr (domains, domain) == NULL
+          || sim->nodes + 3 > SIM_NODES_MAX)
+        break;
+      if (numbers[i] >= LOSSES_DOMAIN_EVENT_COUNT / 2
+          && raft_transfer_leadership (sim->node[leader].raft, sim->now)
+                 == SR_OK)
+        losses_run_until (sim, sim->now + clk_ms (40));
+      losses_wait_for_end (sim,
+                           losses_strike_domain (sim, kind, domain, domains));
+    }
+  if (sim->failure_count == 0)
+    losses_check_end (sim, 2 * layout->tolerance.instances + 1);
+  holds = sim->failure_count == 0;
+  if (!holds)
+    printf ("layout %s, losses %u %u\n", layout->domains, numbers[0],
+            numbers[1]);
+  sim_free (sim);
+  return holds;
+}
+
+/* Guards against votes that are left in one place, where the seeds were, or
+   come to be in one by replacements, so that the loss of this place ends the
+   group.  */
+static void
+test_losses_of_domains (void)
+{
+  uint32_t step = losses_depth > 2 ? 1 : LOSSES_DOMAIN_SAMPLE;
+  uint32_t failed_count = 0;
+  uint32_t total = 0;
+
+  printf ("\n");
+  for (uint32_t i = 0; i < sizeof losses_layouts / sizeof losses_layouts[0];
+       i++)
+    for (uint32_t first = 0; first < LOSSES_DOMAIN_EVENT_COUNT; first++)
+      for (uint32_t second = first % step; second < LOSSES_DOMAIN_EVENT_COUNT;
+           second += step)
+        {
+          const uint32_t numbers[] = { first, second };
+
+          total++;
+          failed_count += !losses_run_domains (&losses_layouts[i], numbers, 2);
+        }
+  printf ("%u sequences of 2, %u failed\n", total, failed_count);
+  CU_ASSERT_EQUAL (failed_count, 0);
+}
+
 int
 main (int argc, char **argv)
 {
   static const struct suite_test tests[]
       = { { "losses one at a time", test_losses_one_at_a_time },
           { "losses two at once", test_losses_two_at_once },
+          { "losses of failure domains", test_losses_of_domains },
           { NULL, NULL } };
 
   slog_init ("test_raft_losses", SLOG_ERR);
