gate: the time limit of a caller is read whole

What callers saw: a time limit of 0 ms counted as none, so that the request ran with 30 s; one beyond 2^64 microseconds wrapped around, and the request was refused at once.

--- a/filters/dispatch.c
+++ b/filters/dispatch.c
@@ -210,7 +210,7 @@
 {
   uint64_t timeout_ms = request->caller_timeout_ms;
 
-  if (timeout_ms == 0)
+  if (request->caller_timeout_unknown)
     timeout_ms = DISPATCH_CALLER_TIMEOUT_DEFAULT_MS;
   request->caller_deadline = request->arrived + clk_ms (timeout_ms);
   request->route_deadline
--- a/filters/dispatch.h
+++ b/filters/dispatch.h
@@ -97,7 +97,8 @@
   /* from the wire */
   const char *host;
   const char *path;
-  uint64_t caller_timeout_ms; /* time that the caller waits; 0 if unknown */
+  uint64_t caller_timeout_ms;  /* time that the caller waits */
+  bool caller_timeout_unknown; /* a default counts instead */
   clk_us arrived;
   /* set by the filters */
   struct model *model; /* held while set; the route is part of it */
--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -369,8 +369,8 @@
   request->u.call = call;
   call->dispatch.host = request->head.value[HTTPMSG_HOST];
   call->dispatch.path = request->head.target;
-  call->dispatch.caller_timeout_ms
-      = strtoull (request->head.value[HTTPMSG_DEADLINE_MS], NULL, 10);
+  call->dispatch.caller_timeout_unknown = !httpmsg_get_timeout_ms (
+      &request->head, &call->dispatch.caller_timeout_ms);
   call->dispatch.arrived = request->arrived_at;
   if (request->head.body_len > 0)
     call->dispatch.body_bytes = (uint64_t)request->head.body_len;
--- a/tasks/gate_serve.c
+++ b/tasks/gate_serve.c
@@ -175,6 +175,15 @@
   gate_in_resume_body (serve->request);
 }
 
+/* Time limit of a request of another node, which always gives one.  */
+static uint64_t
+gate_serve_timeout_ms (const struct gate_request *request)
+{
+  uint64_t timeout_ms;
+
+  return httpmsg_get_timeout_ms (&request->head, &timeout_ms) ? timeout_ms : 0;
+}
+
 /* Writes the request to the backend server.  */
 static void
 gate_serve_send_request (struct gate_serve *serve)
@@ -183,8 +192,7 @@
   struct gate *gate = serve->gate;
   clk_us now = loop_now (gate->loop);
   uint64_t elapsed_ms = (now - request->arrived_at) / CLK_US_PER_MS;
-  uint64_t timeout_ms
-      = strtoull (request->head.value[HTTPMSG_DEADLINE_MS], NULL, 10);
+  uint64_t timeout_ms = gate_serve_timeout_ms (request);
   struct gate_added_fields fields
       = { .caller_service = request->head.value[HTTPMSG_CALLER_SERVICE],
           .time_left
@@ -538,8 +546,7 @@
 {
   struct gate *gate = request->gate;
   struct gate_serve *serve = calloc (1, sizeof *serve);
-  uint64_t timeout_ms
-      = strtoull (request->head.value[HTTPMSG_DEADLINE_MS], NULL, 10);
+  uint64_t timeout_ms = gate_serve_timeout_ms (request);
 
   INVARIANT (serve != NULL);
   serve->gate = gate;
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -497,6 +497,38 @@
   usleep (400000);
 }
 
+/* Sends a request that a caller waits TIMEOUT for; returns the status.  */
+static int
+get_with_timeout (const char *timeout)
+{
+  char text[512];
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+  int status;
+
+  snprintf (text, sizeof text,
+            "GET /r/ok HTTP/1.1\r\nHost: h\r\n"
+            "X-Sycamorerudder-Request-Id: t\r\n"
+            "X-Sycamorerudder-Deadline-Ms: %s\r\n\r\n",
+            timeout);
+  net_send_text (fd, text);
+  status = net_read_status (fd);
+  close (fd);
+  return status;
+}
+
+/* Guards against a time limit of 0 that counts as none, and a long one that
+   wraps around, so that the request is refused or passed on with another.  */
+static void
+test_time_limits (void)
+{
+  CU_ASSERT_EQUAL (get_with_timeout ("0"), 503);
+  CU_ASSERT_EQUAL (get_with_timeout ("3000"), 200);
+  CU_ASSERT_EQUAL (get_with_timeout ("18446744073709551"), 200);
+  CU_ASSERT_EQUAL (get_with_timeout ("18446744073709552"), 200);
+  CU_ASSERT_EQUAL (get_with_timeout ("99999999999999999999999"), 200);
+  CU_ASSERT_EQUAL (get_with_timeout ("soon"), 200);
+}
+
 /* Guards against pipelined requests that run one after the other, and against
    answers out of order.  */
 static void
@@ -1044,6 +1076,7 @@
           { "probe at start", test_probe_at_start },
           { "request and answer bytes", test_request_and_answer_bytes },
           { "answer to HEAD", test_head_answer },
+          { "time limits of callers", test_time_limits },
           { "pipeline order", test_pipeline_order },
           { "pipeline limit", test_pipeline_limit },
           { "internal route in a 103", test_internal_route_in_103 },
--- a/wire/httpmsg.c
+++ b/wire/httpmsg.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "core/decimal.h"
 #include "core/err.h"
 #include "core/httpstatus.h"
 
@@ -86,6 +87,22 @@
   return 1;
 }
 
+bool
+httpmsg_get_timeout_ms (const struct httpmsg_head *head, uint64_t *timeout_ms)
+{
+  switch (decimal_parse (head->value[HTTPMSG_DEADLINE_MS],
+                         HTTPMSG_TIMEOUT_MS_MAX, timeout_ms))
+    {
+    case SR_OK:
+      return true;
+    case SR_EINVAL:
+      *timeout_ms = HTTPMSG_TIMEOUT_MS_MAX;
+      return true;
+    default:
+      return false;
+    }
+}
+
 /* Stores the timeout of a Keep-Alive field, in seconds.  */
 static void
 httpmsg_parse_keep_alive (struct httpmsg_head *head, const struct buf *value)
--- a/wire/httpmsg.h
+++ b/wire/httpmsg.h
@@ -17,6 +17,8 @@
 
 #include "core/buf.h"
 
+/* Longer time limits count as this one, one day.  */
+#define HTTPMSG_TIMEOUT_MS_MAX 86400000u
 #define HTTPMSG_METHOD_BYTES 24
 #define HTTPMSG_VALUE_BYTES 256
 #define HTTPMSG_LENGTH_UNKNOWN (-1)
@@ -188,6 +190,11 @@
 /* Frees the contents of HEAD and clears it.  */
 void httpmsg_head_fini (struct httpmsg_head *head);
 
+/* Sets TIMEOUT_MS to the time limit of a request, HTTPMSG_TIMEOUT_MS_MAX for a
+   longer one.  Returns false when it has none, or one that is not a number. */
+bool httpmsg_get_timeout_ms (const struct httpmsg_head *head,
+                             uint64_t *timeout_ms);
+
 /* Append a header field.  */
 void httpmsg_add_field (struct buf *out, const char *name, const char *value);
 void httpmsg_add_number_field (struct buf *out, const char *name,
