gate: a request whose time is over while it waits is not passed on

Cause: the filter chain ran with the arrival of a request as the present, also for one that had waited behind 64 others of its connection, and deadline minus present wrapped around.

Change: the chain runs with the present, so that its check of the deadline refuses the request as not run.

--- a/tasks/gate_call.c
+++ b/tasks/gate_call.c
@@ -357,6 +357,7 @@
 {
   struct gate *gate = request->gate;
   struct gate_call *call = calloc (1, sizeof *call);
+  clk_us now = loop_now (gate->loop);
   struct dispatch_result result;
 
   INVARIANT (call != NULL);
@@ -377,8 +378,8 @@
   call->dispatch.local_timeout_used_fraction
       = gate->admit.timeout_used_fraction;
   counter_add (COUNTER_CALLS, 1);
-  result = dispatch_run_chain (&gate->dispatch, &call->dispatch,
-                               request->arrived_at);
+  /* A pipelined request may have waited since its arrival.  */
+  result = dispatch_run_chain (&gate->dispatch, &call->dispatch, now);
   if (result.kind == DISPATCH_REFUSE)
     {
       gate_call_refuse (call, result.reason, REASON_NOT_RUN,
--- a/tests/test_gate.c
+++ b/tests/test_gate.c
@@ -529,6 +529,37 @@
   CU_ASSERT_EQUAL (get_with_timeout ("soon"), 200);
 }
 
+/* Guards against a request that is passed on after its time limit, with one
+   that has wrapped around: it waited behind as many as are started at once. */
+static void
+test_overdue_pipelined_request (void)
+{
+  char text[256];
+  static char answer[64 * 1024];
+  uint64_t attempts;
+  int fd = net_connect (fixture.addresses[GATE_PORT_CALLERS]);
+
+  for (int i = 0; i <= PIPELINED_AT_ONCE_MAX; i++)
+    {
+      bool last = i == PIPELINED_AT_ONCE_MAX;
+
+      snprintf (text, sizeof text,
+                "GET /l/%s HTTP/1.1\r\nHost: h\r\n%s"
+                "X-Sycamorerudder-Request-Id: o%d\r\n"
+                "X-Sycamorerudder-Deadline-Ms: %d\r\n\r\n",
+                last ? "late" : "hang", last ? "Connection: close\r\n" : "", i,
+                last ? 100 : 400);
+      net_send_text (fd, text);
+    }
+  usleep (200000);
+  attempts = counter_get (COUNTER_ATTEMPTS);
+  net_read_to_end (fd, answer, sizeof answer);
+  CU_ASSERT_PTR_NOT_NULL (strstr (answer, "deadline-queued; not-run"));
+  CU_ASSERT_EQUAL (counter_get (COUNTER_ATTEMPTS), attempts);
+  CU_ASSERT_FALSE (server_last_request_contains ("/l/late "));
+  usleep (200000);
+}
+
 /* Guards against pipelined requests that run one after the other, and against
    answers out of order.  */
 static void
@@ -1077,6 +1108,7 @@
           { "request and answer bytes", test_request_and_answer_bytes },
           { "answer to HEAD", test_head_answer },
           { "time limits of callers", test_time_limits },
+          { "overdue pipelined request", test_overdue_pipelined_request },
           { "pipeline order", test_pipeline_order },
           { "pipeline limit", test_pipeline_limit },
           { "internal route in a 103", test_internal_route_in_103 },
