replica: only losses that the settings name count as not borne

Cause: one value was both the goal of the votes and what is reported.

Change: the replica keeps what the settings ask for and reports against that. A set of voters that bears everything with the fewest voters is recognised without a search, as the search runs with each commit.

--- a/log/quorum.c
+++ b/log/quorum.c
@@ -174,19 +174,26 @@
   };
 }
 
+/* Least number of voters that bears the tolerance.  */
+static uint32_t
+quorum_size_needed (const struct member_tolerance *tolerance)
+{
+  uint32_t losses = tolerance->instances;
+
+  if (losses < tolerance->domains)
+    losses = tolerance->domains;
+  if (losses < tolerance->regions)
+    losses = tolerance->regions;
+  return 2 * losses + 1;
+}
+
 /* Least number of voters that a change may lead to.  */
 static uint32_t
 quorum_size_min (const struct quorum *quorum, uint32_t current)
 {
-  const struct member_tolerance *tolerance = quorum->tolerance;
-  uint32_t needed = tolerance->instances;
+  uint32_t needed = quorum_size_needed (quorum->tolerance);
   uint32_t present = quorum_size (current);
 
-  if (needed < tolerance->domains)
-    needed = tolerance->domains;
-  if (needed < tolerance->regions)
-    needed = tolerance->regions;
-  needed = 2 * needed + 1;
   /* An even number bears no more losses of instances than one less.  */
   present -= present > 0 && present % 2 == 0;
   return present < needed ? present : needed;
@@ -290,12 +297,18 @@
 {
   struct quorum quorum = { members, count, tolerance };
   uint32_t current = quorum_current (&quorum);
-  uint32_t goal = quorum_best_set (&quorum, current);
   struct quorum_rank rank = quorum_rank_of (&quorum, current, current);
-  struct quorum_rank goal_rank = quorum_rank_of (&quorum, goal, current);
+  struct quorum_rank goal_rank;
   struct quorum_candidate best
       = { .deficit_now = rank.deficit_now, .deficit = UINT32_MAX };
-
+  uint32_t goal;
+
+  /* No set ranks higher.  */
+  if (rank.deficit == 0 && rank.deficit_now == 0
+      && rank.size == quorum_size_needed (tolerance))
+    return best.step;
+  goal = quorum_best_set (&quorum, current);
+  goal_rank = quorum_rank_of (&quorum, goal, current);
   /* From three to five voters in three failure domains, for example, no path
      bears the loss of one with each step.  */
   if (goal_rank.deficit < rank.deficit
--- a/log/quorum.h
+++ b/log/quorum.h
@@ -16,7 +16,7 @@
 #include "core/member.h"
 
 /* Members that are considered; the time needed doubles with each one.  */
-#define QUORUM_MEMBERS_MAX 12
+#define QUORUM_MEMBERS_MAX 10
 
 enum quorum_state
 {
--- a/log/raft.h
+++ b/log/raft.h
@@ -194,10 +194,11 @@
 void raft_set_tolerance (struct raft *raft,
                          const struct member_tolerance *tolerance);
 
-/* On a leader: returns the part of the tolerance that the voters do not bear
-   now, see quorum_missing(); otherwise all 0.  */
-struct member_tolerance raft_missing_tolerance (const struct raft *raft,
-                                                clk_us now);
+/* On a leader: returns the part of TOLERANCE that the voters do not bear now,
+   see quorum_missing(); otherwise all 0.  */
+struct member_tolerance
+raft_missing_tolerance (const struct raft *raft,
+                        const struct member_tolerance *tolerance, clk_us now);
 
 /* Returns the address of the member ID, or NULL.  */
 const char *raft_member_address (const struct raft *raft, uint64_t id);
--- a/log/raft_votes.c
+++ b/log/raft_votes.c
@@ -135,14 +135,15 @@
 }
 
 struct member_tolerance
-raft_missing_tolerance (const struct raft *raft, clk_us now)
+raft_missing_tolerance (const struct raft *raft,
+                        const struct member_tolerance *tolerance, clk_us now)
 {
   struct raft_votes votes;
 
   if (raft->role != RAFT_LEADER)
     return (struct member_tolerance){ 0 };
   raft_votes_list (raft, &votes, now);
-  return quorum_missing (votes.members, votes.count, &raft->opts.tolerance);
+  return quorum_missing (votes.members, votes.count, tolerance);
 }
 
 /* Proposes the next change of the votes; returns whether there is one.  */
--- a/programs/node_platform.c
+++ b/programs/node_platform.c
@@ -69,10 +69,6 @@
   struct msg *msg = msg_new (MSG_TOLERANCE);
 
   msg->u.tolerance.losses = settings->tolerance;
-  /* Also settings that ask for nothing have a group that outlives the disk of
-     one replica.  */
-  if (settings->tolerance.instances == 0)
-    msg->u.tolerance.losses.instances = 1;
   for (uint32_t i = 0; i < settings->domain_count; i++)
     {
       struct msg_region *region = calloc (1, sizeof *region);
--- a/tasks/replica.c
+++ b/tasks/replica.c
@@ -49,8 +49,9 @@
   struct replica_group groups[MSG_GROUP_COUNT];
   struct cfg *cfg;
   struct claim *claim;
-  struct places *places; /* of the control replicas */
-  struct list senders;   /* struct replica_sender, newest first */
+  struct places *places;         /* of the control replicas */
+  struct member_tolerance asked; /* by the settings */
+  struct list senders;           /* struct replica_sender, newest first */
   uint32_t sender_count;
   struct list outputs; /* struct replica_out_item */
   bool failed;         /* all calls and outputs are ignored */
@@ -190,8 +191,14 @@
 replica_set_tolerance (struct replica *replica,
                        const struct member_tolerance *tolerance)
 {
+  struct member_tolerance effective = *tolerance;
+
+  /* Also when nothing is asked for, a group outlives one disk if it can.  */
+  if (effective.instances == 0)
+    effective.instances = 1;
+  replica->asked = *tolerance;
   for (uint32_t i = 0; i < MSG_GROUP_COUNT; i++)
-    raft_set_tolerance (replica->groups[i].raft, tolerance);
+    raft_set_tolerance (replica->groups[i].raft, &effective);
 }
 
 void
@@ -266,13 +273,14 @@
 }
 
 /* Logs and counts the time for which the voters of a group that is led here do
-   not bear the tolerance.  */
+   not bear the losses that the settings name.  */
 static void
 replica_check_tolerance (struct replica *replica, uint32_t group_id,
                          clk_us now)
 {
   struct replica_group *group = &replica->groups[group_id];
-  struct member_tolerance missing = raft_missing_tolerance (group->raft, now);
+  struct member_tolerance missing
+      = raft_missing_tolerance (group->raft, &replica->asked, now);
 
   if (missing.instances + missing.domains + missing.regions == 0)
     {
--- a/tasks/replica.h
+++ b/tasks/replica.h
@@ -89,7 +89,9 @@
 struct replica *replica_new (const struct replica_opts *opts, clk_us now);
 void replica_free (struct replica *replica);
 
-/* Sets the losses that the voters of all groups should bear.  */
+/* Sets the losses that the voters of all groups should bear, one instance at
+   least.  Time in which those of @tolerance are not borne is logged and
+   counted; before the call, that is none.  */
 void replica_set_tolerance (struct replica *replica,
                             const struct member_tolerance *tolerance);
 
--- a/tests/mesh_zone_lost.sh
+++ b/tests/mesh_zone_lost.sh
@@ -102,6 +102,33 @@
   echo "$name: ok"
 }
 
+# run_short_of_places: three replicas in two zones cannot bear the loss of one;
+# this is reported, and the loss of a machine is borne.
+run_short_of_places () {
+  PLATFORM_TOLERANCE='"zones": 1' PLATFORM_ZONES=
+  platform_reserve_ports 127.0.0.1 127.0.0.2 127.0.0.3
+  rm -rf "$MESH_DIR"/*.log "$MESH_DIR"/*.data
+  start_replica c1 127.0.0.1 a true
+  start_replica c2 127.0.0.2 a true
+  start_replica c3 127.0.0.3 b true
+  platform_print_config 2 >"$MESH_DIR/r2"
+  mesh_wait_until 10 platform_apply_config 127.0.0.3 0 "$MESH_DIR/r2" \
+    || fail "short: the first change is not accepted"
+  mesh_wait_until 15 grep -q '"tolerance is not met" group=0 missing_instances=0 missing_domains=1' \
+    "$MESH_DIR/c1.log" "$MESH_DIR/c2.log" "$MESH_DIR/c3.log" \
+    || fail "short: it is not logged that the tolerance is not met"
+  mesh_kill c2
+  rm -rf "$MESH_DIR/c2.data"
+  platform_print_config 4 >"$MESH_DIR/r4"
+  mesh_wait_until 10 platform_apply_config 127.0.0.3 r2 "$MESH_DIR/r4" \
+    || fail "short: no change is accepted without a machine"
+  for i in 1 3; do
+    mesh_stop "c$i" 6 || fail "short: c$i does not stop cleanly"
+  done
+  echo "short of places: ok"
+}
+
+run_short_of_places
 run_case zones '"machines": 0, "zones": 1, "regions": 0' "" "" a a b c
 run_case regions '"machines": 1, "zones": 0, "regions": 1' "" \
   '"a1": "a", "a2": "a", "b1": "b", "c1": "c"' a1 a2 b1 c1
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -157,6 +157,10 @@
   CU_ASSERT_EQUAL (split_share ("0.0", "0", "a"), -1);
   CU_ASSERT_EQUAL (split_share ("-1", "2", "a"), -1);
   CU_ASSERT_EQUAL (split_share ("\"1\"", "2", "a"), -1);
+  /* Earlier releases accepted it.  */
+  CU_ASSERT_EQUAL (split_share ("-0.5", "1", "b"), 1000000);
+  CU_ASSERT_EQUAL (parse_document_with ("\"weight\":90", "\"weight\":-0.5"),
+                   SR_EINVAL);
 }
 
 /* Guards against numbers that are cut or replaced on their way from a document
