tests: test_quorum asks for a second voter only where there is one

Cause: the whole run of the test command failed in test_quorum-sanitize once, 1 of 1: __builtin_ctz() of 0 for groups with one voter, whose result was then not used.

Change: the index of a second voter is taken only when there is one. No check changes.

--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -206,7 +206,7 @@
         {
           struct group group = { .tolerance = tolerances[t] };
           uint32_t leader = (uint32_t)__builtin_ctz (voters);
-          uint32_t other = (uint32_t)__builtin_ctz (voters & (voters - 1));
+          uint32_t others = voters & (voters - 1);
           bool can;
 
           /* Larger groups are sampled.  */
@@ -214,8 +214,8 @@
             continue;
           set_group (&group, count, domains, voters, t % 2 == 0);
           group.members[leader].stays = true;
-          if (state != QUORUM_LIVE && (voters & (voters - 1)) != 0)
-            group.members[other].state = state;
+          if (state != QUORUM_LIVE && others != 0)
+            group.members[__builtin_ctz (others)].state = state;
           if (!has_majority (&group, members_away (&group)))
             continue;
           can = can_bear (&group);
