tests: one replacement of text for all documents and settings

Cause: five functions of test_platform replaced a part of a text in the same lines; the header of log/quorum spoke of members that are well.

Change: replace_first(); the comments name the states.

Result: test_platform, 543 checks, none changed.

--- a/log/quorum.c
+++ b/log/quorum.c
@@ -145,7 +145,7 @@
 /* What a set of voters bears; compared in the order of the members.  */
 struct quorum_rank
 {
-  uint32_t deficit;     /* while all members that are not lost are well */
+  uint32_t deficit;     /* when all members that are not lost reply */
   uint32_t deficit_now; /* with the members that reply and stay */
   uint32_t size;
   uint32_t changes; /* against the present voters */
@@ -242,11 +242,12 @@
                                                  : QUORUM_STEP_DEMOTE;
 }
 
-/* A step with what the voters bear after it.  */
+/* A step, and what the voters do not bear after it, as in struct
+   quorum_rank.  */
 struct quorum_candidate
 {
   struct quorum_step step;
-  bool removes_first;
+  bool removes_first; /* goes before others that leave the same deficit now */
   uint32_t deficit_now;
   uint32_t deficit;
 };
--- a/log/quorum.h
+++ b/log/quorum.h
@@ -71,8 +71,9 @@
  * @count: number of @members, at most QUORUM_MEMBERS_MAX
  * @tolerance: losses to be borne
  *
- * The best set bears most of @tolerance while all its members are well, then
- * most of it now, then has the fewest voters, then needs the fewest changes.
+ * The best set bears most of @tolerance when all its members that are not lost
+ * reply, then most of it without those that are away or leave, then has the
+ * fewest voters, then needs the fewest changes.
  * The number of voters falls only to what @tolerance needs, as a voter that is
  * away may hold the only copy of an entry besides members that are lost next.
  * A step bears what the present voters do, unless the best set bears more and
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -20,6 +20,20 @@
       "{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
       "\"header_timeout_s\":3,\"idle_timeout_s\":15}}";
 
+/* Returns TEXT with the first FROM replaced by TO; valid until the next
+   call.  */
+static const char *
+replace_first (const char *text, const char *from, const char *to)
+{
+  static char out[4096];
+  const char *match = strstr (text, from);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
+  snprintf (out, sizeof out, "%.*s%s%s", (int)(match - text), text, to,
+            match + strlen (from));
+  return out;
+}
+
 /* Returns the result of checking TEXT as a new document.  */
 static int
 parse_document (const char *text, size_t len)
@@ -64,12 +78,8 @@
 static int
 parse_document_with (const char *from, const char *to)
 {
-  static char text[4096];
-  const char *match = strstr (document, from);
+  const char *text = replace_first (document, from, to);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
-  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - document), document,
-            to, match + strlen (from));
   return parse_document (text, strlen (text));
 }
 
@@ -78,13 +88,9 @@
 static struct route_entry *
 install_document_with (const char *from, const char *to, struct model **model)
 {
-  static char text[4096];
   char fault[API_FAULT_BYTES] = "";
-  const char *match = strstr (document, from);
+  const char *text = replace_first (document, from, to);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
-  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - document), document,
-            to, match + strlen (from));
   *model = NULL;
   if (platform_parse_document (text, strlen (text), model, fault) != SR_OK)
     return NULL;
@@ -270,13 +276,9 @@
 parse_settings_with (const char *from, const char *to,
                      struct platform_settings *out)
 {
-  static char text[4096];
   char fault[API_FAULT_BYTES] = "";
-  const char *match = strstr (settings, from);
+  const char *text = replace_first (settings, from, to);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
-  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - settings), settings,
-            to, match + strlen (from));
   return platform_parse_settings (text, strlen (text), out, fault);
 }
 
@@ -466,17 +468,13 @@
     { "[7620,7635]", "[4294974916,4294974931]", "port_range" },
     { "\"zone\":\"y\"", "\"zone\":7", "zone" },
   };
-  static char text[4096];
   struct platform_settings out;
 
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     {
       char fault[API_FAULT_BYTES] = "";
-      const char *match = strstr (all_settings, rows[i][0]);
+      const char *text = replace_first (all_settings, rows[i][0], rows[i][1]);
 
-      CU_ASSERT_PTR_NOT_NULL_FATAL (match);
-      snprintf (text, sizeof text, "%.*s%s%s", (int)(match - all_settings),
-                all_settings, rows[i][1], match + strlen (rows[i][0]));
       SUITE_SEEDED (platform_parse_settings (text, strlen (text), &out, fault)
                         == SR_EINVAL,
                     i);
@@ -658,12 +656,8 @@
 static struct api_call
 decode_change (const char *base, const char *version)
 {
-  static char text[4096];
-  const char *match = strstr (document, "r7");
+  const char *text = replace_first (document, "r7", version);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (match);
-  snprintf (text, sizeof text, "%.*s%s%s", (int)(match - document), document,
-            version, match + strlen ("r7"));
   return decode ("POST", "/-/Config.Replace", base, text);
 }
 
